Lay the thin path from a caller to a usage report

Cause: there was no code. The whole path has to stand, thin, before any part of it grows.

One node with its state in memory takes targets' announcements, serves a live request whole and streamed, passes a plain-service call on, runs a trainer's groups across a change of weights, refuses a withdrawn key, and reports a usage window. All of it goes over HTTP through the data path.

Ruled out: `x-request-id` as the id that a target must echo. The HTTP library overwrites that header in every answer, so all answers were taken for crossed ones; the header is now `catkinlatch-request-id`, and the usual one is still read from callers.

Before: nothing ran.

Conclusion: the path stands. Control is one voter in memory, routing is least work, rollouts have no stragglers' policy; each of these is the next work.

--- /dev/null
+++ b/crates/catkinlatch-base/src/lib.rs
@@ -0,0 +1,21 @@
+//! Ids, units, clocks, findings, invariants and time line events that all parts share.
+
+mod derive;
+pub mod event;
+pub mod finding;
+pub mod id;
+mod instant;
+pub mod invariant;
+pub mod timeline;
+pub mod unit;
+
+pub use self::{
+    finding::{Finding, Findings, Place},
+    id::*,
+    instant::Instant,
+    timeline::Timeline,
+    unit::*,
+};
+
+#[doc(hidden)]
+pub use {schemars, serde};
--- /dev/null
+++ b/crates/catkinlatch-log/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated control log, as a state machine without I/O.
--- /dev/null
+++ b/crates/catkinlatch-node/src/entry/api.rs
@@ -0,0 +1,200 @@
+//! HTTP interface for callers.
+
+use super::{
+    Code, Refusal, Ticket, credential,
+    dispatch::{self, Call, Reply},
+    request, stream,
+};
+use crate::Node;
+use bytes::Bytes;
+use catkinlatch_base::{ZoneId, derive_schema, event};
+use dropshot::{
+    ApiDescription, ApiDescriptionRegisterError, Body, HttpError, HttpResponseOk, Path,
+    RequestContext, RequestInfo, UntypedBody, endpoint,
+};
+use http::Response;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::sync::Arc;
+
+type Context = RequestContext<Arc<Node>>;
+type Answer = Result<Response<Body>, HttpError>;
+
+/// How long a caller may use the addresses that it was given, in milliseconds.
+const ADDRESS_TIME_TO_LIVE_MS: u64 = 5_000;
+
+/// Adds the endpoints.
+pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
+    api.register(get_entry)?;
+    api.register(post_chat)?;
+    api.register(post_completion)?;
+    api.register(get_service)?;
+    api.register(post_service)?;
+    api.register(put_service)?;
+    api.register(delete_service)?;
+    Ok(())
+}
+
+derive_schema! {
+    /// Where a caller may send requests.
+    pub struct Entry {
+        /// The addresses, best first.
+        pub addresses: Vec<Address>,
+        /// How long they may be used, in milliseconds.
+        pub time_to_live_ms: u64,
+    }
+}
+
+derive_schema! {
+    /// One address for callers.
+    pub struct Address {
+        /// The address, as `host:port`.
+        pub address: String,
+        /// The availability zone.
+        pub zone: ZoneId,
+        /// How much of a caller's traffic should go there, against the other addresses.
+        pub weight: u32,
+    }
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct ServicePath {
+    service: String,
+    rest: Vec<String>,
+}
+
+/// What a completion request says about its way.
+#[derive(Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// Returns the addresses that a caller should use.
+#[endpoint { method = GET, path = "/v1/entry" }]
+async fn get_entry(context: Context) -> Result<HttpResponseOk<Entry>, HttpError> {
+    let node = context.context();
+    let address = Address {
+        address: context.server.local_addr.to_string(),
+        zone: node.settings.zone.clone(),
+        weight: 1,
+    };
+    let time_to_live_ms = ADDRESS_TIME_TO_LIVE_MS;
+    Ok(HttpResponseOk(Entry { addresses: vec![address], time_to_live_ms }))
+}
+
+/// Runs a chat completion, whole or streamed.
+#[endpoint { method = POST, path = "/v1/chat/completions" }]
+async fn post_chat(context: Context, body: UntypedBody) -> Answer {
+    complete(context, "/v1/chat/completions", body).await
+}
+
+/// Runs a text completion, whole or streamed.
+#[endpoint { method = POST, path = "/v1/completions" }]
+async fn post_completion(context: Context, body: UntypedBody) -> Answer {
+    complete(context, "/v1/completions", body).await
+}
+
+/// Passes a request on to a plain service.
+#[endpoint { method = GET, path = "/v1/services/{service}/{rest:.*}", unpublished = true }]
+async fn get_service(context: Context, path: Path<ServicePath>, body: UntypedBody) -> Answer {
+    serve(context, path.into_inner(), body).await
+}
+
+/// Passes a request on to a plain service.
+#[endpoint { method = POST, path = "/v1/services/{service}/{rest:.*}", unpublished = true }]
+async fn post_service(context: Context, path: Path<ServicePath>, body: UntypedBody) -> Answer {
+    serve(context, path.into_inner(), body).await
+}
+
+/// Passes a request on to a plain service.
+#[endpoint { method = PUT, path = "/v1/services/{service}/{rest:.*}", unpublished = true }]
+async fn put_service(context: Context, path: Path<ServicePath>, body: UntypedBody) -> Answer {
+    serve(context, path.into_inner(), body).await
+}
+
+/// Passes a request on to a plain service.
+#[endpoint { method = DELETE, path = "/v1/services/{service}/{rest:.*}", unpublished = true }]
+async fn delete_service(context: Context, path: Path<ServicePath>, body: UntypedBody) -> Answer {
+    serve(context, path.into_inner(), body).await
+}
+
+async fn complete(context: Context, path: &str, body: UntypedBody) -> Answer {
+    let node = context.context().clone();
+    let answered = try_complete(&node, &context.request, path, body).await;
+    Ok(answered.unwrap_or_else(|refusal| refuse(&node, *refusal)))
+}
+
+async fn serve(context: Context, path: ServicePath, body: UntypedBody) -> Answer {
+    let node = context.context().clone();
+    let answered = try_serve(&node, &context.request, path, body).await;
+    Ok(answered.unwrap_or_else(|refusal| refuse(&node, *refusal)))
+}
+
+async fn try_complete(
+    node: &Arc<Node>,
+    info: &RequestInfo,
+    path: &str,
+    body: UntypedBody,
+) -> Result<Response<Body>, Box<Refusal>> {
+    let id = request::request_id(info.headers());
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    let asked: Completion = serde_json::from_slice(&body).map_err(|error| {
+        let message = format!("the body is not a completion request: {error}");
+        Refusal::not_run(id.clone(), Code::BadRequest, message)
+    })?;
+    let ticket = Ticket::new(node, info.headers(), id, &asked.model)?;
+    check_length(&ticket, &body)?;
+    let call = dispatch::engine_call(path, body);
+    if asked.stream {
+        return stream::run_streamed(node, ticket, &call).await;
+    }
+    Ok(respond(dispatch::run_whole(node, &ticket, &call).await?))
+}
+
+async fn try_serve(
+    node: &Arc<Node>,
+    info: &RequestInfo,
+    path: ServicePath,
+    body: UntypedBody,
+) -> Result<Response<Body>, Box<Refusal>> {
+    let id = request::request_id(info.headers());
+    let ticket = Ticket::new(node, info.headers(), id, &path.service)?;
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    check_length(&ticket, &body)?;
+    let call = Call {
+        method: info.method().clone(),
+        path: service_path(&path, info),
+        headers: credential::harmless_headers(info.headers()),
+        body,
+    };
+    Ok(respond(dispatch::run_whole(node, &ticket, &call).await?))
+}
+
+fn service_path(path: &ServicePath, info: &RequestInfo) -> String {
+    let rest = path.rest.join("/");
+    match info.uri().query() {
+        Some(query) => format!("/{rest}?{query}"),
+        None => format!("/{rest}"),
+    }
+}
+
+fn check_length(ticket: &Ticket, body: &Bytes) -> Result<(), Box<Refusal>> {
+    let limit = ticket.route.max_request_bytes;
+    if body.len() as u64 <= limit {
+        return Ok(());
+    }
+    let message = format!("the body has {} bytes; the route allows {limit}", body.len());
+    Err(Refusal::not_run(ticket.request.clone(), Code::TooLong, message).into())
+}
+
+fn respond(reply: Reply) -> Response<Body> {
+    Response::from_parts(reply.head, Body::from(reply.body))
+}
+
+fn refuse(node: &Node, refusal: Refusal) -> Response<Body> {
+    let code = refusal.code.to_string();
+    node.record(event::Kind::Refused { request: refusal.request_id.clone(), code });
+    refusal.into_response()
+}
--- /dev/null
+++ b/crates/catkinlatch-node/src/entry/request.rs
@@ -0,0 +1,68 @@
+//! An admitted request.
+
+use super::{Code, Refusal, credential::presented_key};
+use crate::Node;
+use catkinlatch_base::{Instant, RequestId, RouteId, TeamId};
+use catkinlatch_state::config::Route;
+use http::HeaderMap;
+use std::time::Duration;
+
+/// The header that names a request towards callers and targets; a target must echo it.
+///
+/// The usual `x-request-id` is read as well, but the HTTP library overwrites it in answers.
+pub const REQUEST_ID: &str = "catkinlatch-request-id";
+
+/// The team that requests without a key run for, on open routes.
+const OPEN_TEAM: &str = "open";
+
+/// A request that passed the checks of its key and route.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    /// Identifies the request.
+    pub request: RequestId,
+    /// The team that it runs for.
+    pub team: TeamId,
+    /// The route that it takes.
+    pub route: Route,
+    /// When it must be answered.
+    pub deadline: Instant,
+}
+
+impl Ticket {
+    /// Checks the key and the route of a request.
+    pub fn new(
+        node: &Node,
+        headers: &HeaderMap,
+        request: RequestId,
+        route: &str,
+    ) -> Result<Self, Box<Refusal>> {
+        let state = node.control.state();
+        let config = state.config();
+        let found = route.parse::<RouteId>().ok().and_then(|id| config.routes().get(&id));
+        let team = match presented_key(headers) {
+            Some(key) => config.authenticate(key).map(|(_, team)| team.clone()),
+            None if found.is_some_and(|route| route.open) => OPEN_TEAM.parse().ok(),
+            None => None,
+        };
+        let Some(team) = team else {
+            let message = "the key is missing or not in force; send a key of your team";
+            return Err(Refusal::not_run(request, Code::Unauthorized, message).into());
+        };
+        let Some(route) = found else {
+            let message = "no route has this name; ask your operator for the routes";
+            return Err(Refusal::not_run(request, Code::NoRoute, message).into());
+        };
+        let deadline = node.clock.now() + Duration::from_millis(route.deadline_ms);
+        Ok(Self { request, team, route: route.clone(), deadline })
+    }
+}
+
+/// Keeps the caller's request id, or makes one.
+pub fn request_id(headers: &HeaderMap) -> RequestId {
+    let header = headers.get(REQUEST_ID).or_else(|| headers.get("x-request-id"));
+    let given = header.and_then(|value| value.to_str().ok());
+    given.and_then(|text| text.parse().ok()).unwrap_or_else(|| {
+        let text = format!("r-{:032x}", fastrand::u128(..));
+        text.parse().expect("hexadecimal digits are valid in an id")
+    })
+}
--- /dev/null
+++ b/crates/catkinlatch-node/src/node.rs
@@ -0,0 +1,156 @@
+//! One node: what its tasks and HTTP handlers share, and its start and stop.
+
+use crate::{
+    Clock, Control, Settings, entry, operator, targets, trainer, upstream::Upstream, usage,
+};
+use catkinlatch_base::{Incarnation, Timeline, event::Kind};
+use catkinlatch_fleet::Meter;
+use catkinlatch_route::Table;
+use derive_more::{Display, Error};
+use dropshot::{
+    ApiDescription, ApiDescriptionRegisterError, BuildError, ConfigDropshot, HandlerTaskMode,
+    HttpServer, ServerBuilder,
+};
+use slog::Drain;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+use tokio::task::JoinSet;
+
+/// The longest request body on any route, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// What a node's tasks and HTTP handlers share.
+#[derive(Debug)]
+pub struct Node {
+    /// The settings that the node was started with.
+    pub settings: Settings,
+    /// Identifies this start of the process.
+    pub incarnation: Incarnation,
+    /// The node's clocks.
+    pub clock: Clock,
+    /// The node's handle on the replicated state.
+    pub control: Control,
+    /// The newest events of this process.
+    pub timeline: Timeline,
+    pub(crate) upstream: Upstream,
+    pub(crate) trainers: trainer::Coordinators,
+    table: Mutex<Table>,
+    meter: Mutex<Meter>,
+}
+
+impl Node {
+    /// Records an event of the time line.
+    pub fn record(&self, kind: Kind) {
+        self.timeline.record(self.clock.wall_ms(), kind);
+    }
+
+    /// Locks the table of targets.
+    pub(crate) fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the usage counters.
+    pub(crate) fn meter(&self) -> MutexGuard<'_, Meter> {
+        self.meter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Says why a node did not start.
+#[derive(Debug, Display, Error)]
+pub enum StartError {
+    /// The HTTP interfaces do not fit together.
+    #[display("cannot describe the HTTP interface: {_0}")]
+    Describe(ApiDescriptionRegisterError),
+    /// A server did not start.
+    #[display("cannot listen: {_0}")]
+    Listen(BuildError),
+}
+
+/// A running node.
+pub struct Server {
+    node: Arc<Node>,
+    public: HttpServer<Arc<Node>>,
+    operator: HttpServer<Arc<Node>>,
+    tasks: JoinSet<()>,
+}
+
+impl Server {
+    /// Starts a node.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let timeline = Timeline::new(settings.host.clone(), settings.timeline_events);
+        let node = Arc::new(Node {
+            settings,
+            incarnation: Incarnation::draw(&mut fastrand::Rng::new()),
+            clock: Clock::new(),
+            control: Control::in_memory(),
+            timeline,
+            upstream: Upstream::new(),
+            trainers: trainer::Coordinators::default(),
+            table: Mutex::default(),
+            meter: Mutex::default(),
+        });
+        let public = listen(&node, node.settings.listen, public_api()?)?;
+        let operator = listen(&node, node.settings.operator_listen, operator_api()?)?;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(usage::report_windows(node.clone()));
+        tasks.spawn(trainer::run_samples(node.clone()));
+        Ok(Self { node, public, operator, tasks })
+    }
+
+    /// Returns what the node's tasks share.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Returns where callers, trainers and targets connect.
+    pub fn address(&self) -> SocketAddr {
+        self.public.local_addr()
+    }
+
+    /// Returns where operators connect.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator.local_addr()
+    }
+
+    /// Finishes the requests under way and stops.
+    pub async fn stop(mut self) -> Result<(), String> {
+        self.public.close().await?;
+        self.operator.close().await?;
+        self.tasks.shutdown().await;
+        Ok(())
+    }
+}
+
+/// Describes the interface for callers, trainers and targets.
+pub fn public_api() -> Result<ApiDescription<Arc<Node>>, StartError> {
+    let mut api = ApiDescription::new();
+    entry::register(&mut api).map_err(StartError::Describe)?;
+    targets::register(&mut api).map_err(StartError::Describe)?;
+    trainer::register(&mut api).map_err(StartError::Describe)?;
+    Ok(api)
+}
+
+/// Describes the interface for operators.
+pub fn operator_api() -> Result<ApiDescription<Arc<Node>>, StartError> {
+    let mut api = ApiDescription::new();
+    operator::register(&mut api).map_err(StartError::Describe)?;
+    Ok(api)
+}
+
+/// Starts an HTTP server.
+fn listen(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    api: ApiDescription<Arc<Node>>,
+) -> Result<HttpServer<Arc<Node>>, StartError> {
+    let config = ConfigDropshot {
+        bind_address: address,
+        default_request_body_max_bytes: MAX_BODY_BYTES,
+        default_handler_task_mode: HandlerTaskMode::Detached,
+        ..ConfigDropshot::default()
+    };
+    let log = slog::Logger::root(slog_stdlog::StdLog.fuse(), slog::o!());
+    ServerBuilder::new(api, node.clone(), log).config(config).start().map_err(StartError::Listen)
+}
--- /dev/null
+++ b/crates/catkinlatch-node/src/operator.rs
@@ -0,0 +1,6 @@
+//! HTTP interface for operators.
+
+mod api;
+pub mod status;
+
+pub(crate) use self::api::register;
--- /dev/null
+++ b/crates/catkinlatch-node/src/operator/api.rs
@@ -0,0 +1,85 @@
+//! Endpoints for operators.
+
+use super::status::Status;
+use crate::Node;
+use catkinlatch_base::event::{self, Event};
+use catkinlatch_state::{Command, Reply, config};
+use dropshot::{
+    ApiDescription, ApiDescriptionRegisterError, HttpError, HttpResponseOk, RequestContext,
+    TypedBody, endpoint,
+};
+use std::sync::Arc;
+
+type Context = RequestContext<Arc<Node>>;
+
+/// Adds the endpoints.
+pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
+    api.register(get_live)?;
+    api.register(get_status)?;
+    api.register(get_timeline)?;
+    api.register(post_change)?;
+    Ok(())
+}
+
+/// Answers while the process runs.
+#[endpoint { method = GET, path = "/v1/live" }]
+async fn get_live(_context: Context) -> Result<HttpResponseOk<()>, HttpError> {
+    Ok(HttpResponseOk(()))
+}
+
+/// Returns what the node knows of the cluster.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn get_status(context: Context) -> Result<HttpResponseOk<Status>, HttpError> {
+    let node = context.context();
+    let leading = node.control.leading();
+    let targets = node.table().entries().map(|(_, e)| e.announcement.clone()).collect();
+    Ok(HttpResponseOk(Status {
+        host: node.settings.host.clone(),
+        zone: node.settings.zone.clone(),
+        leader: leading.map(|_| node.settings.host.clone()),
+        term: leading.unwrap_or_default(),
+        revision: node.control.state().revision(),
+        targets,
+    }))
+}
+
+/// Returns the newest events of this process.
+#[endpoint { method = GET, path = "/v1/timeline" }]
+async fn get_timeline(context: Context) -> Result<HttpResponseOk<Vec<Event>>, HttpError> {
+    Ok(HttpResponseOk(context.context().timeline.events()))
+}
+
+/// Changes the configuration.
+#[endpoint { method = POST, path = "/v1/config/changes" }]
+async fn post_change(
+    context: Context,
+    body: TypedBody<config::Change>,
+) -> Result<HttpResponseOk<config::Reply>, HttpError> {
+    let node = context.context();
+    let change = body.into_inner();
+    let withdrawn = withdrawn_keys(node, &change);
+    match node.control.propose(Command::Config(change)).await {
+        Ok(Reply::Config(reply)) => {
+            if let config::Reply::Accepted { revision } = reply {
+                node.record(event::Kind::Committed { revision });
+                withdrawn.into_iter().for_each(|kind| node.record(kind));
+            }
+            Ok(HttpResponseOk(reply))
+        }
+        Ok(reply) => Err(HttpError::for_internal_error(format!("the change answered {reply:?}"))),
+        Err(error) => Err(HttpError::for_unavail(None, error.to_string())),
+    }
+}
+
+/// Returns the events that tell of the keys that a change withdraws.
+fn withdrawn_keys(node: &Node, change: &config::Change) -> Vec<event::Kind> {
+    let state = node.control.state();
+    let withdrawn =
+        |edit: &config::Edit| match edit {
+            config::Edit::WithdrawKey(id) => state.config().keys().get(id).map(|key| {
+                event::Kind::KeyWithdrawn { key: key.id.clone(), team: key.team.clone() }
+            }),
+            _ => None,
+        };
+    change.edits.iter().filter_map(withdrawn).collect()
+}
--- /dev/null
+++ b/crates/catkinlatch-node/src/upstream.rs
@@ -0,0 +1,106 @@
+//! HTTP calls from a node to targets and the platform.
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{Request, Response, Uri};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use std::time::Duration;
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Says why a call failed.
+#[derive(Debug, Display, Error)]
+pub enum CallError {
+    /// No byte of the request was sent.
+    #[display("cannot connect")]
+    Connect,
+    /// The connection broke after the request may have been sent.
+    #[display("the connection broke")]
+    Broken,
+    /// The answer is longer than allowed.
+    #[display("the answer is longer than {limit} bytes")]
+    TooLong {
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
+/// An HTTP client that never repeats a request by itself.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Upstream {
+    /// Creates a client without connections.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns the answer's head.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallError> {
+        self.client.request(request).await.map_err(|error| {
+            if error.is_connect() { CallError::Connect } else { CallError::Broken }
+        })
+    }
+
+    /// Sends a request and returns the whole answer, at most `limit` bytes of it.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+    ) -> Result<Response<Bytes>, CallError> {
+        let (head, body) = self.send(request).await?.into_parts();
+        let body = read_body(body, limit).await?;
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Sends a JSON document and returns the whole answer.
+    pub async fn post_json(
+        &self,
+        address: &str,
+        path: &str,
+        document: &impl serde::Serialize,
+    ) -> Result<Response<Bytes>, CallError> {
+        let body = serde_json::to_vec(document).expect("the project's own types serialize");
+        let request = Request::post(uri(address, path).ok_or(CallError::Connect)?)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .expect("the parts are valid");
+        self.call(request, MAX_REPLY_BYTES).await
+    }
+}
+
+/// The longest answer to a document of our own.
+const MAX_REPLY_BYTES: usize = 1 << 20;
+
+/// Reads a body whole, at most `limit` bytes of it.
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallError> {
+    let collected = Limited::new(body, limit).collect().await.map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            CallError::TooLong { limit }
+        } else {
+            CallError::Broken
+        }
+    })?;
+    Ok(collected.to_bytes())
+}
+
+/// Joins the address of a target with a path.
+pub fn uri(address: &str, path: &str) -> Option<Uri> {
+    Uri::builder().scheme("http").authority(address).path_and_query(path).build().ok()
+}
--- /dev/null
+++ b/crates/catkinlatch-route/src/lib.rs
@@ -0,0 +1,7 @@
+//! Decisions about live requests: which target serves them, and when they are refused.
+//!
+//! Nothing here has a clock, a socket or a thread: time and randomness are passed in.
+
+pub mod target;
+
+pub use self::target::{Announcement, Key, Table};
--- /dev/null
+++ b/crates/catkinlatch-route/src/target.rs
@@ -0,0 +1,9 @@
+//! The targets that announced themselves, and the choice between them.
+
+mod announcement;
+mod table;
+
+pub use self::{
+    announcement::{Announcement, Role},
+    table::{Entry, Key, Table},
+};
--- /dev/null
+++ b/crates/catkinlatch-standin/src/engine.rs
@@ -0,0 +1,115 @@
+//! A stand-in model engine.
+
+mod api;
+mod record;
+
+pub use self::record::Record;
+
+use crate::{announce, server, service::boot_id};
+use catkinlatch_base::{ModelId, TargetId, Term, Version, ZoneId};
+use catkinlatch_route::{Announcement, target::Role};
+use dropshot::{ApiDescription, HttpServer};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::task::JoinHandle;
+
+/// How an engine behaves.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How many requests it runs at one time.
+    pub slots: u32,
+    /// How long one token takes.
+    pub token_time: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { slots: 8, token_time: Duration::from_millis(2) }
+    }
+}
+
+/// What the engine shares with its handlers.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    id: TargetId,
+    options: Options,
+    inner: Mutex<Inner>,
+}
+
+/// What changes while the engine runs.
+#[derive(Debug, Default)]
+struct Inner {
+    version: Version,
+    fence: Term,
+    records: Vec<Record>,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A running stand-in engine.
+pub struct Engine {
+    server: HttpServer<Arc<Shared>>,
+    shared: Arc<Shared>,
+    announcer: JoinHandle<()>,
+}
+
+impl Engine {
+    /// Starts an engine of `model` that announces itself to `nodes`.
+    pub async fn start(
+        id: TargetId,
+        model: ModelId,
+        zone: ZoneId,
+        options: Options,
+        listen: SocketAddr,
+        nodes: Vec<SocketAddr>,
+    ) -> Result<Self, String> {
+        let slots = options.slots;
+        let shared =
+            Arc::new(Shared { id: id.clone(), options, inner: Mutex::new(Inner::default()) });
+        let mut description = ApiDescription::new();
+        api::register(&mut description).map_err(|error| error.to_string())?;
+        let server = server::start(description, shared.clone(), listen)?;
+        let announcement = Announcement {
+            id,
+            boot: boot_id(),
+            role: Role::Engine { model, version: Version::default() },
+            zone,
+            address: server.local_addr().to_string(),
+            slots,
+            price_class: "full".to_owned(),
+            checks_fencing: true,
+        };
+        announce::announce(&nodes, &announcement).await;
+        let announcer = tokio::spawn(renew(shared.clone(), nodes, announcement));
+        Ok(Self { server, shared, announcer })
+    }
+
+    /// Returns what the engine ran, in order.
+    pub fn records(&self) -> Vec<Record> {
+        self.shared.lock().records.clone()
+    }
+
+    /// Stops the engine.
+    pub async fn stop(self) -> Result<(), String> {
+        self.announcer.abort();
+        self.server.close().await
+    }
+}
+
+/// Renews the announcement with the version that is loaded.
+async fn renew(shared: Arc<Shared>, nodes: Vec<SocketAddr>, mut announcement: Announcement) {
+    loop {
+        tokio::time::sleep(announce::INTERVAL).await;
+        if let Role::Engine { version, .. } = &mut announcement.role {
+            *version = shared.lock().version;
+        }
+        announce::announce(&nodes, &announcement).await;
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-standin/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins for the systems around catkinlatch, and the run behind `catkinlatch try`.
+
+pub mod announce;
+pub mod client;
+pub mod engine;
+pub mod platform;
+mod server;
+pub mod service;
+pub mod trial;
--- /dev/null
+++ b/crates/catkinlatch-standin/src/service.rs
@@ -0,0 +1,117 @@
+//! A stand-in plain service that records each run.
+
+use crate::{announce, server};
+use catkinlatch_base::{BootId, RequestId, RouteId, TargetId, ZoneId};
+use catkinlatch_node::entry::REQUEST_ID;
+use catkinlatch_route::{Announcement, target::Role};
+use dropshot::{
+    ApiDescription, Body, HttpError, HttpResponseOk, HttpServer, Path, RequestContext, UntypedBody,
+    endpoint,
+};
+use http::Response;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+use tokio::task::JoinHandle;
+
+/// What the service shares with its handlers.
+#[derive(Debug, Default)]
+struct Shared {
+    runs: Mutex<Vec<RequestId>>,
+}
+
+/// A running stand-in service.
+pub struct Service {
+    server: HttpServer<Arc<Shared>>,
+    shared: Arc<Shared>,
+    announcer: JoinHandle<()>,
+}
+
+impl Service {
+    /// Starts a service for `route` that announces itself to `nodes`.
+    pub async fn start(
+        id: TargetId,
+        route: RouteId,
+        zone: ZoneId,
+        listen: SocketAddr,
+        nodes: Vec<SocketAddr>,
+    ) -> Result<Self, String> {
+        let shared = Arc::new(Shared::default());
+        let mut api = ApiDescription::new();
+        api.register(run).map_err(|error| error.to_string())?;
+        api.register(get_runs).map_err(|error| error.to_string())?;
+        let server = server::start(api, shared.clone(), listen)?;
+        let announcement = Announcement {
+            id,
+            boot: boot_id(),
+            role: Role::Service { route },
+            zone,
+            address: server.local_addr().to_string(),
+            slots: 8,
+            price_class: "full".to_owned(),
+            checks_fencing: false,
+        };
+        announce::announce(&nodes, &announcement).await;
+        let announcer = tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(announce::INTERVAL).await;
+                announce::announce(&nodes, &announcement).await;
+            }
+        });
+        Ok(Self { server, shared, announcer })
+    }
+
+    /// Returns the requests that ran, in order.
+    pub fn runs(&self) -> Vec<RequestId> {
+        self.shared.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Stops the service.
+    pub async fn stop(self) -> Result<(), String> {
+        self.announcer.abort();
+        self.server.close().await
+    }
+}
+
+/// Draws the id of one start.
+pub fn boot_id() -> BootId {
+    format!("{:032x}", fastrand::u128(..)).parse().expect("hexadecimal digits are valid in an id")
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct AnyPath {
+    #[expect(dead_code, reason = "the service answers alike on every path")]
+    rest: Vec<String>,
+}
+
+/// Answers with the body that came, and counts the run.
+#[endpoint { method = POST, path = "/{rest:.*}", unpublished = true }]
+async fn run(
+    context: RequestContext<Arc<Shared>>,
+    _path: Path<AnyPath>,
+    body: UntypedBody,
+) -> Result<Response<Body>, HttpError> {
+    let id = context.request.headers().get(REQUEST_ID).cloned();
+    let mut response = Response::builder().header("content-type", "application/json");
+    if let Some(id) = id {
+        let parsed = id.to_str().ok().and_then(|text| text.parse().ok());
+        let mut runs = context.context().runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.extend(parsed);
+        response = response.header(REQUEST_ID, id);
+    }
+    let body = Body::from(body.as_bytes().to_vec());
+    Ok(response.body(body).expect("the parts are valid"))
+}
+
+/// Returns the requests that ran, in order.
+#[endpoint { method = GET, path = "/{rest:.*}", unpublished = true }]
+async fn get_runs(
+    context: RequestContext<Arc<Shared>>,
+    _path: Path<AnyPath>,
+) -> Result<HttpResponseOk<Vec<RequestId>>, HttpError> {
+    let runs = context.context().runs.lock().unwrap_or_else(PoisonError::into_inner);
+    Ok(HttpResponseOk(runs.clone()))
+}
--- /dev/null
+++ b/crates/catkinlatch-state/src/lib.rs
@@ -0,0 +1,16 @@
+//! The replicated state: what all nodes agree on, changed only by commands of the control log.
+
+pub mod batch;
+pub mod claim;
+mod command;
+pub mod config;
+pub mod order;
+mod state;
+pub mod suspect;
+pub mod window;
+
+pub use self::{
+    command::{Command, Reply},
+    config::Config,
+    state::State,
+};
--- /dev/null
+++ b/crates/catkinlatch-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames and sessions between the processes of the system.
