--- /dev/null
+++ b/crates/catkinlatch-log/src/core.rs
@@ -0,0 +1,489 @@
+//! The state machine of one node in the log.
+
+mod election;
+mod entries;
+mod follower;
+mod formation;
+mod leader;
+mod lease;
+mod outbox;
+mod replication;
+mod voters;
+
+use self::{
+    entries::Entries,
+    formation::Greeting,
+    leader::{Leader, Progress},
+    outbox::Outbox,
+};
+use crate::{
+    Action, Entry, Frame, HardState, Index, Input, Machine, Membership, Message, Payload, Peer,
+    Refusal, Restored, Role, Settings, Snapshot, Token,
+};
+use catkinlatch_base::{HostId, Incarnation, Instant, Term, invariant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// One node's part in the log, without I/O.
+///
+/// ```
+/// use catkinlatch_base::{HostId, Incarnation, Instant};
+/// use catkinlatch_log::{Action, Core, Index, Input, Machine, Peer, Settings, Token};
+///
+/// #[derive(Clone, Default, serde::Serialize, serde::Deserialize)]
+/// struct Sum(u64);
+///
+/// impl Machine for Sum {
+///     type Command = u64;
+///     type Reply = u64;
+///
+///     fn apply(&mut self, _: Index, command: &u64) -> u64 {
+///         self.0 += command;
+///         self.0
+///     }
+/// }
+///
+/// let host: HostId = "host-1".parse().expect("a valid id");
+/// let settings =
+///     Settings::new("test".parse().expect("a valid id"), vec![host.clone()], vec![host.clone()]);
+/// let peer = Peer {
+///     host,
+///     incarnation: Incarnation::new(1),
+///     zone: "zone-1".parse().expect("a valid id"),
+///     has_disk: false,
+/// };
+/// let mut core: Core<Sum> =
+///     Core::new(settings, peer, None, fastrand::Rng::with_seed(1), Instant::ZERO);
+///
+/// let mut applied = None;
+/// for input in [Input::Tick, Input::Propose { token: Token::new(1), command: 5 }] {
+///     let mut inputs = vec![input];
+///     while !inputs.is_empty() {
+///         for action in core.step_batch(Instant::ZERO, inputs.split_off(0)) {
+///             match action {
+///                 Action::Persist(write) => {
+///                     inputs.push(Input::Persisted { through: write.number });
+///                 }
+///                 Action::Applied { reply, .. } => applied = Some(reply),
+///                 _ => {}
+///             }
+///         }
+///     }
+/// }
+/// assert_eq!(applied, Some(5));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Core<M: Machine> {
+    settings: Settings,
+    identity: Peer,
+    /// Tells this run's clock from those of earlier runs of the same identity.
+    run: u64,
+    random: fastrand::Rng,
+    hard: HardState,
+    entries: Entries<M::Command>,
+    memberships: Vec<(Index, Membership)>,
+    machine: M,
+    applied: Index,
+    commit: Index,
+    state: State,
+    leader: Option<Peer>,
+    /// When the node last heard a leader, or started with a past that it may not remember.
+    heard: Option<Instant>,
+    election_at: Instant,
+    /// Until when the configuration may be trusted while this node does not lead.
+    configuration_until: Option<Instant>,
+    greetings: BTreeMap<HostId, Greeting>,
+    hello_at: Instant,
+    pending: BTreeMap<Index, Proposal>,
+    receiving: Option<follower::Receiving>,
+    out: Outbox<M::Command, M::Reply>,
+    announced: Option<(Role, Term, Option<Incarnation>)>,
+}
+
+/// What the node is doing.
+#[derive(Clone, Debug)]
+enum State {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether it would get votes.
+    PreCandidate { granted: BTreeSet<Incarnation> },
+    /// Asks for votes.
+    Candidate { granted: BTreeSet<Incarnation>, write: u64 },
+    /// Leads.
+    Leader(Box<Leader>),
+    /// Its storage failed.
+    Failed,
+}
+
+/// A proposal that waits for its commit.
+#[derive(Clone, Debug)]
+struct Proposal {
+    term: Term,
+    token: Token,
+}
+
+/// What the actions of a core are made of.
+type ActionOf<M> = Action<<M as Machine>::Command, <M as Machine>::Reply>;
+
+impl<M: Machine> Core<M> {
+    /// Creates the node's part from what its storage holds.
+    pub fn new(
+        settings: Settings,
+        identity: Peer,
+        restored: Option<Restored<M::Command>>,
+        mut random: fastrand::Rng,
+        now: Instant,
+    ) -> Self {
+        let restored = restored.unwrap_or_default();
+        let has_past = !restored.is_empty();
+        let hard = restored.hard;
+        let machine = restored.snapshot.as_ref().map(|snapshot| decode(snapshot));
+        let applied = restored.snapshot.as_ref().map_or(Index::ZERO, |snapshot| snapshot.index);
+        let entries = Entries::new(restored);
+        let run = random.u64(..);
+        let mut core = Self {
+            settings,
+            identity,
+            run,
+            random,
+            hard,
+            memberships: entries.memberships(),
+            entries,
+            machine: machine.unwrap_or_default(),
+            applied,
+            commit: applied,
+            state: State::Follower,
+            leader: None,
+            heard: has_past.then_some(now),
+            election_at: now,
+            configuration_until: None,
+            greetings: BTreeMap::new(),
+            hello_at: now,
+            pending: BTreeMap::new(),
+            receiving: None,
+            out: Outbox::new(),
+            announced: None,
+        };
+        core.reset_election(now);
+        core
+    }
+
+    /// Takes one input and returns what to do.
+    pub fn step(&mut self, now: Instant, input: Input<M::Command>) -> Vec<ActionOf<M>> {
+        self.step_batch(now, [input])
+    }
+
+    /// Takes all inputs that are ready and returns what to do, with one write for all of them.
+    pub fn step_batch(
+        &mut self,
+        now: Instant,
+        inputs: impl IntoIterator<Item = Input<M::Command>>,
+    ) -> Vec<ActionOf<M>> {
+        for input in inputs {
+            self.handle(now, input);
+        }
+        self.tick(now);
+        self.advance_commit(now);
+        self.replicate(now);
+        self.compact();
+        if let Some(number) = self.out.flush() {
+            self.entries.written(number);
+        }
+        self.announce();
+        if !matches!(self.state, State::Failed) {
+            let at = self.next_wake(now);
+            self.out.push(Action::Wake { at });
+        }
+        self.out.take()
+    }
+
+    /// Returns the node's role.
+    pub fn role(&self) -> Role {
+        match self.state {
+            State::Leader(_) => Role::Leader,
+            State::PreCandidate { .. } | State::Candidate { .. } => Role::Candidate,
+            State::Follower if self.is_voter() => Role::Follower,
+            State::Follower => Role::Learner,
+            State::Failed => Role::Failed,
+        }
+    }
+
+    /// Returns this node's identity.
+    pub fn identity(&self) -> &Peer {
+        &self.identity
+    }
+
+    /// Returns the leader that the node last heard, or the node itself while it leads.
+    pub fn leader(&self) -> Option<&Peer> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the newest term that the node has seen.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Returns the last position that is known to be committed.
+    pub fn commit(&self) -> Index {
+        self.commit
+    }
+
+    /// Returns the last position that is applied.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// Returns the last position of the log.
+    pub fn last_index(&self) -> Index {
+        self.entries.last_index()
+    }
+
+    /// Returns the replicated state as applied here.
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns the voters, which take effect as soon as their entry is in the log.
+    pub fn voters(&self) -> &[Peer] {
+        self.memberships.last().map_or(&[], |(_, membership)| membership.voters())
+    }
+
+    /// Returns the nodes that take entries from this leader and do not vote.
+    pub fn learners(&self) -> Vec<&Peer> {
+        let State::Leader(leader) = &self.state else { return Vec::new() };
+        let nodes = leader.progress.values().map(|progress| &progress.peer);
+        nodes.filter(|peer| !self.membership().contains(peer.incarnation)).collect()
+    }
+
+    /// Returns the last position that the node has applied, as this leader knows it.
+    pub fn acknowledged(&self, incarnation: Incarnation) -> Option<Index> {
+        let State::Leader(leader) = &self.state else { return None };
+        leader.progress.get(&incarnation).map(|progress| progress.applied)
+    }
+
+    /// Returns the newest entry of the log, if the log still holds it.
+    pub fn entry(&self, index: Index) -> Option<&Entry<M::Command>> {
+        self.entries.get(index).map(|entry| &**entry)
+    }
+
+    fn handle(&mut self, now: Instant, input: Input<M::Command>) {
+        if matches!(self.state, State::Failed) {
+            return self.refuse_failed(input);
+        }
+        match input {
+            Input::Tick => {}
+            Input::Receive(frame) => self.receive(now, frame),
+            Input::Persisted { through } => {
+                self.entries.persisted(through);
+                self.out.persisted(through);
+                self.count_own_vote(now, through);
+            }
+            Input::StorageFailed => self.fail(),
+            Input::Propose { token, command } => self.propose(token, command),
+            Input::Read { token } => self.read(now, token),
+            Input::Override { token, hosts } => self.override_voters(now, token, &hosts),
+        }
+    }
+
+    fn refuse_failed(&mut self, input: Input<M::Command>) {
+        match input {
+            Input::Propose { token, .. }
+            | Input::Read { token }
+            | Input::Override { token, .. } => {
+                self.refuse(token, Refusal::NotLeader { leader: None });
+            }
+            Input::Tick | Input::Receive(_) | Input::Persisted { .. } | Input::StorageFailed => {}
+        }
+    }
+
+    fn receive(&mut self, now: Instant, frame: Frame<M::Command>) {
+        let is_ours = frame.cluster == self.settings.cluster && frame.group == self.settings.group;
+        let is_for_us = frame.to.is_none_or(|to| to == self.identity.incarnation);
+        if !is_ours || !is_for_us || frame.from.incarnation == self.identity.incarnation {
+            return;
+        }
+        let Frame { term, from, message, .. } = frame;
+        match message {
+            Message::Hello(hello) => self.on_hello(now, term, from, hello),
+            Message::PreVote(vote) => self.on_pre_vote(now, from, vote),
+            Message::PreVoteReply { term: asked, granted } => {
+                self.on_pre_vote_reply(now, term, from, asked, granted);
+            }
+            Message::Vote(vote) => self.on_vote(now, from, vote),
+            Message::VoteReply { granted } => self.on_vote_reply(now, term, from, granted),
+            Message::Append(append) => self.on_append(now, term, from, append),
+            Message::AppendReply(reply) => self.on_append_reply(now, term, from, reply),
+            Message::Chunk(chunk) => self.on_chunk(now, term, from, chunk),
+            Message::ChunkReply(reply) => self.on_chunk_reply(now, term, from, reply),
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        match self.state {
+            State::Failed => {}
+            State::Leader(_) => self.tick_leader(now),
+            State::Follower | State::PreCandidate { .. } | State::Candidate { .. } => {
+                self.tick_follower(now);
+                self.tick_formation(now);
+            }
+        }
+    }
+
+    /// Stops all work: what was written may or may not be on disk.
+    fn fail(&mut self) {
+        self.state = State::Failed;
+        self.leader = None;
+        self.configuration_until = None;
+        self.out.fail();
+        for (_, proposal) in std::mem::take(&mut self.pending) {
+            self.refuse(proposal.token, Refusal::Unknown);
+        }
+    }
+
+    fn refuse(&mut self, token: Token, refusal: Refusal) {
+        self.out.push(Action::Refused { token, refusal });
+    }
+
+    /// Returns the membership that is in effect here.
+    fn membership(&self) -> &Membership {
+        const EMPTY: &Membership = &Membership::EMPTY;
+        self.memberships.last().map_or(EMPTY, |(_, membership)| membership)
+    }
+
+    fn is_voter(&self) -> bool {
+        self.membership().contains(self.identity.incarnation)
+    }
+
+    fn frame(&self, to: Option<Incarnation>, message: Message<M::Command>) -> Frame<M::Command> {
+        Frame {
+            cluster: self.settings.cluster.clone(),
+            group: self.settings.group,
+            term: self.hard.term,
+            from: self.identity.clone(),
+            to,
+            message,
+        }
+    }
+
+    /// Sends what speaks for nothing that is not yet synced.
+    fn send(&mut self, to: &Peer, message: Message<M::Command>) {
+        let frame = self.frame(Some(to.incarnation), message);
+        self.out.send(to.host.clone(), frame);
+    }
+
+    /// Sends once all that was decided before is synced.
+    fn send_synced(&mut self, to: &Peer, message: Message<M::Command>) {
+        let frame = self.frame(Some(to.incarnation), message);
+        self.out.send_synced(to.host.clone(), frame);
+    }
+
+    fn set_hard(&mut self, hard: HardState) {
+        invariant!(
+            "term_grows",
+            hard.term >= self.hard.term,
+            "term {} follows {}",
+            hard.term,
+            self.hard.term
+        );
+        self.hard = hard;
+        self.out.write.hard = Some(hard);
+    }
+
+    fn append(&mut self, payload: Payload<M::Command>) -> Index {
+        let index = self.entries.last_index().next();
+        if let Payload::Members(membership) = &payload {
+            self.memberships.push((index, membership.clone()));
+        }
+        let entry = Entry { index, term: self.hard.term, payload };
+        self.entries.append(Arc::new(entry), &mut self.out.write);
+        index
+    }
+
+    /// Applies all that is committed.
+    fn apply_committed(&mut self) {
+        while self.applied < self.commit {
+            let index = self.applied.next();
+            let entry = self.entries.get(index).expect("committed entries are in memory").clone();
+            let proposal = self.pending.remove(&index);
+            let token = self.settle(proposal, entry.term);
+            if let Payload::Command(command) = &entry.payload {
+                let reply = self.machine.apply(index, command);
+                self.out.push(Action::Applied { token, index, reply });
+            }
+            self.applied = index;
+        }
+    }
+
+    /// Returns the token of a proposal that became the entry of this term; refuses it otherwise.
+    fn settle(&mut self, proposal: Option<Proposal>, term: Term) -> Option<Token> {
+        let proposal = proposal?;
+        if proposal.term == term {
+            return Some(proposal.token);
+        }
+        self.refuse(proposal.token, Refusal::Lost);
+        None
+    }
+
+    /// Takes a snapshot when enough entries were applied since the last.
+    fn compact(&mut self) {
+        let last = self.entries.snapshot().map_or(0, |snapshot| snapshot.index.get());
+        let due = self.applied.get() - last >= self.settings.snapshot_every;
+        if !due || matches!(self.state, State::Failed) {
+            return;
+        }
+        let term = self.entries.term(self.applied).expect("applied entries are in memory");
+        let data = bincode::serde::encode_to_vec(&self.machine, bincode::config::standard())
+            .expect("a state machine serializes");
+        let membership = self.membership_at(self.applied);
+        let snapshot = Snapshot { index: self.applied, term, membership, data: data.into() };
+        let keep = self.settings.snapshot_keep;
+        self.entries.compact(Arc::new(snapshot), keep, &mut self.out.write);
+        let applied = self.applied;
+        let newest = self.memberships.iter().rposition(|(index, _)| *index <= applied);
+        self.memberships.drain(..newest.unwrap_or(0));
+    }
+
+    fn membership_at(&self, index: Index) -> Membership {
+        let found = self.memberships.iter().rev().find(|(from, _)| *from <= index);
+        found.map(|(_, membership)| membership.clone()).unwrap_or_default()
+    }
+
+    fn announce(&mut self) {
+        let leader = self.leader.as_ref().map(|leader| leader.incarnation);
+        let current = Some((self.role(), self.hard.term, leader));
+        if self.announced == current {
+            return;
+        }
+        self.announced = current;
+        let (role, term) = (self.role(), self.hard.term);
+        self.out.push(Action::Changed { role, term, leader: self.leader.clone() });
+    }
+
+    fn next_wake(&self, now: Instant) -> Instant {
+        let soon = now + self.settings.beat;
+        match &self.state {
+            State::Leader(leader) => {
+                let beats = leader.progress.values().map(|progress| progress.beat_at);
+                beats.min().map_or(soon, |at| at.min(soon))
+            }
+            State::Follower | State::PreCandidate { .. } | State::Candidate { .. } => {
+                if self.is_voter() { self.election_at.min(self.hello_at) } else { self.hello_at }
+            }
+            State::Failed => soon,
+        }
+    }
+}
+
+/// Decodes the state machine of a snapshot that passed its checks.
+fn decode<M: Machine>(snapshot: &Snapshot) -> M {
+    bincode::serde::decode_from_slice(&snapshot.data, bincode::config::standard())
+        .expect("a snapshot that passed its checksum decodes")
+        .0
+}
--- /dev/null
+++ b/crates/catkinlatch-log/src/core/election.rs
@@ -0,0 +1,241 @@
+//! Elections: pre-vote, votes, and standing by a leader that was heard of late.
+
+use super::{Core, Leader, Progress, State};
+use crate::{HardState, Index, Machine, Message, Payload, Peer, Vote};
+use catkinlatch_base::{Incarnation, Instant, Term, invariant};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+impl<M: Machine> Core<M> {
+    /// Starts an election when no leader was heard for the election timeout.
+    pub(super) fn tick_follower(&mut self, now: Instant) {
+        if now < self.election_at {
+            return;
+        }
+        self.reset_election(now);
+        self.leader = None;
+        if !self.is_voter() {
+            return;
+        }
+        self.state = State::PreCandidate { granted: BTreeSet::from([self.identity.incarnation]) };
+        let vote = self.vote_for(self.hard.term.next());
+        self.send_to_voters(&Message::PreVote(vote), false);
+        self.count_pre_votes(now);
+    }
+
+    /// Draws the next election timeout.
+    pub(super) fn reset_election(&mut self, now: Instant) {
+        let extra = self.settings.election.mul_f64(self.random.f64());
+        self.election_at = now + self.settings.election + extra;
+    }
+
+    pub(super) fn on_pre_vote(&mut self, now: Instant, from: Peer, vote: Vote) {
+        let granted = vote.term > self.hard.term && !self.stands_by(now) && self.is_current(&vote);
+        self.send_synced(&from, Message::PreVoteReply { term: vote.term, granted });
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        now: Instant,
+        term: Term,
+        from: Peer,
+        asked: Term,
+        granted: bool,
+    ) {
+        if !granted && term > self.hard.term {
+            return self.follow(now, term, None);
+        }
+        if asked != self.hard.term.next() || !granted {
+            return;
+        }
+        if let State::PreCandidate { granted } = &mut self.state {
+            granted.insert(from.incarnation);
+            self.count_pre_votes(now);
+        }
+    }
+
+    fn count_pre_votes(&mut self, now: Instant) {
+        let State::PreCandidate { granted } = &self.state else { return };
+        if self.is_quorum(granted) {
+            self.campaign(now);
+        }
+    }
+
+    /// Asks for votes in a new term.
+    pub(super) fn campaign(&mut self, now: Instant) {
+        let incarnation = self.identity.incarnation;
+        let term = self.hard.term.next();
+        self.set_hard(HardState { term, vote: Some(incarnation) });
+        // The own vote counts once it is synced, like any other.
+        self.state = State::Candidate { granted: BTreeSet::new(), write: self.out.write.number };
+        self.leader = None;
+        self.reset_election(now);
+        let vote = self.vote_for(term);
+        self.send_to_voters(&Message::Vote(vote), true);
+    }
+
+    /// Counts the own vote once its write is synced.
+    pub(super) fn count_own_vote(&mut self, now: Instant, through: u64) {
+        let State::Candidate { granted, write } = &mut self.state else { return };
+        if through < *write {
+            return;
+        }
+        granted.insert(self.identity.incarnation);
+        self.count_votes(now);
+    }
+
+    fn count_votes(&mut self, now: Instant) {
+        let State::Candidate { granted, .. } = &self.state else { return };
+        if self.is_quorum(granted) {
+            self.lead(now);
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, now: Instant, from: Peer, vote: Vote) {
+        if vote.term < self.hard.term || self.stands_by(now) {
+            return self.send_synced(&from, Message::VoteReply { granted: false });
+        }
+        if vote.term > self.hard.term {
+            self.follow(now, vote.term, None);
+        }
+        let is_free = self.hard.vote.is_none_or(|other| other == from.incarnation);
+        let granted = is_free && self.is_current(&vote);
+        if granted {
+            self.set_hard(HardState { term: vote.term, vote: Some(from.incarnation) });
+            self.reset_election(now);
+        }
+        self.send_synced(&from, Message::VoteReply { granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, now: Instant, term: Term, from: Peer, granted: bool) {
+        if term > self.hard.term {
+            return self.follow(now, term, None);
+        }
+        if term < self.hard.term || !granted {
+            return;
+        }
+        let State::Candidate { granted, .. } = &mut self.state else { return };
+        granted.insert(from.incarnation);
+        self.count_votes(now);
+    }
+
+    /// Follows the leader of a term, or waits for one.
+    pub(super) fn follow(&mut self, now: Instant, term: Term, leader: Option<Peer>) {
+        if let State::Leader(old) = &self.state {
+            let until = old.configuration_until;
+            self.configuration_until = self.configuration_until.max(Some(until));
+            // The lease counted this node among those that stand by the leader.
+            self.heard = Some(now);
+        }
+        if term > self.hard.term {
+            self.set_hard(HardState { term, vote: None });
+        }
+        if !matches!(self.state, State::Follower) {
+            self.reset_election(now);
+        }
+        self.refuse_reads();
+        self.state = State::Follower;
+        self.leader = leader;
+    }
+
+    /// Takes the lead after a quorum voted for this node.
+    fn lead(&mut self, now: Instant) {
+        let others: Vec<Peer> = self.other_voters();
+        let next = self.entries.last_index().next();
+        let progress: BTreeMap<Incarnation, Progress> = others
+            .into_iter()
+            .map(|peer| (peer.incarnation, Progress::new(peer, next, now)))
+            .collect();
+        let opening = self.append(Payload::Empty);
+        self.leader = Some(self.identity.clone());
+        self.state = State::Leader(Box::new(Leader {
+            since: now,
+            opening,
+            progress,
+            commits: VecDeque::new(),
+            settled: Index::ZERO,
+            reads: Vec::new(),
+            configuration_until: now,
+            repair_at: now + self.settings.silence,
+            reported: false,
+        }));
+    }
+
+    /// Returns whether this voter heard a leader so lately that it must not help to depose it.
+    fn stands_by(&self, now: Instant) -> bool {
+        let heard = self.heard.is_some_and(|heard| now < heard + self.settings.election);
+        heard || matches!(self.state, State::Leader(_))
+    }
+
+    /// Returns whether the candidate's log holds all that this node's log holds.
+    fn is_current(&self, vote: &Vote) -> bool {
+        let own = (self.entries.last_term(), self.entries.last_index());
+        (vote.last_term, vote.last_index) >= own
+    }
+
+    fn vote_for(&self, term: Term) -> Vote {
+        Vote { term, last_index: self.entries.last_index(), last_term: self.entries.last_term() }
+    }
+
+    fn send_to_voters(&mut self, message: &Message<M::Command>, synced: bool) {
+        for peer in self.other_voters() {
+            if synced {
+                self.send_synced(&peer, message.clone());
+            } else {
+                self.send(&peer, message.clone());
+            }
+        }
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<Peer> {
+        let own = self.identity.incarnation;
+        let others = self.membership().voters().iter().filter(|peer| peer.incarnation != own);
+        others.cloned().collect()
+    }
+
+    fn is_quorum(&self, granted: &BTreeSet<Incarnation>) -> bool {
+        let membership = self.membership();
+        let votes = granted.iter().filter(|voter| membership.contains(**voter)).count();
+        votes >= membership.quorum()
+    }
+
+    /// Checks that a term has one leader: this node must not hear another in a term that it leads.
+    pub(super) fn check_leader(&self, term: Term, from: &Peer) -> bool {
+        let other = self.leader.as_ref().filter(|leader| leader.incarnation != from.incarnation);
+        if term != self.hard.term || other.is_none() {
+            return true;
+        }
+        invariant!(
+            "one_leader_a_term",
+            false,
+            "{from} and {} lead term {term}",
+            other.expect("checked above")
+        )
+    }
+
+    /// Returns when the lease of the leader began, from the newest beats that a quorum confirmed.
+    pub(super) fn quorum_confirmed(&self, now: Instant, leader: &Leader) -> Option<Instant> {
+        let own = self.identity.incarnation;
+        let membership = self.membership();
+        let mut confirmed: Vec<Option<Instant>> = membership
+            .voters()
+            .iter()
+            .map(|voter| {
+                if voter.incarnation == own {
+                    return Some(now);
+                }
+                leader.progress.get(&voter.incarnation).and_then(|progress| progress.confirmed)
+            })
+            .collect();
+        confirmed.sort();
+        let at = confirmed.len().checked_sub(membership.quorum())?;
+        confirmed.get(at).copied().flatten()
+    }
+
+    /// Returns how long a leader goes on without a quorum before it steps down.
+    pub(super) fn patience(&self) -> Duration {
+        self.settings.election.mul_f64(2.0)
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-log/src/core/follower.rs
@@ -0,0 +1,207 @@
+//! Taking entries and snapshots from a leader.
+
+use super::{Core, State, decode};
+use crate::{
+    Action, Append, AppendReply, Chunk, ChunkReply, Echo, Grant, Index, Machine, Message, Payload,
+    Peer, Refusal, Snapshot,
+};
+use bytes::{Bytes, BytesMut};
+use catkinlatch_base::{Instant, Term, invariant};
+use std::{sync::Arc, time::Duration};
+
+/// A snapshot that is coming in.
+#[derive(Clone, Debug)]
+pub struct Receiving {
+    index: Index,
+    term: Term,
+    data: BytesMut,
+}
+
+impl<M: Machine> Core<M> {
+    pub(super) fn on_append(
+        &mut self,
+        now: Instant,
+        term: Term,
+        from: Peer,
+        append: Append<M::Command>,
+    ) {
+        if !self.hear(now, term, &from) {
+            return self.refuse_leader(now, term, &from, append.sent_at);
+        }
+        let (matches, index) = self.take_entries(&append);
+        if matches {
+            self.commit_until(append.commit.min(index));
+            self.take_grant(now, &append);
+        }
+        let reply = self.append_reply(now, append.sent_at, matches, index);
+        self.send_synced(&from, reply);
+    }
+
+    pub(super) fn on_chunk(&mut self, now: Instant, term: Term, from: Peer, chunk: Chunk) {
+        if !self.hear(now, term, &from) {
+            return self.refuse_leader(now, term, &from, chunk.sent_at);
+        }
+        if chunk.index <= self.commit {
+            let reply = self.append_reply(now, chunk.sent_at, true, self.commit);
+            return self.send_synced(&from, reply);
+        }
+        let (sent_at, index) = (chunk.sent_at, chunk.index);
+        let Some(offset) = self.take_chunk(chunk) else {
+            let reply = self.append_reply(now, sent_at, true, index);
+            return self.send_synced(&from, reply);
+        };
+        self.send_synced(&from, Message::ChunkReply(ChunkReply { sent_at, index, offset }));
+    }
+
+    /// Follows the sender if its term is current, and returns whether it is.
+    fn hear(&mut self, now: Instant, term: Term, from: &Peer) -> bool {
+        if term < self.hard.term || !self.check_leader(term, from) {
+            return false;
+        }
+        self.follow(now, term, Some(from.clone()));
+        self.heard = Some(now);
+        self.reset_election(now);
+        true
+    }
+
+    /// Tells a deposed leader of the newer term.
+    fn refuse_leader(&mut self, now: Instant, term: Term, from: &Peer, sent_at: Instant) {
+        if term < self.hard.term {
+            let reply = self.append_reply(now, sent_at, false, Index::ZERO);
+            self.send_synced(from, reply);
+        }
+    }
+
+    fn append_reply(
+        &self,
+        now: Instant,
+        sent_at: Instant,
+        matches: bool,
+        index: Index,
+    ) -> Message<M::Command> {
+        let echo = Echo { run: self.run, at: now };
+        Message::AppendReply(AppendReply { sent_at, matches, index, applied: self.applied, echo })
+    }
+
+    /// Adds the entries, and returns whether they fit and the last position that matches, or where
+    /// the leader should try next.
+    fn take_entries(&mut self, append: &Append<M::Command>) -> (bool, Index) {
+        let previous = append.previous_index;
+        let last = Index::new(previous.get() + append.entries.len() as u64);
+        if last <= self.commit {
+            return (true, last);
+        }
+        if previous > self.entries.last_index() {
+            return (false, self.entries.last_index());
+        }
+        if previous > self.commit && self.entries.term(previous) != Some(append.previous_term) {
+            let start = self.entries.term_start(previous);
+            return (false, start.previous().max(self.commit));
+        }
+        for entry in &append.entries {
+            if entry.index <= self.commit || self.entries.term(entry.index) == Some(entry.term) {
+                continue;
+            }
+            self.truncate(entry.index);
+            if let Payload::Members(membership) = &entry.payload {
+                self.memberships.push((entry.index, membership.clone()));
+            }
+            self.entries.append(entry.clone(), &mut self.out.write);
+        }
+        (true, last)
+    }
+
+    /// Drops entries that another leader replaced.
+    fn truncate(&mut self, from: Index) {
+        if from > self.entries.last_index() {
+            return;
+        }
+        invariant!(
+            "committed_stays",
+            from > self.commit,
+            "entry {from} is dropped though {} is committed",
+            self.commit
+        );
+        self.entries.truncate(from, &mut self.out.write);
+        self.memberships.retain(|(index, _)| *index < from);
+        for (_, proposal) in self.pending.split_off(&from) {
+            self.refuse(proposal.token, Refusal::Lost);
+        }
+    }
+
+    fn commit_until(&mut self, index: Index) {
+        if index > self.commit {
+            self.commit = index;
+            self.apply_committed();
+        }
+    }
+
+    /// Renews the configuration lease if all that the leader had committed is applied here.
+    fn take_grant(&mut self, now: Instant, append: &Append<M::Command>) {
+        let Some(Grant { echo, length }) = append.grant else { return };
+        if echo.run != self.run || echo.at > now || self.applied < append.commit {
+            return;
+        }
+        let until = echo.at + length.min(self.settings.configuration_lease);
+        self.configuration_until = self.configuration_until.max(Some(until));
+    }
+
+    /// Adds a part of a snapshot; returns how much is there, or nothing once it is installed.
+    fn take_chunk(&mut self, chunk: Chunk) -> Option<u64> {
+        let is_same = self
+            .receiving
+            .as_ref()
+            .is_some_and(|old| old.index == chunk.index && old.term == chunk.term);
+        if !is_same {
+            let data = BytesMut::new();
+            self.receiving = Some(Receiving { index: chunk.index, term: chunk.term, data });
+        }
+        let receiving = self.receiving.as_mut().expect("set above");
+        if chunk.offset == receiving.data.len() as u64 {
+            receiving.data.extend_from_slice(&chunk.data);
+        }
+        let held = receiving.data.len() as u64;
+        if held < chunk.total {
+            return Some(held);
+        }
+        let data = receiving.data.split().freeze();
+        self.receiving = None;
+        self.install(chunk, data);
+        None
+    }
+
+    /// Replaces log and state by a leader's snapshot.
+    fn install(&mut self, chunk: Chunk, data: Bytes) {
+        let Chunk { index, term, membership, .. } = chunk;
+        let snapshot = Arc::new(Snapshot { index, term, membership, data });
+        self.machine = decode(&snapshot);
+        self.memberships = vec![(index, snapshot.membership.clone())];
+        self.applied = index;
+        self.commit = index;
+        self.entries.install(snapshot, &mut self.out.write);
+        for (_, proposal) in std::mem::take(&mut self.pending) {
+            self.refuse(proposal.token, Refusal::Unknown);
+        }
+        self.out.push(Action::Restored { index });
+    }
+
+    /// Returns until when this node may trust its configuration.
+    ///
+    /// A node whose configuration lease has run out refuses work and is left out of the entry list,
+    /// since a newer configuration may be in force without it.
+    pub fn configuration_lease(&self, now: Instant) -> Option<Instant> {
+        let until = match &self.state {
+            State::Leader(leader) => self.configuration_until.max(Some(leader.configuration_until)),
+            State::Failed => None,
+            State::Follower | State::PreCandidate { .. } | State::Candidate { .. } => {
+                self.configuration_until
+            }
+        };
+        until.filter(|until| now < *until)
+    }
+
+    /// Returns how long the configuration lease lasts from here.
+    pub fn configuration_lease_left(&self, now: Instant) -> Duration {
+        self.configuration_lease(now).map_or(Duration::ZERO, |until| until - now)
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-log/src/core/formation.rs
@@ -0,0 +1,131 @@
+//! How nodes without a leader find each other, and how the first configuration forms.
+
+use super::{Core, Progress, State};
+use crate::{HardState, Hello, Machine, Membership, Message, Payload, Peer, Refusal, Token};
+use catkinlatch_base::{HostId, Incarnation, Instant, Term};
+use std::{collections::BTreeSet, time::Duration};
+
+/// How long a greeting counts, in heartbeats.
+const FRESH_BEATS: u32 = 10;
+
+/// How often a node without a leader greets, in heartbeats.
+const HELLO_BEATS: u32 = 2;
+
+/// The number of terms that an override skips, past any that a cut-off leader may reach.
+const OVERRIDE_TERMS: u64 = 1_000;
+
+/// What a node that hears no leader said last.
+#[derive(Clone, Debug)]
+pub struct Greeting {
+    peer: Peer,
+    term: Term,
+    hello: Hello,
+    at: Instant,
+}
+
+impl<M: Machine> Core<M> {
+    /// Greets all hosts while there is no leader, and forms the first configuration.
+    pub(super) fn tick_formation(&mut self, now: Instant) {
+        if now < self.hello_at {
+            return;
+        }
+        self.hello_at = now + self.settings.beat * HELLO_BEATS;
+        if self.leader.is_some() {
+            return;
+        }
+        let fresh = self.fresh();
+        self.greetings.retain(|_, greeting| now < greeting.at + fresh);
+        self.greet();
+        if let Some(membership) = self.first_membership() {
+            self.form(now, membership);
+        }
+    }
+
+    pub(super) fn on_hello(&mut self, now: Instant, term: Term, from: Peer, hello: Hello) {
+        if self.settings.hosts.contains(&from.host) {
+            let greeting = Greeting { peer: from.clone(), term, hello, at: now };
+            self.greetings.insert(from.host.clone(), greeting);
+        }
+        let next = self.entries.last_index().next();
+        let bound = self.settings.max_learners;
+        let State::Leader(leader) = &mut self.state else { return };
+        if leader.progress.contains_key(&from.incarnation) || leader.progress.len() >= bound {
+            return;
+        }
+        leader.progress.insert(from.incarnation, Progress::new(from, next, now));
+    }
+
+    fn greet(&mut self) {
+        let hello = Hello {
+            is_empty: self.is_empty(),
+            initial_voters: self.settings.initial_voters.clone(),
+            heard: self.greetings.values().map(|greeting| greeting.peer.incarnation).collect(),
+        };
+        for host in self.settings.hosts.clone() {
+            if host != self.identity.host {
+                let frame = self.frame(None, Message::Hello(hello.clone()));
+                self.out.send(host, frame);
+            }
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.memberships.is_empty() && self.entries.last_index() == crate::Index::ZERO
+    }
+
+    fn fresh(&self) -> Duration {
+        self.settings.beat * FRESH_BEATS
+    }
+
+    /// Returns the first configuration, if this node is the one to form it and all agree.
+    fn first_membership(&self) -> Option<Membership> {
+        let initial = &self.settings.initial_voters;
+        let is_first = initial.iter().min() == Some(&self.identity.host);
+        let all_empty = self.greetings.values().all(|greeting| greeting.hello.is_empty);
+        if !self.is_empty() || !is_first || !all_empty {
+            return None;
+        }
+        let others = initial.iter().filter(|host| **host != self.identity.host);
+        let greetings: Vec<&Greeting> =
+            others.map(|host| self.greetings.get(host)).collect::<Option<_>>()?;
+        let peers = greetings.iter().map(|greeting| greeting.peer.clone());
+        let voters: Vec<Peer> = peers.chain([self.identity.clone()]).collect();
+        let all: BTreeSet<Incarnation> = voters.iter().map(|voter| voter.incarnation).collect();
+        let agrees = |greeting: &&Greeting| {
+            let mut heard: BTreeSet<Incarnation> = greeting.hello.heard.iter().copied().collect();
+            heard.insert(greeting.peer.incarnation);
+            greeting.hello.initial_voters == *initial && heard.is_superset(&all)
+        };
+        greetings.iter().all(agrees).then(|| Membership::new(voters))
+    }
+
+    /// Writes a configuration as if this node led, and asks for votes under it.
+    fn form(&mut self, now: Instant, membership: Membership) {
+        let highest = self.greetings.values().map(|greeting| greeting.term).max();
+        let term = highest.unwrap_or_default().max(self.hard.term).next();
+        self.set_hard(HardState { term, vote: Some(self.identity.incarnation) });
+        self.append(Payload::Members(membership));
+        self.campaign(now);
+    }
+
+    /// Makes the hosts the voters without asking a quorum.
+    pub(super) fn override_voters(&mut self, now: Instant, token: Token, hosts: &[HostId]) {
+        let known = |host: &HostId| {
+            if *host == self.identity.host {
+                return Some(self.identity.clone());
+            }
+            self.greetings.get(host).map(|greeting| greeting.peer.clone())
+        };
+        let missing: Vec<HostId> =
+            hosts.iter().filter(|host| known(host).is_none()).cloned().collect();
+        if !missing.is_empty() || !hosts.contains(&self.identity.host) {
+            return self.refuse(token, Refusal::Unreachable { hosts: missing });
+        }
+        let membership = Membership::new(hosts.iter().filter_map(known).collect());
+        self.follow(now, self.hard.term, None);
+        let term = Term::new(self.hard.term.get() + OVERRIDE_TERMS);
+        self.set_hard(HardState { term, vote: Some(self.identity.incarnation) });
+        self.append(Payload::Members(membership));
+        self.campaign(now);
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-log/src/core/outbox.rs
@@ -0,0 +1,82 @@
+//! Collects what one step asks for, and holds back what must wait for a sync.
+
+use crate::{Action, Frame, Write};
+use catkinlatch_base::HostId;
+use std::{collections::VecDeque, mem};
+
+/// The actions of one step.
+#[derive(Clone, Debug)]
+pub struct Outbox<C, R> {
+    /// What the next write will hold.
+    pub write: Write<C>,
+    persisted: u64,
+    actions: Vec<Action<C, R>>,
+    held: VecDeque<Held<C>>,
+}
+
+/// A frame that waits until a write is synced.
+#[derive(Clone, Debug)]
+struct Held<C> {
+    after: u64,
+    to: HostId,
+    frame: Frame<C>,
+}
+
+impl<C, R> Outbox<C, R> {
+    /// Creates an empty outbox.
+    pub fn new() -> Self {
+        Self { write: Write::new(1), persisted: 0, actions: Vec::new(), held: VecDeque::new() }
+    }
+
+    /// Adds an action.
+    pub fn push(&mut self, action: Action<C, R>) {
+        self.actions.push(action);
+    }
+
+    /// Sends a frame that speaks for nothing that is not yet synced.
+    pub fn send(&mut self, to: HostId, frame: Frame<C>) {
+        self.actions.push(Action::Send { to, frame });
+    }
+
+    /// Sends a frame once all that was decided before it is synced.
+    pub fn send_synced(&mut self, to: HostId, frame: Frame<C>) {
+        let newest = if self.write.is_empty() { self.write.number - 1 } else { self.write.number };
+        if newest <= self.persisted {
+            return self.send(to, frame);
+        }
+        self.held.push_back(Held { after: newest, to, frame });
+    }
+
+    /// Turns what is to be written into an action, and returns its number.
+    pub fn flush(&mut self) -> Option<u64> {
+        if self.write.is_empty() {
+            return None;
+        }
+        let number = self.write.number;
+        let write = mem::replace(&mut self.write, Write::new(number + 1));
+        self.actions.push(Action::Persist(write));
+        Some(number)
+    }
+
+    /// Sends what waited for writes up to a number.
+    pub fn persisted(&mut self, through: u64) {
+        self.persisted = self.persisted.max(through);
+        while self.held.front().is_some_and(|held| held.after <= self.persisted) {
+            if let Some(Held { to, frame, .. }) = self.held.pop_front() {
+                self.send(to, frame);
+            }
+        }
+    }
+
+    /// Drops all that waits, since it will never be synced.
+    pub fn fail(&mut self) {
+        self.held.clear();
+        self.write = Write::new(self.write.number);
+        self.actions.retain(|action| !matches!(action, Action::Send { .. }));
+    }
+
+    /// Takes the actions.
+    pub fn take(&mut self) -> Vec<Action<C, R>> {
+        mem::take(&mut self.actions)
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-log/src/core/replication.rs
@@ -0,0 +1,247 @@
+//! Sending entries as the leader, and committing them.
+
+use super::{Core, Leader, Progress, Proposal, State};
+use crate::{
+    Action, Append, AppendReply, Chunk, ChunkReply, Echo, Grant, Index, Machine, Message, Payload,
+    Peer, Refusal, Token,
+};
+use catkinlatch_base::{Incarnation, Instant, Term, invariant};
+use std::mem;
+
+impl<M: Machine> Core<M> {
+    pub(super) fn propose(&mut self, token: Token, command: M::Command) {
+        if !matches!(self.state, State::Leader(_)) {
+            let leader = self.leader.clone();
+            return self.refuse(token, Refusal::NotLeader { leader });
+        }
+        if self.pending.len() >= self.settings.max_pending {
+            return self.refuse(token, Refusal::Overloaded);
+        }
+        let term = self.hard.term;
+        let index = self.append(Payload::Command(command));
+        if let Some(old) = self.pending.insert(index, Proposal { term, token }) {
+            self.refuse(old.token, Refusal::Lost);
+        }
+    }
+
+    pub(super) fn read(&mut self, now: Instant, token: Token) {
+        match &mut self.state {
+            State::Leader(leader) => leader.reads.push((token, now)),
+            _ => {
+                let leader = self.leader.clone();
+                self.refuse(token, Refusal::NotLeader { leader });
+            }
+        }
+    }
+
+    /// Refuses the reads that wait for this leader.
+    pub(super) fn refuse_reads(&mut self) {
+        let State::Leader(leader) = &mut self.state else { return };
+        for (token, _) in mem::take(&mut leader.reads) {
+            self.out.push(Action::Refused { token, refusal: Refusal::NotLeader { leader: None } });
+        }
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        now: Instant,
+        term: Term,
+        from: Peer,
+        reply: AppendReply,
+    ) {
+        let AppendReply { sent_at, matches, index, applied, echo } = reply;
+        let Some(progress) = self.answer(now, term, &from, sent_at) else { return };
+        progress.echo = newest(progress.echo, echo);
+        progress.applied = progress.applied.max(applied);
+        if matches {
+            progress.matched = progress.matched.max(index);
+            progress.next = progress.next.max(progress.matched.next());
+            if progress.transfer.as_ref().is_some_and(|(s, _)| s.index <= progress.matched) {
+                progress.transfer = None;
+            }
+            return;
+        }
+        progress.next = index.next().max(progress.matched.next());
+    }
+
+    pub(super) fn on_chunk_reply(
+        &mut self,
+        now: Instant,
+        term: Term,
+        from: Peer,
+        reply: ChunkReply,
+    ) {
+        let ChunkReply { sent_at, index, offset } = reply;
+        let Some(progress) = self.answer(now, term, &from, sent_at) else { return };
+        if let Some((snapshot, sent)) = &mut progress.transfer
+            && snapshot.index == index
+            && *sent != offset
+        {
+            *sent = offset;
+            progress.beat_at = now;
+        }
+    }
+
+    /// Notes that a node answered what was sent at some time; steps down if its term is newer.
+    fn answer(
+        &mut self,
+        now: Instant,
+        term: Term,
+        from: &Peer,
+        sent_at: Instant,
+    ) -> Option<&mut Progress> {
+        if term > self.hard.term {
+            self.follow(now, term, None);
+            return None;
+        }
+        if term < self.hard.term {
+            return None;
+        }
+        let State::Leader(leader) = &mut self.state else { return None };
+        let progress = leader.progress.get_mut(&from.incarnation)?;
+        progress.seen = now;
+        progress.confirmed = progress.confirmed.max(Some(sent_at));
+        Some(progress)
+    }
+
+    /// Commits what a quorum has synced, if it is of this leader's own term.
+    pub(super) fn advance_commit(&mut self, now: Instant) {
+        let State::Leader(leader) = &self.state else { return };
+        let candidate = self.quorum_matched(leader);
+        if candidate <= self.commit || self.entries.term(candidate) != Some(self.hard.term) {
+            return;
+        }
+        self.commit = candidate;
+        if let State::Leader(leader) = &mut self.state {
+            leader.commits.push_back((candidate, now));
+        }
+        self.apply_committed();
+        self.step_down_if_removed(now);
+    }
+
+    /// Returns the last position that a quorum of voters has synced.
+    fn quorum_matched(&self, leader: &Leader) -> Index {
+        let own = self.identity.incarnation;
+        let membership = self.membership();
+        let matched = |voter: &Peer| {
+            if voter.incarnation == own {
+                return self.entries.durable();
+            }
+            let progress = leader.progress.get(&voter.incarnation);
+            progress.map_or(Index::ZERO, |progress| progress.matched)
+        };
+        let mut all: Vec<Index> = membership.voters().iter().map(matched).collect();
+        all.sort();
+        let at = all.len().checked_sub(membership.quorum());
+        at.and_then(|at| all.get(at)).copied().unwrap_or(Index::ZERO)
+    }
+
+    fn step_down_if_removed(&mut self, now: Instant) {
+        if !self.membership_at(self.commit).contains(self.identity.incarnation) {
+            self.follow(now, self.hard.term, None);
+        }
+    }
+
+    /// Sends each node what it lacks or is due.
+    pub(super) fn replicate(&mut self, now: Instant) {
+        let State::Leader(leader) = &self.state else { return };
+        let has_lease = self.lease_of(now, leader).is_some_and(|until| now < until);
+        let nodes: Vec<Incarnation> = leader.progress.keys().copied().collect();
+        for node in nodes {
+            self.replicate_to(now, node, has_lease);
+        }
+    }
+
+    fn replicate_to(&mut self, now: Instant, node: Incarnation, has_lease: bool) {
+        let is_voter = self.membership().contains(node);
+        let interval = if is_voter { self.settings.beat } else { self.settings.learner_beat };
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(mut progress) = leader.progress.remove(&node) else { return };
+        if progress.next < self.entries.first_index() && progress.transfer.is_none() {
+            let snapshot = self.entries.snapshot().expect("entries are dropped for a snapshot");
+            progress.transfer = Some((snapshot.clone(), 0));
+            progress.beat_at = now;
+        }
+        let is_due = progress.beat_at <= now;
+        if progress.transfer.is_some() {
+            if is_due {
+                progress.beat_at = now + interval;
+                self.send_chunk(now, &progress);
+            }
+        } else {
+            self.send_entries(now, &mut progress, is_due, has_lease);
+            if is_due {
+                progress.beat_at = now + interval;
+            }
+        }
+        let State::Leader(leader) = &mut self.state else { return };
+        leader.progress.insert(node, progress);
+    }
+
+    /// Sends entries while there are any and the node is not too far behind.
+    fn send_entries(
+        &mut self,
+        now: Instant,
+        progress: &mut Progress,
+        is_due: bool,
+        has_lease: bool,
+    ) {
+        let mut must_send = is_due || progress.commit_sent < self.commit;
+        loop {
+            let last = self.entries.last_index();
+            let ahead = progress.next.get().saturating_sub(progress.matched.next().get());
+            let has_more = progress.next <= last && ahead < self.settings.max_ahead;
+            if !must_send && !has_more {
+                return;
+            }
+            must_send = false;
+            let limit = if has_more { self.settings.max_entries } else { 0 };
+            let entries = self.entries.range(progress.next, limit);
+            let previous_index = progress.next.previous();
+            let previous_term = self.entries.term(previous_index).unwrap_or_default();
+            let grant = self.grant(now, progress, has_lease);
+            progress.next = Index::new(progress.next.get() + entries.len() as u64);
+            progress.commit_sent = self.commit;
+            let commit = self.commit;
+            let append =
+                Append { sent_at: now, previous_index, previous_term, entries, commit, grant };
+            let peer = progress.peer.clone();
+            self.send(&peer, Message::Append(append));
+        }
+    }
+
+    /// Renews a node's configuration lease, counted from its newest answer.
+    fn grant(&self, now: Instant, progress: &mut Progress, has_lease: bool) -> Option<Grant> {
+        let echo = progress.echo.filter(|_| has_lease)?;
+        // The answer was sent before it was seen, so the bound covers the lease that it carries.
+        let bound = progress.seen + self.settings.configuration_bound();
+        progress.lease_bound = progress.lease_bound.max(Some(bound));
+        invariant!("grant_under_lease", progress.seen <= now, "an answer lies ahead of the clock");
+        Some(Grant { echo, length: self.settings.configuration_lease })
+    }
+
+    fn send_chunk(&mut self, now: Instant, progress: &Progress) {
+        let Some((snapshot, offset)) = &progress.transfer else { return };
+        let total = snapshot.data.len();
+        let start = (*offset as usize).min(total);
+        let end = total.min(start + self.settings.chunk_bytes);
+        let chunk = Chunk {
+            sent_at: now,
+            index: snapshot.index,
+            term: snapshot.term,
+            membership: snapshot.membership.clone(),
+            offset: start as u64,
+            total: total as u64,
+            data: snapshot.data.slice(start..end),
+        };
+        self.send(&progress.peer, Message::Chunk(chunk));
+    }
+}
+
+/// Returns the newer of two readings; a reading of another run replaces the old one.
+fn newest(old: Option<Echo>, new: Echo) -> Option<Echo> {
+    match old {
+        Some(old) if old.run == new.run && old.at > new.at => Some(old),
+        _ => Some(new),
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-log/src/core/voters.rs
@@ -0,0 +1,176 @@
+//! Keeping the voters whole: the leader changes one at a time.
+
+use super::{Core, Leader, Progress, State};
+use crate::{Action, Index, Machine, Membership, Payload, Peer, Report};
+use catkinlatch_base::{Incarnation, Instant};
+use std::{cmp::Reverse, collections::BTreeSet};
+
+/// The fewest voters that repair shrinks to, or keeps despite the rule on disks.
+const MIN_VOTERS: usize = 3;
+
+/// How far behind the commit a spare may be, in entries.
+const SPARE_LAG: u64 = 1_000;
+
+impl<M: Machine> Core<M> {
+    /// Makes the next change of voters, if one is due and the last one is committed.
+    pub(super) fn mend_voters(&mut self, now: Instant) {
+        let State::Leader(leader) = &self.state else { return };
+        let is_settled = self.commit >= leader.opening
+            && self.memberships.last().is_some_and(|(index, _)| *index <= self.commit);
+        if now < leader.repair_at || !is_settled {
+            return;
+        }
+        let next = self.next_membership(now, leader);
+        let silent = self.silent_voters(now, leader);
+        let has_reported = leader.reported;
+        if let State::Leader(leader) = &mut self.state {
+            leader.repair_at = now + self.settings.beat;
+            leader.reported = next.is_none() && (has_reported || !silent.is_empty());
+        }
+        match next {
+            Some(membership) => self.change_voters(membership),
+            None if !has_reported => self.report_voters(&silent),
+            None => {}
+        }
+    }
+
+    fn change_voters(&mut self, membership: Membership) {
+        self.out.push(Action::Report(Report::Members { membership: membership.clone() }));
+        if !membership.disks_decide() && membership.disks() > 0 {
+            let (disks, voters) = (membership.disks(), membership.voters().len());
+            self.out.push(Action::Report(Report::DisksOutvoted { disks, voters }));
+        }
+        let next = self.entries.last_index().next();
+        for peer in membership.voters() {
+            let State::Leader(leader) = &mut self.state else { return };
+            if peer.incarnation != self.identity.incarnation {
+                let new = || Progress::new(peer.clone(), next, leader.since);
+                leader.progress.entry(peer.incarnation).or_insert_with(new);
+            }
+        }
+        self.append(Payload::Members(membership));
+    }
+
+    fn report_voters(&mut self, silent: &[Peer]) {
+        for voter in silent {
+            self.out.push(Action::Report(Report::NoSpare { voter: voter.clone() }));
+        }
+    }
+
+    /// Returns the voters one step nearer to those that should be.
+    fn next_membership(&self, now: Instant, leader: &Leader) -> Option<Membership> {
+        let current = self.membership();
+        let silent = self.silent_voters(now, leader);
+        let spares = self.spares(now, leader);
+        if let Some(dead) = silent.first() {
+            return self.replace(current, dead, silent.len(), &spares);
+        }
+        let wanted = self.wanted(current, &spares);
+        let missing = wanted.iter().find(|peer| !current.contains(peer.incarnation));
+        let surplus = current.voters().iter().find(|voter| {
+            !wanted.contains(voter) && voter.incarnation != self.identity.incarnation
+        });
+        match (missing, surplus) {
+            (Some(peer), _) if current.voters().len() <= MIN_VOTERS => {
+                Some(current.with(peer.clone()))
+            }
+            (_, Some(voter)) => Some(current.without(voter.incarnation)),
+            (Some(peer), None) => Some(current.with(peer.clone())),
+            (None, None) => None,
+        }
+    }
+
+    /// Takes a silent voter out, or a spare in before it where that keeps the quorum safer.
+    fn replace(
+        &self,
+        current: &Membership,
+        dead: &Peer,
+        silent: usize,
+        spares: &[Peer],
+    ) -> Option<Membership> {
+        let voters = current.voters().len();
+        if voters <= MIN_VOTERS {
+            return spares.first().map(|spare| current.with(spare.clone()));
+        }
+        let alive = voters - silent;
+        let gains = alive >= MIN_VOTERS && alive / 2 + 1 < current.quorum();
+        let is_repairable = !spares.is_empty() || gains;
+        is_repairable.then(|| current.without(dead.incarnation))
+    }
+
+    /// Returns the voters that have been silent for too long, or whose host runs another identity.
+    fn silent_voters(&self, now: Instant, leader: &Leader) -> Vec<Peer> {
+        let is_silent = |voter: &&Peer| {
+            let Some(progress) = leader.progress.get(&voter.incarnation) else { return false };
+            let followed = leader.progress.values().any(|other| {
+                other.peer.host == voter.host
+                    && other.peer.incarnation != voter.incarnation
+                    && other.confirmed.is_some()
+                    && now < other.seen + self.settings.election
+            });
+            let limit = if followed { self.patience() } else { self.settings.silence };
+            now >= progress.seen + limit
+        };
+        self.membership().voters().iter().filter(is_silent).cloned().collect()
+    }
+
+    /// Returns the nodes that could vote at once, best first.
+    fn spares(&self, now: Instant, leader: &Leader) -> Vec<Peer> {
+        let current = self.membership();
+        let floor = Index::new(self.commit.get().saturating_sub(SPARE_LAG));
+        let is_spare = |progress: &&Progress| {
+            let peer = &progress.peer;
+            !current.contains(peer.incarnation)
+                && self.settings.hosts.contains(&peer.host)
+                && progress.confirmed.is_some()
+                && now < progress.seen + self.settings.learner_beat * 2
+                && progress.matched >= floor
+        };
+        let mut spares: Vec<Peer> =
+            leader.progress.values().filter(is_spare).map(|p| p.peer.clone()).collect();
+        let zones = current.zones();
+        spares.sort_by_key(|peer| {
+            (Reverse(peer.has_disk), zones.contains(&peer.zone), peer.host.clone())
+        });
+        spares
+    }
+
+    /// Returns the voters that should be, of those that are live: disks first, zones spread.
+    fn wanted(&self, current: &Membership, spares: &[Peer]) -> Vec<Peer> {
+        let mut left: Vec<Peer> = current.voters().iter().chain(spares).cloned().collect();
+        let count = self.wanted_count(&left);
+        let mut wanted: Vec<Peer> = Vec::new();
+        let mut hosts = BTreeSet::new();
+        while wanted.len() < count {
+            let own = self.identity.incarnation;
+            let zone_load =
+                |peer: &Peer| wanted.iter().filter(|other| other.zone == peer.zone).count();
+            let rank = |peer: &Peer| {
+                let is_voter = current.contains(peer.incarnation);
+                let is_leader = peer.incarnation == own;
+                (!is_leader, !peer.has_disk, zone_load(peer), !is_voter, peer.host.clone())
+            };
+            let Some(best) = left.iter().min_by_key(|peer| rank(peer)).cloned() else { break };
+            left.retain(|peer| peer.incarnation != best.incarnation);
+            if hosts.insert(best.host.clone()) {
+                wanted.push(best);
+            }
+        }
+        wanted
+    }
+
+    /// Returns the number of voters that should be: odd, and decided by the disks where it can be.
+    fn wanted_count(&self, live: &[Peer]) -> usize {
+        let hosts: BTreeSet<_> = live.iter().map(|peer| &peer.host).collect();
+        let disks = live.iter().filter(|peer| peer.has_disk).count();
+        let by_disks = if disks == 0 { usize::MAX } else { 2 * disks - 1 };
+        let most = self.settings.max_voters.min(by_disks.max(MIN_VOTERS)).min(hosts.len());
+        if most % 2 == 0 { most.saturating_sub(1).max(1) } else { most }
+    }
+
+    /// Returns the nodes that this leader has not heard from for too long.
+    pub fn silent(&self, now: Instant) -> Vec<Incarnation> {
+        let State::Leader(leader) = &self.state else { return Vec::new() };
+        self.silent_voters(now, leader).into_iter().map(|peer| peer.incarnation).collect()
+    }
+}
--- a/crates/catkinlatch-log/src/lib.rs
+++ b/crates/catkinlatch-log/src/lib.rs
@@ -1,1 +1,33 @@
 //! The replicated control log, as a state machine without I/O.
+//!
+//! [`Core`] takes messages, ticks and storage completions as [`Input`]s and returns the
+//! [`Action`]s to carry out. It has no clock, socket, file or thread of its own; [`storage`] holds
+//! the files that a driver writes for it.
+
+mod action;
+mod core;
+mod entry;
+mod frame;
+mod input;
+mod machine;
+mod membership;
+mod message;
+mod peer;
+mod settings;
+mod snapshot;
+pub mod storage;
+
+pub use self::{
+    action::{Action, Refusal, Report, Role},
+    core::Core,
+    entry::{Entry, Index, Payload},
+    frame::{Frame, FrameError, Group},
+    input::{Input, Token},
+    machine::Machine,
+    membership::Membership,
+    message::{Append, AppendReply, Chunk, ChunkReply, Echo, Grant, Hello, Message, Vote},
+    peer::Peer,
+    settings::Settings,
+    snapshot::Snapshot,
+    storage::{HardState, Restored, Write},
+};
--- /dev/null
+++ b/crates/catkinlatch-log/src/membership.rs
@@ -0,0 +1,76 @@
+//! The voters of the log.
+
+use crate::Peer;
+use catkinlatch_base::{HostId, Incarnation, ZoneId};
+use std::collections::BTreeSet;
+
+catkinlatch_base::derive_value! {
+    /// The voters in force from one entry on.
+    #[derive(Default, Eq)]
+    pub struct Membership {
+        voters: Vec<Peer>,
+    }
+}
+
+impl Membership {
+    /// No voters.
+    pub const EMPTY: Self = Self { voters: Vec::new() };
+
+    /// Creates a membership of these voters.
+    pub fn new(mut voters: Vec<Peer>) -> Self {
+        voters.sort();
+        voters.dedup();
+        Self { voters }
+    }
+
+    /// Returns the voters in order of their hosts.
+    pub fn voters(&self) -> &[Peer] {
+        &self.voters
+    }
+
+    /// Returns whether there are no voters yet.
+    pub fn is_empty(&self) -> bool {
+        self.voters.is_empty()
+    }
+
+    /// Returns whether the identity is a voter.
+    pub fn contains(&self, incarnation: Incarnation) -> bool {
+        self.voters.iter().any(|voter| voter.incarnation == incarnation)
+    }
+
+    /// Returns whether an identity of the host is a voter.
+    pub fn contains_host(&self, host: &HostId) -> bool {
+        self.voters.iter().any(|voter| voter.host == *host)
+    }
+
+    /// Returns the number of voters that decide.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Returns the number of voters with a disk.
+    pub fn disks(&self) -> usize {
+        self.voters.iter().filter(|voter| voter.has_disk).count()
+    }
+
+    /// Returns whether the voters with a disk form a quorum alone.
+    pub fn disks_decide(&self) -> bool {
+        self.disks() >= self.quorum()
+    }
+
+    /// Returns the zones that have a voter.
+    pub fn zones(&self) -> BTreeSet<&ZoneId> {
+        self.voters.iter().map(|voter| &voter.zone).collect()
+    }
+
+    /// Returns the membership with one more voter.
+    pub fn with(&self, voter: Peer) -> Self {
+        Self::new(self.voters.iter().cloned().chain([voter]).collect())
+    }
+
+    /// Returns the membership with one voter less.
+    pub fn without(&self, incarnation: Incarnation) -> Self {
+        let others = self.voters.iter().filter(|voter| voter.incarnation != incarnation);
+        Self::new(others.cloned().collect())
+    }
+}
