Add admission, retries and the simulated clock

Requests went straight to a target: no limit, no queue, no early refusal, and one failed try was the caller's answer. The gate now holds each request until its pool has a slot, serves teams by weight and true cost, refuses what cannot make its deadline, and retries are bounded by a budget of first tries. Simulated time for policy measurements is a queue of events in the stand-ins.

--- a/crates/catkinlatch-node/src/entry.rs
+++ b/crates/catkinlatch-node/src/entry.rs
@@ -1,11 +1,13 @@
 //! The data path: callers' requests, from admission to the whole answer.
 
+mod admission;
 mod api;
 mod credential;
 mod dispatch;
 mod refusal;
 mod request;
 mod stream;
+mod tries;
 
 pub use self::{
     refusal::{Code, Ran, Refusal},
@@ -13,6 +15,7 @@
 };
 
 pub(crate) use self::{
+    admission::{Admission, maintain},
     api::register,
     credential::presented_key,
     dispatch::{Usage, engine_call, run_whole},
--- /dev/null
+++ b/crates/catkinlatch-node/src/entry/admission.rs
@@ -0,0 +1,253 @@
+//! The node's gate: requests wait here until they may be sent to a target.
+
+use super::{Code, Refusal, Ticket};
+use crate::Node;
+use catkinlatch_base::{Instant, Ratio, RouteId, Tokens};
+use catkinlatch_route::{
+    Gate,
+    admission::{Ask, Class, Decision, Denial, Outcome, Permit, Rates, Waiter},
+    retry::{Budget, Effect, Plan, Step},
+};
+use catkinlatch_state::config::Team;
+use slotmap::SecondaryMap;
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::sync::oneshot;
+
+/// How often slots and limits are brought up to date.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The share of contended capacity that rollouts get at least.
+const ROLLOUT_FLOOR: Ratio = Ratio::new(0.2);
+
+/// How many retries a route may make for each first try.
+const RETRY_SHARE: Ratio = Ratio::new(0.2);
+
+type Verdict = Result<Permit, Denial>;
+
+/// The node's gate and the requests that wait at it.
+#[derive(Debug)]
+pub struct Admission {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    gate: Gate,
+    waiters: SecondaryMap<Waiter, oneshot::Sender<Verdict>>,
+    budgets: BTreeMap<RouteId, Budget>,
+}
+
+impl Admission {
+    /// Creates a gate without slots.
+    pub fn new() -> Self {
+        let (waiters, budgets) = Default::default();
+        Self { inner: Mutex::new(Inner { gate: Gate::new(ROLLOUT_FLOOR), waiters, budgets }) }
+    }
+
+    /// Records a first try on a route.
+    pub fn first_try(&self, route: &RouteId, now: Instant) {
+        self.lock().budget(route, now).earn(now);
+    }
+
+    /// Decides what to do after a failed try.
+    pub fn after_failure(
+        &self,
+        route: &RouteId,
+        plan: &mut Plan,
+        effect: Effect,
+        now: Instant,
+    ) -> Step {
+        let mut inner = self.lock();
+        let mut random = fastrand::Rng::new();
+        plan.after(effect, inner.budget(route, now), now, &mut random)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn budget(&mut self, route: &RouteId, now: Instant) -> &mut Budget {
+        self.budgets.entry(route.clone()).or_insert_with(|| Budget::new(RETRY_SHARE, now))
+    }
+
+    /// Tells waiting requests how they go on.
+    fn poll(&mut self, route: &RouteId, now: Instant) {
+        for outcome in self.gate.poll(route, now) {
+            let (waiter, verdict) = match outcome {
+                Outcome::Run(waiter, permit) => (waiter, Ok(permit)),
+                Outcome::Refuse(waiter, denial) => (waiter, Err(denial)),
+            };
+            let Some(sender) = self.waiters.remove(waiter) else {
+                self.undo(verdict);
+                continue;
+            };
+            if let Err(verdict) = sender.send(verdict) {
+                self.undo(verdict);
+            }
+        }
+    }
+
+    /// Gives back what a request got that has left.
+    fn undo(&mut self, verdict: Verdict) {
+        if let Ok(permit) = verdict {
+            self.gate.cancel(permit);
+        }
+    }
+}
+
+/// A request's way past the gate; its slot is free again when this is dropped.
+#[derive(Debug)]
+pub struct Pass {
+    node: Arc<Node>,
+    route: RouteId,
+    permit: Option<Permit>,
+    spent: Option<Tokens>,
+    sent: bool,
+}
+
+impl Pass {
+    /// Records that the request was sent to a target.
+    pub fn set_sent(&mut self) {
+        self.sent = true;
+    }
+
+    /// Records the true cost.
+    pub fn set_spent(&mut self, spent: Tokens) {
+        self.spent = Some(spent);
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        let Some(permit) = self.permit.take() else { return };
+        let now = self.node.clock.now();
+        let mut inner = self.node.admission.lock();
+        if self.sent {
+            inner.gate.finish(permit, self.spent, now);
+        } else {
+            inner.gate.cancel(permit);
+        }
+        inner.poll(&self.route, now);
+    }
+}
+
+/// Waits until a request may be sent to a target.
+pub async fn admit(
+    node: &Arc<Node>,
+    ticket: &Ticket,
+    class: Class,
+    cost: Tokens,
+) -> Result<Pass, Box<Refusal>> {
+    let now = node.clock.now();
+    let weight = node.control.state().config().team(&ticket.team).map_or(1, |team| team.weight);
+    let ask = Ask {
+        route: ticket.route.id.clone(),
+        team: ticket.team.clone(),
+        weight,
+        class,
+        cost,
+        deadline: ticket.deadline,
+    };
+    if node.admission.lock().gate.slots(&ask.route) == 0 {
+        update_slots(node, ticket, now);
+    }
+    let (sender, receiver) = oneshot::channel();
+    let (waiter, until) = {
+        let mut inner = node.admission.lock();
+        if inner.gate.slots(&ask.route) == 0 {
+            let message = "no target serves this route now; retry in a moment";
+            let refusal = Refusal::not_run(ticket.request.clone(), Code::NoTarget, message);
+            return Err(refusal.with_retry_after_ms(1000).into());
+        }
+        match inner.gate.enter(&ask, now) {
+            Decision::Run(permit) => return Ok(pass(node, ticket, permit)),
+            Decision::Refuse(denial) => return Err(refuse(ticket, &denial)),
+            Decision::Wait { waiter, until } => {
+                inner.waiters.insert(waiter, sender);
+                (waiter, until)
+            }
+        }
+    };
+    wait(node, ticket, waiter, until, receiver).await
+}
+
+async fn wait(
+    node: &Arc<Node>,
+    ticket: &Ticket,
+    waiter: Waiter,
+    until: Instant,
+    mut receiver: oneshot::Receiver<Verdict>,
+) -> Result<Pass, Box<Refusal>> {
+    let decided = tokio::time::timeout_at(node.clock.timer(until), &mut receiver).await;
+    let verdict = match decided {
+        Ok(Ok(verdict)) => verdict,
+        Ok(Err(_)) | Err(_) => {
+            let mut inner = node.admission.lock();
+            let late = receiver.try_recv().ok();
+            inner.gate.leave(waiter);
+            inner.waiters.remove(waiter);
+            drop(inner);
+            late.unwrap_or(Err(Denial::TooLate { retry_after: UPDATE_INTERVAL }))
+        }
+    };
+    verdict.map(|permit| pass(node, ticket, permit)).map_err(|denial| refuse(ticket, &denial))
+}
+
+/// Keeps slots and limits up to date, and starts what they allow.
+pub async fn maintain(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(UPDATE_INTERVAL).await;
+        let now = node.clock.now();
+        let state = node.control.state();
+        let table = node.table();
+        let slots: Vec<(RouteId, u32)> = state
+            .config()
+            .routes()
+            .values()
+            .map(|route| (route.id.clone(), table.slots(&super::dispatch::wanted(route), now)))
+            .collect();
+        drop(table);
+        let mut inner = node.admission.lock();
+        for team in state.config().teams().values() {
+            inner.gate.set_rates(&team.id, rates(team), Ratio::new(1.0), now);
+            inner.gate.set_concurrency(&team.id, team.concurrency, now);
+        }
+        for (route, slots) in slots {
+            inner.gate.set_slots(&route, slots);
+            inner.poll(&route, now);
+        }
+    }
+}
+
+fn update_slots(node: &Arc<Node>, ticket: &Ticket, now: Instant) {
+    let slots = node.table().slots(&super::dispatch::wanted(&ticket.route), now);
+    node.admission.lock().gate.set_slots(&ticket.route.id, slots);
+}
+
+fn rates(team: &Team) -> Rates {
+    Rates {
+        requests_per_minute: team.requests_per_minute,
+        tokens_per_minute: team.tokens_per_minute,
+    }
+}
+
+fn pass(node: &Arc<Node>, ticket: &Ticket, permit: Permit) -> Pass {
+    let route = ticket.route.id.clone();
+    Pass { node: node.clone(), route, permit: Some(permit), spent: None, sent: false }
+}
+
+fn refuse(ticket: &Ticket, denial: &Denial) -> Box<Refusal> {
+    let code = match denial {
+        Denial::Requests { .. } | Denial::Tokens { .. } => Code::Limited,
+        Denial::QueueFull { .. } | Denial::TooLate { .. } => Code::Overloaded,
+    };
+    let millis = u64::try_from(denial.retry_after().as_millis()).unwrap_or(u64::MAX);
+    let refusal = Refusal::not_run(ticket.request.clone(), code, denial.to_string());
+    refusal.with_retry_after_ms(millis.max(1)).into()
+}
--- a/crates/catkinlatch-node/src/entry/api.rs
+++ b/crates/catkinlatch-node/src/entry/api.rs
@@ -1,13 +1,14 @@
 //! HTTP interface for callers.
 
 use super::{
-    Code, Refusal, Ticket, credential,
+    Code, Refusal, Ticket, admission, credential,
     dispatch::{self, Call, Reply},
     request, stream,
 };
 use crate::Node;
 use bytes::Bytes;
 use catkinlatch_base::{ZoneId, derive_schema, event};
+use catkinlatch_route::admission::Class;
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, Body, HttpError, HttpResponseOk, Path,
     RequestContext, RequestInfo, UntypedBody, endpoint,
@@ -150,7 +151,7 @@
     if asked.stream {
         return stream::run_streamed(node, ticket, &call).await;
     }
-    Ok(respond(dispatch::run_whole(node, &ticket, &call).await?))
+    run_live(node, &ticket, &call).await
 }
 
 async fn try_serve(
@@ -169,7 +170,17 @@
         headers: credential::harmless_headers(info.headers()),
         body,
     };
-    Ok(respond(dispatch::run_whole(node, &ticket, &call).await?))
+    run_live(node, &ticket, &call).await
+}
+
+async fn run_live(
+    node: &Arc<Node>,
+    ticket: &Ticket,
+    call: &Call,
+) -> Result<Response<Body>, Box<Refusal>> {
+    let cost = dispatch::cost(ticket, call);
+    let pass = admission::admit(node, ticket, Class::Live, cost).await?;
+    Ok(respond(dispatch::run_admitted(node, ticket, call, pass).await?))
 }
 
 fn service_path(path: &ServicePath, info: &RequestInfo) -> String {
--- a/crates/catkinlatch-node/src/entry/dispatch.rs
+++ b/crates/catkinlatch-node/src/entry/dispatch.rs
@@ -1,6 +1,12 @@
 //! Sending an admitted request to a target and checking that the answer is its own.
 
-use super::{Code, Ran, Refusal, Ticket, credential, request::REQUEST_ID};
+use super::{
+    Code, Ran, Refusal, Ticket,
+    admission::{self, Pass},
+    credential,
+    request::REQUEST_ID,
+    tries::{Failure, Tries},
+};
 use crate::{
     Node,
     upstream::{self, CallError},
@@ -8,14 +14,28 @@
 use bytes::Bytes;
 use catkinlatch_base::{Instant, RequestId, TargetId, Tokens, event};
 use catkinlatch_fleet::meter::Record;
-use catkinlatch_route::{Key, target};
+use catkinlatch_route::{
+    Key,
+    admission::Class,
+    retry::Effect,
+    target::{self, Wanted},
+};
 use catkinlatch_state::config;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use std::sync::Arc;
 
+/// The tokens that an answer is estimated at when its request names no limit.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+
+/// The most tokens that an answer is estimated at.
+const MAX_ESTIMATED_TOKENS: u64 = 1 << 20;
+
+/// How many bytes of a request are taken for one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
 /// What to send to a target.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -49,6 +69,16 @@
     pub completion_tokens: u64,
 }
 
+impl Usage {
+    /// Returns the true cost, or the estimate if the target counted nothing.
+    pub fn cost(&self, estimate: Tokens) -> Tokens {
+        match self.prompt_tokens + self.completion_tokens {
+            0 => estimate,
+            counted => Tokens::new(counted),
+        }
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct Counted {
     #[serde(default)]
@@ -65,19 +95,17 @@
 }
 
 impl Running {
-    /// Chooses a target for `ticket`.
-    pub fn begin(node: &Arc<Node>, ticket: &Ticket) -> Result<Self, Box<Refusal>> {
+    /// Chooses a target for `ticket`, the ones in `tried` last.
+    fn begin(node: &Arc<Node>, ticket: &Ticket, tried: &[Key]) -> Result<Self, Failure> {
         let now = node.clock.now();
         let mut table = node.table();
-        let key = match &ticket.route.kind {
-            config::Kind::Model(model) => table.choose_engine(model, now),
-            config::Kind::Service => table.choose_service(&ticket.route.id, now),
-        };
+        let key = table.choose(&wanted(&ticket.route), tried, now);
         let entry = key.and_then(|key| table.get(key).map(|entry| (key, entry)));
         let Some((key, entry)) = entry else {
             let message = "no target serves this route now; retry in a moment";
             let refusal = Refusal::not_run(ticket.request.clone(), Code::NoTarget, message);
-            return Err(refusal.with_retry_after_ms(1000).into());
+            let refusal = refusal.with_retry_after_ms(1000);
+            return Err(Failure { effect: Effect::Unsent, refusal, target: None });
         };
         let target::Announcement { id: target, address, .. } = entry.announcement.clone();
         table.begin(key);
@@ -92,14 +120,25 @@
     }
 }
 
-/// Sends a request to a target and returns the head of its answer.
-pub async fn send(
+/// Returns which targets serve a route.
+pub fn wanted(route: &config::Route) -> Wanted {
+    match &route.kind {
+        config::Kind::Model(model) => Wanted::Engine(model.clone()),
+        config::Kind::Service => Wanted::Service(route.id.clone()),
+    }
+}
+
+/// Sends a request to a target once and returns the head of its answer.
+async fn try_send(
     node: &Arc<Node>,
     ticket: &Ticket,
     call: &Call,
-) -> Result<(Running, Response<Incoming>), Box<Refusal>> {
-    let running = Running::begin(node, ticket)?;
-    let request = target_request(node, ticket, call, &running.address)?;
+    tried: &[Key],
+) -> Result<(Running, Response<Incoming>), Failure> {
+    let running = Running::begin(node, ticket, tried)?;
+    let target = Some(running.key);
+    let request = target_request(node, ticket, call, &running.address)
+        .map_err(|refusal| Failure { effect: Effect::Unsent, refusal: *refusal, target })?;
     node.record(event::Kind::Sent {
         request: ticket.request.clone(),
         team: ticket.team.clone(),
@@ -108,36 +147,64 @@
     let sent = node.upstream.send(request);
     let response = match tokio::time::timeout_at(node.clock.timer(ticket.deadline), sent).await {
         Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(failed(ticket, &error).into()),
-        Err(_) => return Err(late(ticket).into()),
+        Ok(Err(error)) => return Err(failed(ticket, target, &error)),
+        Err(_) => return Err(late(ticket, target)),
     };
     if !echoes(response.headers(), &ticket.request) {
         let message = "the target answered another request; retry if that does no harm";
-        let refusal = Refusal::not_run(ticket.request.clone(), Code::TargetFailed, message);
-        return Err(refusal.with_ran(Ran::Maybe).into());
+        return Err(perhaps_run(ticket, target, message));
+    }
+    if ticket.route.idempotent && is_gateway_error(response.status()) {
+        let message = format!("the target answered with status {}", response.status());
+        return Err(perhaps_run(ticket, target, &message));
     }
     Ok((running, response))
 }
 
-/// Sends a request to a target and returns its whole answer.
+/// Sends a request, to other targets too while the rules allow, and returns its answer's head.
+pub async fn send(
+    node: &Arc<Node>,
+    ticket: &Ticket,
+    call: &Call,
+) -> Result<(Running, Response<Incoming>), Box<Refusal>> {
+    let mut tries = Tries::new(node, ticket);
+    loop {
+        match try_send(node, ticket, call, tries.tried()).await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => tries.after(node, ticket, failure).await?,
+        }
+    }
+}
+
+/// Sends a sample of a rollout to a target and returns its whole answer.
 pub async fn run_whole(
     node: &Arc<Node>,
     ticket: &Ticket,
     call: &Call,
+) -> Result<Reply, Box<Refusal>> {
+    let pass = admission::admit(node, ticket, Class::Rollout, cost(ticket, call)).await?;
+    run_admitted(node, ticket, call, pass).await
+}
+
+/// Sends an admitted request to a target and returns its whole answer.
+pub async fn run_admitted(
+    node: &Arc<Node>,
+    ticket: &Ticket,
+    call: &Call,
+    mut pass: Pass,
 ) -> Result<Reply, Box<Refusal>> {
     let started = node.clock.now();
-    let (running, response) = send(node, ticket, call).await?;
-    let (mut head, body) = response.into_parts();
-    let limit = usize::try_from(ticket.route.max_answer_bytes).unwrap_or(usize::MAX);
-    let read = upstream::read_body(body, limit);
-    let body = match tokio::time::timeout_at(node.clock.timer(ticket.deadline), read).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => return Err(failed(ticket, &error).into()),
-        Err(_) => return Err(late(ticket).into()),
+    pass.set_sent();
+    let mut tries = Tries::new(node, ticket);
+    let (mut head, body) = loop {
+        match try_whole(node, ticket, call, tries.tried()).await {
+            Ok(answer) => break answer,
+            Err(failure) => tries.after(node, ticket, failure).await?,
+        }
     };
-    drop(running);
     let counted: Option<Counted> = serde_json::from_slice(&body).ok();
     let usage = counted.map(|counted| counted.usage).unwrap_or_default();
+    pass.set_spent(usage.cost(cost(ticket, call)));
     meter(node, ticket, &usage, started);
     node.record(event::Kind::Answered {
         request: ticket.request.clone(),
@@ -148,6 +215,49 @@
     Ok(Reply { head, body })
 }
 
+/// Sends a request to a target once and returns its whole answer.
+async fn try_whole(
+    node: &Arc<Node>,
+    ticket: &Ticket,
+    call: &Call,
+    tried: &[Key],
+) -> Result<(http::response::Parts, Bytes), Failure> {
+    let (running, response) = try_send(node, ticket, call, tried).await?;
+    let target = Some(running.key);
+    let (head, body) = response.into_parts();
+    let limit = usize::try_from(ticket.route.max_answer_bytes).unwrap_or(usize::MAX);
+    let read = upstream::read_body(body, limit);
+    match tokio::time::timeout_at(node.clock.timer(ticket.deadline), read).await {
+        Ok(Ok(body)) => Ok((head, body)),
+        Ok(Err(error)) => Err(failed(ticket, target, &error)),
+        Err(_) => Err(late(ticket, target)),
+    }
+}
+
+/// Estimates the cost of a request.
+///
+/// A plain-service call costs one token; a completion costs its prompt and its longest answer.
+pub fn cost(ticket: &Ticket, call: &Call) -> Tokens {
+    #[derive(Deserialize)]
+    struct Sized {
+        max_tokens: Option<u64>,
+    }
+    match &ticket.route.kind {
+        config::Kind::Service => Tokens::new(1),
+        config::Kind::Model(_) => {
+            let sized: Option<Sized> = serde_json::from_slice(&call.body).ok();
+            let longest = sized.and_then(|sized| sized.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS);
+            let longest = longest.min(MAX_ESTIMATED_TOKENS);
+            Tokens::new(call.body.len() as u64 / BYTES_PER_TOKEN + longest)
+        }
+    }
+}
+
+fn is_gateway_error(status: StatusCode) -> bool {
+    [StatusCode::BAD_GATEWAY, StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT]
+        .contains(&status)
+}
+
 /// Counts what a request used.
 pub fn meter(node: &Node, ticket: &Ticket, usage: &Usage, started: Instant) {
     let model = match &ticket.route.kind {
@@ -214,18 +324,24 @@
     headers.get(REQUEST_ID).is_some_and(|value| value.as_bytes() == request.as_str().as_bytes())
 }
 
-fn failed(ticket: &Ticket, error: &CallError) -> Refusal {
-    let ran = match error {
-        CallError::Connect => Ran::No,
-        CallError::Broken => Ran::Maybe,
-        CallError::TooLong { .. } => Ran::Yes,
+fn failed(ticket: &Ticket, target: Option<Key>, error: &CallError) -> Failure {
+    let (ran, effect) = match error {
+        CallError::Connect => (Ran::No, Effect::Unsent),
+        CallError::Broken => (Ran::Maybe, Effect::Perhaps),
+        CallError::TooLong { .. } => (Ran::Yes, Effect::Perhaps),
     };
     let message = format!("the target failed: {error}");
-    Refusal::not_run(ticket.request.clone(), Code::TargetFailed, message).with_ran(ran)
+    let refusal = Refusal::not_run(ticket.request.clone(), Code::TargetFailed, message);
+    Failure { effect, refusal: refusal.with_ran(ran), target }
 }
 
-fn late(ticket: &Ticket) -> Refusal {
+fn late(ticket: &Ticket, target: Option<Key>) -> Failure {
     let message = "the target did not answer before the route's deadline";
     let refusal = Refusal::not_run(ticket.request.clone(), Code::Deadline, message);
-    refusal.with_ran(Ran::Maybe)
+    Failure { effect: Effect::Perhaps, refusal: refusal.with_ran(Ran::Maybe), target }
+}
+
+fn perhaps_run(ticket: &Ticket, target: Option<Key>, message: &str) -> Failure {
+    let refusal = Refusal::not_run(ticket.request.clone(), Code::TargetFailed, message);
+    Failure { effect: Effect::Perhaps, refusal: refusal.with_ran(Ran::Maybe), target }
 }
--- a/crates/catkinlatch-node/src/entry/stream.rs
+++ b/crates/catkinlatch-node/src/entry/stream.rs
@@ -2,11 +2,13 @@
 
 use super::{
     Refusal, Ticket,
+    admission::{self, Pass},
     dispatch::{self, Call, Running, Usage},
 };
 use crate::Node;
 use bytes::Bytes;
-use catkinlatch_base::{Instant, event};
+use catkinlatch_base::{Instant, Tokens, event};
+use catkinlatch_route::admission::Class;
 use dropshot::Body;
 use http::Response;
 use http_body_util::{
@@ -31,12 +33,15 @@
     ticket: Ticket,
     call: &Call,
 ) -> Result<Response<Body>, Box<Refusal>> {
+    let estimate = dispatch::cost(&ticket, call);
+    let mut pass = admission::admit(node, &ticket, Class::Live, estimate).await?;
     let started = node.clock.now();
+    pass.set_sent();
     let (running, response) = dispatch::send(node, &ticket, call).await?;
     let (mut head, body) = response.into_parts();
     dispatch::strip_connection_headers(&mut head.headers);
     let (sender, channel) = Channel::<Bytes, io::Error>::new(BUFFERED_CHUNKS);
-    let relay = Relay { node: node.clone(), ticket, running, started };
+    let relay = Relay { node: node.clone(), ticket, running, started, pass, estimate };
     tokio::spawn(relay.run(body, sender));
     Ok(Response::from_parts(head, Body::wrap(channel)))
 }
@@ -47,6 +52,8 @@
     ticket: Ticket,
     running: Running,
     started: Instant,
+    pass: Pass,
+    estimate: Tokens,
 }
 
 impl Relay {
@@ -69,8 +76,10 @@
                 return;
             }
         }
-        let Relay { node, ticket, running, started } = self;
+        let Relay { node, ticket, running, started, mut pass, estimate } = self;
         drop(running);
+        pass.set_spent(usage.cost(estimate));
+        drop(pass);
         dispatch::meter(&node, &ticket, &usage, started);
         node.record(event::Kind::Answered {
             request: ticket.request,
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -36,6 +36,7 @@
     pub timeline: Timeline,
     pub(crate) upstream: Upstream,
     pub(crate) trainers: trainer::Coordinators,
+    pub(crate) admission: entry::Admission,
     table: Mutex<Table>,
     meter: Mutex<Meter>,
 }
@@ -88,6 +89,7 @@
             timeline,
             upstream: Upstream::new(),
             trainers: trainer::Coordinators::default(),
+            admission: entry::Admission::new(),
             table: Mutex::default(),
             meter: Mutex::default(),
         });
@@ -96,6 +98,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(usage::report_windows(node.clone()));
         tasks.spawn(trainer::run_samples(node.clone()));
+        tasks.spawn(entry::maintain(node.clone()));
         Ok(Self { node, public, operator, tasks })
     }
 
--- a/crates/catkinlatch-route/src/lib.rs
+++ b/crates/catkinlatch-route/src/lib.rs
@@ -2,6 +2,12 @@
 //!
 //! Nothing here has a clock, a socket or a thread: time and randomness are passed in.
 
+pub mod admission;
+pub mod retry;
 pub mod target;
 
-pub use self::target::{Announcement, Key, Table};
+pub use self::{
+    admission::Gate,
+    retry::Budget,
+    target::{Announcement, Key, Table},
+};
--- a/crates/catkinlatch-route/src/target.rs
+++ b/crates/catkinlatch-route/src/target.rs
@@ -2,8 +2,10 @@
 
 mod announcement;
 mod table;
+mod wanted;
 
 pub use self::{
     announcement::{Announcement, Role},
     table::{Entry, Key, Table},
+    wanted::Wanted,
 };
--- a/crates/catkinlatch-route/src/target/table.rs
+++ b/crates/catkinlatch-route/src/target/table.rs
@@ -1,7 +1,7 @@
 //! The table of targets that a node knows.
 
-use super::{Announcement, Role};
-use catkinlatch_base::{Instant, ModelId, RouteId, TargetId};
+use super::{Announcement, Wanted};
+use catkinlatch_base::{Instant, TargetId};
 use slotmap::SlotMap;
 use std::time::Duration;
 
@@ -28,11 +28,11 @@
 ///
 /// ```
 /// use catkinlatch_base::Instant;
-/// use catkinlatch_route::Table;
+/// use catkinlatch_route::{Table, target::Wanted};
 ///
 /// let table = Table::new();
-/// let model = "draft".parse().expect("the id is valid");
-/// assert!(table.choose_engine(&model, Instant::ZERO).is_none());
+/// let wanted = Wanted::Engine("draft".parse().expect("the id is valid"));
+/// assert!(table.choose(&wanted, &[], Instant::ZERO).is_none());
 /// ```
 #[derive(Debug, Default)]
 pub struct Table {
@@ -73,14 +73,19 @@
         self.entries.get(key)
     }
 
-    /// Chooses the engine of `model` with the least work for its size.
-    pub fn choose_engine(&self, model: &ModelId, now: Instant) -> Option<Key> {
-        self.choose(now, |role| matches!(role, Role::Engine { model: m, .. } if m == model))
+    /// Chooses the target with the least work for its size, the ones in `tried` last.
+    pub fn choose(&self, wanted: &Wanted, tried: &[Key], now: Instant) -> Option<Key> {
+        self.serving(wanted, now)
+            .min_by(|(a_key, a), (b_key, b)| {
+                let again = tried.contains(a_key).cmp(&tried.contains(b_key));
+                again.then(a.load().total_cmp(&b.load()))
+            })
+            .map(|(key, _)| key)
     }
 
-    /// Chooses the plain service of `route` with the least work for its size.
-    pub fn choose_service(&self, route: &RouteId, now: Instant) -> Option<Key> {
-        self.choose(now, |role| matches!(role, Role::Service { route: r } if r == route))
+    /// Returns how many requests the targets run at one time.
+    pub fn slots(&self, wanted: &Wanted, now: Instant) -> u32 {
+        self.serving(wanted, now).map(|(_, entry)| entry.announcement.slots).sum()
     }
 
     /// Counts a request as under way on a target.
@@ -97,13 +102,11 @@
         }
     }
 
-    fn choose(&self, now: Instant, serves: impl Fn(&Role) -> bool) -> Option<Key> {
-        let alive = |e: &Entry| now.saturating_duration_since(e.renewed) <= TIME_TO_LIVE;
+    fn serving(&self, wanted: &Wanted, now: Instant) -> impl Iterator<Item = (Key, &Entry)> {
+        let alive = move |e: &Entry| now.saturating_duration_since(e.renewed) <= TIME_TO_LIVE;
         self.entries
             .iter()
-            .filter(|(_, entry)| alive(entry) && serves(&entry.announcement.role))
-            .min_by(|(_, a), (_, b)| a.load().total_cmp(&b.load()))
-            .map(|(key, _)| key)
+            .filter(move |(_, entry)| alive(entry) && wanted.matches(&entry.announcement.role))
     }
 }
 
--- a/crates/catkinlatch-standin/src/lib.rs
+++ b/crates/catkinlatch-standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod engine;
 pub mod platform;
+pub mod policy;
 mod server;
 pub mod service;
 pub mod trial;
--- /dev/null
+++ b/crates/catkinlatch-standin/src/policy.rs
@@ -0,0 +1,3 @@
+//! Measures the policy under load and faults: the decision code on simulated time.
+
+pub mod clock;
