Give the settings what a cluster needs

The settings named one node only. They now hold the cluster, its nodes, the timing of the control log, the credentials and the limits that the replicated control and the operators' tools read. Credentials are a type whose Debug form hides them. Agreement digests the settings that must be equal on all hosts, item by item, so that nodes that meet can name what differs.

--- a/crates/catkinlatch-base/src/id.rs
+++ b/crates/catkinlatch-base/src/id.rs
@@ -92,6 +92,8 @@
     HostId, "host";
     /// Names an availability zone.
     ZoneId, "zone";
+    /// Names a region, which holds availability zones.
+    RegionId, "region";
     /// Names a team, the tenant to whom keys belong and work is billed.
     TeamId, "team";
     /// Names a back end: a model engine or a plain service.
--- a/crates/catkinlatch-node/src/entry/dispatch.rs
+++ b/crates/catkinlatch-node/src/entry/dispatch.rs
@@ -205,6 +205,7 @@
         request = request.header(name, value);
     }
     if let Some(credential) = &node.settings.target_credential {
+        let credential = credential.expose();
         request = request.header(header::AUTHORIZATION, format!("Bearer {credential}"));
     }
     request.body(Full::new(call.body.clone())).map_err(|_| invalid("the request").into())
