Send every order through one desk, under the lease

Orders went out right after their intent, with no lease over their deadline, no wait after a change of leader, and a report that did not use an intent at all. An open intent of a lost leader stayed open for ever, and settled orders grew without bound.

The order desk (catkinlatch-fleet, without I/O) now says what to do next: commit an intent, send under a permit, ask the receiver, wait, or stand down. The permit is checked again in the connection's poll_write, directly before the system call, since the process may have been paused after the decision. A new leader waits for the longest lease plus the longest deadline, unless no term ever committed an intent, then asks after open orders and sends absent ones again under the same id. What may have been written is never called failed. Weight orders and usage reports go through the desk; a report's bytes come from the frozen window alone, so each leader makes the same bytes.

Ruled out: a check before handing the request to the HTTP client, since the client may connect for seconds in between; order ids drawn anew for a resend, since the receiver could not tell it from a second order.

--- a/crates/catkinlatch-fleet/src/lib.rs
+++ b/crates/catkinlatch-fleet/src/lib.rs
@@ -2,6 +2,9 @@
 //!
 //! Nothing here has a clock, a socket or a thread: time and randomness are passed in.
 
+mod lease;
 pub mod meter;
+pub mod order;
+pub mod usage;
 
-pub use self::meter::Meter;
+pub use self::{lease::Lease, meter::Meter};
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod entry;
 mod node;
 mod operator;
+pub mod order;
 pub mod settings;
 mod targets;
 mod trainer;
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -1,10 +1,13 @@
 //! One node: what its tasks and HTTP handlers share, and its start and stop.
 
 use crate::{
-    Clock, Control, Settings, entry, operator, targets, trainer, upstream::Upstream, usage,
+    Clock, Control, Settings, entry, operator, order, targets, trainer, upstream::Upstream, usage,
 };
 use catkinlatch_base::{Incarnation, Timeline, event::Kind};
-use catkinlatch_fleet::Meter;
+use catkinlatch_fleet::{
+    Meter,
+    order::{Desk, Timing},
+};
 use catkinlatch_route::Table;
 use derive_more::{Display, Error};
 use dropshot::{
@@ -16,7 +19,7 @@
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
-use tokio::task::JoinSet;
+use tokio::{sync::Notify, task::JoinSet};
 
 /// The longest request body on any route, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -38,6 +41,8 @@
     pub(crate) trainers: trainer::Coordinators,
     table: Mutex<Table>,
     meter: Mutex<Meter>,
+    desk: Mutex<Desk>,
+    pub(crate) orders_wake: Notify,
 }
 
 impl Node {
@@ -51,6 +56,11 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the order desk.
+    pub(crate) fn desk(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the usage counters.
     pub(crate) fn meter(&self) -> MutexGuard<'_, Meter> {
         self.meter.lock().unwrap_or_else(PoisonError::into_inner)
@@ -90,10 +100,13 @@
             trainers: trainer::Coordinators::default(),
             table: Mutex::default(),
             meter: Mutex::default(),
+            desk: Mutex::new(Desk::new(Timing::default())),
+            orders_wake: Notify::new(),
         });
         let public = listen(&node, node.settings.listen, public_api()?)?;
         let operator = listen(&node, node.settings.operator_listen, operator_api()?)?;
         let mut tasks = JoinSet::new();
+        tasks.spawn(order::run_orders(node.clone()));
         tasks.spawn(usage::report_windows(node.clone()));
         tasks.spawn(trainer::run_samples(node.clone()));
         Ok(Self { node, public, operator, tasks })
--- a/crates/catkinlatch-node/src/upstream.rs
+++ b/crates/catkinlatch-node/src/upstream.rs
@@ -68,26 +68,8 @@
         let body = read_body(body, limit).await?;
         Ok(Response::from_parts(head, body))
     }
-
-    /// Sends a JSON document and returns the whole answer.
-    pub async fn post_json(
-        &self,
-        address: &str,
-        path: &str,
-        document: &impl serde::Serialize,
-    ) -> Result<Response<Bytes>, CallError> {
-        let body = serde_json::to_vec(document).expect("the project's own types serialize");
-        let request = Request::post(uri(address, path).ok_or(CallError::Connect)?)
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .expect("the parts are valid");
-        self.call(request, MAX_REPLY_BYTES).await
-    }
 }
 
-/// The longest answer to a document of our own.
-const MAX_REPLY_BYTES: usize = 1 << 20;
-
 /// Reads a body whole, at most `limit` bytes of it.
 pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallError> {
     let collected = Limited::new(body, limit).collect().await.map_err(|error| {
--- a/crates/catkinlatch-node/src/usage.rs
+++ b/crates/catkinlatch-node/src/usage.rs
@@ -1,10 +1,12 @@
 //! Closes usage windows and reports them to the platform.
 
-use crate::Node;
-use catkinlatch_base::{HostId, Term, WindowId, derive_schema, event};
+use crate::{Node, order};
+use catkinlatch_base::{OrderId, WindowId, event};
+use catkinlatch_fleet::usage::Report;
 use catkinlatch_state::{
     Command, Reply,
-    window::{self, Figure},
+    order::{Action, Stage},
+    window::{self, Window},
 };
 use log::{info, warn};
 use std::{sync::Arc, time::Duration};
@@ -12,24 +14,6 @@
 /// How often the leader looks for windows to close.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-derive_schema! {
-    /// A usage report as the platform gets it.
-    pub struct Report {
-        /// The window.
-        pub window: WindowId,
-        /// When the window began, in milliseconds since the Unix epoch.
-        pub begin_ms: u64,
-        /// When it ended, in milliseconds since the Unix epoch.
-        pub end_ms: u64,
-        /// The fencing number.
-        pub fence: Term,
-        /// The host that reports.
-        pub reporter: HostId,
-        /// The figures, sorted by team and model.
-        pub figures: Vec<Figure>,
-    }
-}
-
 /// Returns the window that a moment lies in.
 pub fn window_at(wall_ms: u64, window_ms: u64) -> WindowId {
     WindowId::new(wall_ms / window_ms.max(1))
@@ -50,36 +34,54 @@
     }
 }
 
+/// Returns the bytes of a frozen window's report.
+pub fn report_bytes(node: &Node, id: WindowId) -> Option<Vec<u8>> {
+    let state = node.control.state();
+    let window = state.windows().list().get(&id)?;
+    Some(Report::new(id, window, node.settings.usage_window_ms).to_bytes())
+}
+
 /// Freezes a window and reports it; returns whether it is done with.
 async fn report(node: &Node, id: WindowId) -> bool {
-    let Some(term) = node.control.leading() else { return false };
-    let figures = node.meter().figures(id);
-    let freeze = window::Change::Freeze { id, figures: figures.clone(), term };
-    let window = match node.control.propose(Command::Window(freeze)).await {
-        Ok(Reply::Window(window::Reply::Done)) => window::Window { figures, term, reported: false },
-        Ok(Reply::Window(window::Reply::Frozen(window))) => window,
-        Ok(_) | Err(_) => return false,
-    };
-    if window.reported {
+    let Some(window) = freeze(node, id).await else { return false };
+    if window.reported || node.settings.platform.is_none() {
         return true;
     }
-    let Some(platform) = &node.settings.platform else { return true };
-    let length = node.settings.usage_window_ms;
-    let report = Report {
-        window: id,
-        begin_ms: id.get() * length,
-        end_ms: id.next().get() * length,
-        fence: window.term,
-        reporter: node.settings.host.clone(),
-        figures: window.figures,
-    };
-    let sent = node.upstream.post_json(platform, "/v1/usage", &report).await;
-    if !sent.is_ok_and(|response| response.status().is_success()) {
-        warn!("usage: the platform did not confirm window {id}; it is reported again");
-        return false;
+    let digest = Report::new(id, &window, node.settings.usage_window_ms).digest();
+    let Some(order) = order_id(node, id) else { return false };
+    let action = Action::Report { window: id, digest };
+    match order::carry_out(node, order, action).await {
+        Some(Stage::Done) => {}
+        outcome => {
+            warn!("usage: window {id} is reported again, its report came to {outcome:?}");
+            return false;
+        }
     }
     let confirmed = node.control.propose(Command::Window(window::Change::Confirm { id })).await;
     info!("usage: reported window {id}");
     node.record(event::Kind::WindowReported { window: id });
     confirmed.is_ok()
 }
+
+/// Freezes a window and returns it, or the window that was frozen before.
+async fn freeze(node: &Node, id: WindowId) -> Option<Window> {
+    let term = node.control.leading()?;
+    let (figures, host) = (node.meter().figures(id), node.settings.host.clone());
+    let change = window::Change::Freeze { id, figures, term, host };
+    node.control.propose(Command::Window(change)).await.ok().and_then(|reply| match reply {
+        Reply::Window(window::Reply::Done) => {
+            node.control.state().windows().list().get(&id).cloned()
+        }
+        Reply::Window(window::Reply::Frozen(window)) => Some(window),
+        _ => None,
+    })
+}
+
+/// Returns the first id of a window's report orders that is open or was never used.
+fn order_id(node: &Node, id: WindowId) -> Option<OrderId> {
+    let state = node.control.state();
+    let usable = |order: &OrderId| {
+        state.orders().list().get(order).is_none_or(|order| order.stage == Stage::Intended)
+    };
+    (0_u32..).filter_map(|n| format!("report-{id}-{n}").parse().ok()).find(usable)
+}
--- /dev/null
+++ b/crates/catkinlatch-node/tests/order_send.rs
@@ -0,0 +1,58 @@
+//! The write of an order is refused when leave is lost between the decision and the write.
+
+use bytes::Bytes;
+use catkinlatch_node::order::{Fault, send};
+use http::Request;
+use http_body_util::Full;
+use std::time::Duration;
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpListener,
+    time::{self, Instant},
+};
+
+fn request() -> Request<Full<Bytes>> {
+    Request::post("/v1/orders")
+        .body(Full::new(Bytes::from_static(b"{}")))
+        .expect("the parts are valid")
+}
+
+/// Returns what a receiver reads from the first connection until it closes.
+async fn received(listener: TcpListener) -> Vec<u8> {
+    let (mut stream, _) = listener.accept().await.expect("the listener stands");
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes).await;
+    bytes
+}
+
+#[tokio::test]
+async fn no_byte_leaves_without_leave() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let receiver = tokio::spawn(received(listener));
+    let deadline = Instant::now() + Duration::from_secs(600);
+    let sent = send(&address, request(), deadline, || false).await;
+    assert_eq!(sent.unwrap_err(), Fault::NotSent);
+    assert_eq!(receiver.await.unwrap(), Vec::<u8>::new());
+}
+
+#[tokio::test]
+async fn receiver_that_never_answers_may_have_taken_the_order() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let receiver = tokio::spawn(received(listener));
+    let deadline = Instant::now() + Duration::from_millis(200);
+    let sent = send(&address, request(), deadline, || true).await;
+    assert_eq!(sent.unwrap_err(), Fault::NoAnswer);
+    assert!(receiver.await.unwrap().starts_with(b"POST /v1/orders"));
+}
+
+#[tokio::test]
+async fn receiver_that_cannot_be_reached_got_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let deadline = time::Instant::now() + Duration::from_secs(600);
+    let sent = send(&address, request(), deadline, || true).await;
+    assert_eq!(sent.unwrap_err(), Fault::NotSent);
+}
--- a/crates/catkinlatch-state/src/order.rs
+++ b/crates/catkinlatch-state/src/order.rs
@@ -1,36 +1,21 @@
 //! Orders: committed as an intent before they are sent, and settled afterwards.
 
-use catkinlatch_base::{ModelId, OrderId, TargetId, Term, Version, ZoneId, derive_value};
-use std::collections::BTreeMap;
+mod action;
+mod change;
 
-derive_value! {
-    /// What an order asks for.
-    pub enum Action {
-        /// Asks the platform to start a target.
-        Start {
-            /// The model or service that it shall serve.
-            role: String,
-            /// The zone.
-            zone: ZoneId,
-            /// The price class.
-            price_class: String,
-        },
-        /// Asks the platform to stop a target.
-        Stop {
-            /// The target.
-            target: TargetId,
-        },
-        /// Asks an engine to load weights.
-        LoadVersion {
-            /// The engine.
-            target: TargetId,
-            /// The model.
-            model: ModelId,
-            /// The version.
-            version: Version,
-        },
-    }
-}
+pub use self::{
+    action::Action,
+    change::{Change, Reply},
+};
+
+use catkinlatch_base::{OrderId, TargetId, Term, derive_value, invariant};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How many settled orders are kept; the oldest are dropped first.
+pub const KEPT_SETTLED: usize = 4096;
+
+/// How many orders may be open at one time.
+pub const MAX_OPEN: usize = 2048;
 
 derive_value! {
     /// Where an order stands.
@@ -42,6 +27,8 @@
         Done,
         /// The receiver refused the order, or it was never sent.
         Failed,
+        /// The platform has nothing of this kind to give at present.
+        Unavailable,
         /// Nobody answered; reconciliation decides by what is seen.
         Unknown,
     }
@@ -52,54 +39,39 @@
     pub struct Order {
         /// What it asks for.
         pub action: Action,
-        /// The fencing number: the term of the leader that committed the intent.
+        /// The fencing number: the term of the leader that committed or adopted the intent.
         pub term: Term,
         /// Where it stands.
         pub stage: Stage,
-    }
-}
-
-derive_value! {
-    /// A change of the orders.
-    pub enum Change {
-        /// Records the intent to send an order.
-        Intend {
-            /// The order's id.
-            id: OrderId,
-            /// What it asks for.
-            action: Action,
-            /// The fencing number.
-            term: Term,
-        },
-        /// Records what became of an order.
-        Settle {
-            /// The order's id.
-            id: OrderId,
-            /// What became of it.
-            stage: Stage,
-        },
-    }
-}
-
-derive_value! {
-    /// What became of a change.
-    pub enum Reply {
-        /// The change was made.
-        Done,
-        /// An order of this id stood before.
-        Exists(Order),
-        /// No order has this id.
-        NotFound,
-        /// A leader of a higher term has given orders since.
-        Superseded,
+        /// The target that the platform named in its answer.
+        pub target: Option<TargetId>,
+        /// When the intent was committed, in milliseconds since the Unix epoch.
+        pub intended_ms: u64,
+        /// When it was settled, in milliseconds since the Unix epoch.
+        pub settled_ms: Option<u64>,
     }
 }
 
 derive_value! {
     /// All orders that are open or were settled lately.
+    ///
+    /// At most [`MAX_OPEN`] orders are open and [`KEPT_SETTLED`] settled ones are kept.
+    ///
+    /// ```
+    /// use catkinlatch_base::Term;
+    /// use catkinlatch_state::order::{Action, Change, Orders, Reply};
+    ///
+    /// let mut orders = Orders::default();
+    /// let action = Action::Stop { target: "engine-1".parse().expect("the id is valid") };
+    /// let id = "stop-1".parse().expect("the id is valid");
+    /// let intent = Change::Intend { id, action, term: Term::new(3), at_ms: 5 };
+    /// assert_eq!(orders.apply(&intent), Reply::Done);
+    /// assert_eq!(orders.open().count(), 1);
+    /// ```
     #[derive(Default)]
     pub struct Orders {
         orders: BTreeMap<OrderId, Order>,
+        settled: VecDeque<OrderId>,
         term: Term,
     }
 }
@@ -110,30 +82,95 @@
         &self.orders
     }
 
+    /// Returns the orders whose outcome is not recorded.
+    pub fn open(&self) -> impl Iterator<Item = (&OrderId, &Order)> {
+        self.orders.iter().filter(|(_, order)| order.stage == Stage::Intended)
+    }
+
+    /// Returns the highest term that committed an intent; zero if none did.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
     /// Applies a change.
     pub fn apply(&mut self, change: &Change) -> Reply {
         match change {
-            Change::Intend { id, action, term } => self.intend(id, action, *term),
-            Change::Settle { id, stage } => match self.orders.get_mut(id) {
-                Some(order) => {
-                    order.stage = *stage;
-                    Reply::Done
-                }
-                None => Reply::NotFound,
-            },
+            Change::Intend { id, action, term, at_ms } => self.intend(id, action, *term, *at_ms),
+            Change::Adopt { id, term } => self.adopt(id, *term),
+            Change::Settle { id, stage, target, at_ms } => {
+                self.settle(id, *stage, target.as_ref(), *at_ms)
+            }
         }
     }
 
-    fn intend(&mut self, id: &OrderId, action: &Action, term: Term) -> Reply {
+    fn intend(&mut self, id: &OrderId, action: &Action, term: Term, at_ms: u64) -> Reply {
         if term < self.term {
             return Reply::Superseded;
         }
         if let Some(earlier) = self.orders.get(id) {
             return Reply::Exists(earlier.clone());
         }
+        if self.orders.len() - self.settled.len() >= MAX_OPEN {
+            return Reply::Full;
+        }
         self.term = term;
-        let order = Order { action: action.clone(), term, stage: Stage::Intended };
+        let order = Order {
+            action: action.clone(),
+            term,
+            stage: Stage::Intended,
+            target: None,
+            intended_ms: at_ms,
+            settled_ms: None,
+        };
         self.orders.insert(id.clone(), order);
         Reply::Done
     }
+
+    fn adopt(&mut self, id: &OrderId, term: Term) -> Reply {
+        if term < self.term {
+            return Reply::Superseded;
+        }
+        let Some(order) = self.orders.get_mut(id) else { return Reply::NotFound };
+        if order.stage != Stage::Intended {
+            return Reply::Exists(order.clone());
+        }
+        invariant!(
+            "order fencing numbers only grow",
+            order.term <= term,
+            "order {id} has term {}, adopted under {term}",
+            order.term
+        );
+        self.term = term;
+        order.term = term;
+        Reply::Done
+    }
+
+    fn settle(
+        &mut self,
+        id: &OrderId,
+        stage: Stage,
+        target: Option<&TargetId>,
+        at_ms: u64,
+    ) -> Reply {
+        let Some(order) = self.orders.get_mut(id) else { return Reply::NotFound };
+        match order.stage {
+            Stage::Intended if stage != Stage::Intended => self.settled.push_back(id.clone()),
+            Stage::Unknown if stage != Stage::Intended => {}
+            _ => return Reply::Exists(order.clone()),
+        }
+        order.stage = stage;
+        order.target = target.cloned();
+        order.settled_ms = Some(at_ms);
+        self.forget();
+        Reply::Done
+    }
+
+    /// Drops the settled orders beyond the bound, oldest first.
+    fn forget(&mut self) {
+        while self.settled.len() > KEPT_SETTLED {
+            if let Some(oldest) = self.settled.pop_front() {
+                self.orders.remove(&oldest);
+            }
+        }
+    }
 }
--- a/crates/catkinlatch-state/src/window.rs
+++ b/crates/catkinlatch-state/src/window.rs
@@ -1,6 +1,8 @@
 //! Usage windows: frozen once, then reported with the same figures for ever.
 
-use catkinlatch_base::{ModelId, TeamId, Term, Tokens, WindowId, derive_schema, derive_value};
+use catkinlatch_base::{
+    HostId, ModelId, TeamId, Term, Tokens, WindowId, derive_schema, derive_value,
+};
 use std::collections::BTreeMap;
 
 derive_schema! {
@@ -29,6 +31,8 @@
         pub figures: Vec<Figure>,
         /// The fencing number: the term of the leader that froze it.
         pub term: Term,
+        /// The host that froze it.
+        pub host: HostId,
         /// Whether the platform confirmed the report.
         pub reported: bool,
     }
@@ -45,6 +49,8 @@
             figures: Vec<Figure>,
             /// The fencing number.
             term: Term,
+            /// The host that freezes it.
+            host: HostId,
         },
         /// Records that the platform confirmed the report.
         Confirm {
@@ -83,11 +89,12 @@
     /// Applies a change.
     pub fn apply(&mut self, change: &Change) -> Reply {
         match change {
-            Change::Freeze { id, figures, term } => {
+            Change::Freeze { id, figures, term, host } => {
                 if let Some(earlier) = self.windows.get(id) {
                     return Reply::Frozen(earlier.clone());
                 }
-                let window = Window { figures: figures.clone(), term: *term, reported: false };
+                let (figures, host) = (figures.clone(), host.clone());
+                let window = Window { figures, term: *term, host, reported: false };
                 self.windows.insert(*id, window);
                 Reply::Done
             }
--- /dev/null
+++ b/crates/catkinlatch-state/tests/orders.rs
@@ -0,0 +1,53 @@
+//! Orders in the replicated state: fencing numbers, settlement and bounds.
+
+use catkinlatch_base::{OrderId, Term};
+use catkinlatch_state::order::{Action, Change, KEPT_SETTLED, MAX_OPEN, Orders, Reply, Stage};
+
+fn id(number: usize) -> OrderId {
+    format!("order-{number}").parse().expect("the id is valid")
+}
+
+fn intend(number: usize, term: u64) -> Change {
+    let action = Action::Stop { target: "engine-1".parse().expect("the id is valid") };
+    Change::Intend { id: id(number), action, term: Term::new(term), at_ms: 0 }
+}
+
+fn settle(number: usize, stage: Stage) -> Change {
+    Change::Settle { id: id(number), stage, target: None, at_ms: 1 }
+}
+
+#[test]
+fn older_leader_commits_no_intent() {
+    let mut orders = Orders::default();
+    assert_eq!(orders.apply(&intend(1, 5)), Reply::Done);
+    assert_eq!(orders.apply(&intend(2, 4)), Reply::Superseded);
+    let adopt = Change::Adopt { id: id(1), term: Term::new(4) };
+    assert_eq!(orders.apply(&adopt), Reply::Superseded);
+    assert_eq!(orders.list().len(), 1);
+}
+
+#[test]
+fn settled_order_stays_as_it_is_unless_it_was_unknown() {
+    let mut orders = Orders::default();
+    orders.apply(&intend(1, 1));
+    assert_eq!(orders.apply(&settle(1, Stage::Unknown)), Reply::Done);
+    assert_eq!(orders.apply(&settle(1, Stage::Done)), Reply::Done);
+    assert!(matches!(orders.apply(&settle(1, Stage::Failed)), Reply::Exists(_)));
+    assert_eq!(orders.list()[&id(1)].stage, Stage::Done);
+}
+
+#[test]
+fn open_and_settled_orders_are_bounded() {
+    let mut orders = Orders::default();
+    for number in 0..KEPT_SETTLED + 10 {
+        orders.apply(&intend(number, 1));
+        orders.apply(&settle(number, Stage::Done));
+    }
+    assert_eq!(orders.list().len(), KEPT_SETTLED);
+    assert!(!orders.list().contains_key(&id(9)));
+    let first = KEPT_SETTLED + 10;
+    for number in first..first + MAX_OPEN {
+        assert_eq!(orders.apply(&intend(number, 1)), Reply::Done);
+    }
+    assert_eq!(orders.apply(&intend(first + MAX_OPEN, 1)), Reply::Full);
+}
