Keep log, vote and identity in files that survive a loss of power

Cause: the core asks for writes, and nothing wrote them.

Each record holds length, CRC32C, cluster, group, term and how far the file was synced when it was written; by that figure a restart cuts a tail that was never synced and refuses damage before it, with file and offset. Whole files are replaced by temporary file, sync, rename and sync of the folder. After a failed write nothing is written any more.

Ruled out: cutting at the first bad record alone, which drops synced records after a damaged one; refusing each bad record that a good one follows, which takes pages written out of order before a loss of power for damage. Both have a test.

--- a/crates/catkinlatch-log/src/core.rs
+++ b/crates/catkinlatch-log/src/core.rs
@@ -188,6 +188,7 @@
         self.advance_commit(now);
         self.replicate(now);
         self.compact();
+        self.complete_snapshot_write();
         if let Some(number) = self.out.flush() {
             self.entries.written(number);
         }
@@ -450,6 +451,15 @@
         self.memberships.drain(..newest.unwrap_or(0));
     }
 
+    /// Adds to the write of a snapshot all that the log then consists of.
+    fn complete_snapshot_write(&mut self) {
+        if self.out.write.snapshot.is_some() {
+            self.out.write.hard = Some(self.hard);
+            self.out.write.truncate = None;
+            self.out.write.entries = self.entries.range(Index::ZERO, usize::MAX);
+        }
+    }
+
     fn membership_at(&self, index: Index) -> Membership {
         let found = self.memberships.iter().rev().find(|(from, _)| *from <= index);
         found.map(|(_, membership)| membership.clone()).unwrap_or_default()
--- a/crates/catkinlatch-log/src/core/entries.rs
+++ b/crates/catkinlatch-log/src/core/entries.rs
@@ -144,7 +144,6 @@
         self.writes.clear();
         write.entries.clear();
         write.truncate = None;
-        write.keep_entries = false;
         write.snapshot = Some(snapshot.clone());
         self.snapshot = Some(snapshot);
     }
--- /dev/null
+++ b/crates/catkinlatch-log/src/storage/disk.rs
@@ -0,0 +1,331 @@
+//! The files of one group: identity, snapshot and write-ahead log.
+
+use super::{
+    OpenError, Restored, Write, file,
+    record::{Body, Record},
+    scan::{Records, Source},
+};
+use crate::{Group, HardState, Snapshot};
+use catkinlatch_base::{ClusterId, Incarnation, Term};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{
+    fs::{self, File, TryLockError},
+    io::{self, Seek as _, SeekFrom, Write as _},
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+const LOCK_FILE: &str = "lock";
+const IDENTITY_FILE: &str = "identity";
+const SNAPSHOT_FILE: &str = "snapshot";
+const LOG_FILE: &str = "log";
+
+/// The files of one group in a folder of their own.
+///
+/// All calls block; a driver makes them on a thread that may. After any error the files are not
+/// written again, since it is unknown what of the last write survived.
+#[derive(Debug)]
+pub struct Disk {
+    folder: PathBuf,
+    cluster: ClusterId,
+    group: Group,
+    log: File,
+    /// The bytes of the log that are written.
+    written: u64,
+    /// The bytes of the log that are known to be synced.
+    synced: u64,
+    /// Whether something was written that must be synced.
+    is_dirty: bool,
+    hard: HardState,
+    has_failed: bool,
+    /// Keeps other processes out while it is held.
+    _lock: File,
+}
+
+/// A folder that was opened.
+#[derive(Debug)]
+pub struct Opened<C> {
+    /// The files, ready for writes.
+    pub disk: Disk,
+    /// The identity that the folder belongs to; drawn anew for an empty folder.
+    pub incarnation: Incarnation,
+    /// What the files hold.
+    pub restored: Restored<C>,
+}
+
+impl Disk {
+    /// Opens a folder, creates it if it is missing, and cuts off what was never synced.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the folder cannot be used; its synced content is never dropped silently.
+    pub fn open<C: Serialize + DeserializeOwned>(
+        folder: &Path,
+        cluster: ClusterId,
+        group: Group,
+        random: &mut fastrand::Rng,
+    ) -> Result<Opened<C>, OpenError> {
+        fs::create_dir_all(folder).map_err(|error| io_error(folder, error))?;
+        let lock = lock(folder)?;
+        let path = folder.join(LOG_FILE);
+        let source = Source { path: &path, cluster: &cluster, group };
+        let bytes = file::read(&path).map_err(|error| io_error(&path, error))?;
+        let has_log = bytes.is_some();
+        let records = source.read(&bytes.unwrap_or_default())?;
+        let length = records.length;
+        let snapshot = read_snapshot::<C>(folder, &cluster, group)?;
+        let restored = replay(&source, records, snapshot)?;
+        let identity = read_identity(folder, &cluster, group)?;
+        if identity.is_some() && !has_log {
+            return Err(source.damaged(0, "the log is missing beside an identity"));
+        }
+        if identity.is_none() && !restored.is_empty() {
+            return Err(source.damaged(0, "the identity is missing beside a log"));
+        }
+        let log = open_log(&path, length).map_err(|error| io_error(&path, error))?;
+        let incarnation = match identity {
+            Some(incarnation) => incarnation,
+            None => draw_identity(folder, &cluster, group, random)?,
+        };
+        let disk = Self {
+            folder: folder.into(),
+            cluster,
+            group,
+            log,
+            written: length,
+            synced: length,
+            is_dirty: false,
+            hard: restored.hard,
+            has_failed: false,
+            _lock: lock,
+        };
+        Ok(Opened { disk, incarnation, restored })
+    }
+
+    /// Writes; what it holds lasts only after [`Disk::sync`].
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system said; the caller then reports
+    /// [`crate::Input::StorageFailed`].
+    pub fn write<C: Serialize>(&mut self, write: &Write<C>) -> io::Result<()> {
+        self.guard(|disk| match &write.snapshot {
+            Some(snapshot) => disk.rewrite(snapshot, write),
+            None => disk.append(write),
+        })
+    }
+
+    /// Makes all writes last.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system said; the caller then reports
+    /// [`crate::Input::StorageFailed`].
+    pub fn sync(&mut self) -> io::Result<()> {
+        self.guard(|disk| {
+            if !disk.is_dirty {
+                return Ok(());
+            }
+            disk.log.sync_data()?;
+            disk.is_dirty = false;
+            disk.mark_synced()
+        })
+    }
+
+    /// Notes in the log how far it is synced, so that a restart can tell damage from a torn tail.
+    ///
+    /// The note is not synced itself. The next record carries the same figure.
+    fn mark_synced(&mut self) -> io::Result<()> {
+        self.synced = self.written;
+        let mark = self.encode::<()>([Body::Synced])?;
+        self.log.write_all(&mark)?;
+        self.written += mark.len() as u64;
+        Ok(())
+    }
+
+    /// Runs an operation, unless one failed before.
+    fn guard(&mut self, operation: impl FnOnce(&mut Self) -> io::Result<()>) -> io::Result<()> {
+        if self.has_failed {
+            return Err(io::Error::other("an earlier write failed; restart the node"));
+        }
+        let result = operation(self);
+        self.has_failed = result.is_err();
+        result
+    }
+
+    fn append<C: Serialize>(&mut self, write: &Write<C>) -> io::Result<()> {
+        self.hard = write.hard.unwrap_or(self.hard);
+        let bytes = self.encode(bodies(write))?;
+        self.log.write_all(&bytes)?;
+        self.written += bytes.len() as u64;
+        self.is_dirty = true;
+        Ok(())
+    }
+
+    /// Writes a snapshot, then a new log that goes with it.
+    ///
+    /// A crash in between leaves the old log, whose entries either lead up to the snapshot or are
+    /// recognised as replaced by it.
+    fn rewrite<C: Serialize>(
+        &mut self,
+        snapshot: &Arc<Snapshot>,
+        write: &Write<C>,
+    ) -> io::Result<()> {
+        self.hard = write.hard.unwrap_or(self.hard);
+        self.synced = 0;
+        let content = self.encode::<()>([Body::Snapshot(snapshot.clone())])?;
+        file::replace(&self.folder.join(SNAPSHOT_FILE), &content)?;
+        let content = self.encode(bodies(write))?;
+        self.log = file::replace(&self.folder.join(LOG_FILE), &content)?;
+        self.written = content.len() as u64;
+        self.is_dirty = false;
+        self.mark_synced()
+    }
+
+    fn encode<C: Serialize>(
+        &self,
+        bodies: impl IntoIterator<Item = Body<C>>,
+    ) -> io::Result<Vec<u8>> {
+        let mut buffer = Vec::new();
+        for body in bodies {
+            let (cluster, group) = (self.cluster.clone(), self.group);
+            let record = Record { cluster, group, term: self.hard.term, synced: self.synced, body };
+            record.encode(&mut buffer).map_err(io::Error::other)?;
+        }
+        Ok(buffer)
+    }
+}
+
+/// Returns the records of a write, in order.
+fn bodies<C>(write: &Write<C>) -> impl Iterator<Item = Body<C>> {
+    let hard = write.hard.map(Body::Hard);
+    let truncate = write.truncate.map(Body::Truncate);
+    let entries = write.entries.iter().cloned().map(Body::Entry);
+    hard.into_iter().chain(truncate).chain(entries)
+}
+
+/// Rebuilds the log from its records.
+fn replay<C>(
+    source: &Source<'_>,
+    records: Records<C>,
+    snapshot: Option<Arc<Snapshot>>,
+) -> Result<Restored<C>, OpenError> {
+    let mut restored = Restored { snapshot, ..Restored::default() };
+    for (offset, record) in records.list {
+        match record.body {
+            Body::Hard(hard) => restored.hard = hard,
+            Body::Truncate(from) => restored.truncate(from),
+            Body::Entry(entry) => {
+                if restored.entries.last().is_some_and(|last| entry.index != last.index.next()) {
+                    let reason = format!("entry {} is out of order", entry.index);
+                    return Err(source.damaged(offset, reason));
+                }
+                restored.entries.push(entry);
+            }
+            Body::Synced => {}
+            Body::Identity(_) | Body::Snapshot(_) => {
+                return Err(source.damaged(offset, "the record belongs into another file"));
+            }
+        }
+    }
+    check_gap(source, &restored)?;
+    Ok(restored)
+}
+
+/// Refuses entries that begin after the snapshot's end.
+fn check_gap<C>(source: &Source<'_>, restored: &Restored<C>) -> Result<(), OpenError> {
+    let covered = restored.snapshot.as_ref().map(|snapshot| snapshot.index).unwrap_or_default();
+    match restored.entries.first() {
+        Some(first) if first.index > covered.next() => {
+            let reason = format!("entries {} to {} are missing", covered.next(), first.index);
+            Err(source.damaged(0, reason))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Reads the snapshot, which is written whole or not at all.
+fn read_snapshot<C: DeserializeOwned>(
+    folder: &Path,
+    cluster: &ClusterId,
+    group: Group,
+) -> Result<Option<Arc<Snapshot>>, OpenError> {
+    match read_single::<C>(&folder.join(SNAPSHOT_FILE), cluster, group)? {
+        Some(Body::Snapshot(snapshot)) => Ok(Some(snapshot)),
+        _ => Ok(None),
+    }
+}
+
+/// Reads the identity that the folder belongs to.
+fn read_identity(
+    folder: &Path,
+    cluster: &ClusterId,
+    group: Group,
+) -> Result<Option<Incarnation>, OpenError> {
+    match read_single::<()>(&folder.join(IDENTITY_FILE), cluster, group)? {
+        Some(Body::Identity(incarnation)) => Ok(Some(incarnation)),
+        _ => Ok(None),
+    }
+}
+
+/// Draws an identity for an empty folder.
+fn draw_identity(
+    folder: &Path,
+    cluster: &ClusterId,
+    group: Group,
+    random: &mut fastrand::Rng,
+) -> Result<Incarnation, OpenError> {
+    let path = folder.join(IDENTITY_FILE);
+    let incarnation = Incarnation::draw(random);
+    let record: Record<()> = Record {
+        cluster: cluster.clone(),
+        group,
+        term: Term::default(),
+        synced: 0,
+        body: Body::Identity(incarnation),
+    };
+    let mut content = Vec::new();
+    record.encode(&mut content).map_err(|error| io_error(&path, io::Error::other(error)))?;
+    file::replace(&path, &content).map_err(|error| io_error(&path, error))?;
+    Ok(incarnation)
+}
+
+/// Reads a file that is replaced as a whole and so holds exactly one record.
+fn read_single<C: DeserializeOwned>(
+    path: &Path,
+    cluster: &ClusterId,
+    group: Group,
+) -> Result<Option<Body<C>>, OpenError> {
+    let Some(bytes) = file::read(path).map_err(|error| io_error(path, error))? else {
+        return Ok(None);
+    };
+    let source = Source { path, cluster, group };
+    let mut records = source.read::<C>(&bytes)?;
+    if records.length != bytes.len() as u64 || records.list.len() != 1 {
+        return Err(source.damaged(records.length, "the file does not hold one whole record"));
+    }
+    Ok(records.list.pop().map(|(_, record)| record.body))
+}
+
+fn open_log(path: &Path, length: u64) -> io::Result<File> {
+    let mut log = File::options().create(true).truncate(false).write(true).open(path)?;
+    log.set_len(length)?;
+    log.seek(SeekFrom::Start(length))?;
+    log.sync_all()?;
+    file::sync_folder(path)?;
+    Ok(log)
+}
+
+fn lock(folder: &Path) -> Result<File, OpenError> {
+    let path = folder.join(LOCK_FILE);
+    let file = File::create(&path).map_err(|error| io_error(&path, error))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => Err(OpenError::Locked { path: folder.into() }),
+        Err(TryLockError::Error(error)) => Err(io_error(&path, error)),
+    }
+}
+
+fn io_error(path: &Path, error: io::Error) -> OpenError {
+    OpenError::Io { path: path.into(), error }
+}
--- /dev/null
+++ b/crates/catkinlatch-log/src/storage/file.rs
@@ -0,0 +1,37 @@
+//! Writing files so that they survive a loss of power.
+
+use std::{
+    fs::{self, File},
+    io::{self, Write as _},
+    path::{Path, PathBuf},
+};
+
+/// Replaces a file as a whole: either the old or the new content survives.
+pub fn replace(path: &Path, content: &[u8]) -> io::Result<File> {
+    let temporary = temporary(path);
+    let mut file = File::create(&temporary)?;
+    file.write_all(content)?;
+    file.sync_all()?;
+    fs::rename(&temporary, path)?;
+    sync_folder(path)?;
+    Ok(file)
+}
+
+/// Reads a file, or returns nothing if there is none.
+pub fn read(path: &Path) -> io::Result<Option<Vec<u8>>> {
+    match fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+/// Makes the entry of a file in its folder last.
+pub fn sync_folder(path: &Path) -> io::Result<()> {
+    let folder = path.parent().unwrap_or(Path::new("."));
+    File::open(folder)?.sync_all()
+}
+
+fn temporary(path: &Path) -> PathBuf {
+    path.with_extension("new")
+}
--- /dev/null
+++ b/crates/catkinlatch-log/src/storage/memory.rs
@@ -0,0 +1,70 @@
+//! Storage for a node without a disk, and for tests of failing disks.
+
+use crate::{Restored, Write};
+use std::io;
+
+/// Holds what was written for as long as the process runs.
+///
+/// What was written and not synced is lost by [`Memory::crash`], as on a disk.
+#[derive(Clone, Debug)]
+pub struct Memory<C> {
+    synced: Restored<C>,
+    unsynced: Vec<Write<C>>,
+    writes_left: Option<u64>,
+}
+
+impl<C: Clone> Memory<C> {
+    /// Creates an empty storage.
+    pub fn new() -> Self {
+        Self { synced: Restored::default(), unsynced: Vec::new(), writes_left: None }
+    }
+
+    /// Makes all writes and syncs fail after this many writes, like a full disk.
+    pub fn with_writes_left(mut self, writes: u64) -> Self {
+        self.writes_left = Some(writes);
+        self
+    }
+
+    /// Takes a write, which lasts only once it is synced.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the storage is to fail.
+    pub fn write(&mut self, write: &Write<C>) -> io::Result<()> {
+        match &mut self.writes_left {
+            Some(0) => return Err(io::Error::from(io::ErrorKind::StorageFull)),
+            Some(left) => *left -= 1,
+            None => {}
+        }
+        self.unsynced.push(write.clone());
+        Ok(())
+    }
+
+    /// Makes all writes last.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the storage is to fail.
+    pub fn sync(&mut self) -> io::Result<()> {
+        if self.writes_left == Some(0) {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        for write in self.unsynced.drain(..) {
+            self.synced.apply(&write);
+        }
+        Ok(())
+    }
+
+    /// Loses what was not synced, and returns what a restart would find.
+    pub fn crash(&mut self) -> Restored<C> {
+        self.unsynced.clear();
+        self.writes_left = None;
+        self.synced.clone()
+    }
+}
+
+impl<C: Clone> Default for Memory<C> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/catkinlatch-log/tests/log/main.rs
+++ b/crates/catkinlatch-log/tests/log/main.rs
@@ -1,5 +1,6 @@
 //! Failures that the control log is meant for, over cores without I/O.
 #![allow(clippy::unwrap_used)]
 
+mod disk;
 mod formation;
 mod net;
