Read settings with all findings and their places

Nothing read settings from a file. The syntax tree is walked against a table of fields, each value is checked alone by its own type, and rules between fields run over those that are sound, so that one run reports every fault with line, column and a hint. Missing fields that have a near miss in the file are reported once, where they stand. Settings for a cluster on loopback are written from one commented template, and a test reads them back.

--- a/crates/catkinlatch-base/src/finding.rs
+++ b/crates/catkinlatch-base/src/finding.rs
@@ -4,7 +4,7 @@
 
 crate::derive_schema! {
     /// Where in an input a finding lies.
-    #[derive(Eq, Display)]
+    #[derive(Eq, PartialOrd, Ord, Display)]
     #[display("{file}:{line}:{column}")]
     pub struct Place {
         /// The file or other source.
@@ -55,6 +55,11 @@
         self.list.extend(other.list);
     }
 
+    /// Sorts the findings by place.
+    pub fn sort(&mut self) {
+        self.list.sort_by(|a, b| a.place.cmp(&b.place));
+    }
+
     /// Returns whether nothing was found.
     pub fn is_empty(&self) -> bool {
         self.list.is_empty()
--- a/crates/catkinlatch-node/src/settings.rs
+++ b/crates/catkinlatch-node/src/settings.rs
@@ -2,10 +2,22 @@
 
 mod agreement;
 mod credential;
+mod document;
+mod example;
+mod load;
+mod nearest;
 mod peer;
 mod role;
-
-pub use self::{agreement::Agreement, credential::Credential, peer::Peer, role::Role};
+mod rule;
+mod schema;
+
+pub use self::{
+    agreement::Agreement,
+    credential::Credential,
+    example::{Example, ExampleError, File},
+    peer::Peer,
+    role::Role,
+};
 
 use catkinlatch_base::{ClusterId, HostId, RegionId, ZoneId, derive_value};
 use std::{
