Add the commands serve, check, settings example, status and version

Only the trial could be run. A node now starts from a settings file and never from a faulty one; a second signal ends it with code 130. Check also compares the files given, since some settings must be equal on all hosts. Status gains voters and nodes, and prints as text or JSON.

--- a/crates/catkinlatch-node/src/operator/api.rs
+++ b/crates/catkinlatch-node/src/operator/api.rs
@@ -1,6 +1,6 @@
 //! Endpoints for operators.
 
-use super::status::Status;
+use super::status::{self, Status};
 use crate::Node;
 use catkinlatch_base::event::{self, Event};
 use catkinlatch_state::{Command, Reply, config};
@@ -32,14 +32,26 @@
 async fn get_status(context: Context) -> Result<HttpResponseOk<Status>, HttpError> {
     let node = context.context();
     let leading = node.control.leading();
+    let state = node.control.state();
     let targets = node.table().entries().map(|(_, e)| e.announcement.clone()).collect();
+    let (host, zone) = (node.settings.host.clone(), node.settings.zone.clone());
+    let own = status::Node {
+        host: host.clone(),
+        zone: zone.clone(),
+        revision: state.revision(),
+        lease_ms: node.settings.configuration_lease_ms,
+        draining: false,
+    };
     Ok(HttpResponseOk(Status {
-        host: node.settings.host.clone(),
-        zone: node.settings.zone.clone(),
-        leader: leading.map(|_| node.settings.host.clone()),
+        leader: leading.map(|_| host.clone()),
         term: leading.unwrap_or_default(),
-        revision: node.control.state().revision(),
+        revision: state.revision(),
+        config_revision: state.config().revision(),
+        voters: vec![host.clone()],
+        nodes: vec![own],
         targets,
+        host,
+        zone,
     }))
 }
 
--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -1,12 +1,32 @@
 //! The commands.
+//!
+//! Exit codes: 0 success, 1 failure or findings, 2 a node or file that cannot be used, 3 a
+//! change that was refused, 4 a change that needs `--confirm`, 5 an outcome that is unknown,
+//! 130 a shutdown cut short by a second signal.
 
+mod check;
+mod exit;
+mod operator;
+mod serve;
+mod settings;
+mod status;
 mod trial;
+mod version;
 
 use argh::FromArgs;
 use std::process::ExitCode;
 
 /// A rollout service for reinforcement learning.
 #[derive(FromArgs)]
+#[argh(
+    example = "Check two settings files, start a node, and see what it knows:\n    {command_name} check host-1.jsonc host-2.jsonc\n    {command_name} serve --settings host-1.jsonc\n    {command_name} status --settings host-1.jsonc",
+    error_code(1, "the command failed, or found something wrong"),
+    error_code(2, "a file or a node could not be used"),
+    error_code(3, "the cluster refused the change"),
+    error_code(4, "the change needs --confirm"),
+    error_code(5, "the outcome of the change is unknown"),
+    error_code(130, "a second signal cut the shutdown short")
+)]
 pub struct Command {
     #[argh(subcommand)]
     verb: Verb,
@@ -15,14 +35,28 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
+    Check(check::Check),
+    Serve(serve::Serve),
+    Settings(settings::Settings),
+    Status(status::Status),
     Try(trial::Try),
+    Version(version::Version),
 }
 
 impl Command {
     /// Runs the command and returns its exit code.
     pub fn run(self) -> ExitCode {
-        match self.verb {
-            Verb::Try(verb) => verb.run(),
-        }
+        let result = match self.verb {
+            Verb::Check(verb) => verb.run(),
+            Verb::Serve(verb) => verb.run(),
+            Verb::Settings(verb) => verb.run(),
+            Verb::Status(verb) => verb.run(),
+            Verb::Try(verb) => return verb.run(),
+            Verb::Version(verb) => verb.run(),
+        };
+        result.unwrap_or_else(|failure| {
+            eprintln!("{failure}");
+            failure.code()
+        })
     }
 }
--- /dev/null
+++ b/crates/catkinlatch/src/command/serve.rs
@@ -0,0 +1,75 @@
+//! `catkinlatch serve`.
+
+use super::exit::{Failure, Outcome, SIGNAL_CODE, block_on};
+use argh::FromArgs;
+use catkinlatch_node::{Server, Settings};
+use log::{info, warn};
+use std::{
+    io,
+    path::PathBuf,
+    process::{self, ExitCode},
+};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Runs a node until it gets SIGTERM or SIGINT; a second signal ends it at once.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "serve",
+    example = "{command_name} --settings host-1.jsonc",
+    error_code(1, "the settings have faults, or the node cannot start"),
+    error_code(130, "a second signal cut the shutdown short")
+)]
+pub struct Serve {
+    /// the settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+impl Serve {
+    /// Runs the node.
+    pub fn run(self) -> Outcome {
+        let settings = Settings::load(&self.settings)?;
+        block_on(serve(settings)).map_err(|error| Failure::Failed(format!("serve: {error}")))?;
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+async fn serve(settings: Settings) -> Result<(), String> {
+    let mut signals = Signals::new().map_err(|error| error.to_string())?;
+    let host = settings.host.clone();
+    let server = Server::start(settings).await.map_err(|error| error.to_string())?;
+    info!("serve: host {host} listens on {}", server.address());
+    signals.next().await;
+    info!("serve: host {host} drains; a second signal ends it at once");
+    tokio::spawn(async move {
+        signals.next().await;
+        warn!("serve: a second signal came; requests under way are cut");
+        process::exit(SIGNAL_CODE);
+    });
+    server.stop().await?;
+    info!("serve: host {host} stopped");
+    Ok(())
+}
+
+/// The signals that end a node.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch/tests/command.rs
@@ -0,0 +1,87 @@
+//! The commands as an operator runs them.
+
+use std::{
+    fs,
+    path::Path,
+    process::{Command, Output},
+};
+use tempfile::TempDir;
+
+fn run(folder: &Path, arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_catkinlatch"));
+    command.current_dir(folder).args(arguments).output().expect("the binary runs")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn example(folder: &Path) -> Output {
+    run(folder, &["settings", "example", "--hosts", "6", "--dir", "cluster"])
+}
+
+#[test]
+fn check_prints_five_findings_with_places() {
+    let folder = TempDir::new().unwrap();
+    let text = "{\n  \"cluster\": \"c\", \"host\": \"host 1\",\n  \"zone\": \"zone-a\",\n  \
+        \"listen\": \"127.0.0.1\", \"operator_listen\": \"127.0.0.1:7101\",\n  \
+        \"peer_listen\": \"127.0.0.1:7102\", \"adress\": 1,\n  \"beat_ms\": 300,\n  \
+        \"timeline_events\": \"many\",\n}\n";
+    fs::write(folder.path().join("bad.jsonc"), text).unwrap();
+    let output = run(folder.path(), &["check", "bad.jsonc"]);
+    let lines: Vec<String> = stdout(&output).lines().map(str::to_owned).collect();
+    assert_eq!(output.status.code(), Some(1));
+    assert_eq!(lines.len(), 5, "{lines:#?}");
+    for (line, place) in lines.iter().zip(["2:27", "4:13", "5:36", "6:3", "7:22"]) {
+        assert!(line.starts_with(&format!("bad.jsonc:{place}: ")), "{line}");
+    }
+}
+
+#[test]
+fn example_settings_pass_the_check() {
+    let folder = TempDir::new().unwrap();
+    let output = example(folder.path());
+    assert!(output.status.success(), "{output:?}");
+    let files: Vec<String> = stdout(&output).lines().map(str::to_owned).collect();
+    assert_eq!(files.len(), 6);
+    let mut arguments = vec!["check"];
+    arguments.extend(files.iter().map(String::as_str));
+    let output = run(folder.path(), &arguments);
+    assert!(output.status.success(), "{output:?}");
+}
+
+#[test]
+fn example_overwrites_no_file() {
+    let folder = TempDir::new().unwrap();
+    assert!(example(folder.path()).status.success());
+    assert_eq!(example(folder.path()).status.code(), Some(1));
+}
+
+#[test]
+fn check_compares_the_files() {
+    let folder = TempDir::new().unwrap();
+    assert!(example(folder.path()).status.success());
+    let path = folder.path().join("cluster/host-2.jsonc");
+    let text = fs::read_to_string(&path).unwrap().replace("\"beat_ms\": 200", "\"beat_ms\": 150");
+    fs::write(&path, text).unwrap();
+    let files = ["check", "cluster/host-1.jsonc", "cluster/host-2.jsonc"];
+    let output = run(folder.path(), &files);
+    assert!(stdout(&output).contains("beat_ms differs from cluster/host-1.jsonc"), "{output:?}");
+}
+
+#[test]
+fn serve_refuses_faulty_settings() {
+    let folder = TempDir::new().unwrap();
+    fs::write(folder.path().join("bad.jsonc"), "{ \"host\": 1 }").unwrap();
+    let output = run(folder.path(), &["serve", "--settings", "bad.jsonc"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("bad.jsonc:1:11"), "{output:?}");
+}
+
+#[test]
+fn status_names_a_node_that_does_not_answer() {
+    let folder = TempDir::new().unwrap();
+    let output = run(folder.path(), &["status", "--operator", "127.0.0.1:1"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("127.0.0.1:1"), "{output:?}");
+}
