Deliver each sample of a trainer once, by group numbers and epochs

A ledger that kept the id of each delivered sample grew without bound, two coordinators could both assign themselves, and a batch whose contents were lost would be asked for forever. A report without versions at its start and end passed as evidence.

Groups are now admitted through the ledger, which numbers them. Assignment compares the epoch that the proposer saw. A lost batch is voided and its groups open again for samples of later epochs only. The pool drops late twins, answers of earlier epochs, samples that are too old and reports that do not prove the version of each token. Slots are divided by weight.

Ruled out: a set of delivered sample ids with a time window, since its bound depends on the rate of samples, and a resend after the window would be delivered twice.

--- a/crates/catkinlatch-base/src/id.rs
+++ b/crates/catkinlatch-base/src/id.rs
@@ -129,6 +129,8 @@
     Version;
     /// Numbers the batches of a trainer from 1.
     BatchNumber;
+    /// Numbers the groups of a trainer in the order of their admission.
+    GroupNumber;
     /// Numbers usage windows since the Unix epoch.
     WindowId;
 }
--- a/crates/catkinlatch-node/src/trainer/api.rs
+++ b/crates/catkinlatch-node/src/trainer/api.rs
@@ -1,10 +1,10 @@
 //! HTTP interface for trainers.
 
-use super::coordinator::Batch;
+use super::{Batch, batch, group, seat::Seat};
 use crate::{Node, entry};
-use catkinlatch_base::{BatchNumber, Epoch, SampleId, TrainerId, Version, derive_schema, event};
-use catkinlatch_rollout::pool::{Group, Sample};
-use catkinlatch_state::{Command, Reply, batch, config::Trainer};
+use catkinlatch_base::{BatchNumber, TrainerId, Version, derive_schema, event};
+use catkinlatch_rollout::pool::Group;
+use catkinlatch_state::{Command, batch::Change, config::Trainer};
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, ClientErrorStatusCode, HttpError, HttpResponseOk,
     HttpResponseUpdatedNoContent, Path, RequestContext, TypedBody, endpoint,
@@ -12,13 +12,19 @@
 use log::info;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 type Context = RequestContext<Arc<Node>>;
 
 /// How long a request for a batch is held open until the batch is whole.
 const LONG_POLL: Duration = Duration::from_secs(30);
 
+/// How long a request waits for its trainer to get a coordinator.
+const SEAT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How often a request that waits looks again.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Adds the endpoints.
 pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
     api.register(post_group)?;
@@ -55,11 +61,27 @@
 ) -> Result<HttpResponseUpdatedNoContent, HttpError> {
     let node = context.context();
     let trainer = authorize(&context, &path.into_inner().trainer)?;
-    coordinate(node, &trainer.id).await?;
-    let mut trainers = node.trainers.lock();
-    trainers.entry(trainer.id).or_default().pool.add(&body.into_inner());
-    node.trainers.progress.notify_waiters();
-    Ok(HttpResponseUpdatedNoContent())
+    let group = body.into_inner();
+    if group.prompts.is_empty() {
+        let message = "a group needs at least one prompt";
+        return Err(HttpError::for_bad_request(None, message.to_owned()));
+    }
+    let until = tokio::time::Instant::now() + SEAT_TIMEOUT;
+    loop {
+        sit(node, &trainer.id).await?;
+        match group::admit(node, &trainer, group.clone()).await {
+            group::Step::Taken => return Ok(HttpResponseUpdatedNoContent()),
+            group::Step::Differs => {
+                let message = "a group of this id and another size was posted before";
+                return Err(conflict("group_differs", message));
+            }
+            group::Step::Full => {
+                let message = "too many groups are open; take batches and post the group again";
+                return Err(refusal(ClientErrorStatusCode::TOO_MANY_REQUESTS, "full", message));
+            }
+            group::Step::Moved => pause(until).await?,
+        }
+    }
 }
 
 /// Publishes a version and has the engines load it.
@@ -72,10 +94,12 @@
     let node = context.context();
     let trainer = authorize(&context, &path.into_inner().trainer)?;
     let version = body.into_inner().version;
-    let change = batch::Change::Publish { trainer: trainer.id.clone(), version };
-    propose(node, Command::Batch(change)).await?;
+    let change = Change::Publish { trainer: trainer.id.clone(), version };
+    let proposed = node.control.propose(Command::Batch(change)).await;
+    proposed.map_err(|error| HttpError::for_unavail(None, error.to_string()))?;
     node.record(event::Kind::VersionPublished { trainer: trainer.id.clone(), version });
     info!("rollout: trainer {} published version {version}", trainer.id);
+    node.trainers.progress.notify_waiters();
     crate::targets::load_version(node, &trainer, version).await;
     Ok(HttpResponseUpdatedNoContent())
 }
@@ -89,99 +113,63 @@
     let node = context.context();
     let BatchPath { trainer, number } = path.into_inner();
     let trainer = authorize(&context, &trainer)?;
-    let number = BatchNumber::new(number);
-    let epoch = coordinate(node, &trainer.id).await?;
     let until = tokio::time::Instant::now() + LONG_POLL;
     loop {
+        sit(node, &trainer.id).await?;
         let woken = node.trainers.progress.notified();
-        if let Some(batch) = kept(node, &trainer.id, number) {
-            return Ok(HttpResponseOk(batch));
-        }
-        if let Some(batch) = assemble(node, &trainer, number, epoch).await? {
-            return Ok(HttpResponseOk(batch));
-        }
-        if tokio::time::timeout_at(until, woken).await.is_err() {
-            return Err(client_error(
-                ClientErrorStatusCode::REQUEST_TIMEOUT,
-                "the batch is not whole yet; ask again",
-            ));
+        match batch::take(node, &trainer, BatchNumber::new(number)).await {
+            batch::Step::Ready(batch) => return Ok(HttpResponseOk(batch)),
+            batch::Step::Wait => {
+                if tokio::time::timeout_at(until, woken).await.is_err() {
+                    let message = "the batch is not whole yet; ask again";
+                    return Err(refusal(
+                        ClientErrorStatusCode::REQUEST_TIMEOUT,
+                        "not_whole",
+                        message,
+                    ));
+                }
+            }
+            batch::Step::WrongNumber { next } => {
+                let message = format!("batch {number} is acknowledged or not due; take {next}");
+                return Err(conflict("wrong_number", &message));
+            }
+            batch::Step::Lost => {
+                let message = "the batch is lost; take the next one";
+                return Err(refusal(ClientErrorStatusCode::GONE, "batch_lost", message));
+            }
+            batch::Step::Missing(groups) => {
+                let groups: Vec<&str> = groups.iter().map(|group| group.as_str()).collect();
+                let message = format!("post these groups again: {}", groups.join(", "));
+                return Err(conflict("groups_lost", &message));
+            }
+            batch::Step::Moved => pause(until).await?,
         }
     }
 }
 
-/// Commits the make-up of the next batch if enough samples are finished.
-async fn assemble(
-    node: &Node,
-    trainer: &Trainer,
-    number: BatchNumber,
-    epoch: Epoch,
-) -> Result<Option<Batch>, HttpError> {
-    let Some(samples) = finished(node, trainer) else { return Ok(None) };
-    let change = batch::Change::Commit {
-        trainer: trainer.id.clone(),
-        epoch,
-        max_age_versions: trainer.max_age_versions,
-        batch: batch::Batch { number, samples: samples.iter().filter_map(committed).collect() },
-    };
-    match propose(node, Command::Batch(change)).await? {
-        Reply::Batch(batch::Reply::Committed) => {}
-        Reply::Batch(batch::Reply::Rejected(_)) => return Ok(None),
-        reply => {
-            let message = format!("batch {number} cannot be made: {reply:?}");
-            return Err(client_error(ClientErrorStatusCode::CONFLICT, &message));
+/// Makes sure that the trainer has a coordinator, and that it is this node.
+async fn sit(node: &Node, trainer: &TrainerId) -> Result<(), HttpError> {
+    match Seat::find(node, trainer) {
+        Seat::Here(_) => Ok(()),
+        Seat::Vacant(after) => {
+            let taken = Seat::take(node, trainer, after).await;
+            taken.map(drop).map_err(|error| HttpError::for_unavail(None, error))
+        }
+        Seat::Elsewhere(held) => {
+            let message = format!("host {} coordinates this trainer; ask it", held.host);
+            Err(HttpError::for_unavail(None, message))
         }
     }
-    let batch = Batch { number, samples };
-    let taken: BTreeSet<SampleId> =
-        batch.samples.iter().map(|sample| sample.task.sample.clone()).collect();
-    if let Some(coordinator) = node.trainers.lock().get_mut(&trainer.id) {
-        coordinator.pool.take(&taken);
-        coordinator.last = Some(batch.clone());
-    }
-    node.record(event::Kind::BatchCommitted { trainer: trainer.id.clone(), batch: number });
-    Ok(Some(batch))
-}
-
-/// Returns enough finished samples within the age bound, if there are any.
-fn finished(node: &Node, trainer: &Trainer) -> Option<Vec<Sample>> {
-    let newest = node.control.state().ledgers().get(&trainer.id)?.newest();
-    let floor = Version::new(newest.get().saturating_sub(trainer.max_age_versions));
-    let mut trainers = node.trainers.lock();
-    let pool = &mut trainers.get_mut(&trainer.id)?.pool;
-    pool.expire(floor);
-    node.trainers.progress.notify_waiters();
-    pool.peek(trainer.batch_samples as usize)
 }
 
-/// Returns what is committed about a sample.
-fn committed(sample: &Sample) -> Option<batch::Sample> {
-    let id = sample.task.sample.clone();
-    let (oldest, newest) = (sample.evidence.oldest()?, sample.evidence.newest()?);
-    Some(batch::Sample { id, oldest, newest })
-}
-
-/// Returns the batch if it was handed out before.
-fn kept(node: &Node, trainer: &TrainerId, number: BatchNumber) -> Option<Batch> {
-    let trainers = node.trainers.lock();
-    trainers.get(trainer)?.last.as_ref().filter(|batch| batch.number == number).cloned()
-}
-
-/// Returns the epoch under which this node coordinates the trainer, after taking it if need be.
-async fn coordinate(node: &Node, trainer: &TrainerId) -> Result<Epoch, HttpError> {
-    let state = node.control.state();
-    let held = state.ledgers().get(trainer).and_then(|ledger| ledger.coordinator());
-    if let Some(coordinator) = held.filter(|c| c.host == node.settings.host) {
-        return Ok(coordinator.epoch);
-    }
-    let change = batch::Change::Assign {
-        trainer: trainer.clone(),
-        host: node.settings.host.clone(),
-        incarnation: node.incarnation,
-    };
-    match propose(node, Command::Batch(change)).await? {
-        Reply::Batch(batch::Reply::Assigned(epoch)) => Ok(epoch),
-        reply => Err(HttpError::for_internal_error(format!("assignment answered {reply:?}"))),
+/// Waits a moment, or says that the trainer has no coordinator yet.
+async fn pause(until: tokio::time::Instant) -> Result<(), HttpError> {
+    if tokio::time::Instant::now() >= until {
+        let message = "the trainer has no coordinator now; ask again".to_owned();
+        return Err(HttpError::for_unavail(None, message));
     }
+    tokio::time::sleep(POLL_INTERVAL).await;
+    Ok(())
 }
 
 /// Finds the trainer whose team the presented key belongs to.
@@ -193,20 +181,18 @@
     let found = config.trainers().get(trainer);
     match found.filter(|trainer| Some(&trainer.team) == team) {
         Some(trainer) => Ok(trainer.clone()),
-        None => Err(client_error(
+        None => Err(refusal(
             ClientErrorStatusCode::UNAUTHORIZED,
+            "unauthorized",
             "the key is not one of this trainer's team; send a key of the team",
         )),
     }
 }
 
-async fn propose(node: &Node, command: Command) -> Result<Reply, HttpError> {
-    node.control
-        .propose(command)
-        .await
-        .map_err(|error| HttpError::for_unavail(None, error.to_string()))
+fn conflict(code: &str, message: &str) -> HttpError {
+    refusal(ClientErrorStatusCode::CONFLICT, code, message)
 }
 
-fn client_error(status: ClientErrorStatusCode, message: &str) -> HttpError {
-    HttpError::for_client_error(None, status, message.to_owned())
+fn refusal(status: ClientErrorStatusCode, code: &str, message: &str) -> HttpError {
+    HttpError::for_client_error(Some(code.to_owned()), status, message.to_owned())
 }
--- a/crates/catkinlatch-node/src/trainer/runner.rs
+++ b/crates/catkinlatch-node/src/trainer/runner.rs
@@ -1,117 +1,114 @@
-//! Runs trainers' samples on engines.
+//! Starts trainers' samples on engines and records what comes of them.
 
-use crate::{
-    Node,
-    entry::{self, Ticket, Usage},
+use super::{sample, seat};
+use crate::Node;
+use catkinlatch_base::{ModelId, TrainerId};
+use catkinlatch_rollout::{
+    pool::{Outcome, Task},
+    share::{self, Claim},
 };
-use bytes::Bytes;
-use catkinlatch_base::{RouteId, Tokens, TrainerId, Version};
-use catkinlatch_rollout::pool::{Evidence, Task};
-use catkinlatch_state::config::{Kind, Route, Trainer};
+use catkinlatch_route::target::Role;
+use catkinlatch_state::config::Trainer;
 use log::warn;
-use serde::Deserialize;
-use serde_json::json;
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-/// How long a sample may take.
-const SAMPLE_DEADLINE: Duration = Duration::from_secs(600);
+/// How often the division of slots is looked at again, at least.
+const TICK: Duration = Duration::from_millis(100);
 
-/// How long a trainer's samples rest after one failed.
+/// How long a sample rests after a run of it failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
-/// The part of an engine's answer that a sample needs.
-#[derive(Deserialize)]
-struct Completion {
-    choices: Vec<Choice>,
-    usage: Usage,
-    weight_spans: Vec<Span>,
+/// Runs samples for as long as the node runs.
+pub async fn run_samples(node: Arc<Node>) {
+    let mut changes = node.control.changes();
+    loop {
+        start_samples(&node);
+        tokio::select! {
+            () = node.trainers.progress.notified() => {}
+            _ = changes.changed() => {}
+            () = tokio::time::sleep(TICK) => {}
+        }
+    }
 }
 
-#[derive(Deserialize)]
-struct Choice {
-    text: String,
+/// Starts samples on the slots that each trainer may use.
+fn start_samples(node: &Arc<Node>) {
+    let trainers = node.control.state().config().trainers().clone();
+    let mut models: BTreeMap<ModelId, Vec<Trainer>> = BTreeMap::new();
+    for trainer in trainers.into_values() {
+        if seat::refresh(node, &trainer).is_some() {
+            models.entry(trainer.model.clone()).or_default().push(trainer);
+        }
+    }
+    for (model, trainers) in models {
+        let claims: Vec<Claim> = trainers.iter().map(|trainer| claim(node, trainer)).collect();
+        let shares = share::divide(slots(node, &model), &claims);
+        for (trainer, share) in trainers.iter().zip(shares) {
+            fill(node, trainer, share as usize);
+        }
+    }
 }
 
-/// Tokens that one version produced.
-#[derive(Deserialize)]
-struct Span {
-    version: Version,
+/// Returns the slots of all engines of a model.
+fn slots(node: &Node, model: &ModelId) -> u32 {
+    let table = node.table();
+    let serves = |role: &Role| matches!(role, Role::Engine { model: m, .. } if m == model);
+    let announcements = table.entries().map(|(_, entry)| &entry.announcement);
+    announcements.filter(|a| serves(&a.role)).map(|a| a.slots).sum()
 }
 
-/// Starts samples whenever there are any.
-pub async fn run_samples(node: Arc<Node>) {
+fn claim(node: &Node, trainer: &Trainer) -> Claim {
+    let trainers = node.trainers.lock();
+    let wanted = trainers.get(&trainer.id).map_or(0, |held| held.pool.wanted());
+    Claim { trainer: trainer.id.clone(), weight: trainer.weight, wanted }
+}
+
+/// Starts samples up to the trainer's share, or takes back the slots beyond it.
+fn fill(node: &Arc<Node>, trainer: &Trainer, share: usize) {
     loop {
-        let woken = node.trainers.progress.notified();
-        let trainers = node.control.state().config().trainers().clone();
-        for trainer in trainers.values() {
-            while let Some(task) = next_task(&node, &trainer.id) {
-                tokio::spawn(run_sample(node.clone(), trainer.clone(), task));
-            }
+        let mut trainers = node.trainers.lock();
+        let Some(coordinator) = trainers.get_mut(&trainer.id) else { return };
+        let excess = coordinator.pool.yield_slots(share);
+        coordinator.cancel(&excess);
+        if coordinator.pool.running() >= share {
+            return;
         }
-        woken.await;
+        let now = node.clock.now();
+        let next = coordinator.pool.next_task(now).or_else(|| coordinator.pool.hedge(now));
+        let Some(task) = next else { return };
+        let id = task.sample.clone();
+        let run = tokio::spawn(run_sample(node.clone(), trainer.clone(), task));
+        coordinator.runs.insert(id, run.abort_handle());
     }
 }
 
-fn next_task(node: &Node, trainer: &TrainerId) -> Option<Task> {
-    node.trainers.lock().get_mut(trainer)?.pool.next_task()
-}
-
 /// Runs one sample and records what came of it.
 async fn run_sample(node: Arc<Node>, trainer: Trainer, task: Task) {
-    match complete(&node, &trainer, &task).await {
-        Ok((text, evidence)) => {
+    match sample::complete(&node, &trainer, &task).await {
+        Ok((text, report)) => {
             let mut trainers = node.trainers.lock();
-            if let Some(coordinator) = trainers.get_mut(&trainer.id) {
-                coordinator.pool.finish(&task.sample, text, evidence);
+            let Some(coordinator) = trainers.get_mut(&trainer.id) else { return };
+            coordinator.runs.remove(&task.sample);
+            match coordinator.pool.finish(&task.sample, &text, &report) {
+                Outcome::Kept { cancel } => coordinator.cancel(&cancel),
+                Outcome::Unknown | Outcome::TooOld => {}
+                Outcome::Unproven(fault) => {
+                    warn!("rollout: sample {} runs again: {fault}", task.sample);
+                }
             }
         }
         Err(reason) => {
             warn!("rollout: sample {} failed: {reason}", task.sample);
             tokio::time::sleep(FAILURE_PAUSE).await;
-            if let Some(coordinator) = node.trainers.lock().get_mut(&trainer.id) {
-                coordinator.pool.fail(&task.sample);
-            }
+            end(&node, &trainer.id, &task);
         }
     }
     node.trainers.progress.notify_waiters();
 }
 
-async fn complete(
-    node: &Arc<Node>,
-    trainer: &Trainer,
-    task: &Task,
-) -> Result<(String, Evidence), String> {
-    let body = json!({
-        "model": trainer.model,
-        "prompt": task.prompt,
-        "max_tokens": task.max_tokens,
-    });
-    let call = entry::engine_call("/v1/completions", Bytes::from(body.to_string()));
-    let reply =
-        entry::run_whole(node, &ticket(node, trainer, task), &call).await.map_err(|r| r.message)?;
-    if !reply.head.status.is_success() {
-        return Err(format!("the engine answered with status {}", reply.head.status));
-    }
-    let completion: Completion =
-        serde_json::from_slice(&reply.body).map_err(|error| error.to_string())?;
-    let Some(choice) = completion.choices.into_iter().next() else {
-        return Err("the answer has no choice".to_owned());
-    };
-    let evidence = Evidence {
-        versions: completion.weight_spans.iter().map(|span| span.version).collect(),
-        prompt_tokens: Tokens::new(completion.usage.prompt_tokens),
-        completion_tokens: Tokens::new(completion.usage.completion_tokens),
-    };
-    Ok((choice.text, evidence))
-}
-
-/// Makes the ticket under which a sample runs.
-fn ticket(node: &Node, trainer: &Trainer, task: &Task) -> Ticket {
-    let id: RouteId = trainer.model.as_str().parse().expect("a model id is valid as a route id");
-    Ticket {
-        request: task.sample.as_str().parse().expect("a sample id is valid as a request id"),
-        team: trainer.team.clone(),
-        route: Route::new(id, Kind::Model(trainer.model.clone())),
-        deadline: node.clock.now() + SAMPLE_DEADLINE,
+fn end(node: &Node, trainer: &TrainerId, task: &Task) {
+    if let Some(coordinator) = node.trainers.lock().get_mut(trainer) {
+        coordinator.runs.remove(&task.sample);
+        coordinator.pool.fail(&task.sample);
     }
 }
--- a/crates/catkinlatch-rollout/src/lib.rs
+++ b/crates/catkinlatch-rollout/src/lib.rs
@@ -2,6 +2,9 @@
 //!
 //! Nothing here has a clock, a socket or a thread: time and randomness are passed in.
 
+pub mod evidence;
+pub mod lengths;
 pub mod pool;
+pub mod share;
 
-pub use self::pool::Pool;
+pub use self::{evidence::Evidence, lengths::Lengths, pool::Pool};
--- a/crates/catkinlatch-rollout/src/pool/group.rs
+++ b/crates/catkinlatch-rollout/src/pool/group.rs
@@ -1,6 +1,5 @@
 //! Groups of prompts as a trainer posts them.
 
-use super::Task;
 use catkinlatch_base::{GroupId, derive_schema};
 
 derive_schema! {
@@ -14,12 +13,3 @@
         pub max_tokens: u32,
     }
 }
-
-impl Group {
-    /// Returns one task for each prompt.
-    pub fn tasks(&self) -> impl Iterator<Item = Task> {
-        self.prompts.iter().enumerate().map(|(index, prompt)| {
-            Task::new(self.id.clone(), index, prompt.clone(), self.max_tokens)
-        })
-    }
-}
--- a/crates/catkinlatch-standin/src/engine.rs
+++ b/crates/catkinlatch-standin/src/engine.rs
@@ -6,7 +6,7 @@
 pub use self::record::Record;
 
 use crate::{announce, server, service::boot_id};
-use catkinlatch_base::{ModelId, TargetId, Term, Version, ZoneId};
+use catkinlatch_base::{BootId, ModelId, TargetId, Term, Version, ZoneId};
 use catkinlatch_route::{Announcement, target::Role};
 use dropshot::{ApiDescription, HttpServer};
 use std::{
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     id: TargetId,
+    boot: BootId,
     options: Options,
     inner: Mutex<Inner>,
 }
@@ -71,14 +72,19 @@
         nodes: Vec<SocketAddr>,
     ) -> Result<Self, String> {
         let slots = options.slots;
-        let shared =
-            Arc::new(Shared { id: id.clone(), options, inner: Mutex::new(Inner::default()) });
+        let boot = boot_id();
+        let shared = Arc::new(Shared {
+            id: id.clone(),
+            boot: boot.clone(),
+            options,
+            inner: Mutex::new(Inner::default()),
+        });
         let mut description = ApiDescription::new();
         api::register(&mut description).map_err(|error| error.to_string())?;
         let server = server::start(description, shared.clone(), listen)?;
         let announcement = Announcement {
             id,
-            boot: boot_id(),
+            boot,
             role: Role::Engine { model, version: Version::default() },
             zone,
             address: server.local_addr().to_string(),
--- a/crates/catkinlatch-standin/src/engine/api.rs
+++ b/crates/catkinlatch-standin/src/engine/api.rs
@@ -126,6 +126,8 @@
     prompt_tokens: u64,
     wanted: u64,
     saw_caller_key: bool,
+    start: Option<Version>,
+    end: Option<Version>,
     tokens: Vec<String>,
     spans: Vec<(Version, u64)>,
 }
@@ -135,13 +137,16 @@
         let prompt_tokens = asked.prompt_text().split_whitespace().count() as u64;
         let wanted = asked.max_tokens.unwrap_or(DEFAULT_TOKENS);
         let (tokens, spans) = (Vec::new(), Vec::new());
-        Self { shared, id, prompt_tokens, wanted, saw_caller_key, tokens, spans }
+        let (start, end) = (None, None);
+        Self { shared, id, prompt_tokens, wanted, saw_caller_key, start, end, tokens, spans }
     }
 
     /// Makes one token with the weights that are loaded now.
     async fn step(&mut self) -> (String, Version) {
         tokio::time::sleep(self.shared.options.token_time).await;
         let version = self.shared.lock().version;
+        self.start = self.start.or(Some(version));
+        self.end = Some(version);
         let token = format!("t{} ", self.tokens.len());
         self.tokens.push(token.clone());
         match self.spans.last_mut() {
@@ -163,7 +168,8 @@
             Shape::Text => json!({ "index": 0, "finish_reason": "stop", "text": text }),
         };
         let body = json!({ "id": self.id, "choices": [choice], "usage": self.usage(),
-            "weight_spans": self.spans() });
+            "weight_start": self.start, "weight_end": self.end,
+            "weight_spans": self.spans(), "boot": self.shared.boot });
         self.respond("application/json", Body::from(body.to_string()))
     }
 
@@ -188,7 +194,8 @@
         }
         self.record();
         let last = json!({ "id": self.id, "choices": [], "usage": self.usage(),
-            "weight_spans": self.spans() });
+            "weight_start": self.start, "weight_end": self.end,
+            "weight_spans": self.spans(), "boot": self.shared.boot });
         for data in [last.to_string(), "[DONE]".to_owned()] {
             if sender.send_data(event(&data)).await.is_err() {
                 return;
--- a/crates/catkinlatch-standin/src/trial/run.rs
+++ b/crates/catkinlatch-standin/src/trial/run.rs
@@ -165,7 +165,7 @@
         self.checks.add("a batch is whole", whole, format!("{} samples", first.samples.len()));
         for (batch, version) in [(&first, 1), (&second, 2)] {
             let versions: Vec<Version> =
-                batch.samples.iter().flat_map(|sample| sample.evidence.versions.clone()).collect();
+                batch.samples.iter().flat_map(|sample| sample.evidence.versions()).collect();
             let true_versions = versions.iter().all(|seen| *seen == Version::new(version));
             let seen = format!("batch {} has version {version}", batch.number);
             let name = "samples name the version that produced them";
@@ -200,7 +200,9 @@
             let of_sample =
                 |record: &&engine::Record| record.request.as_str() == sample.task.sample.as_str();
             let record = records.iter().find(of_sample);
-            record.is_some_and(|record| record.versions == sample.evidence.versions)
+            record.is_some_and(|record| {
+                sample.evidence.versions().eq(record.versions.iter().copied())
+            })
         })
     }
 
