Check a change against the configuration that it would make

A change could name teams, models or trainers that do not exist, put a key over one in force, and was kept whole for resends. Edits are now checked against the present tables and the result as a whole, and all faults come back with part and field. Of answered changes the digest is kept for the newest 1024. The conflict names its winner for as long as the winner's revision stands. Zones and price classes join the tables.

--- a/crates/catkinlatch-base/src/id.rs
+++ b/crates/catkinlatch-base/src/id.rs
@@ -116,6 +116,8 @@
     RequestId, "request";
     /// Identifies one order to a target, the platform or the weight store.
     OrderId, "order";
+    /// Names a price class of targets.
+    PriceClassId, "price class";
     /// Identifies a cluster.
     ClusterId, "cluster";
 }
--- a/crates/catkinlatch-state/src/config.rs
+++ b/crates/catkinlatch-state/src/config.rs
@@ -1,48 +1,47 @@
-//! The configuration that operators change: teams, keys, routes, models and trainers.
+//! The configuration that operators change: teams, keys, routes, models, trainers and zones.
 
+mod answer;
+pub mod audit;
 mod change;
+mod fault;
 mod key;
 mod model;
 mod route;
+mod tables;
 mod team;
 mod trainer;
+mod view;
+mod zone;
 
 pub use self::{
+    answer::WINDOW,
     change::{Change, Edit, Reply},
+    fault::{Fault, Part, Subject},
     key::{Key, Secret},
     model::Model,
     route::{Kind, Route},
+    tables::Tables,
     team::Team,
     trainer::Trainer,
+    view::{KeyView, View},
+    zone::{PriceClass, Zone},
 };
 
+use self::answer::Answers;
 use catkinlatch_base::{
-    KeyId, ModelId, RequestId, Revision, RouteId, TeamId, TrainerId, derive_value,
+    KeyId, ModelId, PriceClassId, RequestId, Revision, RouteId, TeamId, TrainerId, ZoneId,
+    derive_value,
 };
-use std::collections::{BTreeMap, VecDeque};
-
-/// How many answered changes are kept, so that a resent change gets its first answer again.
-const ANSWERS_KEPT: usize = 1024;
+use std::collections::BTreeMap;
 
 derive_value! {
     /// The configuration in force.
     #[derive(Default)]
     pub struct Config {
         revision: Revision,
-        teams: BTreeMap<TeamId, Team>,
-        keys: BTreeMap<KeyId, Key>,
-        routes: BTreeMap<RouteId, Route>,
-        models: BTreeMap<ModelId, Model>,
-        trainers: BTreeMap<TrainerId, Trainer>,
-        answers: VecDeque<Answer>,
-    }
-}
-
-derive_value! {
-    /// A change that was answered, kept for resends.
-    struct Answer {
-        change: Change,
-        reply: Reply,
+        winner: Option<RequestId>,
+        tables: Tables,
+        answers: Answers,
     }
 }
 
@@ -52,116 +51,84 @@
         self.revision
     }
 
+    /// Returns all tables.
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+
     /// Returns the team of that name.
     pub fn team(&self, id: &TeamId) -> Option<&Team> {
-        self.teams.get(id)
+        self.tables.teams.get(id)
     }
 
     /// Returns all teams.
     pub fn teams(&self) -> &BTreeMap<TeamId, Team> {
-        &self.teams
+        &self.tables.teams
     }
 
     /// Returns all keys, withdrawn ones excluded.
     pub fn keys(&self) -> &BTreeMap<KeyId, Key> {
-        &self.keys
+        &self.tables.keys
     }
 
     /// Returns all routes.
     pub fn routes(&self) -> &BTreeMap<RouteId, Route> {
-        &self.routes
+        &self.tables.routes
     }
 
     /// Returns all models.
     pub fn models(&self) -> &BTreeMap<ModelId, Model> {
-        &self.models
+        &self.tables.models
     }
 
     /// Returns all trainers.
     pub fn trainers(&self) -> &BTreeMap<TrainerId, Trainer> {
-        &self.trainers
+        &self.tables.trainers
+    }
+
+    /// Returns all availability zones; if there are none, targets run anywhere.
+    pub fn zones(&self) -> &BTreeMap<ZoneId, Zone> {
+        &self.tables.zones
+    }
+
+    /// Returns all price classes.
+    pub fn price_classes(&self) -> &BTreeMap<PriceClassId, PriceClass> {
+        &self.tables.price_classes
     }
 
     /// Returns the team whose key `presented` is, if the key is in force.
     pub fn authenticate(&self, presented: &str) -> Option<(&KeyId, &TeamId)> {
         let secret = Secret::parse(presented)?;
-        let (id, key) = self.keys.get_key_value(secret.id())?;
+        let (id, key) = self.tables.keys.get_key_value(secret.id())?;
         key.matches(&secret).then_some((id, &key.team))
     }
 
     /// Applies a change whole or not at all.
+    ///
+    /// A change with the request id and content of one of the newest [`WINDOW`] changes gets the
+    /// first answer again, whatever has changed since.
     pub fn apply(&mut self, change: &Change, revision: Revision) -> Reply {
-        if let Some(reply) = self.earlier_answer(change) {
+        if let Some(reply) = self.answers.earlier(change) {
             return reply;
         }
         let reply = self.decide(change, revision);
-        if self.answers.len() == ANSWERS_KEPT {
-            self.answers.pop_front();
-        }
-        self.answers.push_back(Answer { change: change.clone(), reply: reply.clone() });
+        self.answers.keep(change, reply.clone());
         reply
     }
 
-    /// Finds the answer to an earlier change with the same request id.
-    fn earlier_answer(&self, change: &Change) -> Option<Reply> {
-        let earlier = self.answers.iter().find(|a| a.change.request == change.request)?;
-        if earlier.change == *change {
-            return Some(earlier.reply.clone());
-        }
-        Some(Reply::RequestReused { request: change.request.clone() })
-    }
-
     fn decide(&mut self, change: &Change, revision: Revision) -> Reply {
         if change.base.is_some_and(|base| base != self.revision) {
-            return Reply::Conflict { winner: self.last_winner(), revision: self.revision };
+            return Reply::Conflict { winner: self.winner.clone(), revision: self.revision };
         }
-        for edit in &change.edits {
-            self.edit(edit);
+        let mut tables = self.tables.clone();
+        change.edits.iter().for_each(|edit| tables.edit(edit));
+        let faults = audit::change(&self.tables, &tables, change);
+        if !faults.is_empty() {
+            return Reply::Invalid { faults };
         }
+        self.tables = tables;
         self.revision = revision;
+        self.winner = Some(change.request.clone());
         Reply::Accepted { revision }
     }
-
-    /// Names the change that made the present revision.
-    fn last_winner(&self) -> Option<RequestId> {
-        let made = Reply::Accepted { revision: self.revision };
-        let winner = self.answers.iter().rev().find(|answer| answer.reply == made)?;
-        Some(winner.change.request.clone())
-    }
-
-    fn edit(&mut self, edit: &Edit) {
-        match edit.clone() {
-            Edit::PutTeam(team) => {
-                self.teams.insert(team.id.clone(), team);
-            }
-            Edit::DropTeam(id) => {
-                self.teams.remove(&id);
-                self.keys.retain(|_, key| key.team != id);
-            }
-            Edit::PutRoute(route) => {
-                self.routes.insert(route.id.clone(), route);
-            }
-            Edit::DropRoute(id) => {
-                self.routes.remove(&id);
-            }
-            Edit::PutModel(model) => {
-                self.models.insert(model.id.clone(), model);
-            }
-            Edit::DropModel(id) => {
-                self.models.remove(&id);
-            }
-            Edit::PutTrainer(trainer) => {
-                self.trainers.insert(trainer.id.clone(), trainer);
-            }
-            Edit::DropTrainer(id) => {
-                self.trainers.remove(&id);
-            }
-            Edit::PutKey(key) => {
-                self.keys.insert(key.id.clone(), key);
-            }
-            Edit::WithdrawKey(id) => {
-                self.keys.remove(&id);
-            }
-        }
-    }
 }
--- a/crates/catkinlatch-state/src/config/change.rs
+++ b/crates/catkinlatch-state/src/config/change.rs
@@ -1,8 +1,9 @@
 //! A change of the configuration, applied whole or not at all.
 
-use super::{Key, Model, Route, Team, Trainer};
+use super::{Fault, Key, Model, PriceClass, Route, Team, Trainer, Zone};
 use catkinlatch_base::{
-    KeyId, ModelId, RequestId, Revision, RouteId, TeamId, TrainerId, derive_schema,
+    KeyId, ModelId, PriceClassId, RequestId, Revision, RouteId, TeamId, TrainerId, ZoneId,
+    derive_schema,
 };
 
 derive_schema! {
@@ -37,6 +38,14 @@
         PutTrainer(Trainer),
         /// Removes a trainer.
         DropTrainer(TrainerId),
+        /// Creates or replaces an availability zone.
+        PutZone(Zone),
+        /// Removes an availability zone.
+        DropZone(ZoneId),
+        /// Creates or replaces a price class.
+        PutPriceClass(PriceClass),
+        /// Removes a price class.
+        DropPriceClass(PriceClassId),
         /// Puts a key in force.
         PutKey(Key),
         /// Withdraws a key.
@@ -55,11 +64,16 @@
         },
         /// Another change came first; nothing was changed.
         Conflict {
-            /// The change that came first, while it is remembered.
+            /// The change that made the present revision.
             winner: Option<RequestId>,
             /// The present revision.
             revision: Revision,
         },
+        /// The configuration would have faults; nothing was changed.
+        Invalid {
+            /// The faults, at most 64 of them.
+            faults: Vec<Fault>,
+        },
         /// The request id was used before with other content; nothing was changed.
         RequestReused {
             /// The request id.
--- a/crates/catkinlatch-state/src/config/key.rs
+++ b/crates/catkinlatch-state/src/config/key.rs
@@ -40,12 +40,18 @@
 }
 
 impl Secret {
-    /// Draws a new secret for the key `id`.
+    /// Draws a secret that need not withstand guessing, for trials.
     pub fn draw(id: KeyId, random: &mut fastrand::Rng) -> Self {
         let text = format!("{:032x}{:032x}", random.u128(..), random.u128(..));
         Self { id, text }
     }
 
+    /// Makes a secret from bytes that the operating system drew at random.
+    pub fn from_bytes(id: KeyId, bytes: [u8; 32]) -> Self {
+        let text = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        Self { id, text }
+    }
+
     /// Reads a presented key, or returns `None` if it is not formed like one.
     pub fn parse(presented: &str) -> Option<Self> {
         let (id, text) = presented.strip_prefix(PREFIX)?.rsplit_once('_')?;
--- /dev/null
+++ b/crates/catkinlatch-state/src/config/view.rs
@@ -0,0 +1,69 @@
+//! The configuration as operators read it.
+
+use super::{Config, Model, PriceClass, Route, Tables, Team, Trainer, Zone};
+use catkinlatch_base::{KeyId, Revision, TeamId, derive_schema};
+
+derive_schema! {
+    /// The configuration as operators read it; of keys only the public part is shown.
+    pub struct View {
+        /// The revision of the last change that was accepted.
+        pub revision: Revision,
+        /// The teams.
+        pub teams: Vec<Team>,
+        /// The keys in force.
+        pub keys: Vec<KeyView>,
+        /// The routes.
+        pub routes: Vec<Route>,
+        /// The models.
+        pub models: Vec<Model>,
+        /// The trainers.
+        pub trainers: Vec<Trainer>,
+        /// The availability zones.
+        pub zones: Vec<Zone>,
+        /// The price classes.
+        pub price_classes: Vec<PriceClass>,
+    }
+}
+
+derive_schema! {
+    /// The public part of a key.
+    #[derive(Eq)]
+    pub struct KeyView {
+        /// The key's id.
+        pub id: KeyId,
+        /// The team that it belongs to.
+        pub team: TeamId,
+    }
+}
+
+impl View {
+    /// Shows a configuration.
+    pub fn new(config: &Config) -> Self {
+        let Tables { teams, keys, routes, models, trainers, zones, price_classes } =
+            config.tables();
+        let key = |key: &super::Key| KeyView { id: key.id.clone(), team: key.team.clone() };
+        Self {
+            revision: config.revision(),
+            teams: teams.values().cloned().collect(),
+            keys: keys.values().map(key).collect(),
+            routes: routes.values().cloned().collect(),
+            models: models.values().cloned().collect(),
+            trainers: trainers.values().cloned().collect(),
+            zones: zones.values().cloned().collect(),
+            price_classes: price_classes.values().cloned().collect(),
+        }
+    }
+
+    /// Returns the tables that the view shows, without the keys.
+    pub fn into_tables(self) -> Tables {
+        Tables {
+            teams: self.teams.into_iter().map(|team| (team.id.clone(), team)).collect(),
+            keys: Default::default(),
+            routes: self.routes.into_iter().map(|route| (route.id.clone(), route)).collect(),
+            models: self.models.into_iter().map(|model| (model.id.clone(), model)).collect(),
+            trainers: self.trainers.into_iter().map(|t| (t.id.clone(), t)).collect(),
+            zones: self.zones.into_iter().map(|zone| (zone.id.clone(), zone)).collect(),
+            price_classes: self.price_classes.into_iter().map(|c| (c.id.clone(), c)).collect(),
+        }
+    }
+}
