--- a/crates/catkinlatch-node/src/operator.rs
+++ b/crates/catkinlatch-node/src/operator.rs
@@ -1,5 +1,6 @@
 //! HTTP interface for operators.
 
+pub(crate) mod access;
 mod api;
 pub mod status;
 
--- a/crates/catkinlatch-node/src/operator/api.rs
+++ b/crates/catkinlatch-node/src/operator/api.rs
@@ -1,6 +1,9 @@
 //! Endpoints for operators.
 
-use super::status::{self, Status};
+use super::{
+    access::authorize,
+    status::{self, Status},
+};
 use crate::Node;
 use catkinlatch_base::event::{self, Event};
 use catkinlatch_state::{Command, Reply, config};
@@ -17,6 +20,7 @@
     api.register(get_live)?;
     api.register(get_status)?;
     api.register(get_timeline)?;
+    api.register(get_config)?;
     api.register(post_change)?;
     Ok(())
 }
@@ -30,7 +34,7 @@
 /// Returns what the node knows of the cluster.
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(context: Context) -> Result<HttpResponseOk<Status>, HttpError> {
-    let node = context.context();
+    let node = authorize(&context)?;
     let leading = node.control.leading();
     let state = node.control.state();
     let targets = node.table().entries().map(|(_, e)| e.announcement.clone()).collect();
@@ -58,7 +62,14 @@
 /// Returns the newest events of this process.
 #[endpoint { method = GET, path = "/v1/timeline" }]
 async fn get_timeline(context: Context) -> Result<HttpResponseOk<Vec<Event>>, HttpError> {
-    Ok(HttpResponseOk(context.context().timeline.events()))
+    Ok(HttpResponseOk(authorize(&context)?.timeline.events()))
+}
+
+/// Returns the configuration, without the secret parts of keys.
+#[endpoint { method = GET, path = "/v1/config" }]
+async fn get_config(context: Context) -> Result<HttpResponseOk<config::View>, HttpError> {
+    let state = authorize(&context)?.control.state();
+    Ok(HttpResponseOk(config::View::new(state.config())))
 }
 
 /// Changes the configuration.
@@ -67,7 +78,7 @@
     context: Context,
     body: TypedBody<config::Change>,
 ) -> Result<HttpResponseOk<config::Reply>, HttpError> {
-    let node = context.context();
+    let node = authorize(&context)?;
     let change = body.into_inner();
     let withdrawn = withdrawn_keys(node, &change);
     match node.control.propose(Command::Config(change)).await {
--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod exit;
+mod key;
 mod operator;
 mod serve;
 mod settings;
@@ -36,6 +37,7 @@
 #[argh(subcommand)]
 enum Verb {
     Check(check::Check),
+    Key(key::Key),
     Serve(serve::Serve),
     Settings(settings::Settings),
     Status(status::Status),
@@ -48,6 +50,7 @@
     pub fn run(self) -> ExitCode {
         let result = match self.verb {
             Verb::Check(verb) => verb.run(),
+            Verb::Key(verb) => verb.run(),
             Verb::Serve(verb) => verb.run(),
             Verb::Settings(verb) => verb.run(),
             Verb::Status(verb) => verb.run(),
--- a/crates/catkinlatch/src/command/exit.rs
+++ b/crates/catkinlatch/src/command/exit.rs
@@ -24,6 +24,14 @@
     #[from(ignore)]
     #[display("{_0}")]
     Unusable(String),
+    /// The cluster refused the change.
+    #[from(ignore)]
+    #[display("{_0}")]
+    Refused(String),
+    /// Nobody knows yet whether the change was made.
+    #[from(ignore)]
+    #[display("{_0}")]
+    Unknown(String),
 }
 
 impl Failure {
@@ -32,6 +40,8 @@
         match self {
             Self::Findings(_) | Self::Failed(_) => ExitCode::from(1),
             Self::Unusable(_) => ExitCode::from(2),
+            Self::Refused(_) => ExitCode::from(3),
+            Self::Unknown(_) => ExitCode::from(5),
         }
     }
 }
--- a/crates/catkinlatch/src/command/operator.rs
+++ b/crates/catkinlatch/src/command/operator.rs
@@ -1,8 +1,9 @@
 //! Calls to the operator interface of a node.
 
-use super::exit::Failure;
+use super::exit::{Failure, Outcome};
 use bytes::Bytes;
 use catkinlatch_node::Settings;
+use catkinlatch_state::config::{Change, Reply};
 use http::{Method, Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper_util::{
@@ -10,7 +11,7 @@
     rt::TokioExecutor,
 };
 use serde::de::DeserializeOwned;
-use std::{env, path::Path, time::Duration};
+use std::{env, path::Path, process::ExitCode, time::Duration};
 
 /// The environment variable that holds the operator's token.
 const TOKEN_VARIABLE: &str = "CATKINLATCH_OPERATOR_TOKEN";
@@ -21,6 +22,12 @@
 /// How long one call may take.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How often a change is sent before its outcome is given up as unknown.
+const CHANGE_ATTEMPTS: u32 = 5;
+
+/// How long to wait before a change is sent again.
+const CHANGE_PAUSE: Duration = Duration::from_millis(500);
+
 /// The operator interface of one node.
 #[derive(Debug)]
 pub struct Operator {
@@ -53,6 +60,50 @@
         self.read(self.send(Method::GET, path, Bytes::new()).await?)
     }
 
+    /// Sends a change; after a lost answer it sends the same change again.
+    pub async fn change(&self, change: &Change) -> Result<Reply, Failure> {
+        let body = serde_json::to_vec(change).expect("a change serializes");
+        let mut last = None;
+        for attempt in 0..CHANGE_ATTEMPTS {
+            if attempt > 0 {
+                tokio::time::sleep(CHANGE_PAUSE).await;
+            }
+            let sent = self.send(Method::POST, "/v1/config/changes", Bytes::from(body.clone()));
+            match sent.await {
+                Ok(response) if response.status().is_server_error() => {
+                    last = Some(self.read::<Reply>(response).err());
+                }
+                Ok(response) => return self.read(response),
+                Err(failure) => last = Some(Some(failure)),
+            }
+        }
+        let last = last.flatten().map(|failure| failure.to_string()).unwrap_or_default();
+        Err(Failure::Unknown(format!("change {} may or may not be made: {last}", change.request)))
+    }
+
+    /// Turns the answer to a change into the command's outcome.
+    pub fn explain(&self, reply: &Reply) -> Outcome {
+        match reply {
+            Reply::Accepted { revision } => {
+                eprintln!("accepted as revision {revision}");
+                Ok(ExitCode::SUCCESS)
+            }
+            Reply::Conflict { winner, revision } => {
+                let winner = winner.as_ref().map_or("an earlier change", |id| id.as_str());
+                Err(Failure::Refused(format!(
+                    "conflict: {winner} made revision {revision} first; look at it and try again"
+                )))
+            }
+            Reply::RequestReused { request } => Err(Failure::Refused(format!(
+                "request {request} was used with other content; give another --request"
+            ))),
+            Reply::Invalid { faults } => {
+                let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+                Err(Failure::Refused(lines.join("\n")))
+            }
+        }
+    }
+
     async fn send(
         &self,
         method: Method,
--- a/crates/catkinlatch/src/command/serve.rs
+++ b/crates/catkinlatch/src/command/serve.rs
@@ -1,6 +1,6 @@
 //! `catkinlatch serve`.
 
-use super::exit::{Failure, Outcome, SIGNAL_CODE, block_on};
+use super::exit::{Failure, Outcome, SIGNAL_CODE, block_on, print};
 use argh::FromArgs;
 use catkinlatch_node::{Server, Settings};
 use log::{info, warn};
@@ -39,7 +39,8 @@
     let mut signals = Signals::new().map_err(|error| error.to_string())?;
     let host = settings.host.clone();
     let server = Server::start(settings).await.map_err(|error| error.to_string())?;
-    info!("serve: host {host} listens on {}", server.address());
+    let (callers, operators) = (server.address(), server.operator_address());
+    print(format!("{host} serves callers on {callers} and operators on {operators}"));
     signals.next().await;
     info!("serve: host {host} drains; a second signal ends it at once");
     tokio::spawn(async move {
--- a/crates/catkinlatch/tests/command.rs
+++ b/crates/catkinlatch/tests/command.rs
@@ -1,5 +1,10 @@
 //! The commands as an operator runs them.
 
+#[path = "command/daemon.rs"]
+mod daemon;
+
+use daemon::Daemon;
+use serde_json::Value;
 use std::{
     fs,
     path::Path,
@@ -85,3 +90,48 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&output.stderr).contains("127.0.0.1:1"), "{output:?}");
 }
+
+fn json(output: &Output) -> Value {
+    assert!(output.status.success(), "{output:?}");
+    serde_json::from_slice(&output.stdout).expect("the output is JSON")
+}
+
+#[test]
+fn key_is_shown_once_rotated_and_withdrawn() {
+    let node = Daemon::start();
+    let unknown = node.run(&["key"], &["new", "--team", "harbour"]);
+    assert_eq!(unknown.status.code(), Some(3), "{unknown:?}");
+    assert!(String::from_utf8_lossy(&unknown.stderr).contains("team harbour, which does not"));
+    node.put_team("harbour");
+    let made = node.run(&["key"], &["new", "--team", "harbour", "--id", "k1"]);
+    let key = stdout(&made);
+    assert!(key.starts_with("ck_k1_"), "{made:?}");
+    let rotated = json(&node.run(&["key"], &["--json", "rotate", "k1"]));
+    assert!(rotated["key"].as_str().is_some_and(|key| key.starts_with("ck_harbour-")));
+    let listed = stdout(&node.run(&["key"], &["list"]));
+    assert!(!listed.contains("k1 ") && listed.contains("harbour-"), "{listed}");
+    let secret = key.trim().rsplit('_').next().unwrap();
+    for command in [&["key", "--json"][..], &["status", "--json"]] {
+        let rest: &[&str] = if command[0] == "key" { &["list"] } else { &[] };
+        assert!(!stdout(&node.run(command, rest)).contains(secret));
+    }
+    let withdrawn = node.run(&["key"], &["withdraw", "k1"]);
+    assert_eq!(withdrawn.status.code(), Some(3), "{withdrawn:?}");
+}
+
+#[test]
+fn status_names_leader_voters_and_nodes() {
+    let node = Daemon::start();
+    let status = json(&node.run(&["status"], &["--json"]));
+    assert_eq!(status["leader"], "host-1");
+    assert_eq!(status["voters"], serde_json::json!(["host-1"]));
+    assert_eq!(status["nodes"][0]["zone"], "zone-1");
+    assert_eq!(status["nodes"][0]["draining"], false);
+}
+
+#[test]
+fn serve_ends_with_code_0_on_sigterm() {
+    let mut node = Daemon::start();
+    node.terminate();
+    assert_eq!(node.wait().code(), Some(0));
+}
--- /dev/null
+++ b/crates/catkinlatch/tests/command/daemon.rs
@@ -0,0 +1,91 @@
+//! A node that runs as a process of its own.
+
+use super::run;
+use catkinlatch_standin::client::Client;
+use catkinlatch_state::config::{Change, Edit, Team};
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    path::Path,
+    process::{Child, Command, ExitStatus, Output, Stdio},
+};
+use tempfile::TempDir;
+
+/// A running node; it is killed when it goes out of scope.
+pub struct Daemon {
+    child: Child,
+    folder: TempDir,
+    operators: String,
+}
+
+impl Daemon {
+    /// Starts a node of one host on ephemeral ports.
+    pub fn start() -> Self {
+        let folder = TempDir::new().expect("a folder is made");
+        let size = ["--hosts", "1", "--zones", "1", "--disks", "0", "--dir", "."];
+        let made = run(folder.path(), &[&["settings", "example"], &size[..]].concat());
+        assert!(made.status.success(), "{made:?}");
+        free_ports(&folder.path().join("host-1.jsonc"));
+        let mut child = Command::new(env!("CARGO_BIN_EXE_catkinlatch"))
+            .current_dir(folder.path())
+            .args(["serve", "--settings", "host-1.jsonc"])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary runs");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("the output is piped");
+        BufReader::new(stdout).read_line(&mut line).expect("the node says where it listens");
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let operators = words[8].to_owned();
+        Self { child, folder, operators }
+    }
+
+    /// Runs a command against the node.
+    pub fn run(&self, verb: &[&str], rest: &[&str]) -> Output {
+        let operator = ["--operator", self.operators.as_str()];
+        run(self.folder.path(), &[verb, &operator[..], rest].concat())
+    }
+
+    /// Creates a team through the operator interface.
+    pub fn put_team(&self, name: &str) {
+        let team = Team::new(name.parse().expect("the id is valid"));
+        let request = format!("put-{name}").parse().expect("the id is valid");
+        let change = Change { request, base: None, edits: vec![Edit::PutTeam(team)] };
+        let operators = self.operators.parse().expect("an address");
+        let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+        let client = Client::new(operators);
+        let posted = runtime.block_on(client.post("/v1/config/changes", &change));
+        assert!(posted.expect("the node answers").status().is_success());
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
+        assert!(sent.success());
+    }
+
+    /// Waits for the end.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the node ends")
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // The node may have ended already.
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// Lets the node choose the ports that it listens on.
+fn free_ports(path: &Path) {
+    let text = fs::read_to_string(path).expect("the settings are there");
+    let free = |line: &str| match line.trim_start().split_once("listen\": ") {
+        Some((name, _)) => format!("  {name}listen\": \"127.0.0.1:0\","),
+        None => line.to_owned(),
+    };
+    let lines: Vec<String> = text.lines().map(free).collect();
+    fs::write(path, lines.join("\n")).expect("the settings are written");
+}
