Bound claims and suspects in replicated state

Claims had no bound, no expiry and no rule for an owner that died, and a command applied twice looked like another request's claim. They now carry an attempt number and a deadline, become unknown when the owner is gone or overdue, expire after an hour behind a horizon that refuses old resends, and keep at most 16 MiB of answers. Suspects run once at a time over all nodes, one on a target, and are refused after two crashes.

--- a/crates/catkinlatch-state/src/claim.rs
+++ b/crates/catkinlatch-state/src/claim.rs
@@ -1,7 +1,29 @@
 //! Claims that make a non-idempotent request with an `Idempotency-Key` run at most once.
 
+mod change;
+mod table;
+
+pub use self::{
+    change::{Change, Reply},
+    table::Claims,
+};
+
 use catkinlatch_base::{Incarnation, TeamId, derive_key, derive_value};
-use std::collections::BTreeMap;
+
+/// The most claims that are kept at one time.
+pub const MAX_CLAIMS: usize = 20_000;
+
+/// The longest answer that is kept for resends, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// The most bytes of answers that are kept in all.
+pub const MAX_KEPT_BYTES: usize = 16 << 20;
+
+/// How long a claim is kept after it was opened, in milliseconds.
+pub const KEEP_MS: u64 = 3_600_000;
+
+/// How long after its deadline a running claim's owner is taken to be gone, in milliseconds.
+pub const OVERDUE_MS: u64 = 5_000;
 
 derive_key! {
     /// What a claim stands under: the team and its `Idempotency-Key`.
@@ -13,6 +35,20 @@
     }
 }
 
+derive_key! {
+    /// Identifies one attempt to open a claim.
+    ///
+    /// A node draws a new number for each attempt, so that a command that is applied twice is told
+    /// from another attempt of the same node.
+    #[derive(Copy)]
+    pub struct Owner {
+        /// The start of the node that dispatches the request.
+        pub node: Incarnation,
+        /// The attempt.
+        pub attempt: u64,
+    }
+}
+
 derive_value! {
     /// An answer that is kept for resends.
     pub struct Answer {
@@ -32,7 +68,9 @@
         Running,
         /// The request ran and was answered.
         Answered(Answer),
-        /// Nobody will ever know whether the request ran.
+        /// The request ran and was answered, but the answer was too long to keep.
+        Dropped,
+        /// Nobody knows whether the request ran.
         Unknown,
     }
 }
@@ -42,106 +80,13 @@
     pub struct Claim {
         /// The digest of the request, so that a reuse with other content is refused.
         pub digest: [u8; 32],
-        /// The start of the node that dispatches the request.
-        pub owner: Incarnation,
+        /// Who dispatches the request.
+        pub owner: Owner,
         /// When the claim was opened, in milliseconds since the Unix epoch.
         pub opened_ms: u64,
+        /// By when the owner ends the request, in milliseconds since the Unix epoch.
+        pub deadline_ms: u64,
         /// Where it stands.
         pub stage: Stage,
     }
 }
-
-derive_value! {
-    /// A change of the claims.
-    pub enum Change {
-        /// Opens a claim before dispatch.
-        Open {
-            /// What it stands under.
-            name: Name,
-            /// The claim.
-            claim: Claim,
-        },
-        /// Ends a claim.
-        Finish {
-            /// What it stands under.
-            name: Name,
-            /// The start of the node that dispatched the request.
-            owner: Incarnation,
-            /// How it ended.
-            stage: Stage,
-        },
-        /// Withdraws a claim whose request was not sent.
-        Release {
-            /// What it stands under.
-            name: Name,
-            /// The start of the node that opened the claim.
-            owner: Incarnation,
-        },
-    }
-}
-
-derive_value! {
-    /// What became of a change.
-    pub enum Reply {
-        /// The proposer holds the claim and may dispatch.
-        Opened,
-        /// The claim stood before.
-        Exists(Claim),
-        /// The change was made.
-        Done,
-        /// The claim is not the proposer's.
-        NotOwner,
-    }
-}
-
-derive_value! {
-    /// All claims.
-    #[derive(Default)]
-    pub struct Claims {
-        claims: BTreeMap<Name, Claim>,
-    }
-}
-
-impl Claims {
-    /// Returns the claim under `name`.
-    pub fn get(&self, name: &Name) -> Option<&Claim> {
-        self.claims.get(name)
-    }
-
-    /// Applies a change.
-    pub fn apply(&mut self, change: &Change) -> Reply {
-        match change {
-            Change::Open { name, claim } => self.open(name, claim),
-            Change::Finish { name, owner, stage } => self.finish(name, *owner, stage),
-            Change::Release { name, owner } => self.release(name, *owner),
-        }
-    }
-
-    fn open(&mut self, name: &Name, claim: &Claim) -> Reply {
-        if let Some(earlier) = self.claims.get(name) {
-            return Reply::Exists(earlier.clone());
-        }
-        self.claims.insert(name.clone(), claim.clone());
-        Reply::Opened
-    }
-
-    fn finish(&mut self, name: &Name, owner: Incarnation, stage: &Stage) -> Reply {
-        match self.claims.get_mut(name) {
-            Some(claim) if claim.owner == owner => {
-                claim.stage = stage.clone();
-                Reply::Done
-            }
-            Some(_) | None => Reply::NotOwner,
-        }
-    }
-
-    fn release(&mut self, name: &Name, owner: Incarnation) -> Reply {
-        match self.claims.get(name) {
-            Some(claim) if claim.owner == owner && claim.stage == Stage::Running => {
-                self.claims.remove(name);
-                Reply::Done
-            }
-            Some(_) | None => Reply::NotOwner,
-        }
-    }
-}
--- /dev/null
+++ b/crates/catkinlatch-state/src/suspect/table.rs
@@ -0,0 +1,129 @@
+//! All suspects.
+
+use super::{Change, Fingerprint, KEEP_MS, MAX_CRASHES, MAX_SUSPECTS, Reply, Suspect, Trial};
+use catkinlatch_base::{Incarnation, TargetId, derive_value, invariant};
+use std::collections::BTreeMap;
+
+derive_value! {
+    /// All suspects: at most [`MAX_SUSPECTS`].
+    ///
+    /// A suspect runs once at a time over all nodes, and no two run on one target, so that a crash
+    /// tells which of them did it.
+    ///
+    /// ```
+    /// use catkinlatch_state::suspect::{Change, Fingerprint, Suspects};
+    ///
+    /// let mut suspects = Suspects::default();
+    /// let fingerprint = Fingerprint::new([7; 16]);
+    /// for at_ms in [1, 2] {
+    ///     suspects.apply(&Change::Crashed { fingerprints: vec![fingerprint], at_ms });
+    /// }
+    /// assert!(suspects.is_refused(&fingerprint));
+    /// ```
+    #[derive(Default)]
+    pub struct Suspects {
+        suspects: BTreeMap<Fingerprint, Suspect>,
+    }
+}
+
+impl Suspects {
+    /// Returns the suspect with this fingerprint.
+    pub fn get(&self, fingerprint: &Fingerprint) -> Option<&Suspect> {
+        self.suspects.get(fingerprint)
+    }
+
+    /// Returns whether the request is refused on every node.
+    pub fn is_refused(&self, fingerprint: &Fingerprint) -> bool {
+        self.get(fingerprint).is_some_and(|suspect| suspect.crashes >= MAX_CRASHES)
+    }
+
+    /// Returns all suspects.
+    pub fn list(&self) -> &BTreeMap<Fingerprint, Suspect> {
+        &self.suspects
+    }
+
+    /// Returns whether a suspect runs on that target.
+    pub fn holds(&self, target: &TargetId, now_ms: u64) -> bool {
+        self.suspects.values().any(|suspect| suspect.holds(target, now_ms))
+    }
+
+    /// Returns whether [`Change::Expire`] would change anything.
+    pub fn has_due(&self, now_ms: u64) -> bool {
+        self.suspects.values().any(|suspect| suspect.last_ms + KEEP_MS <= now_ms)
+    }
+
+    /// Applies a change.
+    pub fn apply(&mut self, change: &Change) -> Reply {
+        match change {
+            Change::Crashed { fingerprints, at_ms } => self.crashed(fingerprints, *at_ms),
+            Change::Try { fingerprint, trial, now_ms } => self.start(fingerprint, trial, *now_ms),
+            Change::Return { fingerprint, node } => self.end(fingerprint, *node),
+            Change::Clear { fingerprint } => {
+                self.suspects.remove(fingerprint);
+                Reply::Done
+            }
+            Change::Expire { now_ms } => {
+                self.suspects.retain(|_, suspect| suspect.last_ms + KEEP_MS > *now_ms);
+                Reply::Done
+            }
+        }
+    }
+
+    fn crashed(&mut self, fingerprints: &[Fingerprint], at_ms: u64) -> Reply {
+        for fingerprint in fingerprints {
+            self.bound(fingerprint);
+            let new = Suspect { crashes: 0, last_ms: at_ms, trial: None };
+            let suspect = self.suspects.entry(*fingerprint).or_insert(new);
+            suspect.crashes += 1;
+            suspect.last_ms = at_ms;
+            suspect.trial = None;
+        }
+        Reply::Done
+    }
+
+    /// Makes room for one more, at the cost of the one that crashed a target longest ago.
+    fn bound(&mut self, fingerprint: &Fingerprint) {
+        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(fingerprint) {
+            return;
+        }
+        let refused_last = |suspect: &Suspect| (suspect.crashes >= MAX_CRASHES, suspect.last_ms);
+        let oldest = self.suspects.iter().min_by_key(|(_, suspect)| refused_last(suspect));
+        if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.suspects.remove(&oldest);
+        }
+    }
+
+    fn start(&mut self, fingerprint: &Fingerprint, trial: &Trial, now_ms: u64) -> Reply {
+        let taken = self.holds(&trial.target, now_ms);
+        let Some(suspect) = self.suspects.get_mut(fingerprint) else { return Reply::Innocent };
+        if suspect.crashes >= MAX_CRASHES {
+            return Reply::Refused;
+        }
+        let runs = suspect.trial.as_ref().is_some_and(|trial| trial.until_ms > now_ms);
+        if runs || taken {
+            return Reply::Busy;
+        }
+        invariant!(
+            "a suspect that crashed too many targets never runs",
+            suspect.crashes < MAX_CRASHES,
+            "{} crashes",
+            suspect.crashes
+        );
+        suspect.trial = Some(trial.clone());
+        Reply::Granted
+    }
+
+    fn end(&mut self, fingerprint: &Fingerprint, node: Incarnation) -> Reply {
+        if let Some(suspect) = self.suspects.get_mut(fingerprint) {
+            suspect.trial = suspect.trial.take().filter(|trial| trial.node != node);
+        }
+        Reply::Done
+    }
+}
+
+impl Suspect {
+    fn holds(&self, target: &TargetId, now_ms: u64) -> bool {
+        let holds = |trial: &Trial| trial.target == *target && trial.until_ms > now_ms;
+        self.trial.as_ref().is_some_and(holds)
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-state/tests/suspects.rs
@@ -0,0 +1,92 @@
+//! Suspects under random callers who resend through any node.
+
+#![expect(clippy::unwrap_used, reason = "a failed test may panic")]
+
+use catkinlatch_base::{Incarnation, TargetId};
+use catkinlatch_state::suspect::{
+    Change, Fingerprint, KEEP_MS, MAX_CRASHES, MAX_SUSPECTS, Reply, Suspects, Trial,
+};
+use std::collections::BTreeSet;
+use test_case::test_case;
+
+fn target(number: usize) -> TargetId {
+    format!("engine-{number}").parse().unwrap()
+}
+
+fn fingerprint(number: usize) -> Fingerprint {
+    Fingerprint::new((number as u128).to_be_bytes())
+}
+
+/// Runs one bad request and many good ones through the rules; returns the targets that were lost.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn one_bad_request_costs_two_targets(seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut suspects = Suspects::default();
+    let bad = 0;
+    let fellows: Vec<usize> = (1..30).collect();
+    let all = |numbers: &[usize]| numbers.iter().map(|n| fingerprint(*n)).collect();
+    let with_bad: Vec<usize> = fellows.iter().copied().chain([bad]).collect();
+    suspects.apply(&Change::Crashed { fingerprints: all(&with_bad), at_ms: 0 });
+    let mut lost = 1;
+    let mut cleared = BTreeSet::new();
+    let mut running: Vec<(usize, Trial)> = Vec::new();
+    for now_ms in 1..5_000 {
+        let number = random.usize(0..30);
+        let trial = Trial {
+            target: target(random.usize(0..9)),
+            node: Incarnation::new(random.u128(1..7)),
+            until_ms: now_ms + 60_000,
+        };
+        let change = Change::Try { fingerprint: fingerprint(number), trial: trial.clone(), now_ms };
+        if suspects.apply(&change) == Reply::Granted {
+            assert!(running.iter().all(|(n, t)| *n != number && t.target != trial.target));
+            running.push((number, trial));
+        }
+        if running.is_empty() || random.bool() {
+            continue;
+        }
+        let (number, trial) = running.swap_remove(random.usize(0..running.len()));
+        if number == bad {
+            lost += 1;
+            let crashed = Change::Crashed { fingerprints: all(&[bad]), at_ms: now_ms };
+            suspects.apply(&crashed);
+        } else if random.u32(0..4) == 0 {
+            let fingerprint = fingerprint(number);
+            suspects.apply(&Change::Return { fingerprint, node: trial.node });
+        } else {
+            suspects.apply(&Change::Clear { fingerprint: fingerprint(number) });
+            cleared.insert(number);
+        }
+    }
+    assert_eq!(lost, MAX_CRASHES);
+    assert!(suspects.is_refused(&fingerprint(bad)));
+    assert_eq!(cleared.len(), fellows.len(), "each fellow gets its answer");
+}
+
+#[test]
+fn a_trial_whose_node_died_ends_by_itself() {
+    let mut suspects = Suspects::default();
+    suspects.apply(&Change::Crashed { fingerprints: vec![fingerprint(1)], at_ms: 0 });
+    let trial = |until_ms| Trial { target: target(1), node: Incarnation::new(1), until_ms };
+    let start =
+        |now_ms| Change::Try { fingerprint: fingerprint(1), trial: trial(now_ms + 100), now_ms };
+    assert_eq!(suspects.apply(&start(0)), Reply::Granted);
+    assert_eq!(suspects.apply(&start(99)), Reply::Busy);
+    assert!(suspects.holds(&target(1), 99));
+    assert_eq!(suspects.apply(&start(100)), Reply::Granted);
+}
+
+#[test]
+fn suspects_are_bounded_and_expire() {
+    let mut suspects = Suspects::default();
+    for number in 0..=MAX_SUSPECTS {
+        let at_ms = number as u64;
+        suspects.apply(&Change::Crashed { fingerprints: vec![fingerprint(number)], at_ms });
+    }
+    assert_eq!(suspects.list().len(), MAX_SUSPECTS);
+    assert!(suspects.get(&fingerprint(0)).is_none());
+    suspects.apply(&Change::Expire { now_ms: KEEP_MS + MAX_SUSPECTS as u64 });
+    assert!(suspects.list().is_empty());
+}
