Run keyed requests at most once, isolate suspects and resume streams

A resend of a non-idempotent request ran again, a request that crashes targets could take one after another, and a broken stream was the caller's loss. A keyed request now claims before dispatch and a resend attaches or gets the kept answer; a crash is committed before any answer or retry, and suspects run alone until cleared or refused; an idempotent stream goes on at another engine from the last whole event; a withdrawn key ends its streams after a grace period with a partial error. The stand-in engine can crash, break, echo a wrong id and resume.

--- a/crates/catkinlatch-node/src/entry.rs
+++ b/crates/catkinlatch-node/src/entry.rs
@@ -2,16 +2,22 @@
 
 mod admission;
 mod api;
+mod claim;
 mod credential;
+mod digest;
 mod dispatch;
+mod live;
 mod refusal;
 mod request;
+mod running;
+mod sse;
 mod stream;
 mod tries;
 
 pub use self::{
     refusal::{Code, Ran, Refusal},
     request::REQUEST_ID,
+    stream::RESUMED,
 };
 
 pub(crate) use self::{
--- a/crates/catkinlatch-node/src/entry/admission.rs
+++ b/crates/catkinlatch-node/src/entry/admission.rs
@@ -203,6 +203,7 @@
 pub async fn maintain(node: Arc<Node>) {
     loop {
         tokio::time::sleep(UPDATE_INTERVAL).await;
+        super::claim::expire(&node).await;
         let now = node.clock.now();
         let state = node.control.state();
         let table = node.table();
--- a/crates/catkinlatch-node/src/entry/api.rs
+++ b/crates/catkinlatch-node/src/entry/api.rs
@@ -1,14 +1,17 @@
 //! HTTP interface for callers.
 
 use super::{
-    Code, Refusal, Ticket, admission, credential,
+    Code, Refusal, Ticket,
+    claim::Keyed,
+    credential,
     dispatch::{self, Call, Reply},
-    request, stream,
+    live,
+    request::{self, Caller},
+    stream,
 };
 use crate::Node;
 use bytes::Bytes;
 use catkinlatch_base::{ZoneId, derive_schema, event};
-use catkinlatch_route::admission::Class;
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, Body, HttpError, HttpResponseOk, Path,
     RequestContext, RequestInfo, UntypedBody, endpoint,
@@ -145,13 +148,14 @@
         let message = format!("the body is not a completion request: {error}");
         Refusal::not_run(id.clone(), Code::BadRequest, message)
     })?;
-    let ticket = Ticket::new(node, info.headers(), id, &asked.model)?;
-    check_length(&ticket, &body)?;
+    let caller = Caller::new(node, info.headers(), id, &asked.model)?;
+    check_length(&caller.ticket, &body)?;
     let call = dispatch::engine_call(path, body);
-    if asked.stream {
-        return stream::run_streamed(node, ticket, &call).await;
+    let keyed = Keyed::new(node, &caller.ticket, &call, info.headers())?;
+    if asked.stream && keyed.is_none() {
+        return stream::run_streamed(node, caller, call).await;
     }
-    run_live(node, &ticket, &call).await
+    Ok(respond(live::run(node, &caller, &call, keyed).await?))
 }
 
 async fn try_serve(
@@ -161,26 +165,17 @@
     body: UntypedBody,
 ) -> Result<Response<Body>, Box<Refusal>> {
     let id = request::request_id(info.headers());
-    let ticket = Ticket::new(node, info.headers(), id, &path.service)?;
+    let caller = Caller::new(node, info.headers(), id, &path.service)?;
     let body = Bytes::copy_from_slice(body.as_bytes());
-    check_length(&ticket, &body)?;
+    check_length(&caller.ticket, &body)?;
     let call = Call {
         method: info.method().clone(),
         path: service_path(&path, info),
         headers: credential::harmless_headers(info.headers()),
         body,
     };
-    run_live(node, &ticket, &call).await
-}
-
-async fn run_live(
-    node: &Arc<Node>,
-    ticket: &Ticket,
-    call: &Call,
-) -> Result<Response<Body>, Box<Refusal>> {
-    let cost = dispatch::cost(ticket, call);
-    let pass = admission::admit(node, ticket, Class::Live, cost).await?;
-    Ok(respond(dispatch::run_admitted(node, ticket, call, pass).await?))
+    let keyed = Keyed::new(node, &caller.ticket, &call, info.headers())?;
+    Ok(respond(live::run(node, &caller, &call, keyed).await?))
 }
 
 fn service_path(path: &ServicePath, info: &RequestInfo) -> String {
--- /dev/null
+++ b/crates/catkinlatch-node/src/entry/digest.rs
@@ -0,0 +1,29 @@
+//! Digests that tell requests apart.
+
+use super::{Ticket, dispatch::Call};
+use catkinlatch_state::suspect::Fingerprint;
+use sha2::{Digest, Sha256};
+
+/// Digests a request's team, route, method, path and body.
+pub fn digest(ticket: &Ticket, call: &Call) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    let head = [
+        ticket.team.as_str().as_bytes(),
+        ticket.route.id.as_str().as_bytes(),
+        call.method.as_str().as_bytes(),
+        call.path.as_bytes(),
+    ];
+    for part in head {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.update(&call.body);
+    hash.finalize().into()
+}
+
+/// Returns the fingerprint under which a request that crashes targets is known.
+pub fn fingerprint(ticket: &Ticket, call: &Call) -> Fingerprint {
+    let digest = digest(ticket, call);
+    let (head, _) = digest.split_first_chunk().expect("a digest has 32 bytes");
+    Fingerprint::new(*head)
+}
--- a/crates/catkinlatch-node/src/entry/dispatch.rs
+++ b/crates/catkinlatch-node/src/entry/dispatch.rs
@@ -5,6 +5,7 @@
     admission::{self, Pass},
     credential,
     request::REQUEST_ID,
+    running::{self, Running},
     tries::{Failure, Tries},
 };
 use crate::{
@@ -12,14 +13,9 @@
     upstream::{self, CallError},
 };
 use bytes::Bytes;
-use catkinlatch_base::{Instant, RequestId, TargetId, Tokens, event};
+use catkinlatch_base::{Instant, RequestId, Tokens, event};
 use catkinlatch_fleet::meter::Record;
-use catkinlatch_route::{
-    Key,
-    admission::Class,
-    retry::Effect,
-    target::{self, Wanted},
-};
+use catkinlatch_route::{admission::Class, retry::Effect, target::Wanted};
 use catkinlatch_state::config;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -36,6 +32,9 @@
 /// How many bytes of a request are taken for one token.
 const BYTES_PER_TOKEN: u64 = 4;
 
+/// The content type of answers that come as events.
+pub const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// What to send to a target.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -85,41 +84,6 @@
     usage: Usage,
 }
 
-/// A request under way on a target; counts as outstanding until dropped.
-pub struct Running {
-    /// The target.
-    pub target: TargetId,
-    address: String,
-    node: Arc<Node>,
-    key: Key,
-}
-
-impl Running {
-    /// Chooses a target for `ticket`, the ones in `tried` last.
-    fn begin(node: &Arc<Node>, ticket: &Ticket, tried: &[Key]) -> Result<Self, Failure> {
-        let now = node.clock.now();
-        let mut table = node.table();
-        let key = table.choose(&wanted(&ticket.route), tried, now);
-        let entry = key.and_then(|key| table.get(key).map(|entry| (key, entry)));
-        let Some((key, entry)) = entry else {
-            let message = "no target serves this route now; retry in a moment";
-            let refusal = Refusal::not_run(ticket.request.clone(), Code::NoTarget, message);
-            let refusal = refusal.with_retry_after_ms(1000);
-            return Err(Failure { effect: Effect::Unsent, refusal, target: None });
-        };
-        let target::Announcement { id: target, address, .. } = entry.announcement.clone();
-        table.begin(key);
-        drop(table);
-        Ok(Self { target, address, node: node.clone(), key })
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.node.table().end(self.key);
-    }
-}
-
 /// Returns which targets serve a route.
 pub fn wanted(route: &config::Route) -> Wanted {
     match &route.kind {
@@ -133,12 +97,13 @@
     node: &Arc<Node>,
     ticket: &Ticket,
     call: &Call,
-    tried: &[Key],
+    tries: &Tries,
 ) -> Result<(Running, Response<Incoming>), Failure> {
-    let running = Running::begin(node, ticket, tried)?;
-    let target = Some(running.key);
-    let request = target_request(node, ticket, call, &running.address)
-        .map_err(|refusal| Failure { effect: Effect::Unsent, refusal: *refusal, target })?;
+    let running = tries.begin(node, ticket).await?;
+    let request = match target_request(node, ticket, call, &running.address) {
+        Ok(request) => request,
+        Err(refusal) => return Err(Failure::unsent(*refusal)),
+    };
     node.record(event::Kind::Sent {
         request: ticket.request.clone(),
         team: ticket.team.clone(),
@@ -147,16 +112,16 @@
     let sent = node.upstream.send(request);
     let response = match tokio::time::timeout_at(node.clock.timer(ticket.deadline), sent).await {
         Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(failed(ticket, target, &error)),
-        Err(_) => return Err(late(ticket, target)),
+        Ok(Err(error)) => return Err(failed(ticket, running, &error)),
+        Err(_) => return Err(running::late(ticket, running)),
     };
     if !echoes(response.headers(), &ticket.request) {
         let message = "the target answered another request; retry if that does no harm";
-        return Err(perhaps_run(ticket, target, message));
+        return Err(perhaps_run(ticket, running, message));
     }
     if ticket.route.idempotent && is_gateway_error(response.status()) {
         let message = format!("the target answered with status {}", response.status());
-        return Err(perhaps_run(ticket, target, &message));
+        return Err(perhaps_run(ticket, running, &message));
     }
     Ok((running, response))
 }
@@ -166,10 +131,10 @@
     node: &Arc<Node>,
     ticket: &Ticket,
     call: &Call,
+    tries: &mut Tries,
 ) -> Result<(Running, Response<Incoming>), Box<Refusal>> {
-    let mut tries = Tries::new(node, ticket);
     loop {
-        match try_send(node, ticket, call, tries.tried()).await {
+        match try_send(node, ticket, call, tries).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => tries.after(node, ticket, failure).await?,
         }
@@ -195,13 +160,15 @@
 ) -> Result<Reply, Box<Refusal>> {
     let started = node.clock.now();
     pass.set_sent();
-    let mut tries = Tries::new(node, ticket);
-    let (mut head, body) = loop {
-        match try_whole(node, ticket, call, tries.tried()).await {
+    let mut tries = Tries::new(node, ticket, call);
+    let (running, mut head, body) = loop {
+        match try_whole(node, ticket, call, &tries).await {
             Ok(answer) => break answer,
             Err(failure) => tries.after(node, ticket, failure).await?,
         }
     };
+    tries.succeed(node, &running).await;
+    drop(running);
     let counted: Option<Counted> = serde_json::from_slice(&body).ok();
     let usage = counted.map(|counted| counted.usage).unwrap_or_default();
     pass.set_spent(usage.cost(cost(ticket, call)));
@@ -220,18 +187,33 @@
     node: &Arc<Node>,
     ticket: &Ticket,
     call: &Call,
-    tried: &[Key],
-) -> Result<(http::response::Parts, Bytes), Failure> {
-    let (running, response) = try_send(node, ticket, call, tried).await?;
-    let target = Some(running.key);
+    tries: &Tries,
+) -> Result<(Running, http::response::Parts, Bytes), Failure> {
+    let (running, response) = try_send(node, ticket, call, tries).await?;
     let (head, body) = response.into_parts();
     let limit = usize::try_from(ticket.route.max_answer_bytes).unwrap_or(usize::MAX);
     let read = upstream::read_body(body, limit);
-    match tokio::time::timeout_at(node.clock.timer(ticket.deadline), read).await {
-        Ok(Ok(body)) => Ok((head, body)),
-        Ok(Err(error)) => Err(failed(ticket, target, &error)),
-        Err(_) => Err(late(ticket, target)),
+    let body = match tokio::time::timeout_at(node.clock.timer(ticket.deadline), read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return Err(failed(ticket, running, &error)),
+        Err(_) => return Err(running::late(ticket, running)),
+    };
+    if !is_whole(ticket, &head, &body) {
+        return Err(perhaps_run(ticket, running, "the target's answer is cut short"));
     }
+    Ok((running, head, body))
+}
+
+/// Returns whether an engine's answer is complete in itself.
+fn is_whole(ticket: &Ticket, head: &http::response::Parts, body: &Bytes) -> bool {
+    if ticket.route.kind == config::Kind::Service || !head.status.is_success() {
+        return true;
+    }
+    let content_type = head.headers.get(header::CONTENT_TYPE).map(HeaderValue::as_bytes);
+    if content_type.is_some_and(|value| value.starts_with(EVENT_STREAM)) {
+        return body.trim_ascii_end().ends_with(b"data: [DONE]");
+    }
+    serde_json::from_slice::<serde::de::IgnoredAny>(body).is_ok()
 }
 
 /// Estimates the cost of a request.
@@ -325,24 +307,20 @@
     headers.get(REQUEST_ID).is_some_and(|value| value.as_bytes() == request.as_str().as_bytes())
 }
 
-fn failed(ticket: &Ticket, target: Option<Key>, error: &CallError) -> Failure {
-    let (ran, effect) = match error {
-        CallError::Connect => (Ran::No, Effect::Unsent),
-        CallError::Broken => (Ran::Maybe, Effect::Perhaps),
-        CallError::TooLong { .. } => (Ran::Yes, Effect::Perhaps),
+/// Says that the call to a target failed.
+pub fn failed(ticket: &Ticket, running: Running, error: &CallError) -> Failure {
+    let (ran, effect, broken) = match error {
+        CallError::Connect => (Ran::No, Effect::Unsent, false),
+        CallError::Broken => (Ran::Maybe, Effect::Perhaps, true),
+        CallError::TooLong { .. } => (Ran::Yes, Effect::Perhaps, false),
     };
     let message = format!("the target failed: {error}");
     let refusal = Refusal::not_run(ticket.request.clone(), Code::TargetFailed, message);
-    Failure { effect, refusal: refusal.with_ran(ran), target }
-}
-
-fn late(ticket: &Ticket, target: Option<Key>) -> Failure {
-    let message = "the target did not answer before the route's deadline";
-    let refusal = Refusal::not_run(ticket.request.clone(), Code::Deadline, message);
-    Failure { effect: Effect::Perhaps, refusal: refusal.with_ran(Ran::Maybe), target }
+    Failure { effect, refusal: refusal.with_ran(ran).into(), running: Some(running), broken }
 }
 
-fn perhaps_run(ticket: &Ticket, target: Option<Key>, message: &str) -> Failure {
+fn perhaps_run(ticket: &Ticket, running: Running, message: &str) -> Failure {
     let refusal = Refusal::not_run(ticket.request.clone(), Code::TargetFailed, message);
-    Failure { effect: Effect::Perhaps, refusal: refusal.with_ran(Ran::Maybe), target }
+    let refusal = refusal.with_ran(Ran::Maybe).into();
+    Failure { effect: Effect::Perhaps, refusal, running: Some(running), broken: false }
 }
--- a/crates/catkinlatch-node/src/entry/request.rs
+++ b/crates/catkinlatch-node/src/entry/request.rs
@@ -2,7 +2,7 @@
 
 use super::{Code, Refusal, credential::presented_key};
 use crate::Node;
-use catkinlatch_base::{Instant, RequestId, RouteId, TeamId};
+use catkinlatch_base::{Instant, KeyId, RequestId, RouteId, TeamId};
 use catkinlatch_state::config::Route;
 use http::HeaderMap;
 use std::time::Duration;
@@ -28,7 +28,16 @@
     pub deadline: Instant,
 }
 
-impl Ticket {
+/// A caller's request: the ticket, and the key that must stay in force while it waits and runs.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The request.
+    pub ticket: Ticket,
+    /// The key that came with it, unless the route is open.
+    pub key: Option<KeyId>,
+}
+
+impl Caller {
     /// Checks the key and the route of a request.
     pub fn new(
         node: &Node,
@@ -39,24 +48,47 @@
         let state = node.control.state();
         let config = state.config();
         let found = route.parse::<RouteId>().ok().and_then(|id| config.routes().get(&id));
-        let team = match presented_key(headers) {
-            Some(key) => config.authenticate(key).map(|(_, team)| team.clone()),
-            None if found.is_some_and(|route| route.open) => OPEN_TEAM.parse().ok(),
+        let known = match presented_key(headers) {
+            Some(key) => {
+                config.authenticate(key).map(|(key, team)| (Some(key.clone()), team.clone()))
+            }
+            None if found.is_some_and(|route| route.open) => {
+                OPEN_TEAM.parse().ok().map(|team| (None, team))
+            }
             None => None,
         };
-        let Some(team) = team else {
-            let message = "the key is missing or not in force; send a key of your team";
-            return Err(Refusal::not_run(request, Code::Unauthorized, message).into());
+        let Some((key, team)) = known else {
+            return Err(unauthorized(request).into());
         };
         let Some(route) = found else {
             let message = "no route has this name; ask your operator for the routes";
             return Err(Refusal::not_run(request, Code::NoRoute, message).into());
         };
         let deadline = node.clock.now() + Duration::from_millis(route.deadline_ms);
-        Ok(Self { request, team, route: route.clone(), deadline })
+        Ok(Self { ticket: Ticket { request, team, route: route.clone(), deadline }, key })
+    }
+
+    /// Returns whether the request's key is still in force.
+    pub fn is_in_force(&self, node: &Node) -> bool {
+        let Some(key) = &self.key else { return true };
+        let state = node.control.state();
+        state.config().keys().get(key).is_some_and(|key| key.team == self.ticket.team)
+    }
+
+    /// Refuses a request whose key was withdrawn while it waited.
+    pub fn check_key(&self, node: &Node) -> Result<(), Box<Refusal>> {
+        if self.is_in_force(node) {
+            return Ok(());
+        }
+        Err(unauthorized(self.ticket.request.clone()).into())
     }
 }
 
+fn unauthorized(request: RequestId) -> Refusal {
+    let message = "the key is missing or not in force; send a key of your team";
+    Refusal::not_run(request, Code::Unauthorized, message)
+}
+
 /// Keeps the caller's request id, or makes one.
 pub fn request_id(headers: &HeaderMap) -> RequestId {
     let header = headers.get(REQUEST_ID).or_else(|| headers.get("x-request-id"));
--- a/crates/catkinlatch-node/src/entry/tries.rs
+++ b/crates/catkinlatch-node/src/entry/tries.rs
@@ -1,39 +1,66 @@
 //! The tries of one request, on one target after another.
 
-use super::{Ran, Refusal, Ticket};
+use super::{
+    Code, Ran, Refusal, Ticket, digest,
+    dispatch::Call,
+    running::{self, Running},
+};
 use crate::Node;
 use catkinlatch_route::{
     Key,
     retry::{Effect, Plan, Step},
 };
+use catkinlatch_state::suspect::{Change, Fingerprint};
+use std::sync::Arc;
 
 /// A try that gave no answer.
 pub struct Failure {
     /// What the try may have done.
     pub effect: Effect,
     /// What the caller is told if no other try follows.
-    pub refusal: Refusal,
+    pub refusal: Box<Refusal>,
     /// The target that was tried, if there was one.
-    pub target: Option<Key>,
+    pub running: Option<Running>,
+    /// Whether the connection broke while the target had the request.
+    pub broken: bool,
+}
+
+impl Failure {
+    /// Creates the failure of a try that sent nothing.
+    pub fn unsent(refusal: Refusal) -> Self {
+        Self { effect: Effect::Unsent, refusal: refusal.into(), running: None, broken: false }
+    }
 }
 
 /// The tries of one request so far.
 pub struct Tries {
     plan: Plan,
     tried: Vec<Key>,
+    fingerprint: Fingerprint,
 }
 
 impl Tries {
     /// Starts the first try.
-    pub fn new(node: &Node, ticket: &Ticket) -> Self {
+    pub fn new(node: &Node, ticket: &Ticket, call: &Call) -> Self {
         node.admission.first_try(&ticket.route.id, node.clock.now());
         let plan = Plan::new(ticket.route.idempotent, ticket.deadline);
-        Self { plan, tried: Vec::new() }
+        Self { plan, tried: Vec::new(), fingerprint: digest::fingerprint(ticket, call) }
     }
 
-    /// Returns the targets that failed.
-    pub fn tried(&self) -> &[Key] {
-        &self.tried
+    /// Chooses the target of the next try.
+    pub async fn begin(&self, node: &Arc<Node>, ticket: &Ticket) -> Result<Running, Failure> {
+        if node.control.state().suspects().is_refused(&self.fingerprint) {
+            return Err(running::refused(ticket));
+        }
+        Running::begin(node, ticket, self.fingerprint, &self.tried).await
+    }
+
+    /// Records that a target answered.
+    pub async fn succeed(&self, node: &Node, running: &Running) {
+        if running.suspect {
+            let fingerprint = self.fingerprint;
+            running::propose(node, Change::Clear { fingerprint }).await;
+        }
     }
 
     /// Waits until the next try, or returns what the caller is told if there is none.
@@ -43,17 +70,50 @@
         ticket: &Ticket,
         failure: Failure,
     ) -> Result<(), Box<Refusal>> {
-        self.tried.extend(failure.target);
+        let Failure { effect, refusal, running, broken } = failure;
+        let recorded = match running {
+            Some(running) => self.record(node, running, broken).await,
+            None => true,
+        };
         let now = node.clock.now();
-        let plan = &mut self.plan;
-        let step = node.admission.after_failure(&ticket.route.id, plan, failure.effect, now);
+        let step = node.admission.after_failure(&ticket.route.id, &mut self.plan, effect, now);
         match step {
-            Step::Retry(pause) => {
+            Step::Retry(pause) if recorded && refusal.code != Code::Suspect => {
                 tokio::time::sleep(pause).await;
                 Ok(())
             }
-            Step::GiveUp => Err(self.refusal(failure.refusal).into()),
+            Step::Retry(_) | Step::GiveUp => Err(self.refusal(*refusal).into()),
+        }
+    }
+
+    /// Records a failed try after which no other follows, and returns what the caller is told.
+    pub async fn give_up(&mut self, node: &Node, failure: Failure) -> Box<Refusal> {
+        if let Some(running) = failure.running {
+            self.record(node, running, failure.broken).await;
+        }
+        failure.refusal
+    }
+
+    /// Records that the answer of a target is no longer wanted.
+    pub async fn leave(&mut self, node: &Node, running: Running) {
+        self.record(node, running, false).await;
+    }
+
+    /// Records whether the target crashed; returns `false` if control does not know it.
+    async fn record(&mut self, node: &Node, running: Running, broken: bool) -> bool {
+        self.tried.push(running.key);
+        let fingerprint = self.fingerprint;
+        if broken && running.has_crashed().await {
+            log::warn!("entry: target {} crashed under a request", running.target);
+            let at_ms = node.clock.wall_ms();
+            let fingerprints = vec![fingerprint];
+            return running::propose(node, Change::Crashed { fingerprints, at_ms }).await.is_some();
+        }
+        if running.suspect {
+            let change = Change::Return { fingerprint, node: node.incarnation };
+            running::propose(node, change).await;
         }
+        true
     }
 
     /// Tells the truth about all tries, not only about the last one.
--- a/crates/catkinlatch-standin/src/engine.rs
+++ b/crates/catkinlatch-standin/src/engine.rs
@@ -1,9 +1,11 @@
 //! A stand-in model engine.
 
 mod api;
+mod fault;
+mod generation;
 mod record;
 
-pub use self::record::Record;
+pub use self::{fault::Fault, record::Record};
 
 use crate::{announce, server, service::boot_id};
 use catkinlatch_base::{BootId, ModelId, TargetId, Term, Version, ZoneId};
@@ -14,7 +16,10 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::task::JoinHandle;
+use tokio::{
+    sync::{oneshot, watch},
+    task::JoinHandle,
+};
 
 /// How an engine behaves.
 #[derive(Clone, Debug)]
@@ -23,11 +28,15 @@
     pub slots: u32,
     /// How long one token takes.
     pub token_time: Duration,
+    /// Whether it can go on with an answer that another engine began.
+    pub resumes: bool,
+    /// What it does wrong with prompts that hold a mark.
+    pub faults: Vec<(String, Fault)>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { slots: 8, token_time: Duration::from_millis(2) }
+        Self { slots: 8, token_time: Duration::from_millis(2), resumes: true, faults: Vec::new() }
     }
 }
 
@@ -37,6 +46,7 @@
     id: TargetId,
     boot: BootId,
     options: Options,
+    crashed: watch::Sender<bool>,
     inner: Mutex<Inner>,
 }
 
@@ -56,7 +66,8 @@
 
 /// A running stand-in engine.
 pub struct Engine {
-    server: HttpServer<Arc<Shared>>,
+    stop: oneshot::Sender<()>,
+    server: JoinHandle<Result<(), String>>,
     shared: Arc<Shared>,
     announcer: JoinHandle<()>,
 }
@@ -77,6 +88,7 @@
             id: id.clone(),
             boot: boot.clone(),
             options,
+            crashed: watch::Sender::new(false),
             inner: Mutex::new(Inner::default()),
         });
         let mut description = ApiDescription::new();
@@ -94,7 +106,9 @@
         };
         announce::announce(&nodes, &announcement).await;
         let announcer = tokio::spawn(renew(shared.clone(), nodes, announcement));
-        Ok(Self { server, shared, announcer })
+        let (stop, stopped) = oneshot::channel();
+        let server = tokio::spawn(serve(server, shared.clone(), stopped));
+        Ok(Self { stop, server, shared, announcer })
     }
 
     /// Returns what the engine ran, in order.
@@ -102,16 +116,36 @@
         self.shared.lock().records.clone()
     }
 
+    /// Returns whether a prompt crashed the engine.
+    pub fn has_crashed(&self) -> bool {
+        *self.shared.crashed.borrow()
+    }
+
     /// Stops the engine.
     pub async fn stop(self) -> Result<(), String> {
         self.announcer.abort();
-        self.server.close().await
+        drop(self.stop);
+        self.server.await.map_err(|error| error.to_string())?
+    }
+}
+
+/// Serves until the engine is stopped or crashes.
+async fn serve(
+    server: HttpServer<Arc<Shared>>,
+    shared: Arc<Shared>,
+    stopped: oneshot::Receiver<()>,
+) -> Result<(), String> {
+    let mut crashed = shared.crashed.subscribe();
+    tokio::select! {
+        _ = stopped => {}
+        _ = crashed.wait_for(|crashed| *crashed) => {}
     }
+    server.close().await
 }
 
 /// Renews the announcement with the version that is loaded.
 async fn renew(shared: Arc<Shared>, nodes: Vec<SocketAddr>, mut announcement: Announcement) {
-    loop {
+    while !*shared.crashed.borrow() {
         tokio::time::sleep(announce::INTERVAL).await;
         if let Role::Engine { version, .. } = &mut announcement.role {
             *version = shared.lock().version;
--- a/crates/catkinlatch-standin/src/engine/api.rs
+++ b/crates/catkinlatch-standin/src/engine/api.rs
@@ -1,7 +1,6 @@
 //! HTTP interface of the stand-in engine.
 
-use super::{Record, Shared};
-use bytes::Bytes;
+use super::{Record, Shared, generation::Generation};
 use catkinlatch_base::{ModelId, OrderId, RequestId, Term, Version, derive_schema};
 use catkinlatch_node::entry::REQUEST_ID;
 use dropshot::{
@@ -9,18 +8,14 @@
     HttpResponseOk, HttpResponseUpdatedNoContent, RequestContext, TypedBody, endpoint,
 };
 use http::Response;
-use http_body_util::channel::{Channel, Sender};
 use schemars::JsonSchema;
 use serde::Deserialize;
-use serde_json::{Value, json};
-use std::{io, sync::Arc};
+use serde_json::Value;
+use std::sync::Arc;
 
 type Context = RequestContext<Arc<Shared>>;
 type Answer = Result<Response<Body>, HttpError>;
 
-/// How many tokens an answer has unless the request says otherwise.
-const DEFAULT_TOKENS: u64 = 16;
-
 /// How callers' keys begin.
 const CALLER_KEY_MARK: &str = "ck_";
 
@@ -33,25 +28,33 @@
     Ok(())
 }
 
+/// How an answer is written.
 #[derive(Clone, Copy)]
-enum Shape {
+pub enum Shape {
+    /// A message of a chat.
     Chat,
+    /// Plain text.
     Text,
 }
 
+/// A completion request.
 #[derive(Deserialize, JsonSchema)]
-struct Asked {
+pub struct Asked {
     #[serde(default)]
     prompt: Value,
     #[serde(default)]
     messages: Value,
-    max_tokens: Option<u64>,
+    /// The longest answer, in tokens.
+    pub max_tokens: Option<u64>,
     #[serde(default)]
     stream: bool,
+    /// How many tokens of the answer another engine made.
+    pub resume_tokens: Option<u64>,
 }
 
 impl Asked {
-    fn prompt_text(&self) -> String {
+    /// Returns the prompt as text.
+    pub fn prompt_text(&self) -> String {
         if self.messages.is_null() { self.prompt.to_string() } else { self.messages.to_string() }
     }
 }
@@ -118,122 +121,3 @@
     }
     Ok(generation.whole(shape).await)
 }
-
-/// One answer in the making.
-struct Generation {
-    shared: Arc<Shared>,
-    id: RequestId,
-    prompt_tokens: u64,
-    wanted: u64,
-    saw_caller_key: bool,
-    start: Option<Version>,
-    end: Option<Version>,
-    tokens: Vec<String>,
-    spans: Vec<(Version, u64)>,
-}
-
-impl Generation {
-    fn new(shared: Arc<Shared>, id: RequestId, asked: &Asked, saw_caller_key: bool) -> Self {
-        let prompt_tokens = asked.prompt_text().split_whitespace().count() as u64;
-        let wanted = asked.max_tokens.unwrap_or(DEFAULT_TOKENS);
-        let (tokens, spans) = (Vec::new(), Vec::new());
-        let (start, end) = (None, None);
-        Self { shared, id, prompt_tokens, wanted, saw_caller_key, start, end, tokens, spans }
-    }
-
-    /// Makes one token with the weights that are loaded now.
-    async fn step(&mut self) -> (String, Version) {
-        tokio::time::sleep(self.shared.options.token_time).await;
-        let version = self.shared.lock().version;
-        self.start = self.start.or(Some(version));
-        self.end = Some(version);
-        let token = format!("t{} ", self.tokens.len());
-        self.tokens.push(token.clone());
-        match self.spans.last_mut() {
-            Some((last, count)) if *last == version => *count += 1,
-            Some(_) | None => self.spans.push((version, 1)),
-        }
-        (token, version)
-    }
-
-    async fn whole(mut self, shape: Shape) -> Response<Body> {
-        while (self.tokens.len() as u64) < self.wanted {
-            self.step().await;
-        }
-        self.record();
-        let text = self.tokens.concat();
-        let choice = match shape {
-            Shape::Chat => json!({ "index": 0, "finish_reason": "stop",
-                "message": { "role": "assistant", "content": text } }),
-            Shape::Text => json!({ "index": 0, "finish_reason": "stop", "text": text }),
-        };
-        let body = json!({ "id": self.id, "choices": [choice], "usage": self.usage(),
-            "weight_start": self.start, "weight_end": self.end,
-            "weight_spans": self.spans(), "boot": self.shared.boot });
-        self.respond("application/json", Body::from(body.to_string()))
-    }
-
-    fn stream(self, shape: Shape) -> Response<Body> {
-        let (sender, channel) = Channel::<Bytes, io::Error>::new(1);
-        let response = self.respond("text/event-stream", Body::wrap(channel));
-        tokio::spawn(self.feed(shape, sender));
-        response
-    }
-
-    async fn feed(mut self, shape: Shape, mut sender: Sender<Bytes, io::Error>) {
-        while (self.tokens.len() as u64) < self.wanted {
-            let (token, version) = self.step().await;
-            let choice = match shape {
-                Shape::Chat => json!({ "index": 0, "delta": { "content": token } }),
-                Shape::Text => json!({ "index": 0, "text": token }),
-            };
-            let chunk = json!({ "id": self.id, "choices": [choice], "weight_version": version });
-            if sender.send_data(event(&chunk.to_string())).await.is_err() {
-                return;
-            }
-        }
-        self.record();
-        let last = json!({ "id": self.id, "choices": [], "usage": self.usage(),
-            "weight_start": self.start, "weight_end": self.end,
-            "weight_spans": self.spans(), "boot": self.shared.boot });
-        for data in [last.to_string(), "[DONE]".to_owned()] {
-            if sender.send_data(event(&data)).await.is_err() {
-                return;
-            }
-        }
-    }
-
-    fn respond(&self, content_type: &str, body: Body) -> Response<Body> {
-        Response::builder()
-            .header("content-type", content_type)
-            .header(REQUEST_ID, self.id.as_str())
-            .header("x-target", self.shared.id.as_str())
-            .body(body)
-            .expect("the parts are valid")
-    }
-
-    fn record(&self) {
-        self.shared.lock().records.push(Record {
-            request: self.id.clone(),
-            versions: self.spans.iter().map(|(version, _)| *version).collect(),
-            prompt_tokens: self.prompt_tokens,
-            completion_tokens: self.tokens.len() as u64,
-            saw_caller_key: self.saw_caller_key,
-        });
-    }
-
-    fn usage(&self) -> Value {
-        json!({ "prompt_tokens": self.prompt_tokens, "completion_tokens": self.tokens.len() })
-    }
-
-    fn spans(&self) -> Value {
-        let span =
-            |(version, tokens): &(Version, u64)| json!({ "version": version, "tokens": tokens });
-        Value::Array(self.spans.iter().map(span).collect())
-    }
-}
-
-/// Frames a server-sent event.
-fn event(data: &str) -> Bytes {
-    Bytes::from(format!("data: {data}\n\n"))
-}
--- /dev/null
+++ b/crates/catkinlatch-standin/src/engine/generation.rs
@@ -0,0 +1,194 @@
+//! The making of one answer.
+
+use super::{
+    Fault, Record, Shared,
+    api::{Asked, Shape},
+};
+use bytes::Bytes;
+use catkinlatch_base::{RequestId, Version};
+use catkinlatch_node::entry::{REQUEST_ID, RESUMED};
+use dropshot::Body;
+use http::Response;
+use http_body_util::channel::{Channel, Sender};
+use serde_json::{Value, json};
+use std::{io, sync::Arc};
+
+/// How many tokens an answer has unless the request says otherwise.
+const DEFAULT_TOKENS: u64 = 16;
+
+/// How many tokens an engine makes before a prompt crashes it.
+const CRASH_TOKENS: u64 = 2;
+
+/// One answer in the making.
+pub struct Generation {
+    shared: Arc<Shared>,
+    id: RequestId,
+    prompt_tokens: u64,
+    wanted: u64,
+    saw_caller_key: bool,
+    resumed: Option<u64>,
+    fault: Option<Fault>,
+    start: Option<Version>,
+    end: Option<Version>,
+    tokens: Vec<String>,
+    spans: Vec<(Version, u64)>,
+}
+
+impl Generation {
+    /// Starts an answer.
+    pub fn new(shared: Arc<Shared>, id: RequestId, asked: &Asked, saw_caller_key: bool) -> Self {
+        let prompt = asked.prompt_text();
+        let prompt_tokens = prompt.split_whitespace().count() as u64;
+        let faults = &shared.options.faults;
+        let fault = faults.iter().find(|(mark, _)| prompt.contains(mark)).map(|(_, fault)| *fault);
+        let resumed = asked.resume_tokens.filter(|_| shared.options.resumes);
+        let wanted = asked.max_tokens.unwrap_or(DEFAULT_TOKENS);
+        let tokens = (0..resumed.unwrap_or(0)).map(|number| format!("t{number} ")).collect();
+        let (start, end, spans) = (None, None, Vec::new());
+        Self {
+            shared,
+            id,
+            prompt_tokens,
+            wanted,
+            saw_caller_key,
+            resumed,
+            fault,
+            start,
+            end,
+            tokens,
+            spans,
+        }
+    }
+
+    /// Makes one token with the weights that are loaded now.
+    async fn step(&mut self) -> (String, Version) {
+        tokio::time::sleep(self.shared.options.token_time).await;
+        let version = self.shared.lock().version;
+        self.start = self.start.or(Some(version));
+        self.end = Some(version);
+        let token = format!("t{} ", self.tokens.len());
+        self.tokens.push(token.clone());
+        match self.spans.last_mut() {
+            Some((last, count)) if *last == version => *count += 1,
+            Some(_) | None => self.spans.push((version, 1)),
+        }
+        (token, version)
+    }
+
+    /// Makes the whole answer.
+    pub async fn whole(mut self, shape: Shape) -> Response<Body> {
+        while (self.tokens.len() as u64) < self.wanted {
+            if self.breaks() {
+                return self.broken();
+            }
+            self.step().await;
+        }
+        self.record();
+        let text = self.tokens.concat();
+        let choice = match shape {
+            Shape::Chat => json!({ "index": 0, "finish_reason": "stop",
+                "message": { "role": "assistant", "content": text } }),
+            Shape::Text => json!({ "index": 0, "finish_reason": "stop", "text": text }),
+        };
+        let body = json!({ "id": self.id, "choices": [choice], "usage": self.usage(),
+            "weight_start": self.start, "weight_end": self.end,
+            "weight_spans": self.spans(), "boot": self.shared.boot });
+        self.respond("application/json", Body::from(body.to_string()))
+    }
+
+    /// Makes the answer as a stream of events.
+    pub fn stream(self, shape: Shape) -> Response<Body> {
+        let (sender, channel) = Channel::<Bytes, io::Error>::new(1);
+        let response = self.respond("text/event-stream", Body::wrap(channel));
+        tokio::spawn(self.feed(shape, sender));
+        response
+    }
+
+    async fn feed(mut self, shape: Shape, mut sender: Sender<Bytes, io::Error>) {
+        while (self.tokens.len() as u64) < self.wanted {
+            if self.breaks() {
+                return sender.abort(io::Error::other("the engine broke the connection"));
+            }
+            let (token, version) = self.step().await;
+            let choice = match shape {
+                Shape::Chat => json!({ "index": 0, "delta": { "content": token } }),
+                Shape::Text => json!({ "index": 0, "text": token }),
+            };
+            let chunk = json!({ "id": self.id, "choices": [choice], "weight_version": version });
+            if sender.send_data(event(&chunk.to_string())).await.is_err() {
+                return;
+            }
+        }
+        self.record();
+        let last = json!({ "id": self.id, "choices": [], "usage": self.usage(),
+            "weight_start": self.start, "weight_end": self.end,
+            "weight_spans": self.spans(), "boot": self.shared.boot });
+        for data in [last.to_string(), "[DONE]".to_owned()] {
+            if sender.send_data(event(&data)).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the connection breaks now, because of this prompt or because of a crash.
+    fn breaks(&self) -> bool {
+        let made = self.tokens.len() as u64;
+        match self.fault {
+            Some(Fault::Crash) if made >= CRASH_TOKENS => {
+                self.shared.crashed.send_replace(true);
+            }
+            Some(Fault::Break { after_tokens }) if made >= after_tokens => return true,
+            Some(Fault::Crash | Fault::WrongId | Fault::Break { .. }) | None => {}
+        }
+        *self.shared.crashed.borrow()
+    }
+
+    /// Answers with a head and a body that breaks at once.
+    fn broken(&self) -> Response<Body> {
+        let (sender, channel) = Channel::<Bytes, io::Error>::new(1);
+        sender.abort(io::Error::other("the engine broke the connection"));
+        self.respond("application/json", Body::wrap(channel))
+    }
+
+    fn respond(&self, content_type: &str, body: Body) -> Response<Body> {
+        let id = match self.fault {
+            Some(Fault::WrongId) => "another-request",
+            Some(Fault::Crash | Fault::Break { .. }) | None => self.id.as_str(),
+        };
+        let mut response = Response::builder();
+        if let Some(resumed) = self.resumed {
+            response = response.header(RESUMED, resumed);
+        }
+        response
+            .header("content-type", content_type)
+            .header(REQUEST_ID, id)
+            .header("x-target", self.shared.id.as_str())
+            .body(body)
+            .expect("the parts are valid")
+    }
+
+    fn record(&self) {
+        self.shared.lock().records.push(Record {
+            request: self.id.clone(),
+            versions: self.spans.iter().map(|(version, _)| *version).collect(),
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens: self.tokens.len() as u64,
+            saw_caller_key: self.saw_caller_key,
+        });
+    }
+
+    fn usage(&self) -> Value {
+        json!({ "prompt_tokens": self.prompt_tokens, "completion_tokens": self.tokens.len() })
+    }
+
+    fn spans(&self) -> Value {
+        let span =
+            |(version, tokens): &(Version, u64)| json!({ "version": version, "tokens": tokens });
+        Value::Array(self.spans.iter().map(span).collect())
+    }
+}
+
+/// Frames a server-sent event.
+fn event(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
