--- a/crates/catkinlatch-route/src/retry/plan.rs
+++ b/crates/catkinlatch-route/src/retry/plan.rs
@@ -36,7 +36,6 @@
 ///
 /// let mut budget = Budget::new(Ratio::new(1.0), Instant::ZERO);
 /// let mut plan = Plan::new(false, Instant::from_millis(1000));
-/// budget.earn(Instant::ZERO);
 /// let mut random = fastrand::Rng::with_seed(1);
 /// let step = plan.after(Effect::Perhaps, &mut budget, Instant::ZERO, &mut random);
 /// assert_eq!(step, Step::GiveUp);
