Close usage windows from what every node says, and correct late usage

A window froze whatever the leader's own process had counted: usage of other nodes was left out, a node lost with its memory took its counters along, and a node that came back had no way to bring what it had.

Each node's counters are now cumulative by window, team and model under a name drawn at each start, so merging two readings takes the higher counter and neither order nor number of messages matters. Other hosts speak for a node that is gone; what it brings later goes into the next window as a correction that names the window it was used in. A node's own statement is final, since its meter puts later usage into the next window.

Ruled out: a counter of accounted sequence numbers in place of cumulative figures, since a second host may hold only part of them; keeping what was counted of every node and window, since that grows with nodes times windows.

--- a/crates/catkinlatch-fleet/src/meter.rs
+++ b/crates/catkinlatch-fleet/src/meter.rs
@@ -1,8 +1,8 @@
 //! Counters of what teams used, by window.
 
-use catkinlatch_base::{ModelId, TeamId, Tokens, WindowId, derive_schema};
-use catkinlatch_state::window::Figure;
-use std::collections::BTreeMap;
+use catkinlatch_base::{ModelId, TeamId, Tokens, WindowId, derive_schema, invariant};
+use catkinlatch_state::window::{Count, Figure};
+use std::collections::{BTreeMap, BTreeSet};
 
 derive_schema! {
     /// What one request or sample used.
@@ -20,6 +20,9 @@
     }
 }
 
+/// Names one counter of a window.
+type Key = (TeamId, ModelId);
+
 /// Cumulative counters by window, team and model.
 ///
 /// ```
@@ -35,11 +38,16 @@
 ///     target_ms: 20,
 /// };
 /// meter.add(WindowId::new(7), &record);
+/// meter.close(WindowId::new(7));
+/// assert_eq!(meter.add(WindowId::new(7), &record), WindowId::new(8));
 /// assert_eq!(meter.figures(WindowId::new(7))[0].completion_tokens, Tokens::new(5));
 /// ```
 #[derive(Debug, Default)]
 pub struct Meter {
-    windows: BTreeMap<WindowId, BTreeMap<(TeamId, ModelId), Figure>>,
+    windows: BTreeMap<WindowId, BTreeMap<Key, Figure>>,
+    closed: Option<WindowId>,
+    changed: BTreeSet<(WindowId, Key)>,
+    additions: u64,
 }
 
 impl Meter {
@@ -48,26 +56,73 @@
         Self::default()
     }
 
-    /// Counts one request or sample.
-    pub fn add(&mut self, window: WindowId, record: &Record) {
+    /// Counts one request or sample, and returns the window that it went into.
+    ///
+    /// That is the first open window if `window` is closed already.
+    pub fn add(&mut self, window: WindowId, record: &Record) -> WindowId {
+        let window = self.closed.map_or(window, |closed| window.max(closed.next()));
+        invariant!(
+            "no usage goes into a window that the node has spoken for",
+            Some(window) > self.closed,
+            "window {window} is closed"
+        );
         let key = (record.team.clone(), record.model.clone());
-        let empty = || Figure {
-            team: record.team.clone(),
-            model: record.model.clone(),
-            requests: 0,
-            prompt_tokens: Tokens::default(),
-            completion_tokens: Tokens::default(),
-            target_ms: 0,
-        };
-        let figure = self.windows.entry(window).or_default().entry(key).or_insert_with(empty);
+        let zero = || Figure::zero(record.team.clone(), record.model.clone());
+        let figure =
+            self.windows.entry(window).or_default().entry(key.clone()).or_insert_with(zero);
         figure.requests += 1;
         figure.prompt_tokens += record.prompt_tokens;
         figure.completion_tokens += record.completion_tokens;
         figure.target_ms += record.target_ms;
+        self.changed.insert((window, key));
+        self.additions += 1;
+        window
+    }
+
+    /// Returns how many requests and samples were counted since the start.
+    pub fn additions(&self) -> u64 {
+        self.additions
+    }
+
+    /// Ends a window and all before it: nothing is added to them any more.
+    pub fn close(&mut self, through: WindowId) {
+        self.closed = self.closed.max(Some(through));
     }
 
     /// Returns the figures of a window, sorted by team and model.
     pub fn figures(&self, window: WindowId) -> Vec<Figure> {
         self.windows.get(&window).map_or_else(Vec::new, |w| w.values().cloned().collect())
     }
+
+    /// Returns the counters of all kept windows up to `through`.
+    pub fn counts(&self, through: WindowId) -> Vec<Count> {
+        let windows = self.windows.range(..=through).map(|(window, _)| *window);
+        windows.map(|window| Count { window, figures: self.figures(window) }).collect()
+    }
+
+    /// Returns the counters of all kept windows.
+    pub fn all(&self) -> Vec<Count> {
+        self.counts(WindowId::new(u64::MAX))
+    }
+
+    /// Returns the counters that changed since they were last taken.
+    pub fn take_changes(&mut self) -> Vec<Count> {
+        let mut counts: Vec<Count> = Vec::new();
+        for (window, key) in std::mem::take(&mut self.changed) {
+            let Some(figure) = self.windows.get(&window).and_then(|w| w.get(&key)) else {
+                continue;
+            };
+            match counts.last_mut().filter(|count| count.window == window) {
+                Some(count) => count.figures.push(figure.clone()),
+                None => counts.push(Count { window, figures: vec![figure.clone()] }),
+            }
+        }
+        counts
+    }
+
+    /// Drops the windows up to `through`, which are accounted for.
+    pub fn forget(&mut self, through: WindowId) {
+        self.windows.retain(|window, _| *window > through);
+        self.changed.retain(|(window, _)| *window > through);
+    }
 }
--- a/crates/catkinlatch-fleet/src/usage.rs
+++ b/crates/catkinlatch-fleet/src/usage.rs
@@ -1,5 +1,13 @@
 //! Usage of teams: windows, their reports and their budgets.
 
+mod book;
+mod budget;
+mod closer;
 mod report;
 
-pub use self::report::Report;
+pub use self::{
+    book::Book,
+    budget::{Budget, Verdict},
+    closer::{Answer, Closer, Step},
+    report::Report,
+};
--- /dev/null
+++ b/crates/catkinlatch-fleet/src/usage/book.rs
@@ -0,0 +1,90 @@
+//! Counters that a host holds for nodes on other hosts, in case they are lost.
+
+use catkinlatch_base::{HostId, Incarnation, WindowId};
+use catkinlatch_state::window::{Count, Figure, Source, Statement, Windows, figure};
+use std::collections::BTreeMap;
+
+/// The counters held for one node.
+#[derive(Clone, Debug)]
+struct Held {
+    host: HostId,
+    windows: BTreeMap<WindowId, Vec<Figure>>,
+}
+
+/// Counters that a host holds for nodes on other hosts.
+///
+/// The counters are cumulative and only grow, so the order and number of messages has no effect.
+///
+/// ```
+/// use catkinlatch_base::{Incarnation, WindowId};
+/// use catkinlatch_fleet::usage::Book;
+/// use catkinlatch_state::window::Count;
+///
+/// let mut book = Book::new("host-2".parse().expect("the id is valid"));
+/// let host = "host-1".parse().expect("the id is valid");
+/// let count = Count { window: WindowId::new(7), figures: vec![] };
+/// book.keep(&host, Incarnation::new(1), &[count]);
+/// assert_eq!(book.statements(WindowId::new(7)).len(), 1);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Book {
+    holder: HostId,
+    held: BTreeMap<Incarnation, Held>,
+}
+
+impl Book {
+    /// Creates an empty book on a host.
+    pub fn new(holder: HostId) -> Self {
+        Self { holder, held: BTreeMap::new() }
+    }
+
+    /// Keeps a node's counters.
+    pub fn keep(&mut self, host: &HostId, incarnation: Incarnation, counts: &[Count]) {
+        let empty = || Held { host: host.clone(), windows: BTreeMap::new() };
+        let held = self.held.entry(incarnation).or_insert_with(empty);
+        for count in counts {
+            let figures = held.windows.entry(count.window).or_default();
+            figure::merge(figures, &count.figures, Figure::raise);
+        }
+    }
+
+    /// Returns what the book holds of each node up to a window.
+    pub fn statements(&self, through: WindowId) -> Vec<Statement> {
+        let counts = |held: &Held| {
+            let windows = held.windows.range(..=through);
+            let count = |(window, figures): (&WindowId, &Vec<Figure>)| Count {
+                window: *window,
+                figures: figures.clone(),
+            };
+            windows.map(count).collect()
+        };
+        self.held
+            .iter()
+            .map(|(incarnation, held)| Statement {
+                host: held.host.clone(),
+                incarnation: *incarnation,
+                spoken_by: Some(self.holder.clone()),
+                counts: counts(held),
+            })
+            .collect()
+    }
+
+    /// Drops the counters that the frozen windows account for.
+    pub fn forget(&mut self, windows: &Windows) {
+        let Some(last) = windows.last() else { return };
+        for (incarnation, held) in &mut self.held {
+            let Some(source) = windows.sources().get(incarnation) else { continue };
+            held.windows.retain(|window, figures| {
+                *window > last || !is_accounted(source, *window, figures)
+            });
+        }
+        self.held.retain(|incarnation, held| {
+            let gone = windows.sources().get(incarnation).is_none_or(|source| source.is_gone);
+            !(gone && held.windows.is_empty())
+        });
+    }
+}
+
+fn is_accounted(source: &Source, window: WindowId, figures: &[Figure]) -> bool {
+    source.covers(&Count { window, figures: figures.to_vec() })
+}
--- a/crates/catkinlatch-fleet/src/usage/report.rs
+++ b/crates/catkinlatch-fleet/src/usage/report.rs
@@ -1,7 +1,7 @@
 //! The report of a frozen window, the same bytes each time it is made.
 
 use catkinlatch_base::{HostId, Term, WindowId, derive_schema};
-use catkinlatch_state::window::{Figure, Window};
+use catkinlatch_state::window::{Correction, Figure, Window};
 use sha2::{Digest, Sha256};
 
 derive_schema! {
@@ -21,6 +21,8 @@
         pub reporter: HostId,
         /// The figures, sorted by team and model.
         pub figures: Vec<Figure>,
+        /// Usage of earlier windows that became known late.
+        pub corrections: Vec<Correction>,
     }
 }
 
@@ -34,6 +36,7 @@
             fence: window.term,
             reporter: window.host.clone(),
             figures: window.figures.clone(),
+            corrections: window.corrections.clone(),
         }
     }
 
--- /dev/null
+++ b/crates/catkinlatch-fleet/tests/usage_windows.rs
@@ -0,0 +1,256 @@
+//! Randomised runs: nodes count, hand over, crash and are cut off while windows close.
+
+use catkinlatch_base::{HostId, Incarnation, Instant, Term, Tokens, WindowId};
+use catkinlatch_fleet::{
+    Meter,
+    meter::Record,
+    usage::{Answer, Book, Closer, Report, Step},
+};
+use catkinlatch_state::window::{Change, Figure, Reply, Statement, Windows};
+use std::{collections::BTreeMap, time::Duration};
+use test_case::test_case;
+
+const HOSTS: usize = 6;
+const WINDOW_MS: u64 = 1_000;
+const STEP_MS: u64 = 50;
+const GRACE: Duration = Duration::from_millis(1_500);
+
+/// One node and what it holds for others.
+struct Node {
+    host: HostId,
+    incarnation: Incarnation,
+    meter: Meter,
+    book: Book,
+    cut_until: u64,
+    /// The incarnation of the second host that has all counters.
+    second: Option<Incarnation>,
+}
+
+/// All nodes, the replicated state, and the true usage.
+struct World {
+    random: fastrand::Rng,
+    nodes: Vec<Node>,
+    windows: Windows,
+    closer: Closer,
+    term: u64,
+    now_ms: u64,
+    truth: u64,
+    reports: BTreeMap<WindowId, Vec<u8>>,
+    last_crash: u64,
+}
+
+fn host(number: usize) -> HostId {
+    format!("host-{number}").parse().expect("the id is valid")
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let node = |number| Node {
+            host: host(number),
+            incarnation: Incarnation::draw(&mut random),
+            meter: Meter::new(),
+            book: Book::new(host(number)),
+            cut_until: 0,
+            second: None,
+        };
+        let nodes = (0..HOSTS).map(node).collect();
+        let mut world = Self {
+            random,
+            nodes,
+            windows: Windows::default(),
+            closer: Closer::new(GRACE),
+            term: 1,
+            now_ms: 0,
+            truth: 0,
+            reports: BTreeMap::new(),
+            last_crash: 0,
+        };
+        (0..HOSTS).for_each(|number| world.enrol(number));
+        world
+    }
+
+    fn present(&self) -> WindowId {
+        WindowId::new(self.now_ms / WINDOW_MS)
+    }
+
+    fn is_cut(&self, number: usize) -> bool {
+        self.now_ms < self.nodes[number].cut_until
+    }
+
+    fn enrol(&mut self, number: usize) {
+        let node = &self.nodes[number];
+        let active = self.windows.sources().get(&node.incarnation).is_some_and(|s| !s.is_gone);
+        if !active && !self.is_cut(number) {
+            let (host, incarnation) = (node.host.clone(), node.incarnation);
+            self.windows.apply(&Change::Enrol { host, incarnation, from: self.present() });
+        }
+    }
+
+    /// Runs one request on a node and hands its counters to the second host.
+    fn count(&mut self, number: usize) {
+        let tokens = self.random.u64(1..100);
+        let record = Record {
+            team: format!("team-{}", self.random.u8(0..3)).parse().expect("the id is valid"),
+            model: "draft".parse().expect("the id is valid"),
+            prompt_tokens: Tokens::new(0),
+            completion_tokens: Tokens::new(tokens),
+            target_ms: 1,
+        };
+        let skew = self.random.u64(0..200);
+        let window = WindowId::new(self.now_ms.saturating_sub(skew) / WINDOW_MS);
+        self.nodes[number].meter.add(window, &record);
+        self.truth += tokens;
+        self.hand_over(number);
+    }
+
+    fn hand_over(&mut self, number: usize) {
+        let second = (number + 1) % HOSTS;
+        if self.is_cut(number) || self.is_cut(second) {
+            self.nodes[number].second = None;
+            return;
+        }
+        let holder = self.nodes[second].incarnation;
+        let node = &mut self.nodes[number];
+        let changes = node.meter.take_changes();
+        let counts = if node.second == Some(holder) { changes } else { node.meter.all() };
+        node.second = Some(holder);
+        let (host, incarnation) = (node.host.clone(), node.incarnation);
+        for _ in 0..self.random.u8(1..3) {
+            self.nodes[second].book.keep(&host, incarnation, &counts);
+        }
+    }
+
+    /// Restarts a node without its memory, if all it counted is in two places.
+    fn crash(&mut self, number: usize) {
+        let quiet = (0..HOSTS).all(|n| self.nodes[n].cut_until + 6_000 < self.now_ms);
+        if !quiet || self.last_crash + 6_000 > self.now_ms {
+            return;
+        }
+        self.last_crash = self.now_ms;
+        (0..HOSTS).for_each(|n| self.hand_over(n));
+        self.nodes[number] = Node {
+            host: host(number),
+            incarnation: Incarnation::draw(&mut self.random),
+            meter: Meter::new(),
+            book: Book::new(host(number)),
+            cut_until: 0,
+            second: None,
+        };
+        (0..HOSTS).for_each(|n| self.hand_over(n));
+    }
+
+    /// Takes the leader's next step; a new leader starts with an empty closer.
+    fn lead(&mut self) {
+        if self.random.u8(0..40) == 0 {
+            self.closer = Closer::new(GRACE);
+            self.term += 1;
+        }
+        let hosts: Vec<HostId> = (0..HOSTS).map(host).collect();
+        let now = Instant::from_millis(self.now_ms);
+        match self.closer.next(&self.windows, self.present(), &hosts, now) {
+            Step::Idle => {}
+            Step::Ask { window, hosts } => {
+                for number in (0..HOSTS).filter(|n| hosts.contains(&host(*n))) {
+                    if !self.is_cut(number) && self.random.u8(0..4) > 0 {
+                        self.answer(window, number);
+                    }
+                }
+            }
+            Step::Freeze { window, statements } => self.freeze(window, statements),
+        }
+    }
+
+    fn answer(&mut self, window: WindowId, number: usize) {
+        let node = &mut self.nodes[number];
+        node.meter.close(window);
+        let own = Statement {
+            host: node.host.clone(),
+            incarnation: node.incarnation,
+            spoken_by: None,
+            counts: node.meter.counts(window),
+        };
+        let held = node.book.statements(window);
+        self.closer.answered(window, node.host.clone(), Answer { own, held });
+    }
+
+    fn freeze(&mut self, id: WindowId, statements: Vec<Statement>) {
+        let (term, host) = (Term::new(self.term), host(0));
+        let reply = self.windows.apply(&Change::Freeze { id, statements, term, host });
+        assert_eq!(reply, Reply::Done);
+        self.report(id);
+    }
+
+    /// Reports a window, sometimes twice, and checks that the bytes never differ.
+    fn report(&mut self, id: WindowId) {
+        let window = &self.windows.list()[&id];
+        let bytes = Report::new(id, window, WINDOW_MS).to_bytes();
+        let first = self.reports.entry(id).or_insert_with(|| bytes.clone());
+        assert_eq!(*first, bytes, "window {id} is reported with other figures");
+        self.windows.apply(&Change::Confirm { id });
+    }
+
+    fn tidy(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        let source = self.windows.sources().get(&node.incarnation);
+        if let Some(through) = source.and_then(|source| source.settled_through) {
+            node.meter.forget(through);
+        }
+        node.book.forget(&self.windows);
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        let number = self.random.usize(0..HOSTS);
+        match self.random.u8(0..100) {
+            0 => self.nodes[number].cut_until = self.now_ms + self.random.u64(100..4_000),
+            1 => self.crash(number),
+            _ => self.count(number),
+        }
+        self.enrol(number);
+        self.tidy(number);
+        self.lead();
+        let frozen: Vec<WindowId> = self.windows.list().keys().rev().take(3).copied().collect();
+        frozen.into_iter().for_each(|id| self.report(id));
+    }
+
+    /// Lets all cuts end and the open windows close.
+    fn settle(&mut self) {
+        let until = self.now_ms + 20_000;
+        while self.now_ms < until {
+            self.now_ms += STEP_MS;
+            for number in 0..HOSTS {
+                self.enrol(number);
+                self.hand_over(number);
+            }
+            self.lead();
+        }
+    }
+
+    fn reported(&self) -> u64 {
+        let of =
+            |figures: &[Figure]| figures.iter().map(|f| f.completion_tokens.get()).sum::<u64>();
+        let reports = self.reports.values().map(|bytes| {
+            let report: Report = serde_json::from_slice(bytes).expect("a report is JSON");
+            let late = report.corrections.iter().map(|c| of(&c.figures)).sum::<u64>();
+            late + of(&report.figures)
+        });
+        reports.sum()
+    }
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+#[test_case(5)]
+#[test_case(6)]
+#[test_case(7)]
+#[test_case(8)]
+fn reports_agree_with_the_true_usage_to_the_token(seed: u64) {
+    let steps = std::env::var("CATKINLATCH_STEPS").ok().and_then(|text| text.parse().ok());
+    let mut world = World::new(seed);
+    (0..steps.unwrap_or(4_000)).for_each(|_| world.step());
+    world.settle();
+    assert_eq!(world.reported(), world.truth);
+}
