--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -39,6 +39,7 @@
     pub timeline: Timeline,
     pub(crate) upstream: Upstream,
     pub(crate) trainers: trainer::Coordinators,
+    pub(crate) admission: entry::Admission,
     table: Mutex<Table>,
     meter: Mutex<Meter>,
     desk: Mutex<Desk>,
@@ -98,6 +99,7 @@
             timeline,
             upstream: Upstream::new(),
             trainers: trainer::Coordinators::default(),
+            admission: entry::Admission::new(),
             table: Mutex::default(),
             meter: Mutex::default(),
             desk: Mutex::new(Desk::new(Timing::default())),
@@ -109,6 +111,7 @@
         tasks.spawn(order::run_orders(node.clone()));
         tasks.spawn(usage::report_windows(node.clone()));
         tasks.spawn(trainer::run_samples(node.clone()));
+        tasks.spawn(entry::maintain(node.clone()));
         Ok(Self { node, public, operator, tasks })
     }
 
