Take part in windows on each node, and show how a window came about

The node froze windows from its own meter and remembered by a local variable which window came next, so a new leader skipped or repeated windows that its process had not seen.

Each node now enrols, keeps its counters under a name drawn at each start, and answers for its own counters and those it holds. The leader closes the window that the replicated state names as next and reports the oldest frozen window that is not confirmed. GET /v1/usage/windows/{window} on the operator port gives figures, contributions by node, corrections both ways, digest and the orders that carried the report.

Ruled out: naming the counters by the node's incarnation, which a host with a disk keeps over a restart while the counters start at zero.

Other hosts are not asked yet: the sessions between processes are not there.

--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -1,7 +1,9 @@
 //! One node: what its tasks and HTTP handlers share, and its start and stop.
 
 use crate::{
-    Clock, Control, Settings, entry, operator, order, targets, trainer, upstream::Upstream, usage,
+    Clock, Control, Settings, entry, operator, order, targets, trainer,
+    upstream::Upstream,
+    usage::{self, Usage},
 };
 use catkinlatch_base::{Incarnation, Timeline, event::Kind};
 use catkinlatch_fleet::{
@@ -41,7 +43,7 @@
     pub(crate) trainers: trainer::Coordinators,
     pub(crate) admission: entry::Admission,
     table: Mutex<Table>,
-    meter: Mutex<Meter>,
+    pub(crate) usage: Usage,
     desk: Mutex<Desk>,
     pub(crate) orders_wake: Notify,
 }
@@ -64,7 +66,7 @@
 
     /// Locks the usage counters.
     pub(crate) fn meter(&self) -> MutexGuard<'_, Meter> {
-        self.meter.lock().unwrap_or_else(PoisonError::into_inner)
+        self.usage.meter()
     }
 }
 
@@ -91,6 +93,7 @@
     /// Starts a node.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
         let timeline = Timeline::new(settings.host.clone(), settings.timeline_events);
+        let usage = Usage::new(settings.host.clone());
         let node = Arc::new(Node {
             settings,
             incarnation: Incarnation::draw(&mut fastrand::Rng::new()),
@@ -101,7 +104,7 @@
             trainers: trainer::Coordinators::default(),
             admission: entry::Admission::new(),
             table: Mutex::default(),
-            meter: Mutex::default(),
+            usage,
             desk: Mutex::new(Desk::new(Timing::default())),
             orders_wake: Notify::new(),
         });
@@ -109,7 +112,7 @@
         let operator = listen(&node, node.settings.operator_listen, operator_api()?)?;
         let mut tasks = JoinSet::new();
         tasks.spawn(order::run_orders(node.clone()));
-        tasks.spawn(usage::report_windows(node.clone()));
+        usage::spawn(&node, &mut tasks);
         tasks.spawn(trainer::run_samples(node.clone()));
         tasks.spawn(entry::maintain(node.clone()));
         Ok(Self { node, public, operator, tasks })
@@ -152,6 +155,7 @@
 pub fn operator_api() -> Result<ApiDescription<Arc<Node>>, StartError> {
     let mut api = ApiDescription::new();
     operator::register(&mut api).map_err(StartError::Describe)?;
+    usage::register(&mut api).map_err(StartError::Describe)?;
     Ok(api)
 }
 
--- a/crates/catkinlatch-node/src/usage.rs
+++ b/crates/catkinlatch-node/src/usage.rs
@@ -1,87 +1,93 @@
-//! Closes usage windows and reports them to the platform.
+//! Usage of teams: counted here, closed in the log, reported to the platform.
 
-use crate::{Node, order};
-use catkinlatch_base::{OrderId, WindowId, event};
-use catkinlatch_fleet::usage::Report;
-use catkinlatch_state::{
-    Command, Reply,
-    order::{Action, Stage},
-    window::{self, Window},
+mod api;
+mod close;
+mod report;
+mod view;
+
+pub use self::{api::register, report::report_bytes, view::View};
+
+use crate::Node;
+use catkinlatch_base::{HostId, Incarnation, WindowId};
+use catkinlatch_fleet::{Meter, usage::Book};
+use catkinlatch_state::{Command, window};
+use log::warn;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
-use log::{info, warn};
-use std::{sync::Arc, time::Duration};
+use tokio::{task::JoinSet, time};
 
-/// How often the leader looks for windows to close.
+/// How often a node looks at the windows.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Returns the window that a moment lies in.
-pub fn window_at(wall_ms: u64, window_ms: u64) -> WindowId {
-    WindowId::new(wall_ms / window_ms.max(1))
+/// What a node counted, and what it holds for other nodes.
+#[derive(Debug)]
+pub struct Usage {
+    /// Names the counters; drawn at each start, since the counters start at zero then.
+    pub incarnation: Incarnation,
+    meter: Mutex<Meter>,
+    book: Mutex<Book>,
 }
 
-/// Closes and reports windows for as long as the node runs.
-pub async fn report_windows(node: Arc<Node>) {
-    let mut next = window_at(node.clock.wall_ms(), node.settings.usage_window_ms);
-    loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
-        let present = window_at(node.clock.wall_ms(), node.settings.usage_window_ms);
-        while next < present {
-            if !report(&node, next).await {
-                break;
-            }
-            next = next.next();
+impl Usage {
+    /// Creates the counters of a node that starts.
+    pub fn new(host: HostId) -> Self {
+        Self {
+            incarnation: Incarnation::draw(&mut fastrand::Rng::new()),
+            meter: Mutex::default(),
+            book: Mutex::new(Book::new(host)),
         }
     }
+
+    /// Locks the counters of this node.
+    pub fn meter(&self) -> MutexGuard<'_, Meter> {
+        self.meter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks what is held for other nodes.
+    pub fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the window that a moment lies in.
+pub fn window_at(wall_ms: u64, window_ms: u64) -> WindowId {
+    WindowId::new(wall_ms / window_ms.max(1))
 }
 
-/// Returns the bytes of a frozen window's report.
-pub fn report_bytes(node: &Node, id: WindowId) -> Option<Vec<u8>> {
-    let state = node.control.state();
-    let window = state.windows().list().get(&id)?;
-    Some(Report::new(id, window, node.settings.usage_window_ms).to_bytes())
+/// Starts the tasks that count, close and report.
+pub fn spawn(node: &Arc<Node>, tasks: &mut JoinSet<()>) {
+    tasks.spawn(take_part(node.clone()));
+    tasks.spawn(close::close_windows(node.clone()));
+    tasks.spawn(report::report_windows(node.clone()));
 }
 
-/// Freezes a window and reports it; returns whether it is done with.
-async fn report(node: &Node, id: WindowId) -> bool {
-    let Some(window) = freeze(node, id).await else { return false };
-    if window.reported || node.settings.platform.is_none() {
-        return true;
-    }
-    let digest = Report::new(id, &window, node.settings.usage_window_ms).digest();
-    let Some(order) = order_id(node, id) else { return false };
-    let action = Action::Report { window: id, digest };
-    match order::carry_out(node, order, action).await {
-        Some(Stage::Done) => {}
-        outcome => {
-            warn!("usage: window {id} is reported again, its report came to {outcome:?}");
-            return false;
-        }
-    }
-    let confirmed = node.control.propose(Command::Window(window::Change::Confirm { id })).await;
-    info!("usage: reported window {id}");
-    node.record(event::Kind::WindowReported { window: id });
-    confirmed.is_ok()
+/// Returns the window that is open now by this node's clock.
+fn present(node: &Node) -> WindowId {
+    window_at(node.clock.wall_ms(), node.settings.usage_window_ms)
 }
 
-/// Freezes a window and returns it, or the window that was frozen before.
-async fn freeze(node: &Node, id: WindowId) -> Option<Window> {
-    let term = node.control.leading()?;
-    let (figures, host) = (node.meter().figures(id), node.settings.host.clone());
-    let change = window::Change::Freeze { id, figures, term, host };
-    node.control.propose(Command::Window(change)).await.ok().and_then(|reply| match reply {
-        Reply::Window(window::Reply::Done) => {
-            node.control.state().windows().list().get(&id).cloned()
+/// Keeps the node enrolled, and drops counters that are accounted for.
+async fn take_part(node: Arc<Node>) {
+    loop {
+        let state = node.control.state();
+        let source = state.windows().sources().get(&node.usage.incarnation);
+        if source.is_none_or(|source| source.is_gone) {
+            enrol(&node).await;
+        }
+        if let Some(through) = source.and_then(|source| source.settled_through) {
+            node.usage.meter().forget(through);
         }
-        Reply::Window(window::Reply::Frozen(window)) => Some(window),
-        _ => None,
-    })
+        node.usage.book().forget(state.windows());
+        time::sleep(CHECK_INTERVAL).await;
+    }
 }
 
-/// Returns the first id of a window's report orders that is open or was never used.
-fn order_id(node: &Node, id: WindowId) -> Option<OrderId> {
-    let state = node.control.state();
-    let usable = |order: &OrderId| {
-        state.orders().list().get(order).is_none_or(|order| order.stage == Stage::Intended)
-    };
-    (0_u32..).filter_map(|n| format!("report-{id}-{n}").parse().ok()).find(usable)
+async fn enrol(node: &Node) {
+    let (host, incarnation) = (node.settings.host.clone(), node.usage.incarnation);
+    let change = window::Change::Enrol { host, incarnation, from: present(node) };
+    if let Err(error) = node.control.propose(Command::Window(change)).await {
+        warn!("usage: this node is not enrolled yet: {error}");
+    }
 }
--- /dev/null
+++ b/crates/catkinlatch-node/src/usage/report.rs
@@ -0,0 +1,74 @@
+//! Reports frozen windows to the platform, as orders of the present leader.
+
+use super::CHECK_INTERVAL;
+use crate::{Node, order};
+use catkinlatch_base::{OrderId, WindowId, event};
+use catkinlatch_fleet::usage::Report;
+use catkinlatch_state::{
+    Command, State,
+    order::{Action, Stage},
+    window,
+};
+use log::{info, warn};
+use std::sync::Arc;
+use tokio::time;
+
+/// Reports windows for as long as the node runs and leads.
+pub async fn report_windows(node: Arc<Node>) {
+    let mut changes = node.control.changes();
+    loop {
+        while let Some(id) = first_unreported(&node) {
+            if !report(&node, id).await {
+                break;
+            }
+        }
+        let _ = time::timeout(CHECK_INTERVAL, changes.changed()).await;
+    }
+}
+
+/// Returns the bytes of a frozen window's report.
+pub fn report_bytes(node: &Node, id: WindowId) -> Option<Vec<u8>> {
+    make(node, &node.control.state(), id).map(|report| report.to_bytes())
+}
+
+fn make(node: &Node, state: &State, id: WindowId) -> Option<Report> {
+    let window = state.windows().list().get(&id)?;
+    Some(Report::new(id, window, node.settings.usage_window_ms))
+}
+
+/// Returns the oldest frozen window that this node has to report.
+fn first_unreported(node: &Node) -> Option<WindowId> {
+    node.settings.platform.as_ref()?;
+    node.control.leading()?;
+    let state = node.control.state();
+    let mut windows = state.windows().list().iter();
+    windows.find(|(_, window)| !window.reported).map(|(id, _)| *id)
+}
+
+/// Reports a window; returns whether the platform confirmed it.
+async fn report(node: &Node, id: WindowId) -> bool {
+    let state = node.control.state();
+    let Some(made) = make(node, &state, id) else { return false };
+    let Some(order) = order_id(&state, id) else { return false };
+    let action = Action::Report { window: id, digest: made.digest() };
+    match order::carry_out(node, order, action).await {
+        Some(Stage::Done) => {}
+        outcome => {
+            warn!("usage: window {id} is reported again, its report came to {outcome:?}");
+            return false;
+        }
+    }
+    let confirmed = node.control.propose(Command::Window(window::Change::Confirm { id })).await;
+    info!("usage: reported window {id}");
+    node.record(event::Kind::WindowReported { window: id });
+    confirmed.is_ok()
+}
+
+/// Returns the first id of a window's report orders that may still come to be confirmed.
+fn order_id(state: &State, id: WindowId) -> Option<OrderId> {
+    let usable = |order: &OrderId| {
+        let stage = state.orders().list().get(order).map(|order| order.stage);
+        matches!(stage, None | Some(Stage::Intended | Stage::Done))
+    };
+    (0_u32..).filter_map(|n| format!("report-{id}-{n}").parse().ok()).find(usable)
+}
