--- a/crates/catkinlatch-standin/tests/entry.rs
+++ b/crates/catkinlatch-standin/tests/entry.rs
@@ -10,7 +10,7 @@
     engine::{Engine, Fault, Options},
     service::Service,
 };
-use catkinlatch_state::config::{Change, Edit, Key, Kind, Route, Secret, Team};
+use catkinlatch_state::config::{Change, Edit, Key, Kind, Model, Reply, Route, Secret, Team};
 use http::{Method, Response, StatusCode};
 use serde_json::{Value, json};
 use std::{
@@ -57,6 +57,7 @@
             .change(vec![
                 Edit::PutTeam(Team::new(id("surveyors"))),
                 Edit::PutKey(Key::new(id("surveyors"), &secret)),
+                Edit::PutModel(Model::new(id("draft"))),
                 Edit::PutRoute(Route::new(id("draft"), model).with_idempotent(idempotent)),
                 Edit::PutRoute(Route::new(id("survey"), Kind::Service)),
             ])
@@ -68,7 +69,8 @@
         let request: RequestId = id(&format!("change-{}", fastrand::u64(..)));
         let change = Change { request, base: None, edits };
         let response = self.operator.post("/v1/config/changes", &change).await.unwrap();
-        assert_eq!(response.status(), StatusCode::OK);
+        let reply: Reply = serde_json::from_slice(response.body()).unwrap();
+        assert!(matches!(reply, Reply::Accepted { .. }), "{reply:?}");
     }
 
     async fn file(&self, headers: &[(&str, &str)], body: &'static str) -> Response<Bytes> {
