Add the sheet: plan check, diff, apply and export

Planners' exports could not be applied. Apply sends one change based on the revision that it was compared with, under a request id made of its content, so that a resend is recognised.

--- a/crates/catkinlatch-base/src/lib.rs
+++ b/crates/catkinlatch-base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod id;
 mod instant;
 pub mod invariant;
+mod nearest;
 pub mod timeline;
 pub mod unit;
 
@@ -13,6 +14,7 @@
     finding::{Finding, Findings, Place},
     id::*,
     instant::Instant,
+    nearest::nearest,
     timeline::Timeline,
     unit::*,
 };
--- a/crates/catkinlatch-node/src/settings/nearest.rs
+++ b/crates/catkinlatch-base/src/nearest.rs
@@ -1,11 +1,13 @@
 //! The nearest name to one that was misspelled.
 
-/// The most edits by which a name may differ from what was meant.
-const MAX_EDITS: usize = 3;
-
-/// Returns the name that differs least from `given`, if one is near enough.
-pub fn nearest<'a>(given: &str, names: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
-    let allowed = MAX_EDITS.min(given.chars().count() / 2);
+/// Returns the name that differs least from `given`, if it differs by at most `max_edits`
+/// characters and by at most half of those that were given.
+pub fn nearest<'a>(
+    given: &str,
+    names: impl IntoIterator<Item = &'a str>,
+    max_edits: usize,
+) -> Option<&'a str> {
+    let allowed = max_edits.min(given.chars().count() / 2);
     names
         .into_iter()
         .map(|name| (edits(given, name), name))
--- a/crates/catkinlatch-node/src/settings.rs
+++ b/crates/catkinlatch-node/src/settings.rs
@@ -5,7 +5,6 @@
 mod document;
 mod example;
 mod load;
-mod nearest;
 mod peer;
 mod role;
 mod rule;
--- a/crates/catkinlatch-node/src/settings/load.rs
+++ b/crates/catkinlatch-node/src/settings/load.rs
@@ -3,11 +3,10 @@
 use super::{
     Settings,
     document::{self, Document},
-    nearest::nearest,
     rule,
     schema::{self, Field, Shape},
 };
-use catkinlatch_base::{Findings, Place};
+use catkinlatch_base::{Findings, Place, nearest};
 use jsonc_parser::{
     ast::{Object, Value as Node},
     common::{Range, Ranged},
@@ -19,6 +18,9 @@
     path::Path,
 };
 
+/// The most edits by which a field may differ from what was meant.
+const MAX_EDITS: usize = 3;
+
 /// Reads a file that a credential lies in.
 pub type ReadFile<'a> = &'a dyn Fn(&Path) -> io::Result<String>;
 
@@ -124,7 +126,7 @@
         for property in &object.properties {
             let name = property.name.as_str();
             let Some(field) = fields.iter().find(|field| field.name == name) else {
-                let near = nearest(name, fields.iter().map(|field| field.name));
+                let near = nearest(name, fields.iter().map(|field| field.name), MAX_EDITS);
                 self.find(property.range, format!("unknown field {name:?}"), unknown_hint(near));
                 near.map(|near| faulty.insert(near.to_owned()));
                 continue;
--- a/crates/catkinlatch-state/src/lib.rs
+++ b/crates/catkinlatch-state/src/lib.rs
@@ -5,6 +5,7 @@
 mod command;
 pub mod config;
 pub mod order;
+pub mod sheet;
 mod state;
 pub mod suspect;
 pub mod window;
--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -8,6 +8,7 @@
 mod exit;
 mod key;
 mod operator;
+mod plan;
 mod serve;
 mod settings;
 mod status;
@@ -38,6 +39,7 @@
 enum Verb {
     Check(check::Check),
     Key(key::Key),
+    Plan(plan::Plan),
     Serve(serve::Serve),
     Settings(settings::Settings),
     Status(status::Status),
@@ -51,6 +53,7 @@
         let result = match self.verb {
             Verb::Check(verb) => verb.run(),
             Verb::Key(verb) => verb.run(),
+            Verb::Plan(verb) => verb.run(),
             Verb::Serve(verb) => verb.run(),
             Verb::Settings(verb) => verb.run(),
             Verb::Status(verb) => verb.run(),
--- a/crates/catkinlatch/src/command/exit.rs
+++ b/crates/catkinlatch/src/command/exit.rs
@@ -28,6 +28,10 @@
     #[from(ignore)]
     #[display("{_0}")]
     Refused(String),
+    /// The change may hurt and was not confirmed.
+    #[from(ignore)]
+    #[display("{_0}")]
+    Unconfirmed(String),
     /// Nobody knows yet whether the change was made.
     #[from(ignore)]
     #[display("{_0}")]
@@ -41,6 +45,7 @@
             Self::Findings(_) | Self::Failed(_) => ExitCode::from(1),
             Self::Unusable(_) => ExitCode::from(2),
             Self::Refused(_) => ExitCode::from(3),
+            Self::Unconfirmed(_) => ExitCode::from(4),
             Self::Unknown(_) => ExitCode::from(5),
         }
     }
--- a/crates/catkinlatch/tests/command.rs
+++ b/crates/catkinlatch/tests/command.rs
@@ -135,3 +135,48 @@
     node.terminate();
     assert_eq!(node.wait().code(), Some(0));
 }
+
+const PLAN: &str = "kind;id;weight;model;in_use\r\nteam;harbour;3;;\r\nmodel;draft;;;\r\n\
+    route;draft;;draft;\r\nzone;z1;;;yes\r\n";
+
+#[test]
+fn sheet_is_applied_once() {
+    let node = Daemon::start();
+    let path = node.write("plan.csv", PLAN);
+    assert!(run(node.folder(), &["plan", "check", &path]).status.success());
+    let diff = stdout(&node.run(&["plan"], &["diff", &path]));
+    assert!(diff.contains("+ team harbour: budget_refuses false, weight 3"), "{diff}");
+    let applied = json(&node.run(&["plan", "--json"], &["apply", &path, "--base", "0"]));
+    assert_eq!(applied["lines"].as_array().map(Vec::len), Some(4));
+    let revision = json(&node.run(&["status", "--json"], &[]))["config_revision"].clone();
+    let again = json(&node.run(&["plan", "--json"], &["apply", &path]));
+    assert_eq!(again["reply"], Value::Null);
+    assert_eq!(json(&node.run(&["status", "--json"], &[]))["config_revision"], revision);
+    let export = node.write("export.csv", &stdout(&node.run(&["plan"], &["export"])));
+    let same = json(&node.run(&["plan", "--json"], &["diff", &export]));
+    assert_eq!(same["lines"], serde_json::json!([]));
+}
+
+#[test]
+fn sheet_that_takes_away_needs_confirmation() {
+    let node = Daemon::start();
+    let path = node.write("plan.csv", PLAN);
+    assert!(node.run(&["plan"], &["apply", &path]).status.success());
+    assert!(node.run(&["key"], &["new", "--team", "harbour"]).status.success());
+    let path = node.write("empty.csv", &PLAN.replace("team;harbour", "team;quay"));
+    let refused = node.run(&["plan"], &["apply", &path]);
+    assert_eq!(refused.status.code(), Some(4), "{refused:?}");
+    let text = String::from_utf8_lossy(&refused.stderr);
+    assert!(text.contains("all 1 keys would be withdrawn"), "{text}");
+    assert!(stdout(&node.run(&["key"], &["list"])).contains("harbour"));
+    assert!(node.run(&["plan"], &["apply", &path, "--confirm"]).status.success());
+    assert_eq!(stdout(&node.run(&["key"], &["list"])), "");
+}
+
+#[test]
+fn sheet_read_at_another_revision_is_refused() {
+    let node = Daemon::start();
+    let path = node.write("plan.csv", PLAN);
+    let refused = node.run(&["plan"], &["apply", &path, "--base", "7"]);
+    assert_eq!(refused.status.code(), Some(3), "{refused:?}");
+}
--- a/crates/catkinlatch/tests/command/daemon.rs
+++ b/crates/catkinlatch/tests/command/daemon.rs
@@ -58,6 +58,18 @@
         assert!(posted.expect("the node answers").status().is_success());
     }
 
+    /// Returns the folder that commands run in.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Writes a file and returns its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.folder.path().join(name);
+        fs::write(&path, text).expect("the file is written");
+        path.display().to_string()
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         let id = self.child.id().to_string();
