--- a/crates/catkinlatch-base/src/id.rs
+++ b/crates/catkinlatch-base/src/id.rs
@@ -92,6 +92,8 @@
     HostId, "host";
     /// Names an availability zone.
     ZoneId, "zone";
+    /// Names a region, which holds availability zones.
+    RegionId, "region";
     /// Names a team, the tenant to whom keys belong and work is billed.
     TeamId, "team";
     /// Names a back end: a model engine or a plain service.
@@ -114,6 +116,8 @@
     RequestId, "request";
     /// Identifies one order to a target, the platform or the weight store.
     OrderId, "order";
+    /// Names a price class of targets.
+    PriceClassId, "price class";
     /// Identifies a cluster.
     ClusterId, "cluster";
 }
@@ -129,6 +133,8 @@
     Version;
     /// Numbers the batches of a trainer from 1.
     BatchNumber;
+    /// Numbers the groups of a trainer in the order of their admission.
+    GroupNumber;
     /// Numbers usage windows since the Unix epoch.
     WindowId;
 }
--- a/crates/catkinlatch-node/src/usage.rs
+++ b/crates/catkinlatch-node/src/usage.rs
@@ -1,32 +1,53 @@
-//! Closes usage windows and reports them to the platform.
+//! Usage of teams: counted here, closed in the log, reported to the platform.
+
+mod api;
+mod close;
+mod report;
+mod view;
+
+pub use self::{api::register, report::report_bytes, view::View};
 
 use crate::Node;
-use catkinlatch_base::{HostId, Term, WindowId, derive_schema, event};
-use catkinlatch_state::{
-    Command, Reply,
-    window::{self, Figure},
+use catkinlatch_base::{HostId, Incarnation, WindowId};
+use catkinlatch_fleet::{Meter, usage::Book};
+use catkinlatch_state::{Command, window};
+use log::warn;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
-use log::{info, warn};
-use std::{sync::Arc, time::Duration};
+use tokio::{task::JoinSet, time};
 
-/// How often the leader looks for windows to close.
+/// How often a node looks at the windows.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-derive_schema! {
-    /// A usage report as the platform gets it.
-    pub struct Report {
-        /// The window.
-        pub window: WindowId,
-        /// When the window began, in milliseconds since the Unix epoch.
-        pub begin_ms: u64,
-        /// When it ended, in milliseconds since the Unix epoch.
-        pub end_ms: u64,
-        /// The fencing number.
-        pub fence: Term,
-        /// The host that reports.
-        pub reporter: HostId,
-        /// The figures, sorted by team and model.
-        pub figures: Vec<Figure>,
+/// What a node counted, and what it holds for other nodes.
+#[derive(Debug)]
+pub struct Usage {
+    /// Names the counters; drawn at each start, since the counters start at zero then.
+    pub incarnation: Incarnation,
+    meter: Mutex<Meter>,
+    book: Mutex<Book>,
+}
+
+impl Usage {
+    /// Creates the counters of a node that starts.
+    pub fn new(host: HostId) -> Self {
+        Self {
+            incarnation: Incarnation::draw(&mut fastrand::Rng::new()),
+            meter: Mutex::default(),
+            book: Mutex::new(Book::new(host)),
+        }
+    }
+
+    /// Locks the counters of this node.
+    pub fn meter(&self) -> MutexGuard<'_, Meter> {
+        self.meter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks what is held for other nodes.
+    pub fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -35,51 +56,38 @@
     WindowId::new(wall_ms / window_ms.max(1))
 }
 
-/// Closes and reports windows for as long as the node runs.
-pub async fn report_windows(node: Arc<Node>) {
-    let mut next = window_at(node.clock.wall_ms(), node.settings.usage_window_ms);
+/// Starts the tasks that count, close and report.
+pub fn spawn(node: &Arc<Node>, tasks: &mut JoinSet<()>) {
+    tasks.spawn(take_part(node.clone()));
+    tasks.spawn(close::close_windows(node.clone()));
+    tasks.spawn(report::report_windows(node.clone()));
+}
+
+/// Returns the window that is open now by this node's clock.
+fn present(node: &Node) -> WindowId {
+    window_at(node.clock.wall_ms(), node.settings.usage_window_ms)
+}
+
+/// Keeps the node enrolled, and drops counters that are accounted for.
+async fn take_part(node: Arc<Node>) {
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
-        let present = window_at(node.clock.wall_ms(), node.settings.usage_window_ms);
-        while next < present {
-            if !report(&node, next).await {
-                break;
-            }
-            next = next.next();
+        let state = node.control.state();
+        let source = state.windows().sources().get(&node.usage.incarnation);
+        if source.is_none_or(|source| source.is_gone) {
+            enrol(&node).await;
+        }
+        if let Some(through) = source.and_then(|source| source.settled_through) {
+            node.usage.meter().forget(through);
         }
+        node.usage.book().forget(state.windows());
+        time::sleep(CHECK_INTERVAL).await;
     }
 }
 
-/// Freezes a window and reports it; returns whether it is done with.
-async fn report(node: &Node, id: WindowId) -> bool {
-    let Some(term) = node.control.leading() else { return false };
-    let figures = node.meter().figures(id);
-    let freeze = window::Change::Freeze { id, figures: figures.clone(), term };
-    let window = match node.control.propose(Command::Window(freeze)).await {
-        Ok(Reply::Window(window::Reply::Done)) => window::Window { figures, term, reported: false },
-        Ok(Reply::Window(window::Reply::Frozen(window))) => window,
-        Ok(_) | Err(_) => return false,
-    };
-    if window.reported {
-        return true;
-    }
-    let Some(platform) = &node.settings.platform else { return true };
-    let length = node.settings.usage_window_ms;
-    let report = Report {
-        window: id,
-        begin_ms: id.get() * length,
-        end_ms: id.next().get() * length,
-        fence: window.term,
-        reporter: node.settings.host.clone(),
-        figures: window.figures,
-    };
-    let sent = node.upstream.post_json(platform, "/v1/usage", &report).await;
-    if !sent.is_ok_and(|response| response.status().is_success()) {
-        warn!("usage: the platform did not confirm window {id}; it is reported again");
-        return false;
+async fn enrol(node: &Node) {
+    let (host, incarnation) = (node.settings.host.clone(), node.usage.incarnation);
+    let change = window::Change::Enrol { host, incarnation, from: present(node) };
+    if let Err(error) = node.control.propose(Command::Window(change)).await {
+        warn!("usage: this node is not enrolled yet: {error}");
     }
-    let confirmed = node.control.propose(Command::Window(window::Change::Confirm { id })).await;
-    info!("usage: reported window {id}");
-    node.record(event::Kind::WindowReported { window: id });
-    confirmed.is_ok()
 }
