Drive the replicated log in each node

Cause: a node's state was one voter in memory; nothing was shared between processes.

Change: `peer` keeps a session with each other host, with a bounded queue for messages that may be lost and calls that say whether they were sent. `control` drives the log's state machine: all ready inputs share one step and one sync, new state is visible before replies leave, proposals go to the leader from any node and say whether they are lost or unknown. The lease that orders are checked against is the leader's. The setting election_timeout_ms is gone: a voter stands by a leader for one lease, so that a second time had no meaning. The parts of the state are shared, so that publishing them after each step costs six reference counts.

Before: `leading()` was always true at term 1.

--- /dev/null
+++ b/crates/catkinlatch-node/src/control/driver.rs
@@ -0,0 +1,296 @@
+//! Carries out what the control log's state machine asks for.
+
+use super::{
+    Member, Proposed, Replica, Request, Shared, Status,
+    request::ProposeError,
+    storage::{OpenedStorage, Storage},
+};
+use crate::{
+    Clock, Settings,
+    peer::{Message, Peers},
+};
+use catkinlatch_base::{Instant, Revision};
+use catkinlatch_fleet::Lease;
+use catkinlatch_log::{
+    self as log_core, Action, Core, Index, Input, Peer, Refusal, Report, Role, Token,
+};
+use catkinlatch_state::{Command, Reply};
+use log::{info, warn};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+/// The most inputs that share one step, and so one write.
+const MAX_BATCH: usize = 1024;
+
+/// An answer that is owed for a token.
+enum Owed {
+    Proposal(oneshot::Sender<Result<Proposed, ProposeError>>),
+    Override(oneshot::Sender<Result<(), ProposeError>>),
+}
+
+/// A question about a change that is not in force yet.
+struct Watcher {
+    revision: Revision,
+    answer: oneshot::Sender<Result<(), ProposeError>>,
+}
+
+/// Drives the core: feeds it with inputs and carries out its actions.
+pub struct Driver {
+    core: Core<Replica>,
+    clock: Clock,
+    peers: Arc<Peers>,
+    shared: Arc<Shared>,
+    storage: Storage,
+    requests: mpsc::Receiver<Request>,
+    completions: mpsc::UnboundedReceiver<Input<Command>>,
+    owed: BTreeMap<Token, Owed>,
+    watchers: Vec<Watcher>,
+    next_token: u64,
+    wake: Instant,
+}
+
+impl Driver {
+    /// Creates the driver of a node that starts.
+    pub fn new(
+        settings: &Settings,
+        clock: Clock,
+        peers: Arc<Peers>,
+        shared: Arc<Shared>,
+        storage: OpenedStorage,
+        requests: mpsc::Receiver<Request>,
+    ) -> Self {
+        let identity = Peer {
+            host: settings.host.clone(),
+            incarnation: storage.identity,
+            zone: settings.zone.clone(),
+            has_disk: storage.disk.is_some(),
+        };
+        let (told, completions) = mpsc::unbounded_channel();
+        let now = clock.now();
+        let random = fastrand::Rng::new();
+        let core: Core<Replica> =
+            Core::new(log_settings(settings), identity, storage.restored, random, now);
+        shared.publish(core.machine().state());
+        Self {
+            core,
+            clock,
+            peers,
+            shared,
+            storage: Storage::start(storage.disk, told),
+            requests,
+            completions,
+            owed: BTreeMap::new(),
+            watchers: Vec::new(),
+            next_token: 0,
+            wake: now,
+        }
+    }
+
+    /// Runs for as long as the node does.
+    pub async fn run(mut self) {
+        while let Some(inputs) = self.gather().await {
+            let now = self.clock.now();
+            let actions = self.core.step_batch(now, inputs);
+            self.carry_out(actions);
+            self.answer_watchers(now);
+            self.publish(now);
+        }
+    }
+
+    /// Waits for input, and takes all that is ready.
+    async fn gather(&mut self) -> Option<Vec<Input<Command>>> {
+        let mut inputs = self.storage.take_completions();
+        if inputs.is_empty() {
+            let wake = self.clock.timer(self.wake);
+            tokio::select! {
+                biased;
+                completion = self.completions.recv(), if !self.completions.is_closed() => {
+                    inputs.extend(completion);
+                }
+                request = self.requests.recv() => inputs.extend(self.accept(request?)),
+                () = time::sleep_until(wake) => inputs.push(Input::Tick),
+            }
+        }
+        while let Ok(completion) = self.completions.try_recv() {
+            inputs.push(completion);
+        }
+        while inputs.len() < MAX_BATCH
+            && let Ok(request) = self.requests.try_recv()
+        {
+            inputs.extend(self.accept(request));
+        }
+        Some(inputs)
+    }
+
+    /// Turns a request into input, or keeps it until it can be answered.
+    fn accept(&mut self, request: Request) -> Option<Input<Command>> {
+        match request {
+            Request::Receive(frame) => Some(Input::Receive(*frame)),
+            Request::Propose { command, answer } => {
+                let token = self.owe(Owed::Proposal(answer));
+                Some(Input::Propose { token, command: *command })
+            }
+            Request::Override { hosts, answer } => {
+                let token = self.owe(Owed::Override(answer));
+                Some(Input::Override { token, hosts })
+            }
+            Request::InForce { revision, answer } => {
+                self.watchers.push(Watcher { revision, answer });
+                None
+            }
+        }
+    }
+
+    fn owe(&mut self, owed: Owed) -> Token {
+        self.next_token += 1;
+        let token = Token::new(self.next_token);
+        self.owed.insert(token, owed);
+        token
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action<Command, Reply>>) {
+        let mut is_stale = false;
+        for action in actions {
+            match action {
+                Action::Persist(write) => self.storage.write(write),
+                Action::Applied { token, index, reply } => {
+                    is_stale = true;
+                    self.answer(token, index, reply);
+                }
+                Action::Restored { index } => {
+                    is_stale = true;
+                    info!("control: took the state as of revision {} from the leader", index.get());
+                }
+                Action::Send { to, frame } => {
+                    if std::mem::take(&mut is_stale) {
+                        self.shared.publish(self.core.machine().state());
+                    }
+                    self.peers.send(&to, &Message::Control(Box::new(frame)));
+                }
+                Action::ReadReady { .. } => {}
+                Action::Refused { token, refusal } => self.refuse(token, &refusal),
+                Action::Changed { role, term, leader } => {
+                    let leader = leader.map_or("unknown".to_owned(), |leader| leader.to_string());
+                    info!("control: {role} in term {term}, the leader is {leader}");
+                }
+                Action::Report(report) => report_finding(&report),
+                Action::Wake { at } => self.wake = at,
+            }
+        }
+        if is_stale {
+            self.shared.publish(self.core.machine().state());
+        }
+    }
+
+    fn answer(&mut self, token: Option<Token>, index: Index, reply: Reply) {
+        let owed = token.and_then(|token| self.owed.remove(&token));
+        if let Some(Owed::Proposal(answer)) = owed {
+            let revision = Revision::new(index.get());
+            let _ = answer.send(Ok(Proposed { reply, revision }));
+        }
+    }
+
+    fn refuse(&mut self, token: Token, refusal: &Refusal) {
+        let error = match refusal {
+            Refusal::NotLeader { .. }
+            | Refusal::Overloaded
+            | Refusal::Lost
+            | Refusal::Unreachable { .. } => ProposeError::NoLeader,
+            Refusal::Unknown => ProposeError::Unknown,
+        };
+        match self.owed.remove(&token) {
+            Some(Owed::Proposal(answer)) => {
+                let _ = answer.send(Err(error));
+            }
+            Some(Owed::Override(answer)) => {
+                warn!("control: the voters are not overridden: {refusal}");
+                let _ = answer.send(Err(error));
+            }
+            None => {}
+        }
+    }
+
+    /// Answers questions about changes that are in force, or that this node no longer leads.
+    fn answer_watchers(&mut self, now: Instant) {
+        let leads = self.core.role() == Role::Leader;
+        let core = &self.core;
+        let settled = self.watchers.extract_if(.., |watcher| {
+            let index = Index::new(watcher.revision.get());
+            !leads || watcher.answer.is_closed() || core.in_force(index, now)
+        });
+        for watcher in settled {
+            let answer = if leads { Ok(()) } else { Err(ProposeError::NoLeader) };
+            let _ = watcher.answer.send(answer);
+        }
+    }
+
+    fn publish(&mut self, now: Instant) {
+        let lease = self.core.lease(now).zip(self.core.leading_since());
+        let status = Status {
+            role: Some(self.core.role()),
+            term: self.core.term(),
+            leader: self.core.leader().map(|leader| leader.host.clone()),
+            lease: lease.map(|(until, since)| Lease { term: self.core.term(), since, until }),
+            configuration_until: self.core.configuration_lease(now),
+            commit: Revision::new(self.core.commit().get()),
+            voters: self.core.voters().iter().map(|voter| voter.host.clone()).collect(),
+            members: self.members(),
+        };
+        self.shared.status.send_replace(status);
+    }
+
+    fn members(&self) -> Vec<Member> {
+        if self.core.role() != Role::Leader {
+            return Vec::new();
+        }
+        let own = self.core.identity().incarnation;
+        let applied = |peer: &Peer| {
+            if peer.incarnation == own {
+                return self.core.applied();
+            }
+            self.core.acknowledged(peer.incarnation).unwrap_or(Index::ZERO)
+        };
+        let member = |peer: &Peer, votes: bool| Member {
+            host: peer.host.clone(),
+            identity: peer.incarnation,
+            zone: peer.zone.clone(),
+            votes,
+            has_disk: peer.has_disk,
+            revision: Revision::new(applied(peer).get()),
+        };
+        let voters = self.core.voters().iter().map(|peer| member(peer, true));
+        let learners = self.core.learners().into_iter().map(|peer| member(peer, false));
+        voters.chain(learners).collect()
+    }
+}
+
+/// Derives the settings of the log.
+fn log_settings(settings: &Settings) -> log_core::Settings {
+    let mut hosts: Vec<_> = settings.peers.iter().map(|peer| peer.host.clone()).collect();
+    if !hosts.contains(&settings.host) {
+        hosts.push(settings.host.clone());
+    }
+    let mut voters = settings.initial_voters.clone();
+    if voters.is_empty() && settings.peers.is_empty() {
+        voters.push(settings.host.clone());
+    }
+    let margin = settings.drift_margin_ms as f64 / settings.lease_ms as f64;
+    log_core::Settings {
+        beat: Duration::from_millis(settings.beat_ms),
+        election: Duration::from_millis(settings.lease_ms),
+        drift: margin / (2.0 - margin),
+        configuration_lease: Duration::from_millis(settings.configuration_lease_ms),
+        silence: Duration::from_millis(settings.repair_after_ms),
+        ..log_core::Settings::new(settings.cluster.clone(), hosts, voters)
+    }
+}
+
+fn report_finding(report: &Report) {
+    match report {
+        Report::Members { .. } => info!("control: {report}"),
+        Report::DisksOutvoted { .. } | Report::NoSpare { .. } => warn!("control: {report}"),
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-node/src/control/replica.rs
@@ -0,0 +1,29 @@
+//! The replicated state as the control log applies it.
+
+use catkinlatch_base::{Revision, derive_value};
+use catkinlatch_log::{Index, Machine};
+use catkinlatch_state::{Command, Reply, State};
+
+derive_value! {
+    /// The replicated state as the control log applies it.
+    #[derive(Default)]
+    pub struct Replica {
+        state: State,
+    }
+}
+
+impl Replica {
+    /// Returns the state.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+}
+
+impl Machine for Replica {
+    type Command = Command;
+    type Reply = Reply;
+
+    fn apply(&mut self, index: Index, command: &Command) -> Reply {
+        self.state.apply_at(Revision::new(index.get()), command)
+    }
+}
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -6,6 +6,7 @@
 mod node;
 mod operator;
 pub mod order;
+pub mod peer;
 pub mod settings;
 mod targets;
 mod trainer;
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -1,7 +1,9 @@
 //! One node: what its tasks and HTTP handlers share, and its start and stop.
 
 use crate::{
-    Clock, Control, Settings, entry, operator, order, targets, trainer,
+    Clock, Control, Settings, control, entry, operator, order,
+    peer::{self, Peers},
+    targets, trainer,
     upstream::Upstream,
     usage::{self, Usage},
 };
@@ -18,10 +20,11 @@
 };
 use slog::Drain;
 use std::{
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
-use tokio::{sync::Notify, task::JoinSet};
+use tokio::{net::TcpListener, sync::Notify, task::JoinSet};
 
 /// The longest request body on any route, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -38,7 +41,9 @@
     /// The node's handle on the replicated state.
     pub control: Control,
     /// The newest events of this process.
-    pub timeline: Timeline,
+    pub timeline: Arc<Timeline>,
+    /// The other nodes.
+    pub peers: Arc<Peers>,
     pub(crate) upstream: Upstream,
     pub(crate) trainers: trainer::Coordinators,
     pub(crate) admission: entry::Admission,
@@ -76,6 +81,12 @@
     /// The HTTP interfaces do not fit together.
     #[display("cannot describe the HTTP interface: {_0}")]
     Describe(ApiDescriptionRegisterError),
+    /// The data folder cannot be used.
+    #[display("{_0}")]
+    Storage(catkinlatch_log::storage::OpenError),
+    /// Other nodes cannot connect.
+    #[display("cannot listen for other nodes: {_0}")]
+    ListenPeers(io::Error),
     /// A server did not start.
     #[display("cannot listen: {_0}")]
     Listen(BuildError),
@@ -92,14 +103,24 @@
 impl Server {
     /// Starts a node.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
-        let timeline = Timeline::new(settings.host.clone(), settings.timeline_events);
+        let storage = control::open(&settings).map_err(StartError::Storage)?;
+        let peer_listener = TcpListener::bind(settings.peer_listen).await;
+        let peer_listener = peer_listener.map_err(StartError::ListenPeers)?;
+        let timeline = Arc::new(Timeline::new(settings.host.clone(), settings.timeline_events));
+        let incarnation = Incarnation::draw(&mut fastrand::Rng::new());
+        let clock = Clock::new();
+        let mut tasks = JoinSet::new();
+        let peers = Peers::new(&settings, incarnation, timeline.clone(), clock, &mut tasks);
+        let peers = Arc::new(peers);
+        let control = Control::start(&settings, clock, peers.clone(), storage, &mut tasks);
         let usage = Usage::new(settings.host.clone());
         let node = Arc::new(Node {
             settings,
-            incarnation: Incarnation::draw(&mut fastrand::Rng::new()),
-            clock: Clock::new(),
-            control: Control::in_memory(),
+            incarnation,
+            clock,
+            control,
             timeline,
+            peers,
             upstream: Upstream::new(),
             trainers: trainer::Coordinators::default(),
             admission: entry::Admission::new(),
@@ -110,7 +131,7 @@
         });
         let public = listen(&node, node.settings.listen, public_api()?)?;
         let operator = listen(&node, node.settings.operator_listen, operator_api()?)?;
-        let mut tasks = JoinSet::new();
+        tasks.spawn(peer::serve(node.clone(), peer_listener));
         tasks.spawn(order::run_orders(node.clone()));
         usage::spawn(&node, &mut tasks);
         tasks.spawn(trainer::run_samples(node.clone()));
--- a/crates/catkinlatch-node/src/order.rs
+++ b/crates/catkinlatch-node/src/order.rs
@@ -10,10 +10,7 @@
 
 use crate::Node;
 use catkinlatch_base::{OrderId, event};
-use catkinlatch_fleet::{
-    Lease,
-    order::{Permit, Step},
-};
+use catkinlatch_fleet::order::{Permit, Step};
 use catkinlatch_state::{
     Command, Reply,
     order::{self, Action, Change, Stage},
@@ -28,13 +25,6 @@
 /// How long a change rests after it could not be committed.
 const COMMIT_RETRY: Duration = Duration::from_millis(100);
 
-/// Returns this node's lease, if it is the leader.
-pub fn lease(node: &Node) -> Option<Lease> {
-    let now = node.clock.now();
-    let until = now + CHECK_INTERVAL * 100;
-    node.control.leading().map(|term| Lease { term, since: now, until })
-}
-
 /// Sends orders for as long as the node runs.
 pub async fn run_orders(node: Arc<Node>) {
     let mut changes = node.control.changes();
@@ -43,7 +33,7 @@
         while tasks.try_join_next().is_some() {}
         let state = node.control.state();
         let (now, wall_ms) = (node.clock.now(), node.clock.wall_ms());
-        let step = node.desk().next(lease(&node), state.orders(), now, wall_ms);
+        let step = node.desk().next(node.control.lease(), state.orders(), now, wall_ms);
         match step {
             Step::StandDown | Step::Idle => pause(&node, &mut changes, CHECK_INTERVAL).await,
             Step::Wait(until) => {
--- a/crates/catkinlatch-node/src/order/receiver.rs
+++ b/crates/catkinlatch-node/src/order/receiver.rs
@@ -1,9 +1,6 @@
 //! How each kind of order reads on the wire, and what its receiver's answers mean.
 
-use super::{
-    lease,
-    send::{Fault, MAX_ANSWER_BYTES, send},
-};
+use super::send::{Fault, MAX_ANSWER_BYTES, send};
 use crate::{Node, upstream, usage};
 use bytes::Bytes;
 use catkinlatch_base::{ModelId, OrderId, TargetId, Term, Version, derive_schema};
@@ -100,7 +97,7 @@
         .body(Full::new(Bytes::from(message.body)))
         .expect("the parts are valid");
     let (checker, checked) = (node.clone(), permit.clone());
-    let may_write = move || checked.check(lease(&checker), checker.clock.now()).is_ok();
+    let may_write = move || checked.check(checker.control.lease(), checker.clock.now()).is_ok();
     let deadline = node.clock.timer(permit.deadline);
     match send(&message.address, request, deadline, may_write).await {
         Ok(answer) => read_answer(&permit.action, &answer),
--- /dev/null
+++ b/crates/catkinlatch-node/src/peer/handler.rs
@@ -0,0 +1,53 @@
+//! Handles messages of other nodes.
+
+use super::{Message, Reply};
+use crate::Node;
+use catkinlatch_wire::{Frame, Hello, codec};
+use log::warn;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+
+/// Accepts sessions and handles their messages for as long as the node runs.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    let (local, secret) = (node.peers.local().clone(), node.peers.secret().clone());
+    let handler = move |remote: Hello, frame: Frame| receive(node.clone(), remote, frame);
+    catkinlatch_wire::serve(listener, local, secret, handler).await;
+}
+
+async fn receive(node: Arc<Node>, remote: Hello, frame: Frame) -> Option<Frame> {
+    node.peers.observe(&frame);
+    match codec::decode(&frame.payload) {
+        Ok(message) => {
+            let reply = handle(&node, remote, message).await;
+            Some(node.peers.frame(&reply))
+        }
+        Err(error) => {
+            warn!("peer: a message of {} cannot be read: {error}", remote.host);
+            None
+        }
+    }
+}
+
+/// Passes a message to the part that it concerns.
+async fn handle(node: &Arc<Node>, remote: Hello, message: Message) -> Reply {
+    match message {
+        Message::Greeting(agreement) => {
+            for name in node.settings.agreement().differences(&agreement) {
+                warn!(
+                    "peer: setting {name} differs on {}; make it equal on all hosts",
+                    remote.host
+                );
+            }
+            Reply::Nothing
+        }
+        Message::Control(frame) => {
+            node.control.receive(*frame).await;
+            Reply::Nothing
+        }
+        Message::Propose(command) => Reply::Proposed(node.control.propose_here(command).await),
+        Message::InForce(revision) => {
+            Reply::InForce(node.control.in_force_here(revision).await.is_ok())
+        }
+        Message::Members => Reply::Members(node.control.members_here()),
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-node/src/peer/message.rs
@@ -0,0 +1,36 @@
+//! What nodes say to each other.
+
+use crate::{control, settings::Agreement};
+use catkinlatch_base::{Revision, derive_value};
+use catkinlatch_log::Frame;
+use catkinlatch_state::Command;
+
+derive_value! {
+    /// A message from one node to another.
+    pub enum Message {
+        /// Tells a node that this one met which settings it has.
+        Greeting(Agreement),
+        /// Belongs to the control log.
+        Control(Box<Frame<Command>>),
+        /// Asks the leader to commit a command.
+        Propose(Command),
+        /// Asks the leader to answer once a change is in force on every node.
+        InForce(Revision),
+        /// Asks the leader what it knows of the nodes.
+        Members,
+    }
+}
+
+derive_value! {
+    /// The answer to a message.
+    pub enum Reply {
+        /// There is nothing to say.
+        Nothing,
+        /// What became of a proposal.
+        Proposed(Result<control::Proposed, control::ProposeError>),
+        /// Whether the change is in force.
+        InForce(bool),
+        /// What the leader knows of the nodes.
+        Members(Vec<control::Member>),
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-node/src/peer/peers.rs
@@ -0,0 +1,153 @@
+//! The other nodes of the cluster.
+
+use super::{
+    link::{self, Link},
+    message::{Message, Reply},
+};
+use crate::{Clock, Settings, settings::Credential};
+use catkinlatch_base::{HostId, Incarnation, Timeline, ZoneId};
+use catkinlatch_wire::{Error, Frame, Hello, Secret, codec};
+use derive_more::{Display, Error as DeriveError};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::task::JoinSet;
+
+/// Says why another node did not answer.
+#[derive(Debug, Display, DeriveError)]
+pub enum CallError {
+    /// No byte of the message was sent.
+    #[display("host {host} is not connected")]
+    NotSent {
+        /// The host.
+        host: HostId,
+    },
+    /// The message may have been handled.
+    #[display("host {host} did not answer: {reason}")]
+    Unknown {
+        /// The host.
+        host: HostId,
+        /// What happened.
+        reason: Error,
+    },
+}
+
+/// The sessions with all other nodes of the cluster.
+#[derive(Debug)]
+pub struct Peers {
+    local: Hello,
+    secret: Secret,
+    timeline: Arc<Timeline>,
+    clock: Clock,
+    links: BTreeMap<HostId, Link>,
+}
+
+impl Peers {
+    /// Creates a link to each other host in the settings; the links open sessions in `tasks`.
+    pub fn new(
+        settings: &Settings,
+        incarnation: Incarnation,
+        timeline: Arc<Timeline>,
+        clock: Clock,
+        tasks: &mut JoinSet<()>,
+    ) -> Self {
+        let agreement = settings.agreement();
+        let local = Hello {
+            protocol: catkinlatch_wire::PROTOCOL,
+            cluster: settings.cluster.clone(),
+            host: settings.host.clone(),
+            incarnation,
+            zone: settings.zone.clone(),
+            agreement: agreement.timing_digest(),
+        };
+        let secret = settings.cluster_secret.as_ref();
+        let secret = Secret::new(secret.map_or("", Credential::expose));
+        let greeting = codec::encode(&Message::Greeting(agreement));
+        let others = settings.peers.iter().filter(|peer| peer.host != settings.host);
+        let links = others.map(|peer| {
+            let (link, driver) =
+                link::new(peer.clone(), local.clone(), secret.clone(), greeting.clone());
+            tasks.spawn(driver);
+            (peer.host.clone(), link)
+        });
+        let links = links.collect();
+        Self { local, secret, timeline, clock, links }
+    }
+
+    /// Returns the other hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostId> {
+        self.links.keys()
+    }
+
+    /// Returns the zone of another host.
+    pub fn zone(&self, host: &HostId) -> Option<&ZoneId> {
+        self.links.get(host).map(Link::zone)
+    }
+
+    /// Returns the start of the process that this node is connected to on another host.
+    pub fn incarnation(&self, host: &HostId) -> Option<Incarnation> {
+        self.links.get(host)?.session().map(|session| session.remote().incarnation)
+    }
+
+    /// Returns whether a session with another host is open.
+    pub fn is_connected(&self, host: &HostId) -> bool {
+        self.links.get(host).is_some_and(|link| link.session().is_some())
+    }
+
+    /// Returns who this node is to the others.
+    pub fn local(&self) -> &Hello {
+        &self.local
+    }
+
+    /// Returns the secret that the nodes share.
+    pub fn secret(&self) -> &Secret {
+        &self.secret
+    }
+
+    /// Sends a message that is not answered; it may be lost, and keeps its order otherwise.
+    pub fn send(&self, host: &HostId, message: &Message) {
+        if let Some(link) = self.links.get(host) {
+            link.send(self.frame(message));
+        }
+    }
+
+    /// Sends a message to all other nodes; it may be lost on the way to any of them.
+    pub fn broadcast(&self, message: &Message) {
+        let frame = self.frame(message);
+        for link in self.links.values() {
+            link.send(frame.clone());
+        }
+    }
+
+    /// Sends a message and returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the message may have been handled all the same.
+    pub async fn call(
+        &self,
+        host: &HostId,
+        message: &Message,
+        timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        let not_sent = || CallError::NotSent { host: host.clone() };
+        let session = self.links.get(host).and_then(Link::session).ok_or_else(not_sent)?;
+        let frame = self.frame(message);
+        let unknown = |reason| CallError::Unknown { host: host.clone(), reason };
+        let answer = match tokio::time::timeout(timeout, session.call(&frame)).await {
+            Ok(answer) => answer.map_err(unknown)?,
+            Err(_) => return Err(unknown(Error::Timeout)),
+        };
+        self.observe(&answer);
+        codec::decode(&answer.payload).map_err(|error| unknown(Error::protocol(error.to_string())))
+    }
+
+    /// Makes the frame of a message, with this node's clock.
+    pub(super) fn frame<T: serde::Serialize>(&self, message: &T) -> Frame {
+        let stamp = self.timeline.observe(self.clock.wall_ms(), 0, 0);
+        Frame::new(codec::encode(message)).with_clock(stamp.wall_ms, stamp.counter)
+    }
+
+    /// Moves this node's hybrid clock past a frame that came in.
+    pub(super) fn observe(&self, frame: &Frame) {
+        self.timeline.observe(self.clock.wall_ms(), frame.wall_ms, frame.counter);
+    }
+}
--- a/crates/catkinlatch-node/src/settings.rs
+++ b/crates/catkinlatch-node/src/settings.rs
@@ -61,9 +61,6 @@
         /// How often the leader sends a heartbeat, in milliseconds.
         #[serde(default = "default::beat_ms")]
         pub beat_ms: u64,
-        /// How long a voter waits for a heartbeat before it stands for election, in milliseconds.
-        #[serde(default = "default::election_timeout_ms")]
-        pub election_timeout_ms: u64,
         /// How long a heartbeat that a quorum acknowledged makes the leader's lease last, in
         /// milliseconds.
         #[serde(default = "default::lease_ms")]
@@ -112,10 +109,6 @@
         200
     }
 
-    pub fn election_timeout_ms() -> u64 {
-        1_500
-    }
-
     pub fn lease_ms() -> u64 {
         1_000
     }
@@ -163,7 +156,6 @@
             peers: Vec::new(),
             initial_voters: Vec::new(),
             beat_ms: default::beat_ms(),
-            election_timeout_ms: default::election_timeout_ms(),
             lease_ms: default::lease_ms(),
             drift_margin_ms: default::drift_margin_ms(),
             configuration_lease_ms: default::configuration_lease_ms(),
--- a/crates/catkinlatch-node/src/settings/agreement.rs
+++ b/crates/catkinlatch-node/src/settings/agreement.rs
@@ -5,6 +5,9 @@
 use serde::Serialize;
 use sha2::{Digest, Sha256};
 
+/// The settings on whose equality the leases rest; nodes that differ in them refuse each other.
+const TIMING: &[&str] = &["beat_ms", "lease_ms", "drift_margin_ms", "configuration_lease_ms"];
+
 derive_value! {
     /// Digests of the settings that must be equal on all hosts; secrets are not among them.
     #[derive(Eq)]
@@ -31,7 +34,6 @@
             item("peers", &s.peers),
             item("initial_voters", &s.initial_voters),
             item("beat_ms", &s.beat_ms),
-            item("election_timeout_ms", &s.election_timeout_ms),
             item("lease_ms", &s.lease_ms),
             item("drift_margin_ms", &s.drift_margin_ms),
             item("configuration_lease_ms", &s.configuration_lease_ms),
@@ -44,6 +46,14 @@
         Self { items }
     }
 
+    /// Returns one digest of the settings on whose equality the leases rest.
+    pub fn timing_digest(&self) -> [u8; 32] {
+        let timing: Vec<&Item> =
+            self.items.iter().filter(|item| TIMING.contains(&item.name.as_str())).collect();
+        let text = serde_json::to_vec(&timing).expect("digests serialize");
+        Sha256::digest(&text).into()
+    }
+
     /// Returns the names of the settings that differ from those of another node.
     pub fn differences(&self, other: &Self) -> Vec<String> {
         let mut names: Vec<String> = [(self, other), (other, self)]
--- a/crates/catkinlatch-node/src/settings/rule.rs
+++ b/crates/catkinlatch-node/src/settings/rule.rs
@@ -11,6 +11,9 @@
 /// tenth each way.
 const LEASE_IN_DRIFT: u64 = 5;
 
+/// How many leases a change of leader may take: one runs out, and a voter waits for up to two.
+const LEASES_IN_FAILOVER: u64 = 3;
+
 /// The most voters of the control log.
 const MAX_VOTERS: usize = 5;
 
@@ -28,13 +31,12 @@
 
 const RULES: &[Rule] = &[
     Rule { reads: &["lease_ms", "beat_ms"], broken: lease_spans_beats },
-    Rule { reads: &["election_timeout_ms", "lease_ms"], broken: election_outlasts_lease },
     Rule { reads: &["drift_margin_ms", "lease_ms"], broken: drift_fits_lease },
     Rule {
-        reads: &["configuration_lease_ms", "election_timeout_ms", "lease_ms"],
+        reads: &["configuration_lease_ms", "lease_ms"],
         broken: configuration_outlasts_failover,
     },
-    Rule { reads: &["repair_after_ms", "election_timeout_ms"], broken: repair_is_patient },
+    Rule { reads: &["repair_after_ms", "lease_ms"], broken: repair_is_patient },
     Rule { reads: &["listen", "operator_listen", "peer_listen"], broken: ports_differ },
     Rule { reads: &["operator_token", "operator_listen"], broken: operator_port_is_guarded },
     Rule { reads: &["cluster_secret", "peers"], broken: peers_need_secret },
@@ -71,14 +73,6 @@
     breach(text, "raise lease_ms or lower beat_ms")
 }
 
-fn election_outlasts_lease(s: &Settings) -> Vec<Breach> {
-    if s.election_timeout_ms >= s.lease_ms {
-        return Vec::new();
-    }
-    let text = format!("election_timeout_ms must be at least lease_ms ({})", s.lease_ms);
-    breach(text, "raise election_timeout_ms or lower lease_ms")
-}
-
 fn drift_fits_lease(s: &Settings) -> Vec<Breach> {
     let (least, most) = (s.lease_ms.div_ceil(LEASE_IN_DRIFT), s.lease_ms / 2);
     if (least..=most).contains(&s.drift_margin_ms) {
@@ -90,23 +84,23 @@
 }
 
 fn configuration_outlasts_failover(s: &Settings) -> Vec<Breach> {
-    let failover = s.lease_ms.saturating_add(s.election_timeout_ms.saturating_mul(2));
+    let failover = s.lease_ms.saturating_mul(LEASES_IN_FAILOVER);
     if s.configuration_lease_ms >= failover {
         return Vec::new();
     }
     let text = format!(
-        "configuration_lease_ms must be at least lease_ms plus 2 times election_timeout_ms \
+        "configuration_lease_ms must be at least {LEASES_IN_FAILOVER} times lease_ms \
          ({failover}), or a change of leader stops the entry hosts"
     );
     breach(text, "raise configuration_lease_ms")
 }
 
 fn repair_is_patient(s: &Settings) -> Vec<Breach> {
-    let least = s.election_timeout_ms.saturating_mul(2);
+    let least = s.lease_ms.saturating_mul(2);
     if s.repair_after_ms >= least {
         return Vec::new();
     }
-    let text = format!("repair_after_ms must be at least 2 times election_timeout_ms ({least})");
+    let text = format!("repair_after_ms must be at least 2 times lease_ms ({least})");
     breach(text, "raise repair_after_ms")
 }
 
--- a/crates/catkinlatch-node/src/settings/schema.rs
+++ b/crates/catkinlatch-node/src/settings/schema.rs
@@ -74,7 +74,6 @@
     optional("peers", Shape::Objects(PEER)),
     optional("initial_voters", Shape::List { expected: ID, check: reads::<HostId> }),
     optional("beat_ms", millis(10)),
-    optional("election_timeout_ms", millis(50)),
     optional("lease_ms", millis(40)),
     optional("drift_margin_ms", millis(1)),
     optional("configuration_lease_ms", millis(100)),
--- a/crates/catkinlatch-state/src/state.rs
+++ b/crates/catkinlatch-state/src/state.rs
@@ -9,11 +9,15 @@
     suspect::Suspects,
     window::Windows,
 };
-use catkinlatch_base::{Revision, derive_value};
+use catkinlatch_base::{Revision, derive_value, invariant};
+use std::sync::Arc;
 
 derive_value! {
     /// What all nodes agree on.
     ///
+    /// Its parts are shared, so that a copy for readers costs little and a command copies at most
+    /// the part that it changes.
+    ///
     /// ```
     /// use catkinlatch_state::{Command, Reply, State};
     ///
@@ -24,27 +28,47 @@
     #[derive(Default)]
     pub struct State {
         revision: Revision,
-        config: Config,
-        claims: Claims,
-        suspects: Suspects,
-        ledgers: Ledgers,
-        orders: Orders,
-        windows: Windows,
+        config: Arc<Config>,
+        claims: Arc<Claims>,
+        suspects: Arc<Suspects>,
+        ledgers: Arc<Ledgers>,
+        orders: Arc<Orders>,
+        windows: Arc<Windows>,
     }
 }
 
 impl State {
-    /// Applies one committed command; equal states and commands give equal results.
+    /// Applies one committed command under the next revision.
     pub fn apply(&mut self, command: &Command) -> Reply {
-        self.revision = self.revision.next();
+        self.apply_at(self.revision.next(), command)
+    }
+
+    /// Applies one committed command; equal states and commands give equal results.
+    ///
+    /// The revision is the command's position in the log; the log has entries of its own between
+    /// commands.
+    pub fn apply_at(&mut self, revision: Revision, command: &Command) -> Reply {
+        invariant!(
+            "revision_grows",
+            revision > self.revision,
+            "revision {revision} follows {}",
+            self.revision
+        );
+        self.revision = revision;
         match command {
             Command::Nothing => Reply::Nothing,
-            Command::Config(change) => Reply::Config(self.config.apply(change, self.revision)),
-            Command::Claim(change) => Reply::Claim(self.claims.apply(change)),
-            Command::Suspect(change) => Reply::Suspect(self.suspects.apply(change)),
-            Command::Batch(change) => Reply::Batch(self.ledgers.apply(change)),
-            Command::Order(change) => Reply::Order(self.orders.apply(change)),
-            Command::Window(change) => Reply::Window(self.windows.apply(change)),
+            Command::Config(change) => {
+                Reply::Config(Arc::make_mut(&mut self.config).apply(change, self.revision))
+            }
+            Command::Claim(change) => Reply::Claim(Arc::make_mut(&mut self.claims).apply(change)),
+            Command::Suspect(change) => {
+                Reply::Suspect(Arc::make_mut(&mut self.suspects).apply(change))
+            }
+            Command::Batch(change) => Reply::Batch(Arc::make_mut(&mut self.ledgers).apply(change)),
+            Command::Order(change) => Reply::Order(Arc::make_mut(&mut self.orders).apply(change)),
+            Command::Window(change) => {
+                Reply::Window(Arc::make_mut(&mut self.windows).apply(change))
+            }
         }
     }
 
--- a/crates/catkinlatch-wire/src/lib.rs
+++ b/crates/catkinlatch-wire/src/lib.rs
@@ -16,7 +16,7 @@
 pub use self::{
     error::Error,
     frame::{Frame, FrameError},
-    hello::Hello,
+    hello::{Hello, PROTOCOL},
     lane::Lane,
     secret::Secret,
     server::serve,
