Drain a node before it stops, and tell its health and metrics

SIGTERM closed the servers at once, while callers still held the address. A node that drains leaves its entry list and turns unready, serves until the addresses that it gave out have run out, asks its callers to close their connections, finishes what is under way and ends with code 0. The drain command asks for the same. Metrics are served as text on the operator port. The HTTP library logged whole request lines at warning level; its records now pass with harmless fields only and without the query, where a key may be. hyper and h2 log through tracing without its log feature, so nothing of theirs is printed.

--- a/crates/catkinlatch-node/src/entry/api.rs
+++ b/crates/catkinlatch-node/src/entry/api.rs
@@ -24,9 +24,6 @@
 type Context = RequestContext<Arc<Node>>;
 type Answer = Result<Response<Body>, HttpError>;
 
-/// How long a caller may use the addresses that it was given, in milliseconds.
-const ADDRESS_TIME_TO_LIVE_MS: u64 = 5_000;
-
 /// Adds the endpoints.
 pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
     api.register(get_entry)?;
@@ -84,8 +81,9 @@
         zone: node.settings.zone.clone(),
         weight: 1,
     };
-    let time_to_live_ms = ADDRESS_TIME_TO_LIVE_MS;
-    Ok(HttpResponseOk(Entry { addresses: vec![address], time_to_live_ms }))
+    let time_to_live_ms = node.settings.address_time_to_live_ms;
+    let addresses = if node.draining() { Vec::new() } else { vec![address] };
+    Ok(HttpResponseOk(Entry { addresses, time_to_live_ms }))
 }
 
 /// Runs a chat completion, whole or streamed.
@@ -127,13 +125,15 @@
 async fn complete(context: Context, path: &str, body: UntypedBody) -> Answer {
     let node = context.context().clone();
     let answered = try_complete(&node, &context.request, path, body).await;
-    Ok(answered.unwrap_or_else(|refusal| refuse(&node, *refusal)))
+    let response = answered.unwrap_or_else(|refusal| refuse(&node, *refusal));
+    Ok(node.drain.mark(response))
 }
 
 async fn serve(context: Context, path: ServicePath, body: UntypedBody) -> Answer {
     let node = context.context().clone();
     let answered = try_serve(&node, &context.request, path, body).await;
-    Ok(answered.unwrap_or_else(|refusal| refuse(&node, *refusal)))
+    let response = answered.unwrap_or_else(|refusal| refuse(&node, *refusal));
+    Ok(node.drain.mark(response))
 }
 
 async fn try_complete(
--- /dev/null
+++ b/crates/catkinlatch-node/src/http_log.rs
@@ -0,0 +1,61 @@
+//! Logs of the HTTP servers, without what callers may have put into queries or bodies.
+
+use log::{Level, log};
+use slog::{Drain, KV as _, Key, Never, OwnedKVList, Record, Serializer};
+use std::fmt::{Arguments, Write};
+
+/// The fields that are passed on; `uri` is cut before its query.
+const FIELDS: [&str; 7] =
+    ["error", "latency_us", "local_addr", "method", "remote_addr", "response_code", "uri"];
+
+/// Passes records on to `log` with harmless fields only.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpLog;
+
+impl Drain for HttpLog {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        let level = match record.level() {
+            slog::Level::Critical | slog::Level::Error => Level::Error,
+            slog::Level::Warning => Level::Warn,
+            // The server tells each connection and request at this level.
+            slog::Level::Info | slog::Level::Debug => Level::Debug,
+            slog::Level::Trace => Level::Trace,
+        };
+        if level > log::max_level() {
+            return Ok(());
+        }
+        let mut fields = Fields::default();
+        let written = values
+            .serialize(record, &mut fields)
+            .and_then(|()| record.kv().serialize(record, &mut fields));
+        if written.is_err() {
+            fields.text.clear();
+        }
+        log!(level, "http: {}{}", record.msg(), fields.text);
+        Ok(())
+    }
+}
+
+/// The harmless fields as text.
+#[derive(Default)]
+struct Fields {
+    text: String,
+}
+
+impl Serializer for Fields {
+    fn emit_arguments(&mut self, key: Key, value: &Arguments<'_>) -> slog::Result {
+        let key: &str = key.as_ref();
+        if !FIELDS.contains(&key) {
+            return Ok(());
+        }
+        let value = value.to_string();
+        let harmless = match key {
+            "uri" => value.split('?').next().unwrap_or_default(),
+            _ => &value,
+        };
+        write!(self.text, ", {key} {harmless}").map_err(|_| slog::Error::Other)
+    }
+}
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -2,7 +2,10 @@
 
 mod clock;
 pub mod control;
+mod drain;
 pub mod entry;
+mod http_log;
+mod metric;
 mod node;
 mod operator;
 pub mod order;
@@ -15,7 +18,8 @@
 pub use self::{
     clock::Clock,
     control::Control,
+    drain::Drain,
     node::{Node, Server},
-    operator::status,
+    operator::{health, status},
     settings::Settings,
 };
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -1,7 +1,9 @@
 //! One node: what its tasks and HTTP handlers share, and its start and stop.
 
 use crate::{
-    Clock, Control, Settings, entry, operator, order, targets, trainer,
+    Clock, Control, Drain, Settings, entry,
+    http_log::HttpLog,
+    metric, operator, order, targets, trainer,
     upstream::Upstream,
     usage::{self, Usage},
 };
@@ -16,10 +18,11 @@
     ApiDescription, ApiDescriptionRegisterError, BuildError, ConfigDropshot, HandlerTaskMode,
     HttpServer, ServerBuilder,
 };
-use slog::Drain;
+use slog::Drain as _;
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 use tokio::{sync::Notify, task::JoinSet};
 
@@ -42,6 +45,8 @@
     pub(crate) upstream: Upstream,
     pub(crate) trainers: trainer::Coordinators,
     pub(crate) admission: entry::Admission,
+    /// Whether the node leaves.
+    pub drain: Drain,
     table: Mutex<Table>,
     pub(crate) usage: Usage,
     desk: Mutex<Desk>,
@@ -54,6 +59,11 @@
         self.timeline.record(self.clock.wall_ms(), kind);
     }
 
+    /// Returns whether the node drains; it then belongs in no entry list.
+    pub fn draining(&self) -> bool {
+        self.drain.has_begun()
+    }
+
     /// Locks the table of targets.
     pub(crate) fn table(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
@@ -92,6 +102,7 @@
 impl Server {
     /// Starts a node.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        metric::install();
         let timeline = Timeline::new(settings.host.clone(), settings.timeline_events);
         let usage = Usage::new(settings.host.clone());
         let node = Arc::new(Node {
@@ -103,6 +114,7 @@
             upstream: Upstream::new(),
             trainers: trainer::Coordinators::default(),
             admission: entry::Admission::new(),
+            drain: Drain::new(),
             table: Mutex::default(),
             usage,
             desk: Mutex::new(Desk::new(Timing::default())),
@@ -133,8 +145,17 @@
         self.operator.local_addr()
     }
 
+    /// Leaves the entry list, serves until callers have let go of the address, and stops.
+    pub async fn drain(self) -> Result<(), String> {
+        self.node.drain.begin();
+        let time_to_live = Duration::from_millis(self.node.settings.address_time_to_live_ms);
+        tokio::time::sleep(time_to_live).await;
+        self.stop().await
+    }
+
     /// Finishes the requests under way and stops.
     pub async fn stop(mut self) -> Result<(), String> {
+        self.node.drain.begin();
         self.public.close().await?;
         self.operator.close().await?;
         self.tasks.shutdown().await;
@@ -171,6 +192,6 @@
         default_handler_task_mode: HandlerTaskMode::Detached,
         ..ConfigDropshot::default()
     };
-    let log = slog::Logger::root(slog_stdlog::StdLog.fuse(), slog::o!());
+    let log = slog::Logger::root(HttpLog.fuse(), slog::o!());
     ServerBuilder::new(api, node.clone(), log).config(config).start().map_err(StartError::Listen)
 }
--- a/crates/catkinlatch-node/src/operator/api.rs
+++ b/crates/catkinlatch-node/src/operator/api.rs
@@ -2,6 +2,7 @@
 
 use super::{
     access::authorize,
+    health,
     status::{self, Status},
 };
 use crate::Node;
@@ -17,7 +18,7 @@
 
 /// Adds the endpoints.
 pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
-    api.register(get_live)?;
+    health::register(api)?;
     api.register(get_status)?;
     api.register(get_timeline)?;
     api.register(get_config)?;
@@ -25,12 +26,6 @@
     Ok(())
 }
 
-/// Answers while the process runs.
-#[endpoint { method = GET, path = "/v1/live" }]
-async fn get_live(_context: Context) -> Result<HttpResponseOk<()>, HttpError> {
-    Ok(HttpResponseOk(()))
-}
-
 /// Returns what the node knows of the cluster.
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(context: Context) -> Result<HttpResponseOk<Status>, HttpError> {
@@ -44,7 +39,7 @@
         zone: zone.clone(),
         revision: state.revision(),
         lease_ms: node.settings.configuration_lease_ms,
-        draining: false,
+        draining: node.draining(),
     };
     Ok(HttpResponseOk(Status {
         leader: leading.map(|_| host.clone()),
--- /dev/null
+++ b/crates/catkinlatch-node/src/operator/health.rs
@@ -0,0 +1,67 @@
+//! Health, metrics and draining of one node.
+
+use super::access::authorize;
+use crate::{Node, metric};
+use catkinlatch_base::derive_schema;
+use dropshot::{
+    ApiDescription, ApiDescriptionRegisterError, Body, HttpError, HttpResponseOk, RequestContext,
+    endpoint,
+};
+use http::{Response, header};
+use log::info;
+use std::sync::Arc;
+
+type Context = RequestContext<Arc<Node>>;
+
+derive_schema! {
+    /// Whether a node drains.
+    pub struct Draining {
+        /// Whether it drains.
+        pub draining: bool,
+        /// How long callers may still use its address, in milliseconds.
+        pub address_time_to_live_ms: u64,
+    }
+}
+
+/// Adds the endpoints.
+pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
+    api.register(get_live)?;
+    api.register(get_ready)?;
+    api.register(get_metrics)?;
+    api.register(post_drain)?;
+    Ok(())
+}
+
+/// Answers while the process runs.
+#[endpoint { method = GET, path = "/v1/live" }]
+async fn get_live(_context: Context) -> Result<HttpResponseOk<()>, HttpError> {
+    Ok(HttpResponseOk(()))
+}
+
+/// Answers 200 while the node takes new callers, and 503 otherwise.
+#[endpoint { method = GET, path = "/v1/ready" }]
+async fn get_ready(context: Context) -> Result<HttpResponseOk<()>, HttpError> {
+    if context.context().draining() {
+        return Err(HttpError::for_unavail(None, "the node drains".to_owned()));
+    }
+    Ok(HttpResponseOk(()))
+}
+
+/// Returns the metrics of the process as text.
+#[endpoint { method = GET, path = "/v1/metrics" }]
+async fn get_metrics(context: Context) -> Result<Response<Body>, HttpError> {
+    authorize(&context)?;
+    let response = Response::builder().header(header::CONTENT_TYPE, "text/plain; version=0.0.4");
+    Ok(response.body(Body::from(metric::render())).expect("the parts are valid"))
+}
+
+/// Drains the node: it leaves the entry list, finishes its work and ends.
+#[endpoint { method = POST, path = "/v1/drain" }]
+async fn post_drain(context: Context) -> Result<HttpResponseOk<Draining>, HttpError> {
+    let node = authorize(&context)?;
+    if node.drain.begin() {
+        info!("drain: an operator asked for it");
+    }
+    let address_time_to_live_ms = node.settings.address_time_to_live_ms;
+    Ok(HttpResponseOk(Draining { draining: true, address_time_to_live_ms }))
+}
--- a/crates/catkinlatch-node/src/settings.rs
+++ b/crates/catkinlatch-node/src/settings.rs
@@ -100,6 +100,10 @@
         /// How many events of the time line are kept.
         #[serde(default = "default::timeline_events")]
         pub timeline_events: usize,
+        /// How long a caller may use the addresses that it was given, in milliseconds; a node
+        /// that drains serves for as long.
+        #[serde(default = "default::address_time_to_live_ms")]
+        pub address_time_to_live_ms: u64,
         /// How long a running stream goes on after its key was withdrawn, in milliseconds.
         #[serde(default = "default::stream_grace_ms")]
         pub stream_grace_ms: u64,
@@ -140,6 +144,10 @@
         4_096
     }
 
+    pub fn address_time_to_live_ms() -> u64 {
+        5_000
+    }
+
     pub fn stream_grace_ms() -> u64 {
         1_000
     }
@@ -175,6 +183,7 @@
             cluster_secret: None,
             usage_window_ms: default::usage_window_ms(),
             timeline_events: default::timeline_events(),
+            address_time_to_live_ms: default::address_time_to_live_ms(),
             stream_grace_ms: default::stream_grace_ms(),
         }
     }
--- a/crates/catkinlatch-node/src/settings/agreement.rs
+++ b/crates/catkinlatch-node/src/settings/agreement.rs
@@ -39,6 +39,7 @@
             item("platform", &s.platform),
             item("weight_store", &s.weight_store),
             item("usage_window_ms", &s.usage_window_ms),
+            item("address_time_to_live_ms", &s.address_time_to_live_ms),
             item("stream_grace_ms", &s.stream_grace_ms),
         ];
         Self { items }
--- a/crates/catkinlatch-node/src/settings/schema.rs
+++ b/crates/catkinlatch-node/src/settings/schema.rs
@@ -86,6 +86,7 @@
     optional("cluster_secret", Shape::Credential),
     optional("usage_window_ms", millis(1_000)),
     optional("timeline_events", Shape::Number { min: 1, max: MAX_EVENTS }),
+    optional("address_time_to_live_ms", millis(0)),
     optional("stream_grace_ms", millis(0)),
 ];
 
--- /dev/null
+++ b/crates/catkinlatch-standin/tests/drain.rs
@@ -0,0 +1,67 @@
+//! A node that leaves while requests are under way.
+
+use catkinlatch_base::event::Kind as Event;
+use catkinlatch_node::{Node, Server, Settings};
+use catkinlatch_standin::{
+    client::Client,
+    engine::{Engine, Options},
+};
+use catkinlatch_state::{
+    Command,
+    config::{Change, Edit, Kind, Model, Route},
+};
+use serde_json::json;
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    str::FromStr,
+    time::Duration,
+};
+use test_case::test_case;
+
+/// How many tokens the answer has.
+const TOKENS: usize = 40;
+
+fn id<T: FromStr>(text: &str) -> T {
+    text.parse().unwrap_or_else(|_| panic!("the id {text:?} is valid"))
+}
+
+/// Opens a route to one engine.
+async fn configure(node: &Node) {
+    let route = Route::new(id("draft"), Kind::Model(id("draft"))).with_open(true);
+    let edits = vec![Edit::PutModel(Model::new(id("draft"))), Edit::PutRoute(route)];
+    let change = Change { request: id("setup"), base: None, edits };
+    node.control.propose(Command::Config(change)).await.expect("the change is made");
+}
+
+/// Waits until a request has reached a target.
+async fn sent(node: &Node) {
+    while !node.timeline.events().iter().any(|event| matches!(event.kind, Event::Sent { .. })) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[test_case(true; "streamed")]
+#[test_case(false; "whole")]
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_cuts_no_request(stream: bool) {
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let settings = Settings::loopback(id("host-1"), id("zone-a"));
+    let settings = Settings { address_time_to_live_ms: 0, ..settings };
+    let server = Server::start(settings).await.expect("the node starts");
+    let (node, address) = (server.node().clone(), server.address());
+    configure(&node).await;
+    let options = Options { token_time: Duration::from_millis(10), ..Options::default() };
+    let engine =
+        Engine::start(id("engine-1"), id("draft"), id("zone-a"), options, any_port, vec![address]);
+    let engine = engine.await.expect("the engine starts");
+    let body = json!({ "model": "draft", "prompt": "p", "max_tokens": TOKENS, "stream": stream });
+    let caller = Client::new(address);
+    let request = tokio::spawn(async move { caller.post("/v1/completions", &body).await });
+    sent(&node).await;
+    server.drain().await.expect("the node stops");
+    let response = request.await.expect("the task ends").expect("the answer is whole");
+    let text = String::from_utf8_lossy(response.body()).into_owned();
+    assert_eq!(response.status(), 200, "{text}");
+    assert!(text.contains(&format!("t{} ", TOKENS - 1)), "{text}");
+    engine.stop().await.expect("the engine stops");
+}
--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -5,6 +5,7 @@
 //! 130 a shutdown cut short by a second signal.
 
 mod check;
+mod drain;
 mod exit;
 mod key;
 mod operator;
@@ -38,6 +39,7 @@
 #[argh(subcommand)]
 enum Verb {
     Check(check::Check),
+    Drain(drain::Drain),
     Key(key::Key),
     Plan(plan::Plan),
     Serve(serve::Serve),
@@ -52,6 +54,7 @@
     pub fn run(self) -> ExitCode {
         let result = match self.verb {
             Verb::Check(verb) => verb.run(),
+            Verb::Drain(verb) => verb.run(),
             Verb::Key(verb) => verb.run(),
             Verb::Plan(verb) => verb.run(),
             Verb::Serve(verb) => verb.run(),
--- a/crates/catkinlatch/src/command/operator.rs
+++ b/crates/catkinlatch/src/command/operator.rs
@@ -10,7 +10,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 use std::{env, path::Path, process::ExitCode, time::Duration};
 
 /// The environment variable that holds the operator's token.
@@ -60,6 +60,16 @@
         self.read(self.send(Method::GET, path, Bytes::new()).await?)
     }
 
+    /// Posts a document and returns the answering one.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        document: &impl Serialize,
+    ) -> Result<T, Failure> {
+        let body = serde_json::to_vec(document).expect("the document serializes");
+        self.read(self.send(Method::POST, path, Bytes::from(body)).await?)
+    }
+
     /// Sends a change; after a lost answer it sends the same change again.
     pub async fn change(&self, change: &Change) -> Result<Reply, Failure> {
         let body = serde_json::to_vec(change).expect("a change serializes");
--- a/crates/catkinlatch/src/command/serve.rs
+++ b/crates/catkinlatch/src/command/serve.rs
@@ -41,14 +41,17 @@
     let server = Server::start(settings).await.map_err(|error| error.to_string())?;
     let (callers, operators) = (server.address(), server.operator_address());
     print(format!("{host} serves callers on {callers} and operators on {operators}"));
-    signals.next().await;
+    tokio::select! {
+        () = signals.next() => {}
+        () = server.node().drain.begun() => {}
+    }
     info!("serve: host {host} drains; a second signal ends it at once");
     tokio::spawn(async move {
         signals.next().await;
         warn!("serve: a second signal came; requests under way are cut");
         process::exit(SIGNAL_CODE);
     });
-    server.stop().await?;
+    server.drain().await?;
     info!("serve: host {host} stopped");
     Ok(())
 }
