--- a/crates/catkinlatch-node/src/peer/message.rs
+++ b/crates/catkinlatch-node/src/peer/message.rs
@@ -1,6 +1,6 @@
 //! What nodes say to each other.
 
-use crate::{control, settings::Agreement};
+use crate::{control, operator::status, settings::Agreement};
 use catkinlatch_base::{Revision, derive_value};
 use catkinlatch_log::Frame;
 use catkinlatch_state::Command;
@@ -18,6 +18,8 @@
         InForce(Revision),
         /// Asks the leader what it knows of the nodes.
         Members,
+        /// Asks a node what it says of itself.
+        Node,
     }
 }
 
@@ -32,5 +34,7 @@
         InForce(bool),
         /// What the leader knows of the nodes.
         Members(Vec<control::Member>),
+        /// What a node says of itself.
+        Node(status::Node),
     }
 }
--- a/crates/catkinlatch-wire/tests/session.rs
+++ b/crates/catkinlatch-wire/tests/session.rs
@@ -1,5 +1,7 @@
 //! Sessions open only between processes of one cluster, and carry frames whole and in order.
 
+#![expect(clippy::unwrap_used, reason = "a failed test may panic")]
+
 use bytes::Bytes;
 use catkinlatch_base::Incarnation;
 use catkinlatch_wire::{Error, Frame, Hello, Secret, Session, connect, serve};
