Plan weight roll-outs in waves

Weights went to all engines at once, in turn, whatever the store's rate and the work under way.

A roll-out now gives out loads bounded by what the store and each peer can serve, keeps a share of the engines serving versions within the bound, takes the engines below the bound first, and rests an engine after a failed load. What an engine has is what it reports; a confirmed order proves nothing.

--- a/crates/catkinlatch-rollout/src/lib.rs
+++ b/crates/catkinlatch-rollout/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod lengths;
 pub mod pool;
 pub mod share;
+pub mod weights;
 
 pub use self::{evidence::Evidence, lengths::Lengths, pool::Pool};
--- a/crates/catkinlatch-rollout/src/pool.rs
+++ b/crates/catkinlatch-rollout/src/pool.rs
@@ -3,6 +3,7 @@
 mod group;
 mod hedge;
 mod make_up;
+mod order;
 mod outcome;
 mod pick;
 mod sample;
@@ -11,6 +12,7 @@
 
 pub use self::{
     group::Group,
+    order::Order,
     outcome::Outcome,
     sample::Sample,
     task::{Partial, Task},
@@ -58,6 +60,7 @@
     epoch: Epoch,
     batch_samples: u32,
     ahead_samples: u32,
+    order: Order,
     newest: Version,
     floor: Version,
     groups: BTreeMap<GroupNumber, Entry>,
@@ -73,6 +76,7 @@
             epoch,
             batch_samples: 1,
             ahead_samples: u32::MAX,
+            order: Order::LongestFirst,
             newest: Version::default(),
             floor: Version::default(),
             groups: BTreeMap::new(),
@@ -91,6 +95,11 @@
         Self { ahead_samples, ..self }
     }
 
+    /// Sets the order in which samples run and groups are delivered.
+    pub fn with_order(self, order: Order) -> Self {
+        Self { order, ..self }
+    }
+
     /// Changes how many samples a batch holds at least.
     pub fn configure(&mut self, batch_samples: u32) {
         self.batch_samples = batch_samples;
--- a/crates/catkinlatch-rollout/src/pool/pick.rs
+++ b/crates/catkinlatch-rollout/src/pool/pick.rs
@@ -1,6 +1,6 @@
 //! The order in which samples are run.
 
-use super::{Partial, Place, Pool, Task};
+use super::{Order, Partial, Place, Pool, Task};
 use catkinlatch_base::{Instant, SampleId};
 use std::cmp::Reverse;
 
@@ -12,16 +12,22 @@
 
     /// Takes the next sample to run: those of the next batch first, and the longest of them.
     pub fn next_task(&mut self, now: Instant) -> Option<Task> {
-        let place = self
-            .waiting()
-            .min_by_key(|(due, place)| {
-                let rest = self.remaining(*place).round() as u64;
-                (!due, Reverse(rest), place.number, place.index)
-            })
-            .map(|(_, place)| place)?;
+        let place = match self.order {
+            Order::Arrival => self.waiting().next()?.1,
+            Order::LongestFirst => self.longest()?,
+        };
         Some(self.start(place, now))
     }
 
+    /// Returns the place to fill that is expected to take longest, of the next batch if there is any.
+    fn longest(&self) -> Option<Place> {
+        let key = |(due, place): &(bool, Place)| {
+            let rest = self.remaining(*place).round() as u64;
+            (!due, Reverse(rest), place.number, place.index)
+        };
+        self.waiting().min_by_key(key).map(|(_, place)| place)
+    }
+
     /// Returns the places to fill, and whether each belongs to the next batch.
     fn waiting(&self) -> impl Iterator<Item = (bool, Place)> {
         let due = self.batch_samples;
--- /dev/null
+++ b/crates/catkinlatch-rollout/src/weights.rs
@@ -0,0 +1,186 @@
+//! Roll-out of weights to engines in waves.
+
+mod engine;
+mod limit;
+mod load;
+
+pub use self::{
+    engine::Engine,
+    limit::Limits,
+    load::{Load, Outcome, Source},
+};
+
+use catkinlatch_base::{Instant, TargetId, Version, ZoneId};
+use std::{collections::BTreeMap, time::Duration};
+
+/// How long an engine rests after its first failed load.
+const FIRST_REST: Duration = Duration::from_millis(500);
+
+/// How long an engine rests at most after a failed load.
+const LONGEST_REST: Duration = Duration::from_secs(30);
+
+/// A load under way.
+#[derive(Clone, Debug)]
+struct Loading {
+    source: Source,
+    until: Instant,
+}
+
+/// Failed loads of one engine.
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    count: u32,
+    rest_until: Instant,
+}
+
+/// The roll-out of one model's weights.
+///
+/// What an engine has is what it reports; an order that was given or confirmed proves nothing.
+///
+/// ```
+/// use catkinlatch_base::{Instant, Version};
+/// use catkinlatch_rollout::weights::{Engine, Limits, Rollout};
+///
+/// let engine = |name: &str| Engine {
+///     id: name.parse().expect("the id is valid"),
+///     zone: "zone-a".parse().expect("the id is valid"),
+///     reported: Version::new(1),
+/// };
+/// let engines = [engine("engine-1"), engine("engine-2"), engine("engine-3")];
+/// let mut rollout = Rollout::new(Limits::default());
+/// let (wanted, floor) = (Version::new(2), Version::new(1));
+/// let wave = rollout.next(Instant::ZERO, wanted, floor, &engines);
+/// assert_eq!(wave.len(), 1, "three of four engines keep serving");
+/// ```
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    limits: Limits,
+    loading: BTreeMap<TargetId, Loading>,
+    failures: BTreeMap<TargetId, Failure>,
+}
+
+impl Rollout {
+    /// Creates a roll-out without loads.
+    pub fn new(limits: Limits) -> Self {
+        Self { limits, loading: BTreeMap::new(), failures: BTreeMap::new() }
+    }
+
+    /// Returns the loads to order now.
+    ///
+    /// `floor` is the oldest version whose samples a trainer still takes.
+    pub fn next(
+        &mut self,
+        now: Instant,
+        wanted: Version,
+        floor: Version,
+        engines: &[Engine],
+    ) -> Vec<Load> {
+        self.forget(now, engines);
+        let mut loads = Vec::new();
+        while let Some(load) = self.next_load(now, wanted, floor, engines) {
+            let until = now + self.limits.load_timeout;
+            self.loading
+                .insert(load.engine.clone(), Loading { source: load.source.clone(), until });
+            loads.push(load);
+        }
+        loads
+    }
+
+    /// Records what became of a load.
+    pub fn ended(&mut self, engine: &TargetId, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Loaded => {
+                self.loading.remove(engine);
+                self.failures.remove(engine);
+            }
+            Outcome::Failed => {
+                self.loading.remove(engine);
+                self.rest(engine, now);
+            }
+            Outcome::Unknown => {}
+        }
+    }
+
+    /// Returns how many loads are under way.
+    pub fn loading(&self) -> usize {
+        self.loading.len()
+    }
+
+    /// Drops loads that took too long, and all about engines that are gone.
+    fn forget(&mut self, now: Instant, engines: &[Engine]) {
+        let late: Vec<TargetId> =
+            self.loading.extract_if(.., |_, load| load.until <= now).map(|(id, _)| id).collect();
+        for engine in late {
+            self.rest(&engine, now);
+        }
+        let known = |id: &TargetId| engines.iter().any(|engine| engine.id == *id);
+        self.loading.retain(|id, _| known(id));
+        self.failures.retain(|id, _| known(id));
+    }
+
+    fn rest(&mut self, engine: &TargetId, now: Instant) {
+        let count = self.failures.get(engine).map_or(0, |failure| failure.count) + 1;
+        let rest = FIRST_REST * 2_u32.saturating_pow(count - 1).min(1 << 10);
+        let rest_until = now + rest.min(LONGEST_REST);
+        self.failures.insert(engine.clone(), Failure { count, rest_until });
+    }
+
+    fn next_load(
+        &self,
+        now: Instant,
+        wanted: Version,
+        floor: Version,
+        engines: &[Engine],
+    ) -> Option<Load> {
+        let engine = engines
+            .iter()
+            .filter(|engine| self.is_candidate(engine, wanted, now))
+            .filter(|engine| self.may_stop(engine, floor, engines))
+            .min_by_key(|engine| {
+                (engine.reported, self.loading_in(&engine.zone, engines), &engine.id)
+            })?;
+        let source = self.source(engine, wanted, engines)?;
+        Some(Load { engine: engine.id.clone(), version: wanted, source })
+    }
+
+    fn is_candidate(&self, engine: &Engine, wanted: Version, now: Instant) -> bool {
+        let rests = self.failures.get(&engine.id).is_some_and(|f| f.rest_until > now);
+        engine.reported < wanted && !rests && !self.loading.contains_key(&engine.id)
+    }
+
+    /// Returns whether enough engines keep serving samples that the trainers take.
+    ///
+    /// An engine below the floor serves none, so loading it takes nothing away. One engine may
+    /// always load, or a roll-out to few engines would never end.
+    fn may_stop(&self, engine: &Engine, floor: Version, engines: &[Engine]) -> bool {
+        if engine.reported < floor || self.loading.is_empty() {
+            return true;
+        }
+        let serves = |e: &&Engine| e.reported >= floor && !self.loading.contains_key(&e.id);
+        let serving = engines.iter().filter(serves).count() as f64;
+        serving - 1.0 >= self.limits.least_serving.get() * engines.len() as f64
+    }
+
+    fn loading_in(&self, zone: &ZoneId, engines: &[Engine]) -> usize {
+        engines.iter().filter(|e| e.zone == *zone && self.loading.contains_key(&e.id)).count()
+    }
+
+    /// Returns where an engine can load from now, its own zone's peers first.
+    fn source(&self, engine: &Engine, wanted: Version, engines: &[Engine]) -> Option<Source> {
+        let serves = |peer: &&Engine| {
+            peer.reported == wanted
+                && !self.loading.contains_key(&peer.id)
+                && self.loads_from(&Source::Peer(peer.id.clone())) < self.limits.peer_loads
+        };
+        let peers = engines.iter().filter(serves);
+        if let Some(peer) = peers.min_by_key(|peer| (peer.zone != engine.zone, &peer.id)) {
+            return Some(Source::Peer(peer.id.clone()));
+        }
+        (self.loads_from(&Source::Store) < self.limits.store_loads).then_some(Source::Store)
+    }
+
+    fn loads_from(&self, source: &Source) -> u32 {
+        let count = self.loading.values().filter(|load| load.source == *source).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+}
