--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -6,7 +6,9 @@
 
 mod check;
 mod exit;
+mod key;
 mod operator;
+mod plan;
 mod serve;
 mod settings;
 mod status;
@@ -36,6 +38,8 @@
 #[argh(subcommand)]
 enum Verb {
     Check(check::Check),
+    Key(key::Key),
+    Plan(plan::Plan),
     Serve(serve::Serve),
     Settings(settings::Settings),
     Status(status::Status),
@@ -48,6 +52,8 @@
     pub fn run(self) -> ExitCode {
         let result = match self.verb {
             Verb::Check(verb) => verb.run(),
+            Verb::Key(verb) => verb.run(),
+            Verb::Plan(verb) => verb.run(),
             Verb::Serve(verb) => verb.run(),
             Verb::Settings(verb) => verb.run(),
             Verb::Status(verb) => verb.run(),
