Measure rollouts on simulated time

There was no figure for how long trainers wait, how old their samples are, or how fast weights spread. The command `policy rollout` runs the pools, ledgers, shares and roll-outs of both deployments on simulated time, against arrival order, no second runs, nothing ahead, all engines at once, and all of these together. Second runs now go before samples of later batches, since those always filled the slots that second runs need.

--- a/crates/catkinlatch-node/src/trainer/runner.rs
+++ b/crates/catkinlatch-node/src/trainer/runner.rs
@@ -74,8 +74,7 @@
             return;
         }
         let now = node.clock.now();
-        let next = coordinator.pool.next_task(now).or_else(|| coordinator.pool.hedge(now));
-        let Some(task) = next else { return };
+        let Some(task) = coordinator.pool.next_run(now) else { return };
         let id = task.sample.clone();
         let run = tokio::spawn(run_sample(node.clone(), trainer.clone(), task));
         coordinator.runs.insert(id, run.abort_handle());
--- a/crates/catkinlatch-rollout/src/pool.rs
+++ b/crates/catkinlatch-rollout/src/pool.rs
@@ -23,7 +23,9 @@
     Evidence, Lengths,
     evidence::{self, Report, Span},
 };
-use catkinlatch_base::{Epoch, GroupNumber, Instant, SampleId, TrainerId, Version, invariant};
+use catkinlatch_base::{
+    Epoch, GroupNumber, Instant, SampleId, Tokens, TrainerId, Version, invariant,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A group and its places.
@@ -34,7 +36,7 @@
 }
 
 /// Where a run belongs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     number: GroupNumber,
     index: usize,
@@ -115,7 +117,9 @@
         if self.groups.contains_key(&number) {
             return false;
         }
-        let slots = group.prompts.iter().map(|_| Slot::default()).collect();
+        let estimate = |prompt: &String| self.lengths.estimate(prompt, group.max_tokens);
+        let slot = |prompt| Slot { estimate: estimate(prompt), ..Slot::default() };
+        let slots = group.prompts.iter().map(slot).collect();
         self.groups.insert(number, Entry { group, slots });
         true
     }
@@ -185,7 +189,7 @@
             self.discard(id);
             return Outcome::TooOld;
         }
-        self.lengths.observe(&task.prompt, evidence.completion_tokens);
+        self.learn(&task, evidence.completion_tokens);
         let text = format!("{}{text}", earlier.text);
         let Some(slot) = self.slot_mut(place) else { return Outcome::Unknown };
         invariant!(
@@ -285,6 +289,17 @@
         }
     }
 
+    /// Learns from the length of a sample what its siblings may have.
+    fn learn(&mut self, task: &Task, tokens: Tokens) {
+        self.lengths.observe(&task.prompt, tokens);
+        let Some(entry) = self.groups.get_mut(&task.number) else { return };
+        for (slot, prompt) in entry.slots.iter_mut().zip(&entry.group.prompts) {
+            if *prompt == task.prompt {
+                slot.estimate = self.lengths.estimate(prompt, task.max_tokens);
+            }
+        }
+    }
+
     fn expire_slot(&mut self, place: Place) {
         let floor = self.floor;
         let Some(slot) = self.slot_mut(place) else { return };
--- a/crates/catkinlatch-rollout/src/pool/pick.rs
+++ b/crates/catkinlatch-rollout/src/pool/pick.rs
@@ -1,7 +1,7 @@
 //! The order in which samples are run.
 
-use super::{Order, Partial, Place, Pool, Task};
-use catkinlatch_base::{Instant, SampleId};
+use super::{Order, Place, Pool, Task};
+use catkinlatch_base::{GroupNumber, Instant, SampleId};
 use std::cmp::Reverse;
 
 impl Pool {
@@ -10,22 +10,38 @@
         self.waiting().next().is_some()
     }
 
-    /// Takes the next sample to run: those of the next batch first, and the longest of them.
+    /// Takes the next sample to run.
+    ///
+    /// Those of the next batch come first, the longest of them before all. Later groups are filled
+    /// one after the other, so that few are incomplete when their samples become too old.
     pub fn next_task(&mut self, now: Instant) -> Option<Task> {
-        let place = match self.order {
-            Order::Arrival => self.waiting().next()?.1,
-            Order::LongestFirst => self.longest()?,
-        };
+        let place = self.next_place(true)?;
         Some(self.start(place, now))
     }
 
-    /// Returns the place to fill that is expected to take longest, of the next batch if there is any.
-    fn longest(&self) -> Option<Place> {
-        let key = |(due, place): &(bool, Place)| {
-            let rest = self.remaining(*place).round() as u64;
-            (!due, Reverse(rest), place.number, place.index)
-        };
-        self.waiting().min_by_key(key).map(|(_, place)| place)
+    /// Takes the next run: a sample of the next batch, a second run for one that holds up its
+    /// group, or a sample beyond the next batch, in this order.
+    pub fn next_run(&mut self, now: Instant) -> Option<Task> {
+        match self.next_place(false) {
+            Some(place) => Some(self.start(place, now)),
+            None => self.hedge(now).or_else(|| self.next_task(now)),
+        }
+    }
+
+    /// Returns the next place to fill, of later batches only if `ahead`.
+    fn next_place(&self, ahead: bool) -> Option<Place> {
+        let mut waiting = self.waiting().filter(|(due, _)| *due || ahead);
+        match self.order {
+            Order::Arrival => waiting.next().map(|(_, place)| place),
+            Order::LongestFirst => waiting.min_by_key(|key| self.urgency(key)).map(|(_, p)| p),
+        }
+    }
+
+    /// Orders places from the most urgent to the least.
+    fn urgency(&self, (due, place): &(bool, Place)) -> (GroupNumber, Reverse<u64>, Place) {
+        let rest = self.groups[&place.number].slots[place.index].remaining();
+        let number = if *due { GroupNumber::default() } else { place.number.next() };
+        (number, Reverse(rest.round() as u64), *place)
     }
 
     /// Returns the places to fill, and whether each belongs to the next batch.
@@ -45,16 +61,6 @@
         )
     }
 
-    /// Estimates the tokens that a sample still needs.
-    fn remaining(&self, place: Place) -> f64 {
-        let Some(entry) = self.groups.get(&place.number) else { return 0.0 };
-        let slot = &entry.slots[place.index];
-        let estimate =
-            self.lengths.estimate(&entry.group.prompts[place.index], entry.group.max_tokens);
-        let had = slot.partial.as_ref().map_or(0, Partial::tokens) as f64;
-        (estimate - had).max(1.0)
-    }
-
     /// Returns how many slots it has work for: the runs under way and the samples to run.
     pub fn wanted(&self) -> u32 {
         u32::try_from(self.running.len() + self.waiting().count()).unwrap_or(u32::MAX)
--- a/crates/catkinlatch-rollout/src/pool/slot.rs
+++ b/crates/catkinlatch-rollout/src/pool/slot.rs
@@ -44,6 +44,8 @@
 /// One place of a group.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Slot {
+    /// How many tokens the sample is expected to have.
+    pub estimate: f64,
     /// How many runs were started under the present epoch.
     pub attempts: u32,
     /// The runs under way.
@@ -55,6 +57,12 @@
 }
 
 impl Slot {
+    /// Estimates the tokens that are still to be generated.
+    pub fn remaining(&self) -> f64 {
+        let had = self.partial.as_ref().map_or(0, Partial::tokens) as f64;
+        (self.estimate - had).max(1.0)
+    }
+
     /// Returns whether a run is to be started.
     pub fn is_waiting(&self) -> bool {
         self.done.is_none() && self.runs.is_empty()
--- /dev/null
+++ b/crates/catkinlatch-standin/src/bin/policy.rs
@@ -0,0 +1,35 @@
+//! Measures the policy under load and faults.
+
+use argh::FromArgs;
+use catkinlatch_standin::policy;
+use std::io::{self, Write};
+
+/// Measures the policy under load and faults; equal seeds give equal figures.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    part: Part,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Part {
+    Rollout(Rollout),
+}
+
+/// Measures trainer idle time, staleness, shares and the spread of weights.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rollout")]
+struct Rollout {
+    /// the seed (default: 6)
+    #[argh(option, default = "6")]
+    seed: u64,
+}
+
+fn main() -> io::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    let report = match arguments.part {
+        Part::Rollout(rollout) => policy::rollout::report(rollout.seed),
+    };
+    io::stdout().write_all(report.as_bytes())
+}
