--- a/crates/catkinlatch-rollout/src/weights.rs
+++ b/crates/catkinlatch-rollout/src/weights.rs
@@ -3,6 +3,7 @@
 mod engine;
 mod limit;
 mod load;
+mod wave;
 
 pub use self::{
     engine::Engine,
@@ -10,8 +11,12 @@
     load::{Load, Outcome, Source},
 };
 
-use catkinlatch_base::{Instant, TargetId, Version, ZoneId};
-use std::{collections::BTreeMap, time::Duration};
+use self::wave::Wave;
+use catkinlatch_base::{Instant, TargetId, Version};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// How long an engine rests after its first failed load.
 const FIRST_REST: Duration = Duration::from_millis(500);
@@ -76,9 +81,12 @@
         engines: &[Engine],
     ) -> Vec<Load> {
         self.forget(now, engines);
+        let mut wave = Wave::new(&self.limits, wanted, floor, engines, &self.loading);
+        let candidates = engines.iter().filter(|engine| self.is_candidate(engine, wanted, now));
+        candidates.for_each(|engine| wave.add(engine));
+        let until = now + self.limits.load_timeout;
         let mut loads = Vec::new();
-        while let Some(load) = self.next_load(now, wanted, floor, engines) {
-            let until = now + self.limits.load_timeout;
+        while let Some(load) = wave.next() {
             self.loading
                 .insert(load.engine.clone(), Loading { source: load.source.clone(), until });
             loads.push(load);
@@ -113,9 +121,9 @@
         for engine in late {
             self.rest(&engine, now);
         }
-        let known = |id: &TargetId| engines.iter().any(|engine| engine.id == *id);
-        self.loading.retain(|id, _| known(id));
-        self.failures.retain(|id, _| known(id));
+        let known: BTreeSet<&TargetId> = engines.iter().map(|engine| &engine.id).collect();
+        self.loading.retain(|id, _| known.contains(id));
+        self.failures.retain(|id, _| known.contains(id));
     }
 
     fn rest(&mut self, engine: &TargetId, now: Instant) {
@@ -125,62 +133,8 @@
         self.failures.insert(engine.clone(), Failure { count, rest_until });
     }
 
-    fn next_load(
-        &self,
-        now: Instant,
-        wanted: Version,
-        floor: Version,
-        engines: &[Engine],
-    ) -> Option<Load> {
-        let engine = engines
-            .iter()
-            .filter(|engine| self.is_candidate(engine, wanted, now))
-            .filter(|engine| self.may_stop(engine, floor, engines))
-            .min_by_key(|engine| {
-                (engine.reported, self.loading_in(&engine.zone, engines), &engine.id)
-            })?;
-        let source = self.source(engine, wanted, engines)?;
-        Some(Load { engine: engine.id.clone(), version: wanted, source })
-    }
-
     fn is_candidate(&self, engine: &Engine, wanted: Version, now: Instant) -> bool {
         let rests = self.failures.get(&engine.id).is_some_and(|f| f.rest_until > now);
         engine.reported < wanted && !rests && !self.loading.contains_key(&engine.id)
     }
-
-    /// Returns whether enough engines keep serving samples that the trainers take.
-    ///
-    /// An engine below the floor serves none, so loading it takes nothing away. One engine may
-    /// always load, or a roll-out to few engines would never end.
-    fn may_stop(&self, engine: &Engine, floor: Version, engines: &[Engine]) -> bool {
-        if engine.reported < floor || self.loading.is_empty() {
-            return true;
-        }
-        let serves = |e: &&Engine| e.reported >= floor && !self.loading.contains_key(&e.id);
-        let serving = engines.iter().filter(serves).count() as f64;
-        serving - 1.0 >= self.limits.least_serving.get() * engines.len() as f64
-    }
-
-    fn loading_in(&self, zone: &ZoneId, engines: &[Engine]) -> usize {
-        engines.iter().filter(|e| e.zone == *zone && self.loading.contains_key(&e.id)).count()
-    }
-
-    /// Returns where an engine can load from now, its own zone's peers first.
-    fn source(&self, engine: &Engine, wanted: Version, engines: &[Engine]) -> Option<Source> {
-        let serves = |peer: &&Engine| {
-            peer.reported == wanted
-                && !self.loading.contains_key(&peer.id)
-                && self.loads_from(&Source::Peer(peer.id.clone())) < self.limits.peer_loads
-        };
-        let peers = engines.iter().filter(serves);
-        if let Some(peer) = peers.min_by_key(|peer| (peer.zone != engine.zone, &peer.id)) {
-            return Some(Source::Peer(peer.id.clone()));
-        }
-        (self.loads_from(&Source::Store) < self.limits.store_loads).then_some(Source::Store)
-    }
-
-    fn loads_from(&self, source: &Source) -> u32 {
-        let count = self.loading.values().filter(|load| load.source == *source).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
 }
--- a/crates/catkinlatch-rollout/src/weights/load.rs
+++ b/crates/catkinlatch-rollout/src/weights/load.rs
@@ -4,7 +4,7 @@
 
 derive_value! {
     /// Where an engine gets weights.
-    #[derive(Eq)]
+    #[derive(Eq, PartialOrd, Ord)]
     pub enum Source {
         /// The weight store.
         Store,
