Place targets by zone and price class, and account for what they cost

Nothing decided which targets run, and nothing knew what a target costs.

Reconciliation compares orders with the platform's list and with what announces itself: unknown outcomes are settled, ended targets stop to cost, silent and stray ones are named.

--- a/crates/catkinlatch-fleet/src/lib.rs
+++ b/crates/catkinlatch-fleet/src/lib.rs
@@ -5,6 +5,8 @@
 mod lease;
 pub mod meter;
 pub mod order;
+pub mod placement;
+pub mod spend;
 pub mod usage;
 
 pub use self::{lease::Lease, meter::Meter};
--- a/crates/catkinlatch-fleet/src/order/desk.rs
+++ b/crates/catkinlatch-fleet/src/order/desk.rs
@@ -110,7 +110,8 @@
     }
 
     /// Records that a change of an order is applied, or must be tried again.
-    pub fn committed(&mut self, id: &OrderId, change: &Change, applied: bool, now: Instant) {
+    pub fn committed(&mut self, change: &Change, applied: bool, now: Instant) {
+        let Some(id) = change.id() else { return };
         let committing = |job: &&mut Job| matches!(job.phase, Phase::Committing);
         if let Some(job) = self.jobs.get_mut(id).filter(committing) {
             job.committed(change, applied, now);
--- a/crates/catkinlatch-fleet/src/order/job.rs
+++ b/crates/catkinlatch-fleet/src/order/job.rs
@@ -69,7 +69,9 @@
             (Change::Settle { stage, target, .. }, false) => {
                 Phase::Settle { stage: *stage, target: target.clone() }
             }
-            (Change::Settle { .. }, true) | (Change::Intend { .. }, false) => Phase::Over,
+            (Change::Settle { .. }, true)
+            | (Change::Intend { .. }, false)
+            | (Change::End { .. }, _) => Phase::Over,
         };
     }
 
--- /dev/null
+++ b/crates/catkinlatch-fleet/src/placement/reconcile.rs
@@ -0,0 +1,104 @@
+//! Compares orders with what the platform lists and what announces itself.
+
+use catkinlatch_base::{OrderId, TargetId, ZoneId, derive_schema, derive_value};
+use catkinlatch_state::order::{Action, Order, Orders, Stage};
+use std::collections::{BTreeMap, BTreeSet};
+
+derive_schema! {
+    /// A target as the platform lists it.
+    #[derive(Eq)]
+    pub struct Listed {
+        /// The target.
+        pub target: TargetId,
+        /// The order that started it, if one did.
+        pub order: Option<OrderId>,
+        /// The model or service that it serves.
+        pub role: String,
+        /// The zone.
+        pub zone: ZoneId,
+        /// The price class.
+        pub price_class: String,
+        /// In how many milliseconds the platform takes it back, if it gave notice.
+        pub reclaim_in_ms: Option<u64>,
+    }
+}
+
+derive_value! {
+    /// A difference between what was ordered and what is seen.
+    #[derive(Eq)]
+    pub enum Mismatch {
+        /// The outcome of an order is known now.
+        Settle {
+            /// The order.
+            order: OrderId,
+            /// What became of it.
+            stage: Stage,
+            /// The target that it started.
+            target: Option<TargetId>,
+        },
+        /// A target ended without an order.
+        Ended(TargetId),
+        /// A target runs and costs money, and never announced itself.
+        Silent(TargetId),
+        /// A target runs that no known order started.
+        Stray(TargetId),
+    }
+}
+
+/// Returns the differences between orders and what is seen.
+///
+/// `asked_ms` is when the platform was asked for its list; what was ordered less than `settle_ms`
+/// before may not be on it. A target has `announce_ms` from its order to announce itself.
+pub fn reconcile(
+    orders: &Orders,
+    listed: &[Listed],
+    announced: &BTreeSet<TargetId>,
+    asked_ms: u64,
+    settle_ms: u64,
+    announce_ms: u64,
+) -> Vec<Mismatch> {
+    let by_target: BTreeMap<&TargetId, &Listed> = listed.iter().map(|l| (&l.target, l)).collect();
+    let by_order: BTreeMap<&OrderId, &Listed> =
+        listed.iter().filter_map(|l| l.order.as_ref().map(|order| (order, l))).collect();
+    let mut mismatches = Vec::new();
+    for (id, order) in orders.list().iter().filter(|(_, o)| o.stage == Stage::Unknown) {
+        let is_old = order.settled_ms.is_some_and(|at| at + settle_ms <= asked_ms);
+        mismatches.extend(settlement(id, order, &by_order, &by_target, is_old));
+    }
+    for (target, tenure) in orders.tenures().running() {
+        if !by_target.contains_key(target) {
+            let is_old = tenure.from_ms + settle_ms <= asked_ms;
+            mismatches.extend(is_old.then(|| Mismatch::Ended(target.clone())));
+        } else if !announced.contains(target) && tenure.from_ms + announce_ms <= asked_ms {
+            mismatches.push(Mismatch::Silent(target.clone()));
+        }
+    }
+    let is_known = |l: &&Listed| {
+        let order = l.order.as_ref().and_then(|order| orders.list().get(order));
+        order.is_some() || orders.tenures().list().contains_key(&l.target)
+    };
+    let strays = listed.iter().filter(|l| !is_known(l)).map(|l| Mismatch::Stray(l.target.clone()));
+    mismatches.extend(strays);
+    mismatches
+}
+
+/// Returns what became of an order whose outcome was unknown, if the list tells.
+fn settlement(
+    id: &OrderId,
+    order: &Order,
+    by_order: &BTreeMap<&OrderId, &Listed>,
+    by_target: &BTreeMap<&TargetId, &Listed>,
+    is_old: bool,
+) -> Option<Mismatch> {
+    let (stage, target) = match &order.action {
+        Action::Start { .. } => match by_order.get(id) {
+            Some(listed) => (Stage::Done, Some(listed.target.clone())),
+            None if is_old => (Stage::Failed, None),
+            None => return None,
+        },
+        Action::Stop { target } if !by_target.contains_key(target) => (Stage::Done, None),
+        Action::Stop { .. } if is_old => (Stage::Failed, None),
+        Action::Stop { .. } | Action::LoadVersion { .. } | Action::Report { .. } => return None,
+    };
+    Some(Mismatch::Settle { order: id.clone(), stage, target })
+}
--- /dev/null
+++ b/crates/catkinlatch-fleet/src/spend/money.rs
@@ -0,0 +1,29 @@
+//! Amounts of money.
+
+use derive_more::{Add, AddAssign, Display, Sub, Sum};
+use std::time::Duration;
+
+catkinlatch_base::derive_key! {
+    /// An amount of money in millionths of the platform's currency.
+    #[derive(Copy, Default, Display, Add, AddAssign, Sub, Sum)]
+    pub struct Money(u64);
+}
+
+impl Money {
+    /// Wraps a number of millionths.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns the number of millionths.
+    pub const fn micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns what a time costs when this is the price of an hour, rounded down.
+    pub fn for_time(self, time: Duration) -> Self {
+        const HOUR_MS: u128 = 3_600_000;
+        let micros = u128::from(self.0) * time.as_millis() / HOUR_MS;
+        Self(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
--- a/crates/catkinlatch-fleet/tests/order_desk.rs
+++ b/crates/catkinlatch-fleet/tests/order_desk.rs
@@ -30,7 +30,7 @@
         match desk.next(Some(held), orders, now, now.as_millis()) {
             Step::Commit(change) => {
                 let applied = orders.apply(&change) == Reply::Done;
-                desk.committed(change.id(), &change, applied, now);
+                desk.committed(&change, applied, now);
             }
             step => return step,
         }
--- a/crates/catkinlatch-node/src/order.rs
+++ b/crates/catkinlatch-node/src/order.rs
@@ -98,20 +98,19 @@
 
 /// Commits a change and tells the desk.
 async fn commit(node: Arc<Node>, change: Change) {
-    let id = change.id().clone();
     let applied = match node.control.propose(Command::Order(change.clone())).await {
         Ok(Reply::Order(order::Reply::Done)) => true,
         Ok(reply) => {
-            info!("orders: a change of {id} was not made: {reply:?}");
+            info!("orders: {change:?} was not made: {reply:?}");
             false
         }
         Err(error) => {
-            warn!("orders: a change of {id} is not committed: {error}");
+            warn!("orders: {change:?} is not committed: {error}");
             time::sleep(COMMIT_RETRY).await;
             false
         }
     };
-    node.desk().committed(&id, &change, applied, node.clock.now());
+    node.desk().committed(&change, applied, node.clock.now());
     node.orders_wake.notify_one();
 }
 
--- a/crates/catkinlatch-state/src/order.rs
+++ b/crates/catkinlatch-state/src/order.rs
@@ -2,10 +2,12 @@
 
 mod action;
 mod change;
+mod tenure;
 
 pub use self::{
     action::Action,
     change::{Change, Reply},
+    tenure::{KEPT_ENDED, Tenure, Tenures},
 };
 
 use catkinlatch_base::{OrderId, TargetId, Term, derive_value, invariant};
@@ -73,6 +75,7 @@
         orders: BTreeMap<OrderId, Order>,
         settled: VecDeque<OrderId>,
         term: Term,
+        tenures: Tenures,
     }
 }
 
@@ -87,6 +90,11 @@
         self.orders.iter().filter(|(_, order)| order.stage == Stage::Intended)
     }
 
+    /// Returns for how long each target costs money.
+    pub fn tenures(&self) -> &Tenures {
+        &self.tenures
+    }
+
     /// Returns the highest term that committed an intent; zero if none did.
     pub fn term(&self) -> Term {
         self.term
@@ -100,6 +108,13 @@
             Change::Settle { id, stage, target, at_ms } => {
                 self.settle(id, *stage, target.as_ref(), *at_ms)
             }
+            Change::End { target, at_ms } => {
+                if self.tenures.end(target, *at_ms) {
+                    Reply::Done
+                } else {
+                    Reply::NotFound
+                }
+            }
         }
     }
 
@@ -161,10 +176,35 @@
         order.stage = stage;
         order.target = target.cloned();
         order.settled_ms = Some(at_ms);
+        let order = order.clone();
+        if stage == Stage::Done {
+            self.account(id, &order, at_ms);
+        }
         self.forget();
         Reply::Done
     }
 
+    /// Begins or ends the tenure of the target that an order started or stopped.
+    fn account(&mut self, id: &OrderId, order: &Order, at_ms: u64) {
+        match (&order.action, &order.target) {
+            (Action::Start { role, zone, price_class }, Some(target)) => {
+                let tenure = Tenure {
+                    order: id.clone(),
+                    role: role.clone(),
+                    zone: zone.clone(),
+                    price_class: price_class.clone(),
+                    from_ms: order.intended_ms,
+                    until_ms: None,
+                };
+                self.tenures.begin(target, tenure);
+            }
+            (Action::Stop { target }, _) => {
+                self.tenures.end(target, at_ms);
+            }
+            (Action::Start { .. } | Action::LoadVersion { .. } | Action::Report { .. }, _) => {}
+        }
+    }
+
     /// Drops the settled orders beyond the bound, oldest first.
     fn forget(&mut self) {
         while self.settled.len() > KEPT_SETTLED {
--- a/crates/catkinlatch-state/src/order/change.rs
+++ b/crates/catkinlatch-state/src/order/change.rs
@@ -35,14 +35,22 @@
             /// When it was proposed, in milliseconds since the Unix epoch.
             at_ms: u64,
         },
+        /// Records that a target ended without an order, as when the platform takes it back.
+        End {
+            /// The target.
+            target: TargetId,
+            /// When it was seen to be gone, in milliseconds since the Unix epoch.
+            at_ms: u64,
+        },
     }
 }
 
 impl Change {
-    /// Returns the order that the change is about.
-    pub fn id(&self) -> &OrderId {
+    /// Returns the order that the change is about, if it is about one.
+    pub fn id(&self) -> Option<&OrderId> {
         match self {
-            Self::Intend { id, .. } | Self::Adopt { id, .. } | Self::Settle { id, .. } => id,
+            Self::Intend { id, .. } | Self::Adopt { id, .. } | Self::Settle { id, .. } => Some(id),
+            Self::End { .. } => None,
         }
     }
 }
