Measure placement against the cheapest schedule, and weigh spare targets

There was no figure for what placement costs against what it could cost.

The cheapest schedule knows all of it ahead and moves between zones for nothing, so it is a lower bound.

Found on the way: picking exactly the wanted number keeps a target at full price where one more cheap target per zone costs less. Sets of up to four more are weighed now.

--- a/crates/catkinlatch-fleet/src/placement/allot.rs
+++ b/crates/catkinlatch-fleet/src/placement/allot.rs
@@ -11,6 +11,10 @@
     pub kept: BTreeSet<usize>,
     /// The offers to start new targets from.
     pub starts: Vec<&'a Offer>,
+    /// The price of an hour, with the cost of starts spread over the horizon, in millionths.
+    price: u64,
+    /// How many targets could not be placed.
+    missing: u32,
 }
 
 /// One candidate for a place.
@@ -23,34 +27,63 @@
     position: Option<usize>,
 }
 
-/// Chooses `wanted` targets, the cheapest first, with at most `wanted - floor` in one zone.
+/// How many targets beyond the wanted ones are weighed, since more of them may hold more cheap
+/// ones in a zone.
+const MAX_SPARE: u32 = 4;
+
+/// What an allotment must do.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// How many targets are wanted.
+    pub wanted: u32,
+    /// How many of them must be left when a zone is lost.
+    pub floor: u32,
+}
+
+/// Chooses the cheapest set of at least the wanted size that keeps the floor when a zone is lost.
 ///
 /// A start counts as dearer by what it costs without work, spread over the horizon, so that a
 /// standing target is replaced only where the lower price earns the start back.
 pub fn allot<'a>(
     pool: &'a Pool,
     targets: &[Target],
-    wanted: u32,
-    floor: u32,
+    need: Need,
     backoff: &Backoff,
     timing: &Timing,
     now: Instant,
 ) -> Allotment<'a> {
-    let cap = if pool.zones() < 2 { wanted } else { wanted.saturating_sub(floor) };
-    let mut standing = standing(pool, targets);
+    let standing = standing(pool, targets);
     let new = new(pool, backoff, timing, now);
+    let most = (need.wanted + MAX_SPARE).min(pool.max_targets).max(need.wanted);
+    let choices = (need.wanted..=most).map(|size| {
+        let cap = if pool.zones() < 2 { size } else { size.saturating_sub(need.floor) };
+        pick(standing.clone(), &new, size, cap)
+    });
+    let rank = |choice: &Allotment<'_>| (choice.missing, choice.price);
+    choices.min_by_key(rank).unwrap_or_default()
+}
+
+/// Picks `size` candidates, the cheapest first, with at most `cap` in one zone.
+fn pick<'a>(
+    mut standing: Vec<Candidate<'a>>,
+    new: &[Candidate<'a>],
+    size: u32,
+    cap: u32,
+) -> Allotment<'a> {
     let mut zones: BTreeMap<&ZoneId, u32> = BTreeMap::new();
     let mut allotment = Allotment::default();
-    for _ in 0..wanted {
+    for taken in 0..size {
         let room = |c: &&Candidate<'_>| zones.get(&c.offer.zone).copied().unwrap_or(0) < cap;
         let rank = |c: &&Candidate<'_>| {
             let crowd = zones.get(&c.offer.zone).copied().unwrap_or(0);
             (c.price, c.position.is_none(), crowd, c.position)
         };
-        let Some(best) = standing.iter().chain(&new).filter(room).min_by_key(rank).copied() else {
+        let Some(best) = standing.iter().chain(new).filter(room).min_by_key(rank).copied() else {
+            allotment.missing = size - taken;
             break;
         };
         *zones.entry(&best.offer.zone).or_default() += 1;
+        allotment.price += best.price;
         match best.position {
             Some(position) => {
                 standing.retain(|candidate| candidate.position != Some(position));
--- a/crates/catkinlatch-fleet/src/placement/planner.rs
+++ b/crates/catkinlatch-fleet/src/placement/planner.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Demand, Offer, Phase, Pool, Target, Timing,
-    allot::{Allotment, allot},
+    allot::{Allotment, Need, allot},
     backoff::Backoff,
 };
 use catkinlatch_base::{Instant, TargetId, ZoneId, derive_value};
@@ -79,12 +79,13 @@
     ) -> Vec<Step> {
         let floor = demand.floor(pool);
         let wanted = self.hold(demand.wanted(pool), now);
-        let allotment = allot(pool, targets, wanted, floor, &self.backoff, &self.timing, now);
+        let need = Need { wanted, floor };
+        let allotment = allot(pool, targets, need, &self.backoff, &self.timing, now);
         let starts = allotment.starts.iter().take(MAX_STARTS);
         let mut steps: Vec<Step> = starts.map(|offer| Step::Start((*offer).clone())).collect();
         self.reclaim(targets, &mut steps);
         self.stop(targets, &mut steps, now);
-        self.drain(targets, &allotment, wanted, floor, &mut steps, now);
+        self.drain(targets, &allotment, need, &mut steps, now);
         steps
     }
 
@@ -124,8 +125,7 @@
         &self,
         targets: &[Target],
         allotment: &Allotment<'_>,
-        wanted: u32,
-        floor: u32,
+        need: Need,
         steps: &mut Vec<Step>,
         now: Instant,
     ) {
@@ -133,7 +133,7 @@
         for (_, target) in targets.iter().enumerate().filter(|(n, _)| !allotment.kept.contains(n)) {
             let Some(id) = target.id.as_ref().filter(|_| target.is_ready()) else { continue };
             let age = now.saturating_duration_since(target.started);
-            if age < self.timing.min_lifetime || !is_enough_without(&ready, target, wanted, floor) {
+            if age < self.timing.min_lifetime || !is_enough_without(&ready, target, need) {
                 continue;
             }
             ready.retain(|other| other.id != target.id);
@@ -143,11 +143,11 @@
 }
 
 /// Returns whether the ready targets suffice without one of them, also when a zone is lost then.
-fn is_enough_without(ready: &[&Target], without: &Target, wanted: u32, floor: u32) -> bool {
+fn is_enough_without(ready: &[&Target], without: &Target, need: Need) -> bool {
     let rest: Vec<&&Target> = ready.iter().filter(|target| target.id != without.id).collect();
     let mut zones: BTreeMap<&ZoneId, u32> = BTreeMap::new();
     rest.iter().for_each(|target| *zones.entry(&target.zone).or_default() += 1);
     let count = u32::try_from(rest.len()).unwrap_or(u32::MAX);
     let largest = if zones.len() < 2 { 0 } else { zones.values().copied().max().unwrap_or(0) };
-    count >= wanted && count - largest >= floor
+    count >= need.wanted && count - largest >= need.floor
 }
--- a/crates/catkinlatch-standin/src/policy.rs
+++ b/crates/catkinlatch-standin/src/policy.rs
@@ -1,3 +1,4 @@
 //! Measures the policy under load and faults: the decision code on simulated time.
 
 pub mod clock;
+pub mod fleet;
