Let the stand-in platform take orders, list targets and go wrong

The stand-in took usage reports only, and took any. It now starts and stops targets by zone and price class, lists them with the order that started each, runs out, gives notice and takes back. Answers may be late, lost, an error, or the order ignored. An order that comes again under one id gets the first answer; fencing numbers are checked or ignored; a report that differs from the one taken is refused and counted.

The sender's fencing number goes in the header catkinlatch-fence, since a report resent by a later leader keeps its bytes.

--- a/crates/catkinlatch-node/src/order.rs
+++ b/crates/catkinlatch-node/src/order.rs
@@ -6,7 +6,10 @@
 mod receiver;
 mod send;
 
-pub use self::send::{Fault, send};
+pub use self::{
+    receiver::{Ask, EngineOrder, FENCE_HEADER, PlatformOrder, Receipt, Verdict},
+    send::{Fault, send},
+};
 
 use crate::Node;
 use catkinlatch_base::{OrderId, event};
--- a/crates/catkinlatch-node/src/order/receiver.rs
+++ b/crates/catkinlatch-node/src/order/receiver.rs
@@ -6,7 +6,7 @@
 };
 use crate::{Node, upstream, usage};
 use bytes::Bytes;
-use catkinlatch_base::{ModelId, OrderId, TargetId, Term, Version, derive_schema};
+use catkinlatch_base::{ModelId, OrderId, TargetId, Term, Version, ZoneId, derive_schema};
 use catkinlatch_fleet::order::{Finding, Outcome, Permit};
 use catkinlatch_state::order::Action;
 use http::{Request, Response, StatusCode, header};
@@ -14,6 +14,9 @@
 use std::sync::Arc;
 use tokio::time;
 
+/// The header with the fencing number of the sender, which may be newer than that in the body.
+pub const FENCE_HEADER: &str = "catkinlatch-fence";
+
 derive_schema! {
     /// An order as the platform gets it.
     pub struct PlatformOrder {
@@ -35,7 +38,7 @@
             /// The model or service that it shall serve.
             role: String,
             /// The zone.
-            zone: String,
+            zone: ZoneId,
             /// The price class.
             price_class: String,
         },
@@ -97,6 +100,7 @@
     let Some(message) = message(node, permit) else { return Outcome::NotSent };
     let request = Request::post(message.path)
         .header(header::CONTENT_TYPE, "application/json")
+        .header(FENCE_HEADER, permit.fence.get())
         .body(Full::new(Bytes::from(message.body)))
         .expect("the parts are valid");
     let (checker, checked) = (node.clone(), permit.clone());
@@ -138,7 +142,7 @@
     let (order, fence) = (permit.id.clone(), permit.fence);
     match &permit.action {
         Action::Start { role, zone, price_class } => {
-            let (role, zone) = (role.clone(), zone.to_string());
+            let (role, zone) = (role.clone(), zone.clone());
             let ask = Ask::Start { role, zone, price_class: price_class.clone() };
             platform_message(node, &PlatformOrder { order, fence, ask })
         }
--- a/crates/catkinlatch-standin/src/platform.rs
+++ b/crates/catkinlatch-standin/src/platform.rs
@@ -1,31 +1,31 @@
-//! A stand-in platform that takes usage reports.
+//! A stand-in platform: takes orders for targets by zone, lists targets, takes usage reports.
 
-use crate::server;
-use catkinlatch_base::{WindowId, derive_schema};
-use catkinlatch_state::window::Figure;
-use dropshot::{
-    ApiDescription, HttpError, HttpResponseOk, HttpResponseUpdatedNoContent, HttpServer,
-    RequestContext, TypedBody, endpoint,
+mod api;
+mod fault;
+mod market;
+mod report;
+
+pub use self::{
+    fault::Fault,
+    market::{Handled, Market, Run},
+    report::{Report, Reports, Verdict},
 };
+
+use crate::server;
+use catkinlatch_base::ZoneId;
+use dropshot::{ApiDescription, HttpServer};
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-derive_schema! {
-    /// A usage report as the platform reads it.
-    pub struct Report {
-        /// The window.
-        pub window: WindowId,
-        /// The figures.
-        pub figures: Vec<Figure>,
-    }
-}
-
 /// What the platform shares with its handlers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
-    reports: Mutex<Vec<Report>>,
+    market: Mutex<Market>,
+    reports: Mutex<Reports>,
+    faults: Mutex<VecDeque<Fault>>,
 }
 
 /// A running stand-in platform.
@@ -35,13 +35,25 @@
 }
 
 impl Platform {
-    /// Starts a platform.
+    /// Starts a platform that checks fencing numbers.
     pub async fn start(listen: SocketAddr) -> Result<Self, String> {
-        let shared = Arc::new(Shared::default());
-        let mut api = ApiDescription::new();
-        api.register(take_report).map_err(|error| error.to_string())?;
-        api.register(get_reports).map_err(|error| error.to_string())?;
-        let server = server::start(api, shared.clone(), listen)?;
+        Self::start_with(listen, Market::new(true), Reports::new(true)).await
+    }
+
+    /// Starts a platform with its own rules for orders and reports.
+    pub async fn start_with(
+        listen: SocketAddr,
+        market: Market,
+        reports: Reports,
+    ) -> Result<Self, String> {
+        let shared = Arc::new(Shared {
+            market: Mutex::new(market),
+            reports: Mutex::new(reports),
+            faults: Mutex::default(),
+        });
+        let mut description = ApiDescription::new();
+        api::register(&mut description).map_err(|error| error.to_string())?;
+        let server = server::start(description, shared.clone(), listen)?;
         Ok(Self { server, shared })
     }
 
@@ -50,9 +62,44 @@
         self.server.local_addr()
     }
 
-    /// Returns the reports that came, in order.
+    /// Adds a fault to the next order or report that has none yet.
+    pub fn fail_next(&self, fault: Fault) {
+        lock(&self.shared.faults).push_back(fault);
+    }
+
+    /// Returns the reports that were taken, in order.
     pub fn reports(&self) -> Vec<Report> {
-        self.shared.reports.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.shared.reports).taken().to_vec()
+    }
+
+    /// Returns how many reports came that differed from one taken before.
+    pub fn conflicts(&self) -> usize {
+        lock(&self.shared.reports).conflicts()
+    }
+
+    /// Returns the orders that came, in order, resends included.
+    pub fn orders(&self) -> Vec<Handled> {
+        lock(&self.shared.market).handled().to_vec()
+    }
+
+    /// Returns the targets that run.
+    pub fn targets(&self) -> Vec<Run> {
+        lock(&self.shared.market).running().cloned().collect()
+    }
+
+    /// Sets whether a zone has targets of a price class to give.
+    pub fn set_available(&self, zone: &ZoneId, price_class: &str, is_available: bool) {
+        lock(&self.shared.market).set_available(zone, price_class, is_available);
+    }
+
+    /// Gives notice that all targets of a zone and price class are taken back.
+    pub fn give_notice(&self, zone: &ZoneId, price_class: &str, reclaim_in_ms: u64) {
+        lock(&self.shared.market).give_notice(zone, price_class, reclaim_in_ms);
+    }
+
+    /// Takes back all targets of a zone and price class.
+    pub fn reclaim(&self, zone: &ZoneId, price_class: &str) {
+        lock(&self.shared.market).reclaim(zone, price_class);
     }
 
     /// Stops the platform.
@@ -61,22 +108,6 @@
     }
 }
 
-/// Takes a usage report.
-#[endpoint { method = POST, path = "/v1/usage" }]
-async fn take_report(
-    context: RequestContext<Arc<Shared>>,
-    body: TypedBody<Report>,
-) -> Result<HttpResponseUpdatedNoContent, HttpError> {
-    let mut reports = context.context().reports.lock().unwrap_or_else(PoisonError::into_inner);
-    reports.push(body.into_inner());
-    Ok(HttpResponseUpdatedNoContent())
-}
-
-/// Returns the reports that came, in order.
-#[endpoint { method = GET, path = "/standin/reports" }]
-async fn get_reports(
-    context: RequestContext<Arc<Shared>>,
-) -> Result<HttpResponseOk<Vec<Report>>, HttpError> {
-    let reports = context.context().reports.lock().unwrap_or_else(PoisonError::into_inner);
-    Ok(HttpResponseOk(reports.clone()))
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
