Name all faults of the log's settings, and stop a node that would drop a commit

A node in a release build that found a committed entry replaced only logged it. An override trusted greetings of any age.

--- a/crates/catkinlatch-log/src/core/follower.rs
+++ b/crates/catkinlatch-log/src/core/follower.rs
@@ -29,6 +29,9 @@
             return self.refuse_leader(now, term, &from, append.sent_at);
         }
         let (matches, index) = self.take_entries(&append);
+        if matches!(self.state, State::Failed) {
+            return;
+        }
         if matches {
             self.commit_until(append.commit.min(index));
             self.take_grant(now, &append);
@@ -103,6 +106,9 @@
                 continue;
             }
             self.truncate(entry.index);
+            if matches!(self.state, State::Failed) {
+                return (false, self.commit);
+            }
             if let Payload::Members(membership) = &entry.payload {
                 self.memberships.push((entry.index, membership.clone()));
             }
@@ -116,12 +122,15 @@
         if from > self.entries.last_index() {
             return;
         }
-        invariant!(
+        let holds = invariant!(
             "committed_stays",
             from > self.commit,
             "entry {from} is dropped though {} is committed",
             self.commit
         );
+        if !holds {
+            return self.fail();
+        }
         self.entries.truncate(from, &mut self.out.write);
         self.memberships.retain(|(index, _)| *index < from);
         for (_, proposal) in self.pending.split_off(&from) {
@@ -173,6 +182,8 @@
     /// Replaces log and state by a leader's snapshot.
     fn install(&mut self, chunk: Chunk, data: Bytes) {
         let Chunk { index, term, membership, .. } = chunk;
+        let applied = self.applied;
+        invariant!("applied_grows", index > applied, "snapshot {index} follows {applied}");
         let snapshot = Arc::new(Snapshot { index, term, membership, data });
         self.machine = decode(&snapshot);
         self.memberships = vec![(index, snapshot.membership.clone())];
--- a/crates/catkinlatch-log/src/core/formation.rs
+++ b/crates/catkinlatch-log/src/core/formation.rs
@@ -122,11 +122,13 @@
 
     /// Makes the hosts the voters without asking a quorum.
     pub(super) fn override_voters(&mut self, now: Instant, token: Token, hosts: &[HostId]) {
+        let fresh = self.fresh();
         let known = |host: &HostId| {
             if *host == self.identity.host {
                 return Some(self.identity.clone());
             }
-            self.greetings.get(host).map(|greeting| greeting.peer.clone())
+            let greeting = self.greetings.get(host).filter(|greeting| now < greeting.at + fresh);
+            greeting.map(|greeting| greeting.peer.clone())
         };
         let missing: Vec<HostId> =
             hosts.iter().filter(|host| known(host).is_none()).cloned().collect();
--- a/crates/catkinlatch-log/src/core/replication.rs
+++ b/crates/catkinlatch-log/src/core/replication.rs
@@ -5,7 +5,7 @@
     Action, Append, AppendReply, Chunk, ChunkReply, Echo, Grant, Index, Machine, Message, Payload,
     Peer, Refusal, Token,
 };
-use catkinlatch_base::{Incarnation, Instant, Term, invariant};
+use catkinlatch_base::{Incarnation, Instant, Term};
 use std::mem;
 
 impl<M: Machine> Core<M> {
@@ -199,7 +199,7 @@
             let entries = self.entries.range(progress.next, limit);
             let previous_index = progress.next.previous();
             let previous_term = self.entries.term(previous_index).unwrap_or_default();
-            let grant = self.grant(now, progress, has_lease);
+            let grant = self.grant(progress, has_lease);
             progress.next = Index::new(progress.next.get() + entries.len() as u64);
             progress.commit_sent = self.commit;
             let commit = self.commit;
@@ -211,12 +211,11 @@
     }
 
     /// Renews a node's configuration lease, counted from its newest answer.
-    fn grant(&self, now: Instant, progress: &mut Progress, has_lease: bool) -> Option<Grant> {
+    fn grant(&self, progress: &mut Progress, has_lease: bool) -> Option<Grant> {
         let echo = progress.echo.filter(|_| has_lease)?;
         // The answer was sent before it was seen, so the bound covers the lease that it carries.
         let bound = progress.seen + self.settings.configuration_bound();
         progress.lease_bound = progress.lease_bound.max(Some(bound));
-        invariant!("grant_under_lease", progress.seen <= now, "an answer lies ahead of the clock");
         Some(Grant { echo, length: self.settings.configuration_lease })
     }
 
--- a/crates/catkinlatch-log/src/lib.rs
+++ b/crates/catkinlatch-log/src/lib.rs
@@ -7,6 +7,7 @@
 mod action;
 mod core;
 mod entry;
+mod fault;
 mod frame;
 mod input;
 mod machine;
@@ -21,6 +22,7 @@
     action::{Action, Refusal, Report, Role},
     core::Core,
     entry::{Entry, Index, Payload},
+    fault::Fault,
     frame::{Frame, FrameError, Group},
     input::{Input, Token},
     machine::Machine,
--- a/crates/catkinlatch-log/src/settings.rs
+++ b/crates/catkinlatch-log/src/settings.rs
@@ -1,6 +1,6 @@
 //! Times and bounds of the log.
 
-use crate::Group;
+use crate::{Fault, Group, fault};
 use catkinlatch_base::{ClusterId, HostId};
 use std::time::Duration;
 
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns all that is wrong with these settings; a node must not start while there is any.
+    pub fn faults(&self) -> Vec<Fault> {
+        fault::find(self)
+    }
+
     /// Returns how long the leader lease lasts on the leader's clock, from when the beat was sent.
     ///
     /// The leader's clock may be slow and the voters' fast, each by the drift.
--- a/crates/catkinlatch-log/tests/log/formation.rs
+++ b/crates/catkinlatch-log/tests/log/formation.rs
@@ -111,3 +111,15 @@
     net.run_for(2_000);
     assert_eq!((net.leader(), net.core(leader).term()), (Some(leader), term));
 }
+
+#[test]
+fn settings_that_cannot_work_are_all_named() {
+    let mut wrong = settings(3, 3);
+    assert_eq!(wrong.faults(), []);
+    wrong.beat = wrong.election;
+    wrong.silence = wrong.election;
+    wrong.configuration_lease = wrong.election;
+    wrong.drift = 0.5;
+    wrong.initial_voters = vec![host(9)];
+    assert_eq!(wrong.faults().len(), 5);
+}
