Wait for control before a lone node counts as started

Cause: a node with its configuration lease checked refuses work (503) in the moments before its own control log has a leader, and a test of a draining node saw that instead of 401.

Change: a node without peers starts once it may serve. The check itself stays as it is.

After: draining_node_leaves_the_list_and_still_serves passes without a change to it.

--- a/crates/catkinlatch-node/src/control.rs
+++ b/crates/catkinlatch-node/src/control.rs
@@ -149,6 +149,12 @@
         self.shared.status.borrow().configuration_until.filter(|until| now < *until)
     }
 
+    /// Returns once this node may serve.
+    pub async fn ready(&self) {
+        let mut status = self.shared.status.subscribe();
+        let _ = status.wait_for(|status| status.configuration_until.is_some()).await;
+    }
+
     /// Returns once a change is in force on every node that takes work.
     ///
     /// # Errors
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -111,7 +111,7 @@
 }
 
 impl Server {
-    /// Starts a node.
+    /// Starts a node; one without peers is ready to serve when this returns.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
         metric::install();
         let storage = control::open(&settings).map_err(StartError::Storage)?;
@@ -148,6 +148,9 @@
         usage::spawn(&node, &mut tasks);
         tasks.spawn(trainer::run_samples(node.clone()));
         tasks.spawn(entry::maintain(node.clone()));
+        if node.settings.peers.is_empty() {
+            node.control.ready().await;
+        }
         Ok(Self { node, public, operator, tasks })
     }
 
