Add the commands timeline and usage

Events could be read one process at a time. The command merges the rings of all processes by stamp, names those that it could not reach, filters by what events name and follows. A dropped team's keys are told as withdrawn too. Tests hold that neither a key nor a query gets into the time line.

--- a/crates/catkinlatch-node/src/operator/api.rs
+++ b/crates/catkinlatch-node/src/operator/api.rs
@@ -9,9 +9,11 @@
 use catkinlatch_base::event::{self, Event};
 use catkinlatch_state::{Command, Reply, config};
 use dropshot::{
-    ApiDescription, ApiDescriptionRegisterError, HttpError, HttpResponseOk, RequestContext,
+    ApiDescription, ApiDescriptionRegisterError, HttpError, HttpResponseOk, Query, RequestContext,
     TypedBody, endpoint,
 };
+use schemars::JsonSchema;
+use serde::Deserialize;
 use std::sync::Arc;
 
 type Context = RequestContext<Arc<Node>>;
@@ -54,10 +56,22 @@
     }))
 }
 
+#[derive(Deserialize, JsonSchema)]
+struct After {
+    /// Leaves out events before this moment, in milliseconds since the Unix epoch.
+    after_ms: Option<u64>,
+}
+
 /// Returns the newest events of this process.
 #[endpoint { method = GET, path = "/v1/timeline" }]
-async fn get_timeline(context: Context) -> Result<HttpResponseOk<Vec<Event>>, HttpError> {
-    Ok(HttpResponseOk(authorize(&context)?.timeline.events()))
+async fn get_timeline(
+    context: Context,
+    query: Query<After>,
+) -> Result<HttpResponseOk<Vec<Event>>, HttpError> {
+    let after_ms = query.into_inner().after_ms.unwrap_or_default();
+    let mut events = authorize(&context)?.timeline.events();
+    events.retain(|event| event.stamp.wall_ms >= after_ms);
+    Ok(HttpResponseOk(events))
 }
 
 /// Returns the configuration, without the secret parts of keys.
@@ -92,12 +106,16 @@
 /// Returns the events that tell of the keys that a change withdraws.
 fn withdrawn_keys(node: &Node, change: &config::Change) -> Vec<event::Kind> {
     let state = node.control.state();
-    let withdrawn =
-        |edit: &config::Edit| match edit {
-            config::Edit::WithdrawKey(id) => state.config().keys().get(id).map(|key| {
-                event::Kind::KeyWithdrawn { key: key.id.clone(), team: key.team.clone() }
-            }),
-            _ => None,
-        };
-    change.edits.iter().filter_map(withdrawn).collect()
+    let withdrawn = |key: &&config::Key| {
+        change.edits.iter().any(|edit| match edit {
+            config::Edit::WithdrawKey(id) => *id == key.id,
+            config::Edit::DropTeam(team) => *team == key.team,
+            _ => false,
+        })
+    };
+    let tell = |key: &config::Key| event::Kind::KeyWithdrawn {
+        key: key.id.clone(),
+        team: key.team.clone(),
+    };
+    state.config().keys().values().filter(withdrawn).map(tell).collect()
 }
--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -13,7 +13,9 @@
 mod serve;
 mod settings;
 mod status;
+mod timeline;
 mod trial;
+mod usage;
 mod version;
 
 use argh::FromArgs;
@@ -45,7 +47,9 @@
     Serve(serve::Serve),
     Settings(settings::Settings),
     Status(status::Status),
+    Timeline(timeline::Timeline),
     Try(trial::Try),
+    Usage(usage::Usage),
     Version(version::Version),
 }
 
@@ -60,6 +64,8 @@
             Verb::Serve(verb) => verb.run(),
             Verb::Settings(verb) => verb.run(),
             Verb::Status(verb) => verb.run(),
+            Verb::Timeline(verb) => verb.run(),
+            Verb::Usage(verb) => verb.run(),
             Verb::Try(verb) => return verb.run(),
             Verb::Version(verb) => verb.run(),
         };
--- a/crates/catkinlatch/src/command/operator.rs
+++ b/crates/catkinlatch/src/command/operator.rs
@@ -28,6 +28,12 @@
 /// How long to wait before a change is sent again.
 const CHANGE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Finds the operator's token in the settings or in the environment.
+pub fn token(settings: Option<&Settings>) -> Option<String> {
+    let token = settings.and_then(|settings| settings.operator_token.as_ref());
+    token.map(|token| token.expose().to_owned()).or_else(|| env::var(TOKEN_VARIABLE).ok())
+}
+
 /// The operator interface of one node.
 #[derive(Debug)]
 pub struct Operator {
@@ -42,9 +48,7 @@
         let settings = settings.map(Settings::load).transpose()?;
         let from_settings = settings.as_ref().map(|s| s.operator_listen.to_string());
         let address = address.or(from_settings).unwrap_or_else(|| DEFAULT_ADDRESS.to_owned());
-        let token = settings.and_then(|s| s.operator_token);
-        let token = token.map(|token| token.expose().to_owned());
-        Ok(Self::at(address, token.or_else(|| env::var(TOKEN_VARIABLE).ok())))
+        Ok(Self::at(address, token(settings.as_ref())))
     }
 
     /// Names a node by its address.
--- a/crates/catkinlatch/tests/command.rs
+++ b/crates/catkinlatch/tests/command.rs
@@ -195,3 +195,38 @@
     let refused = node.run(&["plan"], &["apply", &path, "--base", "7"]);
     assert_eq!(refused.status.code(), Some(3), "{refused:?}");
 }
+
+#[test]
+fn timeline_merges_filters_and_names_the_unreached() {
+    let node = Daemon::start();
+    node.put_team("harbour");
+    assert!(node.run(&["key"], &["new", "--team", "harbour", "--id", "k1"]).status.success());
+    assert!(node.run(&["key"], &["withdraw", "k1"]).status.success());
+    let output = node.run(&["timeline"], &["--operator", "127.0.0.1:1", "--team", "harbour"]);
+    assert!(output.status.success(), "{output:?}");
+    let lines: Vec<String> = stdout(&output).lines().map(str::to_owned).collect();
+    assert_eq!(lines.len(), 1, "{lines:#?}");
+    assert!(lines[0].ends_with("control: key k1 of team harbour is withdrawn"), "{lines:#?}");
+    assert!(String::from_utf8_lossy(&output.stderr).contains("not reached: 127.0.0.1:1"));
+    let all = stdout(&node.run(&["timeline"], &["--json"]));
+    let stamps: Vec<u64> = all
+        .lines()
+        .map(|line| serde_json::from_str::<Value>(line).expect("a JSON line"))
+        .map(|event| event["stamp"]["wall_ms"].as_u64().expect("a stamp"))
+        .collect();
+    assert!(stamps.len() >= 4 && stamps.is_sorted(), "{stamps:?}");
+}
+
+#[test]
+fn timeline_holds_no_key() {
+    let node = Daemon::start();
+    node.put_team("harbour");
+    let made = node.run(&["key"], &["new", "--team", "harbour", "--id", "k1"]);
+    let key = stdout(&made).trim().to_owned();
+    let refused = node.call(&key, "/v1/services/absent/x?api_key=ck_k1_in_query");
+    assert_eq!(refused, 404);
+    let events = stdout(&node.run(&["timeline"], &["--json"]));
+    assert!(events.contains("refused"), "{events}");
+    let secret = key.rsplit('_').next().unwrap();
+    assert!(!events.contains(secret) && !events.contains("in_query"), "{events}");
+}
--- a/crates/catkinlatch/tests/command/daemon.rs
+++ b/crates/catkinlatch/tests/command/daemon.rs
@@ -1,8 +1,10 @@
 //! A node that runs as a process of its own.
 
 use super::run;
+use bytes::Bytes;
 use catkinlatch_standin::client::Client;
 use catkinlatch_state::config::{Change, Edit, Team};
+use http::Method;
 use std::{
     fs,
     io::{BufRead, BufReader},
@@ -15,6 +17,7 @@
 pub struct Daemon {
     child: Child,
     folder: TempDir,
+    callers: String,
     operators: String,
 }
 
@@ -45,8 +48,8 @@
         let stdout = child.stdout.take().expect("the output is piped");
         BufReader::new(stdout).read_line(&mut line).expect("the node says where it listens");
         let words: Vec<&str> = line.split_whitespace().collect();
-        let operators = words[8].to_owned();
-        Self { child, folder, operators }
+        let (callers, operators) = (words[4].to_owned(), words[8].to_owned());
+        Self { child, folder, callers, operators }
     }
 
     /// Runs a command against the node.
@@ -67,6 +70,14 @@
         assert!(posted.expect("the node answers").status().is_success());
     }
 
+    /// Sends a request as a caller and returns its status.
+    pub fn call(&self, key: &str, path: &str) -> u16 {
+        let client = Client::new(self.callers.parse().expect("an address")).with_key(key);
+        let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+        let sent = runtime.block_on(client.send(Method::GET, path, &[], Bytes::new()));
+        sent.expect("the node answers").status().as_u16()
+    }
+
     /// Returns the folder that commands run in.
     pub fn folder(&self) -> &Path {
         self.folder.path()
