--- a/crates/catkinlatch-standin/src/policy.rs
+++ b/crates/catkinlatch-standin/src/policy.rs
@@ -2,3 +2,4 @@
 
 pub mod clock;
 pub mod fleet;
+pub mod rollout;
