Probe a target more than once before its process counts as alive

The request's connection broke, the probe right after still reached the listening socket of the process that was ending, so the crash was not counted.

Change: a target that still accepts connections is probed 4 times more, 50 ms apart.

Ruled out: the order of proposals in control. Left: copies of one bad request that run at the same moment, before the first crash, are not held back.

--- a/crates/catkinlatch-node/src/entry/running.rs
+++ b/crates/catkinlatch-node/src/entry/running.rs
@@ -17,6 +17,12 @@
 /// How long a target may take to accept a connection after one broke.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How often a target that still accepts connections is probed again.
+const PROBES: u32 = 4;
+
+/// How long a target rests between two probes.
+const PROBE_PAUSE: Duration = Duration::from_millis(50);
+
 /// A request under way on a target; counts as outstanding until dropped.
 pub struct Running {
     /// The target.
@@ -96,13 +102,27 @@
     }
 
     /// Returns whether the target's process ended after the request was sent.
+    ///
+    /// A process that ends may still accept connections for a moment, so one that does is probed
+    /// again.
     pub async fn has_crashed(&self) -> bool {
+        for _ in 0..PROBES {
+            if !self.is_running().await {
+                return true;
+            }
+            tokio::time::sleep(PROBE_PAUSE).await;
+        }
+        !self.is_running().await
+    }
+
+    /// Returns whether the process that the request was sent to still accepts connections.
+    async fn is_running(&self) -> bool {
         let known = self.node.table().get(self.key).map(|entry| entry.announcement.boot.clone());
         if known.as_ref() != Some(&self.boot) {
-            return true;
+            return false;
         }
         let connect = TcpStream::connect(&self.address);
-        !matches!(tokio::time::timeout(PROBE_TIMEOUT, connect).await, Ok(Ok(_)))
+        matches!(tokio::time::timeout(PROBE_TIMEOUT, connect).await, Ok(Ok(_)))
     }
 }
 
