--- a/crates/catkinlatch-log/tests/log/disk.rs
+++ b/crates/catkinlatch-log/tests/log/disk.rs
@@ -121,7 +121,10 @@
         *byte = 0;
     }
     fs::write(&path, &bytes).unwrap();
-    assert_eq!(open(folder.path()).unwrap().restored.entries.len(), 3);
+    let opened = open(folder.path()).unwrap();
+    assert_eq!(opened.restored.entries.len(), 3);
+    // What survived behind the cut is gone, so that it cannot follow what is written next.
+    assert!(fs::metadata(&path).unwrap().len() < lengths[2]);
 }
 
 #[test]
--- a/crates/catkinlatch-log/tests/log/formation.rs
+++ b/crates/catkinlatch-log/tests/log/formation.rs
@@ -123,3 +123,15 @@
     wrong.initial_voters = vec![host(9)];
     assert_eq!(wrong.faults().len(), 5);
 }
+
+#[test]
+fn formation_waits_until_all_initial_voters_hear_each_other() {
+    let mut net = Net::new(settings(3, 3), 3);
+    net.cut_link(1, 2);
+    net.start_all();
+    net.run_for(20_000);
+    assert_eq!(net.leader(), None);
+    net.heal();
+    net.run_for(5_000);
+    assert!(net.leader().is_some());
+}
--- a/crates/catkinlatch-log/tests/log/repair.rs
+++ b/crates/catkinlatch-log/tests/log/repair.rs
@@ -162,14 +162,20 @@
     net.commit(1);
 }
 
-#[test]
-fn live_voters_are_not_swapped_while_others_are_dying() {
+/// Creates five voters without a disk and a sixth host with one, which is not started.
+fn five_voters_and_a_better_spare() -> Net {
     let mut net = Net::new(settings(6, 5), 0);
     net.give_disk(5);
     for number in 0..5 {
         net.start(number);
     }
     net.run_for(10_000);
+    net
+}
+
+#[test]
+fn live_voters_are_not_swapped_while_others_are_dying() {
+    let mut net = five_voters_and_a_better_spare();
     let leader = net.leader().unwrap();
     let dying: Vec<usize> = (0..5).rev().filter(|number| *number != leader).take(2).collect();
     for number in dying {
@@ -180,3 +186,17 @@
     net.run_for(20_000);
     net.commit(1);
 }
+
+#[test]
+fn voters_do_not_shrink_around_one_that_has_just_died() {
+    let mut net = five_voters_and_a_better_spare();
+    // The voter that would stay beside the leader and the spare, each in a zone of its own.
+    let dying = usize::from(net.leader().unwrap().is_multiple_of(3));
+    net.kill(dying);
+    net.run_for(450);
+    net.start(5);
+    net.run_for(3_000);
+    net.kill(5);
+    net.run_for(10_000);
+    net.commit(1);
+}
--- a/crates/catkinlatch-log/tests/log/sync.rs
+++ b/crates/catkinlatch-log/tests/log/sync.rs
@@ -3,22 +3,30 @@
 use crate::net::{Journal, peer, settings};
 use catkinlatch_base::{Incarnation, Instant, Term};
 use catkinlatch_log::{
-    Action, Append, Core, Entry, Frame, HardState, Index, Input, Membership, Message, Payload,
-    Peer, Restored, Token, Vote,
+    Action, Append, AppendReply, Core, Echo, Entry, Frame, Grant, HardState, Index, Input,
+    Membership, Message, Payload, Peer, Restored, Snapshot, Token, Vote,
 };
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 type Actions = Vec<Action<u64, u64>>;
 
+/// When the voter's election timeout has surely passed.
+const LEADS: Instant = Instant::from_millis(2_500);
+
+const VOTE_REPLY: Message<u64> = Message::VoteReply { granted: true };
+
 /// Creates voter 0 of three, with a log of one entry of term 1 and maybe a vote.
 fn voter(vote: Option<HardState>) -> Core<Journal> {
+    let hard = vote.unwrap_or(HardState { term: Term::new(1), vote: None });
+    let random = fastrand::Rng::with_seed(1);
+    Core::new(settings(3, 3), member(0), Some(restored(hard)), random, Instant::ZERO)
+}
+
+fn restored(hard: HardState) -> Restored<u64> {
     let voters = (0..3).map(member).collect();
     let payload = Payload::Members(Membership::new(voters));
     let entry = Entry { index: Index::new(1), term: Term::new(1), payload };
-    let hard = vote.unwrap_or(HardState { term: Term::new(1), vote: None });
-    let restored = Restored { hard, snapshot: None, entries: vec![Arc::new(entry)] };
-    let random = fastrand::Rng::with_seed(1);
-    Core::new(settings(3, 3), member(0), Some(restored), random, Instant::ZERO)
+    Restored { hard, snapshot: None, entries: vec![Arc::new(entry)] }
 }
 
 fn member(number: usize) -> Peer {
@@ -50,6 +58,47 @@
     actions.iter().filter(grants).count()
 }
 
+/// Makes voter 0 lead term 3 with an entry of term 2 that is not committed.
+fn leader() -> Core<Journal> {
+    let mut restored = restored(HardState { term: Term::new(2), vote: None });
+    let payload = Payload::Command(7);
+    let entry = Entry { index: Index::new(2), term: Term::new(2), payload };
+    restored.entries.push(Arc::new(entry));
+    let random = fastrand::Rng::with_seed(1);
+    let mut core = Core::new(settings(3, 3), member(0), Some(restored), random, Instant::ZERO);
+    core.step(LEADS, Input::Tick);
+    let granted = Message::PreVoteReply { term: Term::new(3), granted: true };
+    let through = write(&core.step(LEADS, receive(1, 2, granted))).unwrap();
+    core.step(LEADS, Input::Persisted { through });
+    let through = write(&core.step(LEADS, receive(1, 3, VOTE_REPLY))).unwrap();
+    core.step(LEADS, Input::Persisted { through });
+    assert_eq!(core.last_index(), Index::new(3));
+    core
+}
+
+fn acknowledge(term: u64, index: u64) -> Input<u64> {
+    let reply = AppendReply {
+        sent_at: LEADS,
+        matches: true,
+        index: Index::new(index),
+        applied: Index::ZERO,
+        echo: Echo { run: 1, at: Instant::ZERO },
+    };
+    receive(1, term, Message::AppendReply(reply))
+}
+
+fn heartbeat(grant: Option<Grant>) -> Input<u64> {
+    let append = Append {
+        sent_at: Instant::ZERO,
+        previous_index: Index::new(1),
+        previous_term: Term::new(1),
+        entries: Vec::new(),
+        commit: Index::new(1),
+        grant,
+    };
+    receive(1, 1, Message::Append(append))
+}
+
 /// Returns the number of the write that the actions ask for.
 fn write(actions: &Actions) -> Option<u64> {
     let numbers = actions.iter().filter_map(|action| match action {
@@ -141,3 +190,73 @@
     core.step(Instant::ZERO, Input::Persisted { through });
     assert_eq!(core.machine().commands, [7]);
 }
+
+#[test]
+fn an_entry_of_an_older_term_is_committed_only_with_one_of_the_own() {
+    let mut core = leader();
+    core.step(LEADS, acknowledge(3, 2));
+    assert_eq!(core.commit(), Index::ZERO);
+    core.step(LEADS, acknowledge(3, 3));
+    assert_eq!(core.commit(), Index::new(3));
+}
+
+#[test]
+fn a_leader_that_steps_down_does_not_vote_while_its_lease_would_last() {
+    let mut core = leader();
+    core.step(LEADS, acknowledge(3, 3));
+    assert!(core.lease(LEADS).is_some());
+    core.step(LEADS, acknowledge(4, 3));
+    assert!(core.leading_since().is_none());
+    let (last_index, last_term) = (Index::new(9), Term::new(4));
+    let ask = |term| {
+        let vote = Vote { term: Term::new(term), last_index, last_term };
+        receive(2, term, Message::Vote(vote))
+    };
+    core.step(Instant::from_millis(3_300), ask(5));
+    assert_eq!(core.term(), Term::new(4));
+    core.step(Instant::from_millis(3_600), ask(5));
+    assert_eq!(core.term(), Term::new(5));
+}
+
+#[test]
+fn a_configuration_lease_of_an_earlier_run_does_not_count() {
+    let mut core = voter(None);
+    let now = Instant::from_millis(100);
+    let actions = core.step(now, heartbeat(None));
+    let reply = actions.into_iter().find_map(|action| match action {
+        Action::Send { frame, .. } => Some(frame.message),
+        _ => None,
+    });
+    let Some(Message::AppendReply(AppendReply { echo, .. })) = reply else { panic!("no reply") };
+    let length = Duration::from_secs(5);
+    let earlier = Echo { run: echo.run.wrapping_add(1), at: echo.at };
+    core.step(now, heartbeat(Some(Grant { echo: earlier, length })));
+    assert_eq!(core.configuration_lease(now), None);
+    core.step(now, heartbeat(Some(Grant { echo, length })));
+    assert_eq!(core.configuration_lease(now), Some(now + length));
+}
+
+#[test]
+fn entries_that_a_snapshot_replaced_are_dropped_at_a_restart() {
+    let data = bincode::serde::encode_to_vec(Journal::default(), bincode::config::standard());
+    let snapshot = Snapshot {
+        index: Index::new(2),
+        term: Term::new(3),
+        membership: Membership::EMPTY,
+        data: data.unwrap().into(),
+    };
+    for (term, last) in [(3, 4), (2, 2)] {
+        let mut restored = restored(HardState { term: Term::new(3), vote: None });
+        let entry = |index| Entry {
+            index: Index::new(index),
+            term: Term::new(term),
+            payload: Payload::Command(7),
+        };
+        restored.entries.extend((2..=4).map(|index| Arc::new(entry(index))));
+        restored.snapshot = Some(Arc::new(snapshot.clone()));
+        let random = fastrand::Rng::with_seed(1);
+        let core: Core<Journal> =
+            Core::new(settings(3, 3), member(0), Some(restored), random, Instant::ZERO);
+        assert_eq!(core.last_index(), Index::new(last));
+    }
+}
