Run six processes of the real program under failures

Cause: nothing showed how the processes act together when one of them fails.

Change: the stand-ins gain a small driver that writes settings, starts, kills, pauses and wipes hosts, and puts a forwarder between each two of them that can be cut silently. `tests/cluster.rs` waits for states and compares what callers saw with what the stand-in service ran: killed leader, paused leader, all hosts restarted, a wiped host and then two more lost, a key withdrawn with a host cut off.

Ports from the system's own range were taken by connections of other clusters while a host was down; the driver uses a range that the system does not hand out.

--- /dev/null
+++ b/crates/catkinlatch-standin/src/cluster.rs
@@ -0,0 +1,14 @@
+//! Runs the real program as several processes on loopback, and makes them fail.
+
+mod hosts;
+mod link;
+mod ports;
+mod process;
+mod work;
+
+pub use self::{
+    hosts::{Cluster, Layout},
+    link::Link,
+    process::Process,
+    work::{Tally, Work},
+};
--- /dev/null
+++ b/crates/catkinlatch-standin/src/cluster/work.rs
@@ -0,0 +1,117 @@
+//! Callers' work against a cluster, and what came of it.
+
+use super::Cluster;
+use crate::client::Client;
+use bytes::Bytes;
+use catkinlatch_base::RequestId;
+use catkinlatch_state::config::Secret;
+use http::{Method, Response, StatusCode};
+use serde_json::{Value, json};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time;
+
+/// How long a caller waits for an answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// What callers saw.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Requests that got their own whole answer.
+    pub answered: Vec<RequestId>,
+    /// Requests that were refused as not run.
+    pub not_run: Vec<RequestId>,
+    /// Requests whose fate the caller does not know.
+    pub unknown: Vec<RequestId>,
+    /// Answers that were not the caller's own or not whole.
+    pub wrong: Vec<RequestId>,
+}
+
+impl Tally {
+    /// Returns how many requests there were.
+    pub fn total(&self) -> usize {
+        self.answered.len() + self.not_run.len() + self.unknown.len() + self.wrong.len()
+    }
+
+    /// Adds what another caller saw.
+    pub fn add(&mut self, other: Self) {
+        self.answered.extend(other.answered);
+        self.not_run.extend(other.not_run);
+        self.unknown.extend(other.unknown);
+        self.wrong.extend(other.wrong);
+    }
+
+    /// Returns each way in which the record of what ran breaks a promise to callers.
+    ///
+    /// `runs` names each run of a request by a target, with repeats.
+    pub fn violations(&self, runs: &[RequestId]) -> Vec<String> {
+        let mut counts = BTreeMap::<&RequestId, usize>::new();
+        for run in runs {
+            *counts.entry(run).or_default() += 1;
+        }
+        let count = |id: &RequestId| counts.get(id).copied().unwrap_or_default();
+        let mut violations = Vec::new();
+        for (id, runs) in counts.iter().filter(|(_, runs)| **runs > 1) {
+            violations.push(format!("request {id} ran {runs} times"));
+        }
+        for id in self.answered.iter().filter(|id| count(id) == 0) {
+            violations.push(format!("request {id} was answered and never ran"));
+        }
+        for id in self.not_run.iter().filter(|id| count(id) > 0) {
+            violations.push(format!("request {id} was refused as not run, but ran"));
+        }
+        for id in &self.wrong {
+            violations.push(format!("request {id} got an answer that is not its own whole one"));
+        }
+        violations
+    }
+}
+
+/// Sends requests that may not be repeated to one host after another.
+#[derive(Debug)]
+pub struct Work {
+    clients: Vec<Client>,
+    name: String,
+    sent: usize,
+}
+
+impl Work {
+    /// Creates a caller with a key; `name` goes into its request ids.
+    pub fn new(cluster: &Cluster, secret: &Secret, name: &str) -> Self {
+        let client = |address| Client::new(address).with_key(secret.reveal());
+        let clients = cluster.addresses().into_iter().map(client).collect();
+        Self { clients, name: name.to_owned(), sent: 0 }
+    }
+
+    /// Sends one request through a host and records what came of it.
+    pub async fn call(&mut self, host: usize, tally: &mut Tally) {
+        self.sent += 1;
+        let id = format!("{}-{}", self.name, self.sent);
+        let body = json!({ "record": id }).to_string();
+        let headers = [("catkinlatch-request-id", id.as_str())];
+        let path = "/v1/services/survey/records";
+        let sent = self.clients[host].send(Method::POST, path, &headers, Bytes::from(body.clone()));
+        let request: RequestId = id.parse().expect("the id is valid");
+        match time::timeout(CALL_TIMEOUT, sent).await {
+            Ok(Ok(response)) => judge(request, &response, &body, tally),
+            Ok(Err(_)) | Err(_) => tally.unknown.push(request),
+        }
+    }
+
+    /// Sends a chat request through a host and returns its status, if there was an answer.
+    pub async fn chat(&self, host: usize) -> Option<StatusCode> {
+        let body = json!({ "model": "draft", "max_tokens": 4,
+            "messages": [{ "role": "user", "content": "describe" }] });
+        let answer = self.clients[host].post("/v1/chat/completions", &body);
+        time::timeout(CALL_TIMEOUT, answer).await.ok()?.ok().map(|answer| answer.status())
+    }
+}
+
+fn judge(id: RequestId, response: &Response<Bytes>, body: &str, tally: &mut Tally) {
+    if response.status() == StatusCode::OK {
+        let is_own = response.body() == body.as_bytes();
+        let list = if is_own { &mut tally.answered } else { &mut tally.wrong };
+        return list.push(id);
+    }
+    let refusal: Value = serde_json::from_slice(response.body()).unwrap_or_default();
+    if refusal["ran"] == "no" { tally.not_run.push(id) } else { tally.unknown.push(id) }
+}
--- a/crates/catkinlatch-standin/src/lib.rs
+++ b/crates/catkinlatch-standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod announce;
 pub mod client;
+pub mod cluster;
 pub mod engine;
 pub mod platform;
 pub mod policy;
--- /dev/null
+++ b/tests/cluster.rs
@@ -0,0 +1,219 @@
+//! Six processes of the real program on loopback, under the failures that operators fear.
+//!
+//! The tests wait for states, never for times; a state that does not come within a minute fails
+//! the test.
+
+#![expect(clippy::unwrap_used, reason = "a failed test may panic")]
+
+use catkinlatch_base::RequestId;
+use catkinlatch_standin::{
+    cluster::{Cluster, Layout, Tally, Work},
+    engine::{self, Engine},
+    platform::Platform,
+    service::Service,
+};
+use catkinlatch_state::config::{Edit, Key, Kind, Model, Route, Secret, Team};
+use http::StatusCode;
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+};
+use tempfile::TempDir;
+
+const HOSTS: usize = 6;
+
+/// A cluster with its stand-ins and a configuration in force.
+struct Setup {
+    cluster: Cluster,
+    engine: Engine,
+    service: Service,
+    platform: Platform,
+    secret: Secret,
+    revision: u64,
+    _folder: TempDir,
+}
+
+impl Setup {
+    async fn start() -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let platform = Platform::start(any_port).await.unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let layout = Layout {
+            program: PathBuf::from(env!("CARGO_BIN_EXE_catkinlatch")),
+            folder: folder.path().to_path_buf(),
+            hosts: HOSTS,
+            disks: 3,
+            platform: Some(platform.address()),
+            usage_window_ms: 2_000,
+            repair_after_ms: 3_000,
+        };
+        let mut cluster = Cluster::new(&layout).await.unwrap();
+        cluster.start_all().unwrap();
+        let all: Vec<usize> = (0..HOSTS).collect();
+        cluster.all_serve(&all, 0).await.unwrap();
+        let secret = Secret::parse("ck_surveyors_0123456789abcdef0123456789abcdef").unwrap();
+        let revision = cluster.change(0, "setup", configuration(&secret)).await.unwrap();
+        cluster.all_serve(&all, revision).await.unwrap();
+        let nodes = cluster.addresses();
+        let (zone, options) = ("zone-1".parse().unwrap(), engine::Options::default());
+        let (id, model) = ("engine-1".parse().unwrap(), "draft".parse().unwrap());
+        let engine =
+            Engine::start(id, model, zone, options, any_port, nodes.clone()).await.unwrap();
+        let (id, route) = ("survey-1".parse().unwrap(), "survey".parse().unwrap());
+        let zone = "zone-1".parse().unwrap();
+        let service = Service::start(id, route, zone, any_port, nodes).await.unwrap();
+        Self { cluster, engine, service, platform, secret, revision, _folder: folder }
+    }
+
+    fn work(&self, name: &str) -> Work {
+        Work::new(&self.cluster, &self.secret, name)
+    }
+
+    /// Waits until hosts that were restarted have heard of the targets again.
+    async fn targets_known(&self, work: &Work, hosts: &[usize]) {
+        for host in hosts {
+            let knows = async || work.chat(*host).await == Some(StatusCode::OK);
+            self.cluster.wait("a target on a restarted host", knows).await.unwrap();
+        }
+    }
+
+    async fn stop(mut self) {
+        self.cluster.kill_all().unwrap();
+        self.engine.stop().await.unwrap();
+        self.service.stop().await.unwrap();
+        self.platform.stop().await.unwrap();
+    }
+}
+
+fn configuration(secret: &Secret) -> Vec<Edit> {
+    let team = Team::new("surveyors".parse().unwrap());
+    let model = Model::new("draft".parse().unwrap());
+    let draft = Route::new("draft".parse().unwrap(), Kind::Model(model.id.clone()));
+    vec![
+        Edit::PutTeam(team.clone()),
+        Edit::PutKey(Key::new(team.id, secret)),
+        Edit::PutModel(model),
+        Edit::PutRoute(draft.with_idempotent(true)),
+        Edit::PutRoute(Route::new("survey".parse().unwrap(), Kind::Service)),
+    ]
+}
+
+/// Sends one request through each host and expects an answer.
+async fn expect_answers(work: &mut Work, hosts: &[usize]) -> Tally {
+    let mut tally = Tally::default();
+    for host in hosts {
+        work.call(*host, &mut tally).await;
+        assert_eq!(work.chat(*host).await, Some(StatusCode::OK), "host {host}");
+    }
+    assert_eq!(tally.answered.len(), hosts.len(), "{tally:?}");
+    tally
+}
+
+fn none() -> Vec<String> {
+    Vec::new()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_through_each_host_reaches_a_target_once() {
+    let setup = Setup::start().await;
+    let tally = expect_answers(&mut setup.work("each"), &[0, 1, 2, 3, 4, 5]).await;
+    let runs: Vec<RequestId> = setup.service.runs();
+    assert_eq!(tally.violations(&runs), none());
+    assert_eq!(runs.len(), HOSTS);
+    setup.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_leader_is_replaced_and_comes_back() {
+    let mut setup = Setup::start().await;
+    let mut work = setup.work("killed");
+    let leader = setup.cluster.new_leader(None).await.unwrap();
+    setup.cluster.process(leader).kill().unwrap();
+    setup.cluster.new_leader(Some(leader)).await.unwrap();
+    let rest: Vec<usize> = (0..HOSTS).filter(|host| *host != leader).collect();
+    let mut tally = expect_answers(&mut work, &rest).await;
+    setup.cluster.process(leader).start().unwrap();
+    setup.cluster.all_serve(&[leader], setup.revision).await.unwrap();
+    setup.targets_known(&work, &[leader]).await;
+    tally.add(expect_answers(&mut work, &[leader]).await);
+    assert_eq!(tally.violations(&setup.service.runs()), none());
+    setup.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_stops_on_all_hosts_even_with_one_cut_off() {
+    let setup = Setup::start().await;
+    let leader = setup.cluster.new_leader(None).await.unwrap();
+    let cut_off = (leader + 1) % HOSTS;
+    setup.cluster.isolate(cut_off);
+    let edits = vec![Edit::WithdrawKey("surveyors".parse().unwrap())];
+    setup.cluster.change(leader, "withdraw", edits).await.unwrap();
+    let mut work = setup.work("withdrawn");
+    let mut tally = Tally::default();
+    for host in 0..HOSTS {
+        work.call(host, &mut tally).await;
+    }
+    assert_eq!(tally.not_run.len(), HOSTS, "{tally:?}");
+    assert!(setup.service.runs().is_empty());
+    setup.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_leader_finds_another_when_it_goes_on() {
+    let mut setup = Setup::start().await;
+    let leader = setup.cluster.new_leader(None).await.unwrap();
+    setup.cluster.process(leader).pause().unwrap();
+    let next = setup.cluster.new_leader(Some(leader)).await.unwrap();
+    let edits = vec![Edit::PutTeam(Team::new("harbour".parse().unwrap()))];
+    let changed = setup.cluster.change(next, "while-paused", edits).await.unwrap();
+    setup.cluster.process(leader).resume().unwrap();
+    setup.cluster.all_serve(&[leader], changed).await.unwrap();
+    let tally = expect_answers(&mut setup.work("paused"), &[leader, next]).await;
+    assert_eq!(tally.violations(&setup.service.runs()), none());
+    setup.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_hosts_restarted_at_once_keep_what_was_accepted() {
+    let mut setup = Setup::start().await;
+    setup.cluster.kill_all().unwrap();
+    setup.cluster.start_all().unwrap();
+    let all: Vec<usize> = (0..HOSTS).collect();
+    setup.cluster.all_serve(&all, setup.revision).await.unwrap();
+    let mut work = setup.work("restarted");
+    setup.targets_known(&work, &all).await;
+    let tally = expect_answers(&mut work, &all).await;
+    assert_eq!(tally.violations(&setup.service.runs()), none());
+    setup.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wiped_host_and_then_another_are_repaired() {
+    let mut setup = Setup::start().await;
+    let leader = setup.cluster.new_leader(None).await.unwrap();
+    let wiped = (0..3).find(|host| *host != leader).unwrap();
+    setup.cluster.process(wiped).kill().unwrap();
+    setup.cluster.wipe(wiped).unwrap();
+    setup.cluster.process(wiped).start().unwrap();
+    setup.cluster.all_serve(&[wiped], setup.revision).await.unwrap();
+    let second = (0..3).find(|host| *host != leader && *host != wiped).unwrap();
+    setup.cluster.process(second).kill().unwrap();
+    setup
+        .cluster
+        .wait("a repair without the second host", async || {
+            let status = setup.cluster.status(leader).await;
+            let name = format!("host-{}", second + 1);
+            status.is_some_and(|s| s.voters.iter().all(|voter| voter.as_str() != name))
+        })
+        .await
+        .unwrap();
+    let third = (3..HOSTS).find(|host| *host != leader).unwrap();
+    setup.cluster.process(third).kill().unwrap();
+    let left: Vec<usize> = (0..HOSTS).filter(|host| *host != second && *host != third).collect();
+    setup.cluster.all_serve(&left, setup.revision).await.unwrap();
+    let mut work = setup.work("repaired");
+    setup.targets_known(&work, &left).await;
+    let tally = expect_answers(&mut work, &left).await;
+    assert_eq!(tally.violations(&setup.service.runs()), none());
+    setup.stop().await;
+}
