--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod openapi;
 mod operator;
 pub mod order;
+pub mod peer;
 pub mod settings;
 mod targets;
 mod trainer;
