Put each broken connection down to a crash until the target is heard again

A broken connection is now recorded as a crash of that start at once and taken back when the same start is heard again. An old boot id neither replaces nor removes a newer start of a target.

--- a/crates/catkinlatch-node/src/entry.rs
+++ b/crates/catkinlatch-node/src/entry.rs
@@ -1,5 +1,6 @@
 //! The data path: callers' requests, from admission to the whole answer.
 
+mod accused;
 mod admission;
 mod api;
 mod claim;
--- a/crates/catkinlatch-node/src/entry/admission.rs
+++ b/crates/catkinlatch-node/src/entry/admission.rs
@@ -1,8 +1,11 @@
 //! The node's gate: requests wait here until they may be sent to a target.
 
-use super::{Code, Refusal, Ticket};
+use super::{
+    Code, Refusal, Ticket,
+    accused::{self, Watch},
+};
 use crate::Node;
-use catkinlatch_base::{Instant, Ratio, RouteId, Tokens};
+use catkinlatch_base::{BootId, Instant, Ratio, RouteId, TargetId, Tokens};
 use catkinlatch_route::{
     Gate,
     admission::{Ask, Class, Decision, Denial, Outcome, Permit, Rates, Waiter},
@@ -39,13 +42,15 @@
     gate: Gate,
     waiters: SecondaryMap<Waiter, oneshot::Sender<Verdict>>,
     budgets: BTreeMap<RouteId, Budget>,
+    watch: Watch,
 }
 
 impl Admission {
     /// Creates a gate without slots.
     pub fn new() -> Self {
-        let (waiters, budgets) = Default::default();
-        Self { inner: Mutex::new(Inner { gate: Gate::new(ROLLOUT_FLOOR), waiters, budgets }) }
+        let (waiters, budgets, watch) = Default::default();
+        let gate = Gate::new(ROLLOUT_FLOOR);
+        Self { inner: Mutex::new(Inner { gate, waiters, budgets, watch }) }
     }
 
     /// Records a first try on a route.
@@ -66,6 +71,16 @@
         plan.after(effect, inner.budget(route, now), now, &mut random)
     }
 
+    /// Watches a target whose connection broke under a request.
+    pub fn accuse(&self, target: TargetId, boot: BootId, since: Instant) {
+        self.with_watch(|watch| watch.add(target, boot, since));
+    }
+
+    /// Works on the targets that may have crashed.
+    pub fn with_watch<T>(&self, work: impl FnOnce(&mut Watch) -> T) -> T {
+        work(&mut self.lock().watch)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -204,6 +219,7 @@
     loop {
         tokio::time::sleep(UPDATE_INTERVAL).await;
         super::claim::expire(&node).await;
+        accused::clear_survivors(&node).await;
         let now = node.clock.now();
         let state = node.control.state();
         let table = node.table();
--- a/crates/catkinlatch-node/src/entry/running.rs
+++ b/crates/catkinlatch-node/src/entry/running.rs
@@ -9,14 +9,10 @@
     suspect::{Change, Fingerprint, Reply as Verdict, Trial},
 };
 use std::{sync::Arc, time::Duration};
-use tokio::net::TcpStream;
 
 /// How long a suspect waits before it asks again for a target of its own.
 const TRIAL_PAUSE: Duration = Duration::from_millis(100);
 
-/// How long a target may take to accept a connection after one broke.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// A request under way on a target; counts as outstanding until dropped.
 pub struct Running {
     /// The target.
@@ -27,7 +23,8 @@
     pub suspect: bool,
     /// The target in the table.
     pub key: Key,
-    boot: BootId,
+    /// The start of its process that got the request.
+    pub boot: BootId,
     node: Arc<Node>,
 }
 
@@ -94,16 +91,6 @@
         };
         propose(&self.node, Change::Try { fingerprint, trial, now_ms }).await
     }
-
-    /// Returns whether the target's process ended after the request was sent.
-    pub async fn has_crashed(&self) -> bool {
-        let known = self.node.table().get(self.key).map(|entry| entry.announcement.boot.clone());
-        if known.as_ref() != Some(&self.boot) {
-            return true;
-        }
-        let connect = TcpStream::connect(&self.address);
-        !matches!(tokio::time::timeout(PROBE_TIMEOUT, connect).await, Ok(Ok(_)))
-    }
 }
 
 impl Drop for Running {
--- a/crates/catkinlatch-node/src/entry/tries.rs
+++ b/crates/catkinlatch-node/src/entry/tries.rs
@@ -99,15 +99,19 @@
         self.record(node, running, false).await;
     }
 
-    /// Records whether the target crashed; returns `false` if control does not know it.
+    /// Records a failed try; returns `false` if control does not know of it.
+    ///
+    /// A target whose connection broke is taken to have crashed until it is heard again.
     async fn record(&mut self, node: &Node, running: Running, broken: bool) -> bool {
         self.tried.push(running.key);
         let fingerprint = self.fingerprint;
-        if broken && running.has_crashed().await {
-            log::warn!("entry: target {} crashed under a request", running.target);
-            let at_ms = node.clock.wall_ms();
-            let fingerprints = vec![fingerprint];
-            return running::propose(node, Change::Crashed { fingerprints, at_ms }).await.is_some();
+        if broken {
+            log::warn!("entry: target {} broke off under a request", running.target);
+            let boot = running.boot.clone();
+            node.admission.accuse(running.target.clone(), boot.clone(), node.clock.now());
+            let (fingerprints, at_ms) = (vec![fingerprint], node.clock.wall_ms());
+            let change = Change::Crashed { fingerprints, boot, at_ms };
+            return running::propose(node, change).await.is_some();
         }
         if running.suspect {
             let change = Change::Return { fingerprint, node: node.incarnation };
--- a/crates/catkinlatch-node/src/targets.rs
+++ b/crates/catkinlatch-node/src/targets.rs
@@ -54,7 +54,7 @@
     body: TypedBody<Withdrawal>,
 ) -> Result<HttpResponseUpdatedNoContent, HttpError> {
     let withdrawal = body.into_inner();
-    context.context().table().withdraw(&withdrawal.id);
+    context.context().table().withdraw(&withdrawal.id, &withdrawal.boot);
     info!("targets: {} withdrew", withdrawal.id);
     Ok(HttpResponseUpdatedNoContent())
 }
--- a/crates/catkinlatch-route/src/target/table.rs
+++ b/crates/catkinlatch-route/src/target/table.rs
@@ -1,9 +1,9 @@
 //! The table of targets that a node knows.
 
 use super::{Announcement, Wanted};
-use catkinlatch_base::{Instant, TargetId};
+use catkinlatch_base::{BootId, Instant, TargetId};
 use slotmap::SlotMap;
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 slotmap::new_key_type! {
     /// Identifies an entry of the table for as long as the target stays.
@@ -13,6 +13,9 @@
 /// How long a target stays without renewing its announcement.
 const TIME_TO_LIVE: Duration = Duration::from_secs(10);
 
+/// How many starts that are over are remembered.
+const MAX_RETIRED: usize = 1024;
+
 /// One target and the work that this node gave it.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -37,6 +40,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     entries: SlotMap<Key, Entry>,
+    retired: VecDeque<BootId>,
 }
 
 impl Table {
@@ -46,21 +50,39 @@
     }
 
     /// Records an announcement, and returns whether the target is new or was restarted.
+    ///
+    /// An announcement of a start that was withdrawn or replaced came late and is ignored.
     pub fn announce(&mut self, announcement: Announcement, now: Instant) -> bool {
+        if self.retired.contains(&announcement.boot) {
+            return false;
+        }
         let found = self.entries.values_mut().find(|e| e.announcement.id == announcement.id);
         let Some(entry) = found else {
             self.entries.insert(Entry { announcement, renewed: now, outstanding: 0 });
             return true;
         };
-        let restarted = entry.announcement.boot != announcement.boot;
-        entry.announcement = announcement;
+        let earlier = std::mem::replace(&mut entry.announcement, announcement).boot;
         entry.renewed = now;
+        let restarted = earlier != entry.announcement.boot;
+        if restarted {
+            self.retire(earlier);
+        }
         restarted
     }
 
-    /// Removes a target.
-    pub fn withdraw(&mut self, id: &TargetId) {
-        self.entries.retain(|_, entry| entry.announcement.id != *id);
+    /// Removes a target, unless another start of it has announced itself since.
+    pub fn withdraw(&mut self, id: &TargetId, boot: &BootId) {
+        self.entries
+            .retain(|_, entry| entry.announcement.id != *id || entry.announcement.boot != *boot);
+        self.retire(boot.clone());
+    }
+
+    /// Remembers a start that is over.
+    fn retire(&mut self, boot: BootId) {
+        if self.retired.len() == MAX_RETIRED {
+            self.retired.pop_front();
+        }
+        self.retired.push_back(boot);
     }
 
     /// Returns the targets.
--- a/crates/catkinlatch-standin/tests/entry.rs
+++ b/crates/catkinlatch-standin/tests/entry.rs
@@ -202,6 +202,18 @@
     setup.stop().await;
 }
 
+#[tokio::test]
+async fn a_target_that_only_broke_a_connection_clears_the_request() {
+    let setup = Setup::start(false, vec![faulty(Fault::Break { after_tokens: 1 })]).await;
+    setup.complete("bad").await;
+    assert_eq!(setup.server.node().control.state().suspects().list().len(), 1);
+    let mut changes = setup.server.node().control.changes();
+    while !setup.server.node().control.state().suspects().list().is_empty() {
+        changes.changed().await.unwrap();
+    }
+    setup.stop().await;
+}
+
 #[tokio::test]
 async fn a_crossed_answer_is_never_passed_on() {
     let setup = Setup::start(true, vec![faulty(Fault::WrongId), Options::default()]).await;
--- a/crates/catkinlatch-state/src/suspect.rs
+++ b/crates/catkinlatch-state/src/suspect.rs
@@ -8,10 +8,10 @@
     table::Suspects,
 };
 
-use catkinlatch_base::{Incarnation, TargetId, derive_key, derive_value};
+use catkinlatch_base::{BootId, Incarnation, TargetId, derive_key, derive_value};
 
 /// After how many crashes a request is refused on every node.
-pub const MAX_CRASHES: u32 = 2;
+pub const MAX_CRASHES: usize = 2;
 
 /// The most suspects that are kept; beyond them the one that crashed a target longest ago goes.
 pub const MAX_SUSPECTS: usize = 4_096;
@@ -49,8 +49,8 @@
     /// A request that may crash targets.
     #[derive(Eq)]
     pub struct Suspect {
-        /// How many targets crashed while it ran.
-        pub crashes: u32,
+        /// The starts of the targets that crashed while it ran, at most [`MAX_CRASHES`].
+        pub crashes: Vec<BootId>,
         /// When it last ran on a target that crashed, in milliseconds since the Unix epoch.
         pub last_ms: u64,
         /// Its run, if one is under way.
--- a/crates/catkinlatch-state/src/suspect/change.rs
+++ b/crates/catkinlatch-state/src/suspect/change.rs
@@ -1,7 +1,7 @@
 //! Changes of the suspects.
 
 use super::{Fingerprint, Trial};
-use catkinlatch_base::{Incarnation, derive_value};
+use catkinlatch_base::{BootId, Incarnation, derive_value};
 
 derive_value! {
     /// A change of the suspects.
@@ -10,9 +10,16 @@
         Crashed {
             /// The requests.
             fingerprints: Vec<Fingerprint>,
+            /// The start of the target, since one crash may be seen more than once.
+            boot: BootId,
             /// When, in milliseconds since the Unix epoch.
             at_ms: u64,
         },
+        /// A target that was taken to have crashed is the same process still.
+        Survived {
+            /// The start of the target.
+            boot: BootId,
+        },
         /// Asks to run a suspect alone on a target.
         Try {
             /// The request.
--- a/crates/catkinlatch-state/src/suspect/table.rs
+++ b/crates/catkinlatch-state/src/suspect/table.rs
@@ -1,7 +1,7 @@
 //! All suspects.
 
 use super::{Change, Fingerprint, KEEP_MS, MAX_CRASHES, MAX_SUSPECTS, Reply, Suspect, Trial};
-use catkinlatch_base::{Incarnation, TargetId, derive_value, invariant};
+use catkinlatch_base::{BootId, Incarnation, TargetId, derive_value, invariant};
 use std::collections::BTreeMap;
 
 derive_value! {
@@ -16,7 +16,9 @@
     /// let mut suspects = Suspects::default();
     /// let fingerprint = Fingerprint::new([7; 16]);
     /// for at_ms in [1, 2] {
-    ///     suspects.apply(&Change::Crashed { fingerprints: vec![fingerprint], at_ms });
+    ///     let boot = format!("boot-{at_ms}").parse().expect("the id is valid");
+    ///     let fingerprints = vec![fingerprint];
+    ///     suspects.apply(&Change::Crashed { fingerprints, boot, at_ms });
     /// }
     /// assert!(suspects.is_refused(&fingerprint));
     /// ```
@@ -34,7 +36,7 @@
 
     /// Returns whether the request is refused on every node.
     pub fn is_refused(&self, fingerprint: &Fingerprint) -> bool {
-        self.get(fingerprint).is_some_and(|suspect| suspect.crashes >= MAX_CRASHES)
+        self.get(fingerprint).is_some_and(|suspect| suspect.crashes.len() >= MAX_CRASHES)
     }
 
     /// Returns all suspects.
@@ -55,7 +57,10 @@
     /// Applies a change.
     pub fn apply(&mut self, change: &Change) -> Reply {
         match change {
-            Change::Crashed { fingerprints, at_ms } => self.crashed(fingerprints, *at_ms),
+            Change::Crashed { fingerprints, boot, at_ms } => {
+                self.crashed(fingerprints, boot, *at_ms)
+            }
+            Change::Survived { boot } => self.survived(boot),
             Change::Try { fingerprint, trial, now_ms } => self.start(fingerprint, trial, *now_ms),
             Change::Return { fingerprint, node } => self.end(fingerprint, *node),
             Change::Clear { fingerprint } => {
@@ -69,15 +74,27 @@
         }
     }
 
-    fn crashed(&mut self, fingerprints: &[Fingerprint], at_ms: u64) -> Reply {
+    fn crashed(&mut self, fingerprints: &[Fingerprint], boot: &BootId, at_ms: u64) -> Reply {
         for fingerprint in fingerprints {
             self.bound(fingerprint);
-            let new = Suspect { crashes: 0, last_ms: at_ms, trial: None };
+            let new = Suspect { crashes: Vec::new(), last_ms: at_ms, trial: None };
             let suspect = self.suspects.entry(*fingerprint).or_insert(new);
-            suspect.crashes += 1;
-            suspect.last_ms = at_ms;
             suspect.trial = None;
+            if suspect.crashes.contains(boot) || suspect.crashes.len() >= MAX_CRASHES {
+                continue;
+            }
+            suspect.crashes.push(boot.clone());
+            suspect.last_ms = at_ms;
+        }
+        Reply::Done
+    }
+
+    /// Takes back what was put down to a crash that did not happen.
+    fn survived(&mut self, boot: &BootId) -> Reply {
+        for suspect in self.suspects.values_mut() {
+            suspect.crashes.retain(|crashed| crashed != boot);
         }
+        self.suspects.retain(|_, suspect| !suspect.crashes.is_empty() || suspect.trial.is_some());
         Reply::Done
     }
 
@@ -86,7 +103,8 @@
         if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(fingerprint) {
             return;
         }
-        let refused_last = |suspect: &Suspect| (suspect.crashes >= MAX_CRASHES, suspect.last_ms);
+        let refused_last =
+            |suspect: &Suspect| (suspect.crashes.len() >= MAX_CRASHES, suspect.last_ms);
         let oldest = self.suspects.iter().min_by_key(|(_, suspect)| refused_last(suspect));
         if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
             self.suspects.remove(&oldest);
@@ -96,7 +114,7 @@
     fn start(&mut self, fingerprint: &Fingerprint, trial: &Trial, now_ms: u64) -> Reply {
         let taken = self.holds(&trial.target, now_ms);
         let Some(suspect) = self.suspects.get_mut(fingerprint) else { return Reply::Innocent };
-        if suspect.crashes >= MAX_CRASHES {
+        if suspect.crashes.len() >= MAX_CRASHES {
             return Reply::Refused;
         }
         let runs = suspect.trial.as_ref().is_some_and(|trial| trial.until_ms > now_ms);
@@ -105,9 +123,9 @@
         }
         invariant!(
             "a suspect that crashed too many targets never runs",
-            suspect.crashes < MAX_CRASHES,
+            suspect.crashes.len() < MAX_CRASHES,
             "{} crashes",
-            suspect.crashes
+            suspect.crashes.len()
         );
         suspect.trial = Some(trial.clone());
         Reply::Granted
--- a/crates/catkinlatch-state/tests/suspects.rs
+++ b/crates/catkinlatch-state/tests/suspects.rs
@@ -2,7 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed test may panic")]
 
-use catkinlatch_base::{Incarnation, TargetId};
+use catkinlatch_base::{BootId, Incarnation, TargetId};
 use catkinlatch_state::suspect::{
     Change, Fingerprint, KEEP_MS, MAX_CRASHES, MAX_SUSPECTS, Reply, Suspects, Trial,
 };
@@ -13,6 +13,10 @@
     format!("engine-{number}").parse().unwrap()
 }
 
+fn boot(number: usize) -> BootId {
+    format!("boot-{number}").parse().unwrap()
+}
+
 fn fingerprint(number: usize) -> Fingerprint {
     Fingerprint::new((number as u128).to_be_bytes())
 }
@@ -28,7 +32,7 @@
     let fellows: Vec<usize> = (1..30).collect();
     let all = |numbers: &[usize]| numbers.iter().map(|n| fingerprint(*n)).collect();
     let with_bad: Vec<usize> = fellows.iter().copied().chain([bad]).collect();
-    suspects.apply(&Change::Crashed { fingerprints: all(&with_bad), at_ms: 0 });
+    suspects.apply(&Change::Crashed { fingerprints: all(&with_bad), boot: boot(0), at_ms: 0 });
     let mut lost = 1;
     let mut cleared = BTreeSet::new();
     let mut running: Vec<(usize, Trial)> = Vec::new();
@@ -50,7 +54,11 @@
         let (number, trial) = running.swap_remove(random.usize(0..running.len()));
         if number == bad {
             lost += 1;
-            let crashed = Change::Crashed { fingerprints: all(&[bad]), at_ms: now_ms };
+            let crashed = Change::Crashed {
+                fingerprints: all(&[bad]),
+                boot: boot(now_ms as usize),
+                at_ms: now_ms,
+            };
             suspects.apply(&crashed);
         } else if random.u32(0..4) == 0 {
             let fingerprint = fingerprint(number);
@@ -68,7 +76,11 @@
 #[test]
 fn a_trial_whose_node_died_ends_by_itself() {
     let mut suspects = Suspects::default();
-    suspects.apply(&Change::Crashed { fingerprints: vec![fingerprint(1)], at_ms: 0 });
+    suspects.apply(&Change::Crashed {
+        fingerprints: vec![fingerprint(1)],
+        boot: boot(1),
+        at_ms: 0,
+    });
     let trial = |until_ms| Trial { target: target(1), node: Incarnation::new(1), until_ms };
     let start =
         |now_ms| Change::Try { fingerprint: fingerprint(1), trial: trial(now_ms + 100), now_ms };
@@ -83,10 +95,50 @@
     let mut suspects = Suspects::default();
     for number in 0..=MAX_SUSPECTS {
         let at_ms = number as u64;
-        suspects.apply(&Change::Crashed { fingerprints: vec![fingerprint(number)], at_ms });
+        suspects.apply(&Change::Crashed {
+            fingerprints: vec![fingerprint(number)],
+            boot: boot(number),
+            at_ms,
+        });
     }
     assert_eq!(suspects.list().len(), MAX_SUSPECTS);
     assert!(suspects.get(&fingerprint(0)).is_none());
     suspects.apply(&Change::Expire { now_ms: KEEP_MS + MAX_SUSPECTS as u64 });
     assert!(suspects.list().is_empty());
 }
+
+#[test]
+fn a_crash_seen_twice_counts_once() {
+    let mut suspects = Suspects::default();
+    for at_ms in 0..3 {
+        let fingerprints = vec![fingerprint(1)];
+        suspects.apply(&Change::Crashed { fingerprints, boot: boot(1), at_ms });
+    }
+    assert!(!suspects.is_refused(&fingerprint(1)));
+}
+
+#[test]
+fn a_target_that_lives_on_clears_its_suspects() {
+    let mut suspects = Suspects::default();
+    for number in 1..3 {
+        let fingerprints = vec![fingerprint(1)];
+        suspects.apply(&Change::Crashed { fingerprints, boot: boot(number), at_ms: 0 });
+    }
+    suspects.apply(&Change::Survived { boot: boot(1) });
+    assert!(!suspects.is_refused(&fingerprint(1)));
+    assert!(suspects.get(&fingerprint(1)).is_some());
+    suspects.apply(&Change::Survived { boot: boot(2) });
+    assert!(suspects.list().is_empty());
+}
+
+#[test]
+fn a_crash_seen_twice_ends_the_trial() {
+    let mut suspects = Suspects::default();
+    let crashed = Change::Crashed { fingerprints: vec![fingerprint(1)], boot: boot(1), at_ms: 0 };
+    suspects.apply(&crashed);
+    let trial = Trial { target: target(1), node: Incarnation::new(1), until_ms: 60_000 };
+    let start = Change::Try { fingerprint: fingerprint(1), trial, now_ms: 0 };
+    assert_eq!(suspects.apply(&start), Reply::Granted);
+    suspects.apply(&crashed);
+    assert_eq!(suspects.apply(&start), Reply::Granted);
+}
