--- a/crates/catkinlatch-log/tests/log/main.rs
+++ b/crates/catkinlatch-log/tests/log/main.rs
@@ -1,6 +1,10 @@
 //! Failures that the control log is meant for, over cores without I/O.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, clippy::print_stdout)]
 
 mod disk;
 mod formation;
+mod lease;
 mod net;
+mod repair;
+mod storm;
+mod sync;
--- a/crates/catkinlatch-node/src/entry/request.rs
+++ b/crates/catkinlatch-node/src/entry/request.rs
@@ -12,6 +12,9 @@
 /// The usual `x-request-id` is read as well, but the HTTP library overwrites it in answers.
 pub const REQUEST_ID: &str = "catkinlatch-request-id";
 
+/// When a caller may ask a host again that was cut off, in milliseconds.
+const CUT_OFF_RETRY_MS: u64 = 1_000;
+
 /// The team that requests without a key run for, on open routes.
 const OPEN_TEAM: &str = "open";
 
@@ -45,6 +48,7 @@
         request: RequestId,
         route: &str,
     ) -> Result<Self, Box<Refusal>> {
+        check_configuration(node, &request)?;
         let state = node.control.state();
         let config = state.config();
         let found = route.parse::<RouteId>().ok().and_then(|id| config.routes().get(&id));
@@ -75,8 +79,9 @@
         state.config().keys().get(key).is_some_and(|key| key.team == self.ticket.team)
     }
 
-    /// Refuses a request whose key was withdrawn while it waited.
+    /// Refuses a request if its key was withdrawn while it waited, or can no longer be checked.
     pub fn check_key(&self, node: &Node) -> Result<(), Box<Refusal>> {
+        check_configuration(node, &self.ticket.request)?;
         if self.is_in_force(node) {
             return Ok(());
         }
@@ -84,6 +89,16 @@
     }
 }
 
+/// Refuses work while the node's configuration may be old: a key may have been withdrawn.
+fn check_configuration(node: &Node, request: &RequestId) -> Result<(), Box<Refusal>> {
+    if node.control.serving_until().is_some() {
+        return Ok(());
+    }
+    let message = "this host is cut off from the others; ask for the entry addresses again";
+    let refusal = Refusal::not_run(request.clone(), Code::Unavailable, message);
+    Err(refusal.with_retry_after_ms(CUT_OFF_RETRY_MS).into())
+}
+
 fn unauthorized(request: RequestId) -> Refusal {
     let message = "the key is missing or not in force; send a key of your team";
     Refusal::not_run(request, Code::Unauthorized, message)
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -2,10 +2,14 @@
 
 mod clock;
 pub mod control;
+mod drain;
 pub mod entry;
+mod http_log;
+mod metric;
 mod node;
 mod operator;
 pub mod order;
+pub mod peer;
 pub mod settings;
 mod targets;
 mod trainer;
@@ -15,7 +19,8 @@
 pub use self::{
     clock::Clock,
     control::Control,
+    drain::Drain,
     node::{Node, Server},
-    operator::status,
+    operator::{health, status},
     settings::Settings,
 };
--- a/crates/catkinlatch-node/src/operator/api.rs
+++ b/crates/catkinlatch-node/src/operator/api.rs
@@ -1,73 +1,101 @@
 //! Endpoints for operators.
 
-use super::status::{self, Status};
-use crate::Node;
+use super::{
+    access::authorize,
+    health,
+    status::{self, Status},
+};
+use crate::{Node, control};
 use catkinlatch_base::event::{self, Event};
 use catkinlatch_state::{Command, Reply, config};
 use dropshot::{
-    ApiDescription, ApiDescriptionRegisterError, HttpError, HttpResponseOk, RequestContext,
+    ApiDescription, ApiDescriptionRegisterError, HttpError, HttpResponseOk, Query, RequestContext,
     TypedBody, endpoint,
 };
+use schemars::JsonSchema;
+use serde::Deserialize;
 use std::sync::Arc;
 
 type Context = RequestContext<Arc<Node>>;
 
 /// Adds the endpoints.
 pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
-    api.register(get_live)?;
+    health::register(api)?;
     api.register(get_status)?;
     api.register(get_timeline)?;
+    api.register(get_config)?;
     api.register(post_change)?;
     Ok(())
 }
 
-/// Answers while the process runs.
-#[endpoint { method = GET, path = "/v1/live" }]
-async fn get_live(_context: Context) -> Result<HttpResponseOk<()>, HttpError> {
-    Ok(HttpResponseOk(()))
-}
-
 /// Returns what the node knows of the cluster.
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(context: Context) -> Result<HttpResponseOk<Status>, HttpError> {
-    let node = context.context();
-    let leading = node.control.leading();
-    let state = node.control.state();
+    let node = authorize(&context)?;
+    let (control, state) = (node.control.status(), node.control.state());
     let targets = node.table().entries().map(|(_, e)| e.announcement.clone()).collect();
-    let (host, zone) = (node.settings.host.clone(), node.settings.zone.clone());
-    let own = status::Node {
-        host: host.clone(),
-        zone: zone.clone(),
-        revision: state.revision(),
-        lease_ms: node.settings.configuration_lease_ms,
-        draining: false,
-    };
     Ok(HttpResponseOk(Status {
-        leader: leading.map(|_| host.clone()),
-        term: leading.unwrap_or_default(),
+        host: node.settings.host.clone(),
+        zone: node.settings.zone.clone(),
+        leader: control.leader,
+        term: control.term,
         revision: state.revision(),
         config_revision: state.config().revision(),
-        voters: vec![host.clone()],
-        nodes: vec![own],
+        voters: control.voters,
+        nodes: status::all_nodes(node).await,
         targets,
-        host,
-        zone,
     }))
 }
 
+#[derive(Deserialize, JsonSchema)]
+struct After {
+    /// Leaves out events before this moment, in milliseconds since the Unix epoch.
+    after_ms: Option<u64>,
+}
+
 /// Returns the newest events of this process.
 #[endpoint { method = GET, path = "/v1/timeline" }]
-async fn get_timeline(context: Context) -> Result<HttpResponseOk<Vec<Event>>, HttpError> {
-    Ok(HttpResponseOk(context.context().timeline.events()))
+async fn get_timeline(
+    context: Context,
+    query: Query<After>,
+) -> Result<HttpResponseOk<Vec<Event>>, HttpError> {
+    let after_ms = query.into_inner().after_ms.unwrap_or_default();
+    let mut events = authorize(&context)?.timeline.events();
+    events.retain(|event| event.stamp.wall_ms >= after_ms);
+    Ok(HttpResponseOk(events))
+}
+
+/// Returns the configuration, without the secret parts of keys.
+#[endpoint { method = GET, path = "/v1/config" }]
+async fn get_config(context: Context) -> Result<HttpResponseOk<config::View>, HttpError> {
+    let state = authorize(&context)?.control.state();
+    Ok(HttpResponseOk(config::View::new(state.config())))
+}
+
+/// What the answer to a change waits for.
+#[derive(Deserialize, JsonSchema, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Wait {
+    /// The change is committed.
+    Accepted,
+    /// The change is in force on every node that takes work.
+    InForce,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct ChangeQuery {
+    wait: Option<Wait>,
 }
 
 /// Changes the configuration.
 #[endpoint { method = POST, path = "/v1/config/changes" }]
 async fn post_change(
     context: Context,
+    query: Query<ChangeQuery>,
     body: TypedBody<config::Change>,
 ) -> Result<HttpResponseOk<config::Reply>, HttpError> {
-    let node = context.context();
+    let node = authorize(&context)?;
+    let waits = query.into_inner().wait == Some(Wait::InForce);
     let change = body.into_inner();
     let withdrawn = withdrawn_keys(node, &change);
     match node.control.propose(Command::Config(change)).await {
@@ -75,6 +103,9 @@
             if let config::Reply::Accepted { revision } = reply {
                 node.record(event::Kind::Committed { revision });
                 withdrawn.into_iter().for_each(|kind| node.record(kind));
+                if waits {
+                    node.control.in_force(revision).await.map_err(not_in_force)?;
+                }
             }
             Ok(HttpResponseOk(reply))
         }
@@ -83,15 +114,24 @@
     }
 }
 
+fn not_in_force(error: control::ProposeError) -> HttpError {
+    let message = format!("the change is accepted, but not known to be in force: {error}");
+    HttpError::for_unavail(None, message)
+}
+
 /// Returns the events that tell of the keys that a change withdraws.
 fn withdrawn_keys(node: &Node, change: &config::Change) -> Vec<event::Kind> {
     let state = node.control.state();
-    let withdrawn =
-        |edit: &config::Edit| match edit {
-            config::Edit::WithdrawKey(id) => state.config().keys().get(id).map(|key| {
-                event::Kind::KeyWithdrawn { key: key.id.clone(), team: key.team.clone() }
-            }),
-            _ => None,
-        };
-    change.edits.iter().filter_map(withdrawn).collect()
+    let withdrawn = |key: &&config::Key| {
+        change.edits.iter().any(|edit| match edit {
+            config::Edit::WithdrawKey(id) => *id == key.id,
+            config::Edit::DropTeam(team) => *team == key.team,
+            _ => false,
+        })
+    };
+    let tell = |key: &config::Key| event::Kind::KeyWithdrawn {
+        key: key.id.clone(),
+        team: key.team.clone(),
+    };
+    state.config().keys().values().filter(withdrawn).map(tell).collect()
 }
--- a/crates/catkinlatch-node/src/order.rs
+++ b/crates/catkinlatch-node/src/order.rs
@@ -6,14 +6,14 @@
 mod receiver;
 mod send;
 
-pub use self::send::{Fault, send};
+pub use self::{
+    receiver::{Ask, EngineOrder, FENCE_HEADER, PlatformOrder, Receipt, Verdict},
+    send::{Fault, send},
+};
 
 use crate::Node;
 use catkinlatch_base::{OrderId, event};
-use catkinlatch_fleet::{
-    Lease,
-    order::{Permit, Step},
-};
+use catkinlatch_fleet::order::{Permit, Step};
 use catkinlatch_state::{
     Command, Reply,
     order::{self, Action, Change, Stage},
@@ -28,13 +28,6 @@
 /// How long a change rests after it could not be committed.
 const COMMIT_RETRY: Duration = Duration::from_millis(100);
 
-/// Returns this node's lease, if it is the leader.
-pub fn lease(node: &Node) -> Option<Lease> {
-    let now = node.clock.now();
-    let until = now + CHECK_INTERVAL * 100;
-    node.control.leading().map(|term| Lease { term, since: now, until })
-}
-
 /// Sends orders for as long as the node runs.
 pub async fn run_orders(node: Arc<Node>) {
     let mut changes = node.control.changes();
@@ -43,7 +36,7 @@
         while tasks.try_join_next().is_some() {}
         let state = node.control.state();
         let (now, wall_ms) = (node.clock.now(), node.clock.wall_ms());
-        let step = node.desk().next(lease(&node), state.orders(), now, wall_ms);
+        let step = node.desk().next(node.control.lease(), state.orders(), now, wall_ms);
         match step {
             Step::StandDown | Step::Idle => pause(&node, &mut changes, CHECK_INTERVAL).await,
             Step::Wait(until) => {
@@ -98,20 +91,19 @@
 
 /// Commits a change and tells the desk.
 async fn commit(node: Arc<Node>, change: Change) {
-    let id = change.id().clone();
     let applied = match node.control.propose(Command::Order(change.clone())).await {
         Ok(Reply::Order(order::Reply::Done)) => true,
         Ok(reply) => {
-            info!("orders: a change of {id} was not made: {reply:?}");
+            info!("orders: {change:?} was not made: {reply:?}");
             false
         }
         Err(error) => {
-            warn!("orders: a change of {id} is not committed: {error}");
+            warn!("orders: {change:?} is not committed: {error}");
             time::sleep(COMMIT_RETRY).await;
             false
         }
     };
-    node.desk().committed(&id, &change, applied, node.clock.now());
+    node.desk().committed(&change, applied, node.clock.now());
     node.orders_wake.notify_one();
 }
 
--- a/crates/catkinlatch-node/src/settings.rs
+++ b/crates/catkinlatch-node/src/settings.rs
@@ -5,7 +5,6 @@
 mod document;
 mod example;
 mod load;
-mod nearest;
 mod peer;
 mod role;
 mod rule;
@@ -62,9 +61,6 @@
         /// How often the leader sends a heartbeat, in milliseconds.
         #[serde(default = "default::beat_ms")]
         pub beat_ms: u64,
-        /// How long a voter waits for a heartbeat before it stands for election, in milliseconds.
-        #[serde(default = "default::election_timeout_ms")]
-        pub election_timeout_ms: u64,
         /// How long a heartbeat that a quorum acknowledged makes the leader's lease last, in
         /// milliseconds.
         #[serde(default = "default::lease_ms")]
@@ -101,6 +97,10 @@
         /// How many events of the time line are kept.
         #[serde(default = "default::timeline_events")]
         pub timeline_events: usize,
+        /// How long a caller may use the addresses that it was given, in milliseconds; a node
+        /// that drains serves for as long.
+        #[serde(default = "default::address_time_to_live_ms")]
+        pub address_time_to_live_ms: u64,
         /// How long a running stream goes on after its key was withdrawn, in milliseconds.
         #[serde(default = "default::stream_grace_ms")]
         pub stream_grace_ms: u64,
@@ -113,10 +113,6 @@
         200
     }
 
-    pub fn election_timeout_ms() -> u64 {
-        1_500
-    }
-
     pub fn lease_ms() -> u64 {
         1_000
     }
@@ -141,6 +137,10 @@
         4_096
     }
 
+    pub fn address_time_to_live_ms() -> u64 {
+        5_000
+    }
+
     pub fn stream_grace_ms() -> u64 {
         1_000
     }
@@ -164,7 +164,6 @@
             peers: Vec::new(),
             initial_voters: Vec::new(),
             beat_ms: default::beat_ms(),
-            election_timeout_ms: default::election_timeout_ms(),
             lease_ms: default::lease_ms(),
             drift_margin_ms: default::drift_margin_ms(),
             configuration_lease_ms: default::configuration_lease_ms(),
@@ -176,6 +175,7 @@
             cluster_secret: None,
             usage_window_ms: default::usage_window_ms(),
             timeline_events: default::timeline_events(),
+            address_time_to_live_ms: default::address_time_to_live_ms(),
             stream_grace_ms: default::stream_grace_ms(),
         }
     }
--- a/crates/catkinlatch-node/src/settings/schema.rs
+++ b/crates/catkinlatch-node/src/settings/schema.rs
@@ -74,7 +74,6 @@
     optional("peers", Shape::Objects(PEER)),
     optional("initial_voters", Shape::List { expected: ID, check: reads::<HostId> }),
     optional("beat_ms", millis(10)),
-    optional("election_timeout_ms", millis(50)),
     optional("lease_ms", millis(40)),
     optional("drift_margin_ms", millis(1)),
     optional("configuration_lease_ms", millis(100)),
@@ -86,6 +85,7 @@
     optional("cluster_secret", Shape::Credential),
     optional("usage_window_ms", millis(1_000)),
     optional("timeline_events", Shape::Number { min: 1, max: MAX_EVENTS }),
+    optional("address_time_to_live_ms", millis(0)),
     optional("stream_grace_ms", millis(0)),
 ];
 
--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -5,12 +5,17 @@
 //! 130 a shutdown cut short by a second signal.
 
 mod check;
+mod drain;
 mod exit;
+mod key;
 mod operator;
+mod plan;
 mod serve;
 mod settings;
 mod status;
+mod timeline;
 mod trial;
+mod usage;
 mod version;
 
 use argh::FromArgs;
@@ -36,10 +41,15 @@
 #[argh(subcommand)]
 enum Verb {
     Check(check::Check),
+    Drain(drain::Drain),
+    Key(key::Key),
+    Plan(plan::Plan),
     Serve(serve::Serve),
     Settings(settings::Settings),
     Status(status::Status),
+    Timeline(timeline::Timeline),
     Try(trial::Try),
+    Usage(usage::Usage),
     Version(version::Version),
 }
 
@@ -48,9 +58,14 @@
     pub fn run(self) -> ExitCode {
         let result = match self.verb {
             Verb::Check(verb) => verb.run(),
+            Verb::Drain(verb) => verb.run(),
+            Verb::Key(verb) => verb.run(),
+            Verb::Plan(verb) => verb.run(),
             Verb::Serve(verb) => verb.run(),
             Verb::Settings(verb) => verb.run(),
             Verb::Status(verb) => verb.run(),
+            Verb::Timeline(verb) => verb.run(),
+            Verb::Usage(verb) => verb.run(),
             Verb::Try(verb) => return verb.run(),
             Verb::Version(verb) => verb.run(),
         };
--- a/crates/catkinlatch/src/command/serve.rs
+++ b/crates/catkinlatch/src/command/serve.rs
@@ -1,6 +1,6 @@
 //! `catkinlatch serve`.
 
-use super::exit::{Failure, Outcome, SIGNAL_CODE, block_on};
+use super::exit::{Failure, Outcome, SIGNAL_CODE, block_on, print};
 use argh::FromArgs;
 use catkinlatch_node::{Server, Settings};
 use log::{info, warn};
@@ -39,15 +39,19 @@
     let mut signals = Signals::new().map_err(|error| error.to_string())?;
     let host = settings.host.clone();
     let server = Server::start(settings).await.map_err(|error| error.to_string())?;
-    info!("serve: host {host} listens on {}", server.address());
-    signals.next().await;
+    let (callers, operators) = (server.address(), server.operator_address());
+    print(format!("{host} serves callers on {callers} and operators on {operators}"));
+    tokio::select! {
+        () = signals.next() => {}
+        () = server.node().drain.begun() => {}
+    }
     info!("serve: host {host} drains; a second signal ends it at once");
     tokio::spawn(async move {
         signals.next().await;
         warn!("serve: a second signal came; requests under way are cut");
         process::exit(SIGNAL_CODE);
     });
-    server.stop().await?;
+    server.drain().await?;
     info!("serve: host {host} stopped");
     Ok(())
 }
