Roll weights out in waves from the leader, and test rollouts against faulty engines

A publication ordered all engines in turn while the trainer waited, and a confirmed order counted as loaded. The leader now plans waves from what engines report; an order names a peer to load from. The stand-in engine swaps with a delay, fails swaps or reports nonsense on demand.

An engine without evidence that answered at once stayed the least loaded one and got each sample that it spoiled again; the batch never became whole.

The trial waits for the engines to load a version, since a publication no longer does.

--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -126,6 +126,7 @@
         tasks.spawn(order::run_orders(node.clone()));
         usage::spawn(&node, &mut tasks);
         tasks.spawn(trainer::run_samples(node.clone()));
+        tasks.spawn(targets::roll_out(node.clone()));
         tasks.spawn(entry::maintain(node.clone()));
         Ok(Self { node, public, operator, tasks })
     }
--- a/crates/catkinlatch-node/src/order/receiver.rs
+++ b/crates/catkinlatch-node/src/order/receiver.rs
@@ -85,6 +85,8 @@
         pub model: ModelId,
         /// The version to load.
         pub version: Version,
+        /// The engine to load it from, as `host:port`; the weight store if absent.
+        pub source: Option<String>,
     }
 }
 
@@ -150,11 +152,11 @@
             let ask = Ask::Stop { target: target.clone() };
             platform_message(node, &PlatformOrder { order, fence, ask })
         }
-        Action::LoadVersion { target, model, version } => {
-            let table = node.table();
-            let entry = table.entries().find(|(_, e)| e.announcement.id == *target)?.1;
-            let address = entry.announcement.address.clone();
-            let order = EngineOrder { order, fence, model: model.clone(), version: *version };
+        Action::LoadVersion { target, model, version, source } => {
+            let address = address(node, target)?;
+            let source = source.as_ref().and_then(|source| self::address(node, source));
+            let (model, version) = (model.clone(), *version);
+            let order = EngineOrder { order, fence, model, version, source };
             let body = serde_json::to_vec(&order).expect("the project's own types serialize");
             Some(Message { address, path: "/v1/orders", body })
         }
@@ -166,6 +168,13 @@
     }
 }
 
+/// Returns where a target takes orders.
+fn address(node: &Node, target: &TargetId) -> Option<String> {
+    let table = node.table();
+    let entry = table.entries().find(|(_, entry)| entry.announcement.id == *target)?.1;
+    Some(entry.announcement.address.clone())
+}
+
 fn platform_message(node: &Node, order: &PlatformOrder) -> Option<Message> {
     let address = node.settings.platform.clone()?;
     let body = serde_json::to_vec(order).expect("the project's own types serialize");
--- a/crates/catkinlatch-node/src/targets.rs
+++ b/crates/catkinlatch-node/src/targets.rs
@@ -2,7 +2,7 @@
 
 mod weights;
 
-pub(crate) use self::weights::load_version;
+pub(crate) use self::weights::roll_out;
 
 use crate::Node;
 use catkinlatch_base::{BootId, TargetId, derive_schema, event};
--- a/crates/catkinlatch-node/src/trainer.rs
+++ b/crates/catkinlatch-node/src/trainer.rs
@@ -3,6 +3,7 @@
 mod api;
 mod batch;
 mod coordinator;
+mod doubt;
 mod group;
 mod runner;
 mod sample;
--- a/crates/catkinlatch-node/src/trainer/api.rs
+++ b/crates/catkinlatch-node/src/trainer/api.rs
@@ -100,7 +100,6 @@
     node.record(event::Kind::VersionPublished { trainer: trainer.id.clone(), version });
     info!("rollout: trainer {} published version {version}", trainer.id);
     node.trainers.progress.notify_waiters();
-    crate::targets::load_version(node, &trainer, version).await;
     Ok(HttpResponseUpdatedNoContent())
 }
 
--- a/crates/catkinlatch-node/src/trainer/runner.rs
+++ b/crates/catkinlatch-node/src/trainer/runner.rs
@@ -1,6 +1,6 @@
 //! Starts trainers' samples on engines and records what comes of them.
 
-use super::{sample, seat};
+use super::{doubt, sample, seat};
 use crate::Node;
 use catkinlatch_base::{ModelId, TrainerId};
 use catkinlatch_rollout::{
@@ -93,6 +93,7 @@
                 Outcome::Unknown | Outcome::TooOld => {}
                 Outcome::Unproven(fault) => {
                     warn!("rollout: sample {} runs again: {fault}", task.sample);
+                    tokio::spawn(doubt::set_back(node.clone(), report.boot_at_end));
                 }
             }
         }
--- a/crates/catkinlatch-rollout/src/weights.rs
+++ b/crates/catkinlatch-rollout/src/weights.rs
@@ -27,6 +27,7 @@
 /// A load under way.
 #[derive(Clone, Debug)]
 struct Loading {
+    version: Version,
     source: Source,
     until: Instant,
 }
@@ -87,8 +88,8 @@
         let until = now + self.limits.load_timeout;
         let mut loads = Vec::new();
         while let Some(load) = wave.next() {
-            self.loading
-                .insert(load.engine.clone(), Loading { source: load.source.clone(), until });
+            let loading = Loading { version: wanted, source: load.source.clone(), until };
+            self.loading.insert(load.engine.clone(), loading);
             loads.push(load);
         }
         loads
@@ -114,8 +115,13 @@
         self.loading.len()
     }
 
-    /// Drops loads that took too long, and all about engines that are gone.
+    /// Ends the loads whose engine reports the version, drops those that took too long, and all about engines that are gone.
     fn forget(&mut self, now: Instant, engines: &[Engine]) {
+        for engine in engines {
+            if self.loading.get(&engine.id).is_some_and(|load| engine.reported >= load.version) {
+                self.ended(&engine.id, Outcome::Loaded, now);
+            }
+        }
         let late: Vec<TargetId> =
             self.loading.extract_if(.., |_, load| load.until <= now).map(|(id, _)| id).collect();
         for engine in late {
--- a/crates/catkinlatch-rollout/tests/weights.rs
+++ b/crates/catkinlatch-rollout/tests/weights.rs
@@ -76,6 +76,15 @@
     assert_eq!(next(&mut rollout, later, &seen).len(), 1, "its report counts, not the order");
 }
 
+#[test]
+fn a_load_ends_when_the_engine_reports_the_version() {
+    let mut rollout = Rollout::new(limits());
+    next(&mut rollout, Instant::ZERO, &engines(&[4]));
+    assert_eq!(rollout.loading(), 1);
+    assert!(next(&mut rollout, Instant::from_millis(100), &engines(&[5])).is_empty());
+    assert_eq!(rollout.loading(), 0);
+}
+
 #[test]
 fn a_load_that_nobody_confirms_ends_with_its_time_limit() {
     let mut rollout = Rollout::new(limits());
--- a/crates/catkinlatch-standin/src/engine.rs
+++ b/crates/catkinlatch-standin/src/engine.rs
@@ -4,8 +4,9 @@
 mod fault;
 mod generation;
 mod record;
+mod swap;
 
-pub use self::{fault::Fault, record::Record};
+pub use self::{fault::Fault, record::Record, swap::Swap};
 
 use crate::{announce, server, service::boot_id};
 use catkinlatch_base::{BootId, ModelId, TargetId, Term, Version, ZoneId};
@@ -17,7 +18,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::{oneshot, watch},
+    sync::{Notify, oneshot, watch},
     task::JoinHandle,
 };
 
@@ -32,11 +33,19 @@
     pub resumes: bool,
     /// What it does wrong with prompts that hold a mark.
     pub faults: Vec<(String, Fault)>,
+    /// How it swaps its weights.
+    pub swap: Swap,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { slots: 8, token_time: Duration::from_millis(2), resumes: true, faults: Vec::new() }
+        Self {
+            slots: 8,
+            token_time: Duration::from_millis(2),
+            resumes: true,
+            faults: Vec::new(),
+            swap: Swap::default(),
+        }
     }
 }
 
@@ -47,6 +56,7 @@
     boot: BootId,
     options: Options,
     crashed: watch::Sender<bool>,
+    swapped: Notify,
     inner: Mutex<Inner>,
 }
 
@@ -54,6 +64,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     version: Version,
+    swaps: u32,
     fence: Term,
     records: Vec<Record>,
 }
@@ -89,6 +100,7 @@
             boot: boot.clone(),
             options,
             crashed: watch::Sender::new(false),
+            swapped: Notify::new(),
             inner: Mutex::new(Inner::default()),
         });
         let mut description = ApiDescription::new();
@@ -116,6 +128,11 @@
         self.shared.lock().records.clone()
     }
 
+    /// Returns the version of the weights that are loaded.
+    pub fn version(&self) -> Version {
+        self.shared.lock().version
+    }
+
     /// Returns whether a prompt crashed the engine.
     pub fn has_crashed(&self) -> bool {
         *self.shared.crashed.borrow()
@@ -146,7 +163,7 @@
 /// Renews the announcement with the version that is loaded.
 async fn renew(shared: Arc<Shared>, nodes: Vec<SocketAddr>, mut announcement: Announcement) {
     while !*shared.crashed.borrow() {
-        tokio::time::sleep(announce::INTERVAL).await;
+        let _ = tokio::time::timeout(announce::INTERVAL, shared.swapped.notified()).await;
         if let Role::Engine { version, .. } = &mut announcement.role {
             *version = shared.lock().version;
         }
--- a/crates/catkinlatch-standin/src/engine/api.rs
+++ b/crates/catkinlatch-standin/src/engine/api.rs
@@ -1,6 +1,6 @@
 //! HTTP interface of the stand-in engine.
 
-use super::{Record, Shared, generation::Generation};
+use super::{Record, Shared, generation::Generation, swap};
 use catkinlatch_base::{ModelId, OrderId, RequestId, Term, Version, derive_schema};
 use catkinlatch_node::entry::REQUEST_ID;
 use dropshot::{
@@ -95,7 +95,8 @@
         return Err(HttpError::for_client_error(None, status, message));
     }
     inner.fence = order.fence;
-    inner.version = order.version;
+    drop(inner);
+    tokio::spawn(swap::run(context.context().clone(), order.version));
     Ok(HttpResponseUpdatedNoContent())
 }
 
--- a/crates/catkinlatch-standin/src/engine/generation.rs
+++ b/crates/catkinlatch-standin/src/engine/generation.rs
@@ -19,6 +19,9 @@
 /// How many tokens an engine makes before a prompt crashes it.
 const CRASH_TOKENS: u64 = 2;
 
+/// By how much a nonsense version is too high.
+const NONSENSE: u64 = 1_000;
+
 /// One answer in the making.
 pub struct Generation {
     shared: Arc<Shared>,
@@ -65,7 +68,8 @@
         tokio::time::sleep(self.shared.options.token_time).await;
         let version = self.shared.lock().version;
         self.start = self.start.or(Some(version));
-        self.end = Some(version);
+        let offset = if self.shared.options.swap.nonsense { NONSENSE } else { 0 };
+        self.end = Some(Version::new(version.get() + offset));
         let token = format!("t{} ", self.tokens.len());
         self.tokens.push(token.clone());
         match self.spans.last_mut() {
--- a/crates/catkinlatch-standin/src/trial/run.rs
+++ b/crates/catkinlatch-standin/src/trial/run.rs
@@ -182,6 +182,14 @@
             response.status().is_success(),
             version.to_string(),
         );
+        let until = tokio::time::Instant::now() + REPORT_TIMEOUT;
+        let version = Version::new(version);
+        let loaded = |engine: &Engine| engine.version() == version;
+        while !self.engines.iter().all(loaded) && tokio::time::Instant::now() < until {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        let all = self.engines.iter().all(loaded);
+        self.checks.add("all engines load a version", all, version.to_string());
         Ok(())
     }
 
--- /dev/null
+++ b/crates/catkinlatch-standin/tests/rollout.rs
@@ -0,0 +1,197 @@
+//! Tests of rollouts through a node and stand-in engines.
+
+use bytes::Bytes;
+use catkinlatch_base::{TeamId, TrainerId, Version};
+use catkinlatch_node::{Server, Settings};
+use catkinlatch_rollout::{
+    evidence::Span,
+    pool::{Group, Sample},
+};
+use catkinlatch_standin::{
+    client::Client,
+    engine::{Engine, Options, Swap},
+};
+use catkinlatch_state::config::{Change, Edit, Key, Kind, Model, Route, Secret, Team, Trainer};
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+/// How long a test waits for what must come.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+#[derive(Deserialize)]
+struct Batch {
+    samples: Vec<Sample>,
+}
+
+fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("the id is valid")
+}
+
+struct Fixture {
+    _server: Server,
+    engines: Vec<Engine>,
+    trainer: Client,
+}
+
+impl Fixture {
+    async fn start(engines: Vec<Options>) -> Self {
+        let server = Server::start(Settings::loopback(id("host-1"), id("zone-a"))).await;
+        let server = server.expect("the node starts");
+        let secret = Secret::draw(id("surveyors-1"), &mut fastrand::Rng::with_seed(1));
+        let mut started = Vec::new();
+        for (place, options) in engines.into_iter().enumerate() {
+            let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+            let name = id(&format!("engine-{place}"));
+            let nodes = vec![server.address()];
+            let engine = Engine::start(name, id("draft"), id("zone-a"), options, listen, nodes);
+            started.push(engine.await.expect("the engine starts"));
+        }
+        let (team, trainer): (TeamId, TrainerId) = (id("surveyors"), id("defects"));
+        let model = Model::new(id("draft")).with_trainer(trainer.clone());
+        let route = Route::new(id("draft"), Kind::Model(id("draft")));
+        let edits = vec![
+            Edit::PutTeam(Team::new(team.clone())),
+            Edit::PutKey(Key::new(team.clone(), &secret)),
+            Edit::PutModel(model),
+            Edit::PutRoute(route),
+            Edit::PutTrainer(Trainer::new(trainer, team, id("draft"), 2)),
+        ];
+        let change = Change { request: id("setup"), base: None, edits };
+        let operator = Client::new(server.operator_address());
+        let changed = operator.post("/v1/config/changes", &change).await.expect("an answer comes");
+        assert!(changed.status().is_success(), "{changed:?}");
+        let trainer = Client::new(server.address()).with_key(secret.reveal());
+        Self { _server: server, engines: started, trainer }
+    }
+
+    async fn publish(&self, version: u64) {
+        let body = json!({ "version": version });
+        let answer = self.trainer.post("/v1/trainers/defects/versions", &body).await;
+        assert!(answer.expect("an answer comes").status().is_success());
+    }
+
+    async fn post(&self, name: &str, max_tokens: u32) -> StatusCode {
+        let prompts = vec!["describe the crack".to_owned(); 2];
+        let group = Group { id: id(name), prompts, max_tokens };
+        let answer = self.trainer.post("/v1/trainers/defects/groups", &group).await;
+        answer.expect("an answer comes").status()
+    }
+
+    async fn take(&self, number: u64) -> (StatusCode, Bytes) {
+        let path = format!("/v1/trainers/defects/batches/{number}");
+        let asked = self.trainer.send(Method::GET, &path, &[], Bytes::new());
+        let answer = tokio::time::timeout(PATIENCE, asked).await.expect("an answer comes in time");
+        let answer = answer.expect("an answer comes");
+        (answer.status(), answer.into_body())
+    }
+
+    async fn samples(&self, number: u64) -> Vec<Sample> {
+        let (status, body) = self.take(number).await;
+        assert_eq!(status, StatusCode::OK, "{body:?}");
+        serde_json::from_slice::<Batch>(&body).expect("a batch comes").samples
+    }
+
+    /// Returns the versions that the engines themselves recorded for a sample.
+    fn recorded(&self, sample: &Sample) -> Vec<Version> {
+        let of_sample = |record: &catkinlatch_standin::engine::Record| {
+            record.request.as_str() == sample.task.sample.as_str()
+        };
+        let mut records = self.engines.iter().flat_map(Engine::records);
+        records.find(of_sample).map(|record| record.versions).unwrap_or_default()
+    }
+
+    /// Waits until all engines have a version.
+    async fn loaded(&self, version: u64) {
+        let waits = async {
+            while self.engines.iter().any(|engine| engine.version().get() != version) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, waits).await.expect("the engines load the version");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_asked_for_again_has_the_same_bytes() {
+    let fixture = Fixture::start(vec![Options::default()]).await;
+    assert!(fixture.post("group-1", 4).await.is_success());
+    assert!(fixture.post("group-2", 4).await.is_success());
+    let first = fixture.take(1).await;
+    assert_eq!(first.0, StatusCode::OK);
+    assert_eq!(fixture.take(1).await, first);
+    assert_eq!(fixture.take(2).await.0, StatusCode::OK);
+    assert_eq!(fixture.take(1).await.0, StatusCode::CONFLICT, "taking 2 acknowledges 1");
+    assert_eq!(fixture.take(4).await.0, StatusCode::CONFLICT, "4 is not due");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_posted_again_runs_once() {
+    let fixture = Fixture::start(vec![Options::default()]).await;
+    assert!(fixture.post("group-1", 4).await.is_success());
+    assert!(fixture.post("group-1", 4).await.is_success());
+    let first = fixture.samples(1).await;
+    assert!(fixture.post("group-1", 4).await.is_success());
+    assert!(fixture.post("group-2", 4).await.is_success());
+    let second = fixture.samples(2).await;
+    assert!(first.iter().all(|sample| sample.task.group.as_str() == "group-1"));
+    assert!(second.iter().all(|sample| sample.task.group.as_str() == "group-2"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_swap_in_mid_sample_names_both_versions() {
+    let options = Options { token_time: Duration::from_millis(10), ..Options::default() };
+    let fixture = Fixture::start(vec![options]).await;
+    assert!(fixture.post("group-1", 100).await.is_success());
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fixture.publish(1).await;
+    let samples = fixture.samples(1).await;
+    let both = [Version::new(0), Version::new(1)];
+    for sample in &samples {
+        let seen: Vec<Version> = sample.evidence.versions().collect();
+        assert_eq!(seen, fixture.recorded(sample), "the engine's own record decides");
+        assert_eq!(seen, both);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_swap_leaves_the_engine_where_it_reports_to_be() {
+    let swap = Swap { failures: u32::MAX, ..Swap::default() };
+    let fixture = Fixture::start(vec![Options { swap, ..Options::default() }]).await;
+    fixture.publish(1).await;
+    assert!(fixture.post("group-1", 4).await.is_success());
+    for sample in fixture.samples(1).await {
+        assert_eq!(
+            sample.evidence.spans.iter().map(|span: &Span| span.version.get()).max(),
+            Some(0)
+        );
+        assert_eq!(fixture.recorded(&sample), [Version::new(0)]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_engines_load_a_version_one_wave_after_the_other() {
+    let swap = Swap { time: Duration::from_millis(50), ..Swap::default() };
+    let options = Options { swap, ..Options::default() };
+    let fixture = Fixture::start(vec![options; 4]).await;
+    fixture.publish(1).await;
+    fixture.loaded(1).await;
+    fixture.publish(2).await;
+    fixture.loaded(2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_reports_nonsense_delivers_nothing() {
+    let swap = Swap { nonsense: true, ..Swap::default() };
+    let liar = Options { swap, ..Options::default() };
+    let fixture = Fixture::start(vec![liar, Options::default()]).await;
+    assert!(fixture.post("group-1", 4).await.is_success());
+    for sample in fixture.samples(1).await {
+        let honest = fixture.engines[1].records();
+        assert!(honest.iter().any(|r| r.request.as_str() == sample.task.sample.as_str()));
+    }
+}
--- a/crates/catkinlatch-state/src/order/action.rs
+++ b/crates/catkinlatch-state/src/order/action.rs
@@ -27,6 +27,8 @@
             model: ModelId,
             /// The version.
             version: Version,
+            /// The engine to load it from; the weight store if absent.
+            source: Option<TargetId>,
         },
         /// Gives the platform the usage report of a frozen window.
         Report {
