--- a/crates/catkinlatch-node/src/operator/api.rs
+++ b/crates/catkinlatch-node/src/operator/api.rs
@@ -5,7 +5,7 @@
     health,
     status::{self, Status},
 };
-use crate::Node;
+use crate::{Node, control};
 use catkinlatch_base::event::{self, Event};
 use catkinlatch_state::{Command, Reply, config};
 use dropshot::{
@@ -32,27 +32,18 @@
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(context: Context) -> Result<HttpResponseOk<Status>, HttpError> {
     let node = authorize(&context)?;
-    let leading = node.control.leading();
-    let state = node.control.state();
+    let (control, state) = (node.control.status(), node.control.state());
     let targets = node.table().entries().map(|(_, e)| e.announcement.clone()).collect();
-    let (host, zone) = (node.settings.host.clone(), node.settings.zone.clone());
-    let own = status::Node {
-        host: host.clone(),
-        zone: zone.clone(),
-        revision: state.revision(),
-        lease_ms: node.settings.configuration_lease_ms,
-        draining: node.draining(),
-    };
     Ok(HttpResponseOk(Status {
-        leader: leading.map(|_| host.clone()),
-        term: leading.unwrap_or_default(),
+        host: node.settings.host.clone(),
+        zone: node.settings.zone.clone(),
+        leader: control.leader,
+        term: control.term,
         revision: state.revision(),
         config_revision: state.config().revision(),
-        voters: vec![host.clone()],
-        nodes: vec![own],
+        voters: control.voters,
+        nodes: status::all_nodes(node).await,
         targets,
-        host,
-        zone,
     }))
 }
 
@@ -81,13 +72,30 @@
     Ok(HttpResponseOk(config::View::new(state.config())))
 }
 
+/// What the answer to a change waits for.
+#[derive(Deserialize, JsonSchema, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Wait {
+    /// The change is committed.
+    Accepted,
+    /// The change is in force on every node that takes work.
+    InForce,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct ChangeQuery {
+    wait: Option<Wait>,
+}
+
 /// Changes the configuration.
 #[endpoint { method = POST, path = "/v1/config/changes" }]
 async fn post_change(
     context: Context,
+    query: Query<ChangeQuery>,
     body: TypedBody<config::Change>,
 ) -> Result<HttpResponseOk<config::Reply>, HttpError> {
     let node = authorize(&context)?;
+    let waits = query.into_inner().wait == Some(Wait::InForce);
     let change = body.into_inner();
     let withdrawn = withdrawn_keys(node, &change);
     match node.control.propose(Command::Config(change)).await {
@@ -95,6 +103,9 @@
             if let config::Reply::Accepted { revision } = reply {
                 node.record(event::Kind::Committed { revision });
                 withdrawn.into_iter().for_each(|kind| node.record(kind));
+                if waits {
+                    node.control.in_force(revision).await.map_err(not_in_force)?;
+                }
             }
             Ok(HttpResponseOk(reply))
         }
@@ -103,6 +114,11 @@
     }
 }
 
+fn not_in_force(error: control::ProposeError) -> HttpError {
+    let message = format!("the change is accepted, but not known to be in force: {error}");
+    HttpError::for_unavail(None, message)
+}
+
 /// Returns the events that tell of the keys that a change withdraws.
 fn withdrawn_keys(node: &Node, change: &config::Change) -> Vec<event::Kind> {
     let state = node.control.state();
