--- a/crates/catkinlatch-standin/src/engine.rs
+++ b/crates/catkinlatch-standin/src/engine.rs
@@ -4,8 +4,9 @@
 mod fault;
 mod generation;
 mod record;
+mod swap;
 
-pub use self::{fault::Fault, record::Record};
+pub use self::{fault::Fault, record::Record, swap::Swap};
 
 use crate::{announce, server, service::boot_id};
 use catkinlatch_base::{BootId, ModelId, TargetId, Term, Version, ZoneId};
@@ -17,7 +18,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::{oneshot, watch},
+    sync::{Notify, oneshot, watch},
     task::JoinHandle,
 };
 
@@ -30,13 +31,24 @@
     pub token_time: Duration,
     /// Whether it can go on with an answer that another engine began.
     pub resumes: bool,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
     /// What it does wrong with prompts that hold a mark.
     pub faults: Vec<(String, Fault)>,
+    /// How it swaps its weights.
+    pub swap: Swap,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { slots: 8, token_time: Duration::from_millis(2), resumes: true, faults: Vec::new() }
+        Self {
+            slots: 8,
+            token_time: Duration::from_millis(2),
+            resumes: true,
+            checks_fencing: true,
+            faults: Vec::new(),
+            swap: Swap::default(),
+        }
     }
 }
 
@@ -47,6 +59,7 @@
     boot: BootId,
     options: Options,
     crashed: watch::Sender<bool>,
+    swapped: Notify,
     inner: Mutex<Inner>,
 }
 
@@ -54,6 +67,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     version: Version,
+    swaps: u32,
     fence: Term,
     records: Vec<Record>,
 }
@@ -82,13 +96,14 @@
         listen: SocketAddr,
         nodes: Vec<SocketAddr>,
     ) -> Result<Self, String> {
-        let slots = options.slots;
+        let (slots, checks_fencing) = (options.slots, options.checks_fencing);
         let boot = boot_id();
         let shared = Arc::new(Shared {
             id: id.clone(),
             boot: boot.clone(),
             options,
             crashed: watch::Sender::new(false),
+            swapped: Notify::new(),
             inner: Mutex::new(Inner::default()),
         });
         let mut description = ApiDescription::new();
@@ -102,7 +117,7 @@
             address: server.local_addr().to_string(),
             slots,
             price_class: "full".to_owned(),
-            checks_fencing: true,
+            checks_fencing,
         };
         announce::announce(&nodes, &announcement).await;
         let announcer = tokio::spawn(renew(shared.clone(), nodes, announcement));
@@ -116,6 +131,11 @@
         self.shared.lock().records.clone()
     }
 
+    /// Returns the version of the weights that are loaded.
+    pub fn version(&self) -> Version {
+        self.shared.lock().version
+    }
+
     /// Returns whether a prompt crashed the engine.
     pub fn has_crashed(&self) -> bool {
         *self.shared.crashed.borrow()
@@ -146,7 +166,7 @@
 /// Renews the announcement with the version that is loaded.
 async fn renew(shared: Arc<Shared>, nodes: Vec<SocketAddr>, mut announcement: Announcement) {
     while !*shared.crashed.borrow() {
-        tokio::time::sleep(announce::INTERVAL).await;
+        let _ = tokio::time::timeout(announce::INTERVAL, shared.swapped.notified()).await;
         if let Role::Engine { version, .. } = &mut announcement.role {
             *version = shared.lock().version;
         }
