Spread announcements and addresses over the nodes and measure admission

A target that announced itself to one node was unknown to the others, each node gave out all slots and limits, and callers were told of one address only. Nodes now pass announcements and withdrawals on, split slots, rates and concurrency evenly, and list every node that is connected and does not drain. Shares do not follow demand yet.

--- a/crates/catkinlatch-node/src/entry.rs
+++ b/crates/catkinlatch-node/src/entry.rs
@@ -1,6 +1,7 @@
 //! The data path: callers' requests, from admission to the whole answer.
 
 mod accused;
+mod address;
 mod admission;
 mod api;
 mod claim;
--- /dev/null
+++ b/crates/catkinlatch-node/src/entry/address.rs
@@ -0,0 +1,45 @@
+//! The addresses that callers may use.
+
+use crate::Node;
+use catkinlatch_base::{ZoneId, derive_schema};
+use std::net::SocketAddr;
+
+/// The weight of an address in the zone of the node that was asked.
+const NEAR_WEIGHT: u32 = 4;
+
+/// The weight of an address in another zone.
+const FAR_WEIGHT: u32 = 1;
+
+derive_schema! {
+    /// One address for callers.
+    pub struct Address {
+        /// The address, as `host:port`.
+        pub address: String,
+        /// The availability zone.
+        pub zone: ZoneId,
+        /// How much of a caller's traffic should go there, against the other addresses.
+        pub weight: u32,
+    }
+}
+
+/// Returns the nodes that callers may use, those of the own zone first.
+///
+/// Nodes that drain or cannot be reached are left out.
+pub fn list(node: &Node, local: SocketAddr) -> Vec<Address> {
+    let now = node.clock.now();
+    let mut addresses = Vec::new();
+    if !node.draining() {
+        let own = node.settings.peers.iter().find(|peer| peer.host == node.settings.host);
+        let address = own.map_or_else(|| local.to_string(), |peer| peer.advertise.clone());
+        let zone = node.settings.zone.clone();
+        addresses.push(Address { address, zone, weight: NEAR_WEIGHT });
+    }
+    let serves = |host| node.peers.is_connected(host) && !node.admission.is_leaving(host, now);
+    for peer in node.settings.peers.iter().filter(|peer| serves(&peer.host)) {
+        let weight = if peer.zone == node.settings.zone { NEAR_WEIGHT } else { FAR_WEIGHT };
+        let (address, zone) = (peer.advertise.clone(), peer.zone.clone());
+        addresses.push(Address { address, zone, weight });
+    }
+    addresses.sort_by_key(|address| std::cmp::Reverse(address.weight));
+    addresses
+}
--- a/crates/catkinlatch-node/src/entry/admission.rs
+++ b/crates/catkinlatch-node/src/entry/admission.rs
@@ -4,8 +4,8 @@
     Code, Refusal, Ticket,
     accused::{self, Watch},
 };
-use crate::Node;
-use catkinlatch_base::{BootId, Instant, Ratio, RouteId, TargetId, Tokens};
+use crate::{Node, peer::Message};
+use catkinlatch_base::{BootId, HostId, Instant, Ratio, RouteId, TargetId, Tokens};
 use catkinlatch_route::{
     Gate,
     admission::{Ask, Class, Decision, Denial, Outcome, Permit, Rates, Waiter},
@@ -26,6 +26,9 @@
 /// The share of contended capacity that rollouts get at least.
 const ROLLOUT_FLOOR: Ratio = Ratio::new(0.2);
 
+/// How long a node counts as draining after it last said so.
+const LEAVING_TIME: Duration = Duration::from_secs(2);
+
 /// How many retries a route may make for each first try.
 const RETRY_SHARE: Ratio = Ratio::new(0.2);
 
@@ -43,14 +46,15 @@
     waiters: SecondaryMap<Waiter, oneshot::Sender<Verdict>>,
     budgets: BTreeMap<RouteId, Budget>,
     watch: Watch,
+    leaving: BTreeMap<HostId, Instant>,
 }
 
 impl Admission {
     /// Creates a gate without slots.
     pub fn new() -> Self {
-        let (waiters, budgets, watch) = Default::default();
+        let (waiters, budgets, watch, leaving) = Default::default();
         let gate = Gate::new(ROLLOUT_FLOOR);
-        Self { inner: Mutex::new(Inner { gate, waiters, budgets, watch }) }
+        Self { inner: Mutex::new(Inner { gate, waiters, budgets, watch, leaving }) }
     }
 
     /// Records a first try on a route.
@@ -71,6 +75,17 @@
         plan.after(effect, inner.budget(route, now), now, &mut random)
     }
 
+    /// Records that another node drains.
+    pub fn leaves(&self, host: HostId, now: Instant) {
+        self.lock().leaving.insert(host, now);
+    }
+
+    /// Returns whether another node said lately that it drains.
+    pub fn is_leaving(&self, host: &HostId, now: Instant) -> bool {
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < LEAVING_TIME;
+        self.lock().leaving.get(host).is_some_and(recent)
+    }
+
     /// Watches a target whose connection broke under a request.
     pub fn accuse(&self, target: TargetId, boot: BootId, since: Instant) {
         self.with_watch(|watch| watch.add(target, boot, since));
@@ -230,21 +245,39 @@
             .map(|route| (route.id.clone(), table.slots(&super::dispatch::wanted(route), now)))
             .collect();
         drop(table);
+        if node.draining() {
+            node.peers.broadcast(&Message::Leaving);
+        }
+        let (place, nodes) = place(&node);
         let mut inner = node.admission.lock();
         for team in state.config().teams().values() {
-            inner.gate.set_rates(&team.id, rates(team), Ratio::new(1.0), now);
-            inner.gate.set_concurrency(&team.id, team.concurrency, now);
+            inner.gate.set_rates(&team.id, rates(team), Ratio::new(1.0 / nodes as f64), now);
+            let concurrency = team.concurrency.map(|whole| share(whole, place, nodes));
+            inner.gate.set_concurrency(&team.id, concurrency, now);
         }
         for (route, slots) in slots {
-            inner.gate.set_slots(&route, slots);
+            inner.gate.set_slots(&route, slots.div_ceil(nodes));
             inner.poll(&route, now);
         }
     }
 }
 
+/// Returns this node's place among all nodes in the order of their hosts, and their number.
+fn place(node: &Node) -> (u32, u32) {
+    let before = node.peers.hosts().filter(|host| **host < node.settings.host).count();
+    let others = node.peers.hosts().count();
+    (before as u32, others as u32 + 1)
+}
+
+/// Returns the part of a whole number that falls to one node, so that all parts make the whole.
+fn share(whole: u32, place: u32, nodes: u32) -> u32 {
+    whole / nodes + u32::from(place < whole % nodes)
+}
+
 fn update_slots(node: &Arc<Node>, ticket: &Ticket, now: Instant) {
     let slots = node.table().slots(&super::dispatch::wanted(&ticket.route), now);
-    node.admission.lock().gate.set_slots(&ticket.route.id, slots);
+    let (_, nodes) = place(node);
+    node.admission.lock().gate.set_slots(&ticket.route.id, slots.div_ceil(nodes));
 }
 
 fn rates(team: &Team) -> Rates {
--- a/crates/catkinlatch-node/src/entry/api.rs
+++ b/crates/catkinlatch-node/src/entry/api.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Code, Refusal, Ticket,
+    address::{self, Address},
     claim::Keyed,
     credential,
     dispatch::{self, Call, Reply},
@@ -11,7 +12,7 @@
 };
 use crate::Node;
 use bytes::Bytes;
-use catkinlatch_base::{ZoneId, derive_schema, event};
+use catkinlatch_base::{derive_schema, event};
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, Body, HttpError, HttpResponseOk, Path,
     RequestContext, RequestInfo, UntypedBody, endpoint,
@@ -46,18 +47,6 @@
     }
 }
 
-derive_schema! {
-    /// One address for callers.
-    pub struct Address {
-        /// The address, as `host:port`.
-        pub address: String,
-        /// The availability zone.
-        pub zone: ZoneId,
-        /// How much of a caller's traffic should go there, against the other addresses.
-        pub weight: u32,
-    }
-}
-
 #[derive(Deserialize, JsonSchema)]
 struct ServicePath {
     service: String,
@@ -76,13 +65,8 @@
 #[endpoint { method = GET, path = "/v1/entry" }]
 async fn get_entry(context: Context) -> Result<HttpResponseOk<Entry>, HttpError> {
     let node = context.context();
-    let address = Address {
-        address: context.server.local_addr.to_string(),
-        zone: node.settings.zone.clone(),
-        weight: 1,
-    };
     let time_to_live_ms = node.settings.address_time_to_live_ms;
-    let addresses = if node.draining() { Vec::new() } else { vec![address] };
+    let addresses = address::list(node, context.server.local_addr);
     Ok(HttpResponseOk(Entry { addresses, time_to_live_ms }))
 }
 
--- a/crates/catkinlatch-node/src/peer/handler.rs
+++ b/crates/catkinlatch-node/src/peer/handler.rs
@@ -1,7 +1,7 @@
 //! Handles messages of other nodes.
 
 use super::{Message, Reply};
-use crate::{Node, operator::status};
+use crate::{Node, operator::status, targets};
 use catkinlatch_wire::{Frame, Hello, codec};
 use log::warn;
 use std::sync::Arc;
@@ -48,6 +48,18 @@
         Message::InForce(revision) => {
             Reply::InForce(node.control.in_force_here(revision).await.is_ok())
         }
+        Message::Announce(announcement) => {
+            targets::record(node, *announcement);
+            Reply::Nothing
+        }
+        Message::Withdraw(withdrawal) => {
+            targets::remove(node, &withdrawal);
+            Reply::Nothing
+        }
+        Message::Leaving => {
+            node.admission.leaves(remote.host, node.clock.now());
+            Reply::Nothing
+        }
         Message::Node => Reply::Node(status::own_node(node)),
         Message::Members => Reply::Members(node.control.members_here()),
     }
--- a/crates/catkinlatch-node/src/peer/message.rs
+++ b/crates/catkinlatch-node/src/peer/message.rs
@@ -1,8 +1,9 @@
 //! What nodes say to each other.
 
-use crate::{control, operator::status, settings::Agreement};
+use crate::{control, operator::status, settings::Agreement, targets::Withdrawal};
 use catkinlatch_base::{Revision, derive_value};
 use catkinlatch_log::Frame;
+use catkinlatch_route::Announcement;
 use catkinlatch_state::Command;
 
 derive_value! {
@@ -20,6 +21,12 @@
         Members,
         /// Asks a node what it says of itself.
         Node,
+        /// A target announced itself to the sender, or renewed its announcement.
+        Announce(Box<Announcement>),
+        /// A target withdrew at the sender.
+        Withdraw(Withdrawal),
+        /// The sender drains and takes no new callers.
+        Leaving,
     }
 }
 
--- a/crates/catkinlatch-node/src/targets.rs
+++ b/crates/catkinlatch-node/src/targets.rs
@@ -4,7 +4,7 @@
 
 pub(crate) use self::weights::roll_out;
 
-use crate::Node;
+use crate::{Node, peer::Message};
 use catkinlatch_base::{BootId, TargetId, derive_schema, event};
 use catkinlatch_route::Announcement;
 use dropshot::{
@@ -39,11 +39,8 @@
 ) -> Result<HttpResponseUpdatedNoContent, HttpError> {
     let node = context.context();
     let announcement = body.into_inner();
-    let target = announcement.id.clone();
-    if node.table().announce(announcement, node.clock.now()) {
-        info!("targets: {target} announced itself");
-        node.record(event::Kind::TargetUp { target });
-    }
+    node.peers.broadcast(&Message::Announce(Box::new(announcement.clone())));
+    record(node, announcement);
     Ok(HttpResponseUpdatedNoContent())
 }
 
@@ -53,8 +50,23 @@
     context: RequestContext<Arc<Node>>,
     body: TypedBody<Withdrawal>,
 ) -> Result<HttpResponseUpdatedNoContent, HttpError> {
-    let withdrawal = body.into_inner();
-    context.context().table().withdraw(&withdrawal.id, &withdrawal.boot);
-    info!("targets: {} withdrew", withdrawal.id);
+    let (node, withdrawal) = (context.context(), body.into_inner());
+    node.peers.broadcast(&Message::Withdraw(withdrawal.clone()));
+    remove(node, &withdrawal);
     Ok(HttpResponseUpdatedNoContent())
 }
+
+/// Records an announcement that came from a target or through another node.
+pub(crate) fn record(node: &Node, announcement: Announcement) {
+    let target = announcement.id.clone();
+    if node.table().announce(announcement, node.clock.now()) {
+        info!("targets: {target} announced itself");
+        node.record(event::Kind::TargetUp { target });
+    }
+}
+
+/// Removes a target that withdrew here or at another node.
+pub(crate) fn remove(node: &Node, withdrawal: &Withdrawal) {
+    node.table().withdraw(&withdrawal.id, &withdrawal.boot);
+    info!("targets: {} withdrew", withdrawal.id);
+}
--- a/crates/catkinlatch-standin/src/bin/policy.rs
+++ b/crates/catkinlatch-standin/src/bin/policy.rs
@@ -14,9 +14,19 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Part {
+    Entry(Entry),
     Rollout(Rollout),
 }
 
+/// Measures shares of capacity, useful work under overload, and retries.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+struct Entry {
+    /// the seed (default: 5)
+    #[argh(option, default = "5")]
+    seed: u64,
+}
+
 /// Measures trainer idle time, staleness, shares and the spread of weights.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "rollout")]
@@ -29,6 +39,7 @@
 fn main() -> io::Result<()> {
     let arguments: Arguments = argh::from_env();
     let report = match arguments.part {
+        Part::Entry(entry) => policy::entry::report(entry.seed),
         Part::Rollout(rollout) => policy::rollout::report(rollout.seed),
     };
     io::stdout().write_all(report.as_bytes())
