--- a/crates/catkinlatch-log/src/core/follower.rs
+++ b/crates/catkinlatch-log/src/core/follower.rs
@@ -48,6 +48,12 @@
             let reply = self.append_reply(now, chunk.sent_at, true, self.commit);
             return self.send_synced(&from, reply);
         }
+        if self.entries.term(chunk.index) == Some(chunk.term) {
+            // A late part of a snapshot must not drop entries after it that were acknowledged.
+            self.commit_until(chunk.index);
+            let reply = self.append_reply(now, chunk.sent_at, true, chunk.index);
+            return self.send_synced(&from, reply);
+        }
         let (sent_at, index) = (chunk.sent_at, chunk.index);
         let Some(offset) = self.take_chunk(chunk) else {
             let reply = self.append_reply(now, sent_at, true, index);
--- a/crates/catkinlatch-log/src/core/leader.rs
+++ b/crates/catkinlatch-log/src/core/leader.rs
@@ -53,6 +53,8 @@
     pub beat_at: Instant,
     /// The snapshot that is being sent, and how many bytes of it have arrived.
     pub transfer: Option<(Arc<Snapshot>, u64)>,
+    /// When the newest entries were sent to a node whose log did not match; others wait for it.
+    pub probe: Option<Instant>,
     /// The commit position that was last sent.
     pub commit_sent: Index,
 }
@@ -71,6 +73,7 @@
             lease_bound: None,
             beat_at: now,
             transfer: None,
+            probe: None,
             commit_sent: Index::ZERO,
         }
     }
--- a/crates/catkinlatch-log/src/core/replication.rs
+++ b/crates/catkinlatch-log/src/core/replication.rs
@@ -54,6 +54,7 @@
         progress.echo = newest(progress.echo, echo);
         progress.applied = progress.applied.max(applied);
         if matches {
+            progress.probe = None;
             progress.matched = progress.matched.max(index);
             progress.next = progress.next.max(progress.matched.next());
             if progress.transfer.as_ref().is_some_and(|(s, _)| s.index <= progress.matched) {
@@ -61,7 +62,12 @@
             }
             return;
         }
+        if progress.probe.is_some_and(|probe| sent_at < probe) {
+            return;
+        }
         progress.next = index.next().max(progress.matched.next());
+        progress.probe = Some(now);
+        progress.beat_at = now;
     }
 
     pub(super) fn on_chunk_reply(
@@ -191,7 +197,8 @@
             let last = self.entries.last_index();
             let ahead = progress.next.get().saturating_sub(progress.matched.next().get());
             let has_more = progress.next <= last && ahead < self.settings.max_ahead;
-            if !must_send && !has_more {
+            let may_go_on = has_more && progress.probe.is_none();
+            if !must_send && !may_go_on {
                 return;
             }
             must_send = false;
@@ -202,6 +209,7 @@
             let grant = self.grant(progress, has_lease);
             progress.next = Index::new(progress.next.get() + entries.len() as u64);
             progress.commit_sent = self.commit;
+            progress.probe = progress.probe.map(|_| now);
             let commit = self.commit;
             let append =
                 Append { sent_at: now, previous_index, previous_term, entries, commit, grant };
--- a/crates/catkinlatch-log/tests/log/sync.rs
+++ b/crates/catkinlatch-log/tests/log/sync.rs
@@ -3,7 +3,7 @@
 use crate::net::{Journal, peer, settings};
 use catkinlatch_base::{Incarnation, Instant, Term};
 use catkinlatch_log::{
-    Action, Append, AppendReply, Core, Echo, Entry, Frame, Grant, HardState, Index, Input,
+    Action, Append, AppendReply, Chunk, Core, Echo, Entry, Frame, Grant, HardState, Index, Input,
     Membership, Message, Payload, Peer, Restored, Snapshot, Token, Vote,
 };
 use std::{sync::Arc, time::Duration};
@@ -260,3 +260,56 @@
         assert_eq!(core.last_index(), Index::new(last));
     }
 }
+
+#[test]
+fn a_late_snapshot_drops_no_entry_that_was_acknowledged() {
+    let mut core = voter(None);
+    let now = Instant::from_millis(100);
+    let entry = |index| Entry {
+        index: Index::new(index),
+        term: Term::new(1),
+        payload: Payload::Command(index),
+    };
+    let append = Append {
+        sent_at: Instant::ZERO,
+        previous_index: Index::new(1),
+        previous_term: Term::new(1),
+        entries: vec![Arc::new(entry(2)), Arc::new(entry(3))],
+        commit: Index::ZERO,
+        grant: None,
+    };
+    core.step(now, receive(1, 1, Message::Append(append)));
+    let data = bincode::serde::encode_to_vec(Journal::default(), bincode::config::standard());
+    let data = data.unwrap();
+    let chunk = Chunk {
+        sent_at: Instant::ZERO,
+        index: Index::new(2),
+        term: Term::new(1),
+        membership: Membership::EMPTY,
+        offset: 0,
+        total: data.len() as u64,
+        data: data.into(),
+    };
+    core.step(now, receive(1, 1, Message::Chunk(chunk)));
+    assert_eq!((core.last_index(), core.commit()), (Index::new(3), Index::new(2)));
+}
+
+#[test]
+fn refusals_of_entries_cause_one_sending_and_no_flood() {
+    let mut core = leader();
+    let refusal = || {
+        let reply = AppendReply {
+            sent_at: Instant::from_millis(2_400),
+            matches: false,
+            index: Index::new(1),
+            applied: Index::ZERO,
+            echo: Echo { run: 1, at: Instant::ZERO },
+        };
+        receive(1, 3, Message::AppendReply(reply))
+    };
+    let to_peer = |action: &Action<u64, u64>| matches!(action, Action::Send { frame, .. } if frame.to == Some(Incarnation::new(2)));
+    let sent: usize = (0..5)
+        .map(|_| core.step(LEADS, refusal()).iter().filter(|action| to_peer(action)).count())
+        .sum();
+    assert_eq!(sent, 1);
+}
