--- a/crates/catkinlatch-standin/src/engine/api.rs
+++ b/crates/catkinlatch-standin/src/engine/api.rs
@@ -1,6 +1,6 @@
 //! HTTP interface of the stand-in engine.
 
-use super::{Record, Shared, generation::Generation};
+use super::{Record, Shared, generation::Generation, swap};
 use catkinlatch_base::{ModelId, OrderId, RequestId, Term, Version, derive_schema};
 use catkinlatch_node::entry::REQUEST_ID;
 use dropshot::{
@@ -88,14 +88,16 @@
     body: TypedBody<Order>,
 ) -> Result<HttpResponseUpdatedNoContent, HttpError> {
     let order = body.into_inner();
+    let checks_fencing = context.context().options.checks_fencing;
     let mut inner = context.context().lock();
-    if order.fence < inner.fence {
+    if checks_fencing && order.fence < inner.fence {
         let message = format!("the fencing number {} is old", order.fence);
         let status = ClientErrorStatusCode::CONFLICT;
         return Err(HttpError::for_client_error(None, status, message));
     }
     inner.fence = order.fence;
-    inner.version = order.version;
+    drop(inner);
+    tokio::spawn(swap::run(context.context().clone(), order.version));
     Ok(HttpResponseUpdatedNoContent())
 }
 
--- a/crates/catkinlatch-standin/src/engine/generation.rs
+++ b/crates/catkinlatch-standin/src/engine/generation.rs
@@ -19,6 +19,9 @@
 /// How many tokens an engine makes before a prompt crashes it.
 const CRASH_TOKENS: u64 = 2;
 
+/// By how much a nonsense version is too high.
+const NONSENSE: u64 = 1_000;
+
 /// One answer in the making.
 pub struct Generation {
     shared: Arc<Shared>,
@@ -62,10 +65,14 @@
 
     /// Makes one token with the weights that are loaded now.
     async fn step(&mut self) -> (String, Version) {
-        tokio::time::sleep(self.shared.options.token_time).await;
+        let token_time = self.shared.options.token_time;
+        if !token_time.is_zero() {
+            tokio::time::sleep(token_time).await;
+        }
         let version = self.shared.lock().version;
         self.start = self.start.or(Some(version));
-        self.end = Some(version);
+        let offset = if self.shared.options.swap.nonsense { NONSENSE } else { 0 };
+        self.end = Some(Version::new(version.get() + offset));
         let token = format!("t{} ", self.tokens.len());
         self.tokens.push(token.clone());
         match self.spans.last_mut() {
