--- a/crates/catkinlatch-standin/src/cluster/hosts.rs
+++ b/crates/catkinlatch-standin/src/cluster/hosts.rs
@@ -252,7 +252,7 @@
     let address = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
     let data = data_folder(&layout.folder, index);
     let voters = (2 * layout.disks).saturating_sub(1).clamp(1, layout.hosts.min(5));
-    let voters = if voters % 2 == 0 { voters - 1 } else { voters };
+    let voters = if voters.is_multiple_of(2) { voters - 1 } else { voters };
     let name = |voter: usize| format!("host-{}", voter + 1).parse().expect("the id is valid");
     Settings {
         cluster: "loopback".parse().expect("the id is valid"),
