Place targets from the node: reconcile, plan, order, and keep work off

The planner was not driven by anything. The leader now compares orders with the platform's list and with announcements every 2 s, then plans each model that has a live floor over the zones in use and the price classes of the configuration, and sends starts and stops through the order desk. A target that drains is marked in the replicated state, so that every node takes it out of its table at once and ignores its announcements.

Demand comes from the last closed usage window, which holds the work of all nodes and survives a change of leader; it lags by a window, and a pool that was busy throughout is taken to need half as much again.

Targets that no order of this cluster started are named in the log and never stopped. Draining takes a fixed 60 s: what other nodes have under way on a target is not known to the leader.

--- a/crates/catkinlatch-fleet/src/order/job.rs
+++ b/crates/catkinlatch-fleet/src/order/job.rs
@@ -71,7 +71,7 @@
             }
             (Change::Settle { .. }, true)
             | (Change::Intend { .. }, false)
-            | (Change::End { .. }, _) => Phase::Over,
+            | (Change::Drain { .. } | Change::End { .. }, _) => Phase::Over,
         };
     }
 
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod node;
 mod operator;
 pub mod order;
+pub mod placement;
 pub mod settings;
 mod targets;
 mod trainer;
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -3,7 +3,7 @@
 use crate::{
     Clock, Control, Drain, Settings, entry,
     http_log::HttpLog,
-    metric, operator, order, targets, trainer,
+    metric, operator, order, placement, targets, trainer,
     upstream::Upstream,
     usage::{self, Usage},
 };
@@ -125,6 +125,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(order::run_orders(node.clone()));
         usage::spawn(&node, &mut tasks);
+        placement::spawn(&node, &mut tasks);
         tasks.spawn(trainer::run_samples(node.clone()));
         tasks.spawn(entry::maintain(node.clone()));
         Ok(Self { node, public, operator, tasks })
--- /dev/null
+++ b/crates/catkinlatch-node/src/placement/round.rs
@@ -0,0 +1,176 @@
+//! One round of placement: reconcile, plan, order.
+
+use super::{demand, list, pool, view};
+use crate::{Node, order};
+use catkinlatch_base::{OrderId, TargetId, Term};
+use catkinlatch_fleet::placement::{
+    Listed, Mismatch, Offer, Planner, Pool, Step, Timing, reconcile,
+};
+use catkinlatch_state::{
+    Command,
+    order::{Action, Change, Stage},
+};
+use log::{info, warn};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+use tokio::task::JoinSet;
+
+/// How long an order may be missing from the platform's list, in milliseconds.
+const SETTLE_MS: u64 = 10_000;
+
+/// How long a target may take to announce itself, in milliseconds.
+const ANNOUNCE_MS: u64 = 600_000;
+
+/// What became of a start order.
+struct Started {
+    role: String,
+    offer: Offer,
+    stage: Option<Stage>,
+}
+
+/// The rounds of one leadership.
+#[derive(Default)]
+pub struct Rounds {
+    planners: BTreeMap<String, Planner>,
+    starts: JoinSet<Started>,
+    stops: JoinSet<()>,
+    strays: BTreeSet<TargetId>,
+    number: u64,
+}
+
+impl Rounds {
+    /// Runs one round.
+    pub async fn run(&mut self, node: &Arc<Node>, term: Term) {
+        let asked_ms = node.clock.wall_ms();
+        let Some(listed) = list::list(node).await else {
+            return warn!("placement: the platform does not list its targets; nothing is changed");
+        };
+        self.reconcile(node, &listed, asked_ms, term).await;
+        self.collect(node);
+        let listed = listed.into_iter().map(|l| (l.target.clone(), l)).collect();
+        let pools = pool::pools(node.control.state().config());
+        for pool in pools {
+            self.plan(node, &pool, &listed, term).await;
+        }
+    }
+
+    /// Records what the platform's list tells of orders and targets.
+    async fn reconcile(&mut self, node: &Arc<Node>, listed: &[Listed], asked_ms: u64, term: Term) {
+        let announced = {
+            let table = node.table();
+            table.entries().map(|(_, entry)| entry.announcement.id.clone()).collect()
+        };
+        let state = node.control.state();
+        let mismatches =
+            reconcile(state.orders(), listed, &announced, asked_ms, SETTLE_MS, ANNOUNCE_MS);
+        let at_ms = node.clock.wall_ms();
+        for mismatch in mismatches {
+            match mismatch {
+                Mismatch::Settle { order: id, stage, target } => {
+                    commit(node, Change::Settle { id, stage, target, at_ms }).await;
+                }
+                Mismatch::Ended(target) => {
+                    info!("placement: {target} ended without an order");
+                    commit(node, Change::End { target, at_ms }).await;
+                }
+                Mismatch::Silent(target) => {
+                    warn!("placement: {target} never announced itself and is stopped");
+                    self.stop(node, target, term);
+                }
+                Mismatch::Stray(target) => {
+                    if self.strays.insert(target.clone()) {
+                        warn!("placement: {target} runs, and no order of this cluster started it");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells the planners what became of start orders.
+    fn collect(&mut self, node: &Node) {
+        while let Some(Ok(started)) = self.starts.try_join_next() {
+            let Some(planner) = self.planners.get_mut(&started.role) else { continue };
+            let Offer { zone, price_class, .. } = &started.offer;
+            match started.stage {
+                Some(Stage::Done) => planner.available(zone, price_class),
+                Some(Stage::Unavailable | Stage::Failed) => {
+                    planner.unavailable(zone, price_class, node.clock.now());
+                }
+                Some(Stage::Intended | Stage::Unknown) | None => {}
+            }
+        }
+    }
+
+    async fn plan(
+        &mut self,
+        node: &Arc<Node>,
+        pool: &Pool,
+        listed: &BTreeMap<TargetId, Listed>,
+        term: Term,
+    ) {
+        if !self.starts.is_empty() {
+            return;
+        }
+        let state = node.control.state();
+        let (slots, ready) = view::capacity(node, &pool.role);
+        let window_ms = node.settings.usage_window_ms;
+        let demand = demand::demand(&state, pool, slots, ready, window_ms);
+        let targets = view::targets(node, state.orders(), pool, listed);
+        let new = || Planner::new(Timing::default());
+        let planner = self.planners.entry(pool.role.clone()).or_insert_with(new);
+        for step in planner.next(pool, &demand, &targets, node.clock.now()) {
+            match step {
+                Step::Start(offer) => self.start(node, &pool.role, offer, term),
+                Step::Drain(target) => {
+                    let at_ms = node.clock.wall_ms();
+                    commit(node, Change::Drain { target, at_ms }).await;
+                }
+                Step::Stop(target) => self.stop(node, target, term),
+            }
+        }
+    }
+
+    fn start(&mut self, node: &Arc<Node>, role: &str, offer: Offer, term: Term) {
+        self.number += 1;
+        let Some(id) = order_id(format!("start-{term}-{}", self.number)) else { return };
+        let (node, role) = (node.clone(), role.to_owned());
+        self.starts.spawn(async move {
+            let (zone, price_class) = (offer.zone.clone(), offer.price_class.clone());
+            let action = Action::Start { role: role.clone(), zone, price_class };
+            let stage = order::carry_out(&node, id, action).await;
+            Started { role, offer, stage }
+        });
+    }
+
+    /// Orders the stop of a target, unless such an order is open.
+    fn stop(&mut self, node: &Arc<Node>, target: TargetId, term: Term) {
+        while self.stops.try_join_next().is_some() {}
+        let state = node.control.state();
+        let is_open = state.orders().list().values().any(|order| {
+            let is_stop = matches!(&order.action, Action::Stop { target: t } if *t == target);
+            is_stop && matches!(order.stage, Stage::Intended | Stage::Unknown)
+        });
+        if is_open {
+            return;
+        }
+        self.number += 1;
+        let Some(id) = order_id(format!("stop-{term}-{}", self.number)) else { return };
+        let node = node.clone();
+        self.stops.spawn(async move {
+            let stage = order::carry_out(&node, id, Action::Stop { target: target.clone() }).await;
+            info!("placement: the stop of {target} came to {stage:?}");
+        });
+    }
+}
+
+fn order_id(text: String) -> Option<OrderId> {
+    text.parse().ok()
+}
+
+async fn commit(node: &Node, change: Change) {
+    if let Err(error) = node.control.propose(Command::Order(change)).await {
+        warn!("placement: a change is not committed and is tried again: {error}");
+    }
+}
--- a/crates/catkinlatch-node/src/targets.rs
+++ b/crates/catkinlatch-node/src/targets.rs
@@ -4,7 +4,7 @@
 
 pub(crate) use self::weights::load_version;
 
-use crate::Node;
+use crate::{Node, placement};
 use catkinlatch_base::{BootId, TargetId, derive_schema, event};
 use catkinlatch_route::Announcement;
 use dropshot::{
@@ -40,6 +40,10 @@
     let node = context.context();
     let announcement = body.into_inner();
     let target = announcement.id.clone();
+    if placement::is_leaving(node, &target) {
+        node.table().withdraw(&target);
+        return Ok(HttpResponseUpdatedNoContent());
+    }
     if node.table().announce(announcement, node.clock.now()) {
         info!("targets: {target} announced itself");
         node.record(event::Kind::TargetUp { target });
--- a/crates/catkinlatch-state/src/order.rs
+++ b/crates/catkinlatch-state/src/order.rs
@@ -108,13 +108,8 @@
             Change::Settle { id, stage, target, at_ms } => {
                 self.settle(id, *stage, target.as_ref(), *at_ms)
             }
-            Change::End { target, at_ms } => {
-                if self.tenures.end(target, *at_ms) {
-                    Reply::Done
-                } else {
-                    Reply::NotFound
-                }
-            }
+            Change::Drain { target, at_ms } => found(self.tenures.drain(target, *at_ms)),
+            Change::End { target, at_ms } => found(self.tenures.end(target, *at_ms)),
         }
     }
 
@@ -194,6 +189,7 @@
                     zone: zone.clone(),
                     price_class: price_class.clone(),
                     from_ms: order.intended_ms,
+                    draining_ms: None,
                     until_ms: None,
                 };
                 self.tenures.begin(target, tenure);
@@ -214,3 +210,7 @@
         }
     }
 }
+
+fn found(is_found: bool) -> Reply {
+    if is_found { Reply::Done } else { Reply::NotFound }
+}
--- a/crates/catkinlatch-state/src/order/change.rs
+++ b/crates/catkinlatch-state/src/order/change.rs
@@ -35,6 +35,13 @@
             /// When it was proposed, in milliseconds since the Unix epoch.
             at_ms: u64,
         },
+        /// Records that a target is to get no new work.
+        Drain {
+            /// The target.
+            target: TargetId,
+            /// When it was proposed, in milliseconds since the Unix epoch.
+            at_ms: u64,
+        },
         /// Records that a target ended without an order, as when the platform takes it back.
         End {
             /// The target.
@@ -50,7 +57,7 @@
     pub fn id(&self) -> Option<&OrderId> {
         match self {
             Self::Intend { id, .. } | Self::Adopt { id, .. } | Self::Settle { id, .. } => Some(id),
-            Self::End { .. } => None,
+            Self::Drain { .. } | Self::End { .. } => None,
         }
     }
 }
--- a/crates/catkinlatch-state/src/order/tenure.rs
+++ b/crates/catkinlatch-state/src/order/tenure.rs
@@ -20,6 +20,8 @@
         pub price_class: String,
         /// When the start order was committed, in milliseconds since the Unix epoch.
         pub from_ms: u64,
+        /// Since when it takes no new work, in milliseconds since the Unix epoch.
+        pub draining_ms: Option<u64>,
         /// When the end was confirmed, in milliseconds since the Unix epoch.
         pub until_ms: Option<u64>,
     }
@@ -58,6 +60,19 @@
         self.tenures.entry(target.clone()).or_insert(tenure);
     }
 
+    /// Returns whether a target takes no new work.
+    pub fn is_draining(&self, target: &TargetId) -> bool {
+        self.tenures.get(target).is_some_and(|tenure| tenure.draining_ms.is_some())
+    }
+
+    /// Marks a target as taking no new work; returns whether it ran.
+    pub fn drain(&mut self, target: &TargetId, at_ms: u64) -> bool {
+        let running = self.tenures.get_mut(target).filter(|tenure| tenure.until_ms.is_none());
+        let Some(tenure) = running else { return false };
+        tenure.draining_ms.get_or_insert(at_ms);
+        true
+    }
+
     /// Ends the tenure of a target; returns whether it ran.
     pub fn end(&mut self, target: &TargetId, at_ms: u64) -> bool {
         let running = self.tenures.get_mut(target).filter(|tenure| tenure.until_ms.is_none());
