--- a/crates/catkinlatch-node/src/usage/close.rs
+++ b/crates/catkinlatch-node/src/usage/close.rs
@@ -1,7 +1,10 @@
 //! Collects what hosts say about a window, and freezes it in the log.
 
 use super::{CHECK_INTERVAL, present};
-use crate::Node;
+use crate::{
+    Node,
+    peer::{Message, Reply as PeerReply},
+};
 use catkinlatch_base::{HostId, WindowId};
 use catkinlatch_fleet::usage::{Answer, Closer, Step};
 use catkinlatch_state::{
@@ -16,6 +19,9 @@
 /// that is cut off takes no more work.
 const GRACE_MARGIN: Duration = Duration::from_secs(5);
 
+/// How long a host has to answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Closes windows for as long as the node runs and leads.
 pub async fn close_windows(node: Arc<Node>) {
     let lease = Duration::from_millis(node.settings.configuration_lease_ms);
@@ -59,7 +65,17 @@
 
 /// Asks a host what it counted and holds.
 async fn ask(node: &Node, host: &HostId, window: WindowId) -> Option<Answer> {
-    (*host == node.settings.host).then(|| answer(node, window))
+    if *host == node.settings.host {
+        return Some(answer(node, window));
+    }
+    match node.peers.call(host, &Message::CloseUsage(window), ASK_TIMEOUT).await {
+        Ok(PeerReply::Usage(answer)) => Some(answer),
+        Ok(_) => None,
+        Err(error) => {
+            info!("usage: window {window} waits: {error}");
+            None
+        }
+    }
 }
 
 /// Ends a window on this node, and returns what the node counted and holds.
