--- a/crates/catkinlatch-node/src/targets.rs
+++ b/crates/catkinlatch-node/src/targets.rs
@@ -2,7 +2,7 @@
 
 mod weights;
 
-pub(crate) use self::weights::load_version;
+pub(crate) use self::weights::roll_out;
 
 use crate::{Node, placement};
 use catkinlatch_base::{BootId, TargetId, derive_schema, event};
@@ -58,7 +58,7 @@
     body: TypedBody<Withdrawal>,
 ) -> Result<HttpResponseUpdatedNoContent, HttpError> {
     let withdrawal = body.into_inner();
-    context.context().table().withdraw(&withdrawal.id);
+    context.context().table().withdraw(&withdrawal.id, &withdrawal.boot);
     info!("targets: {} withdrew", withdrawal.id);
     Ok(HttpResponseUpdatedNoContent())
 }
