--- a/crates/catkinlatch-node/src/placement.rs
+++ b/crates/catkinlatch-node/src/placement.rs
@@ -32,16 +32,20 @@
     while changes.changed().await.is_ok() {
         let state = node.control.state();
         for (target, tenure) in state.orders().tenures().running() {
-            if tenure.draining_ms.is_some() && table_has(&node, target) {
-                node.table().withdraw(target);
+            if tenure.draining_ms.is_some() && withdraw(&node, target) {
                 info!("placement: {target} gets no new work here");
             }
         }
     }
 }
 
-fn table_has(node: &Node, target: &TargetId) -> bool {
-    node.table().entries().any(|(_, entry)| entry.announcement.id == *target)
+/// Takes a target out of this node's table; returns whether it was there.
+fn withdraw(node: &Node, target: &TargetId) -> bool {
+    let mut table = node.table();
+    let found = table.entries().find(|(_, entry)| entry.announcement.id == *target);
+    let Some(boot) = found.map(|(_, entry)| entry.announcement.boot.clone()) else { return false };
+    table.withdraw(target, &boot);
+    true
 }
 
 /// Places targets for as long as the node runs and leads.
--- a/crates/catkinlatch-node/src/targets.rs
+++ b/crates/catkinlatch-node/src/targets.rs
@@ -41,7 +41,7 @@
     let announcement = body.into_inner();
     let target = announcement.id.clone();
     if placement::is_leaving(node, &target) {
-        node.table().withdraw(&target);
+        node.table().withdraw(&target, &announcement.boot);
         return Ok(HttpResponseUpdatedNoContent());
     }
     if node.table().announce(announcement, node.clock.now()) {
--- a/crates/catkinlatch-standin/tests/placement.rs
+++ b/crates/catkinlatch-standin/tests/placement.rs
@@ -53,7 +53,7 @@
     let targets = platform.targets();
     let left =
         |zone: &&str| targets.iter().filter(|run| run.listed.zone != id::<ZoneId>(zone)).count();
-    ZONES.iter().all(|zone| left(&zone) >= LIVE_FLOOR)
+    ZONES.iter().all(|zone| left(zone) >= LIVE_FLOOR)
 }
 
 #[tokio::test]
