--- a/crates/catkinlatch-node/src/peer/message.rs
+++ b/crates/catkinlatch-node/src/peer/message.rs
@@ -1,9 +1,10 @@
 //! What nodes say to each other.
 
-use crate::{control, operator::status, settings::Agreement, usage};
+use crate::{control, operator::status, settings::Agreement, targets::Withdrawal, usage};
 use catkinlatch_base::{Revision, WindowId, derive_value};
 use catkinlatch_fleet::usage::Answer;
 use catkinlatch_log::Frame;
+use catkinlatch_route::Announcement;
 use catkinlatch_state::Command;
 
 derive_value! {
@@ -25,6 +26,12 @@
         KeepUsage(usage::Handover),
         /// Asks a host to end a usage window and to say what it counted and holds.
         CloseUsage(WindowId),
+        /// A target announced itself to the sender, or renewed its announcement.
+        Announce(Box<Announcement>),
+        /// A target withdrew at the sender.
+        Withdraw(Withdrawal),
+        /// The sender drains and takes no new callers.
+        Leaving,
     }
 }
 
