--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod operator;
 pub mod order;
 pub mod peer;
+pub mod placement;
 pub mod settings;
 mod targets;
 mod trainer;
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -5,15 +5,12 @@
     http_log::HttpLog,
     metric, operator, order,
     peer::{self, Peers},
-    targets, trainer,
+    placement, targets, trainer,
     upstream::Upstream,
     usage::{self, Usage},
 };
 use catkinlatch_base::{Incarnation, Timeline, event::Kind};
-use catkinlatch_fleet::{
-    Meter,
-    order::{Desk, Timing},
-};
+use catkinlatch_fleet::{Meter, order::Desk};
 use catkinlatch_route::Table;
 use derive_more::{Display, Error};
 use dropshot::{
@@ -125,6 +122,7 @@
         let peers = Arc::new(peers);
         let control = Control::start(&settings, clock, peers.clone(), storage, &mut tasks);
         let usage = Usage::new(settings.host.clone());
+        let timing = order::timing(&settings);
         let node = Arc::new(Node {
             settings,
             incarnation,
@@ -138,7 +136,7 @@
             drain: Drain::new(),
             table: Mutex::default(),
             usage,
-            desk: Mutex::new(Desk::new(Timing::default())),
+            desk: Mutex::new(Desk::new(timing)),
             orders_wake: Notify::new(),
         });
         let public = listen(&node, node.settings.listen, public_api()?)?;
@@ -146,6 +144,7 @@
         tasks.spawn(peer::serve(node.clone(), peer_listener));
         tasks.spawn(order::run_orders(node.clone()));
         usage::spawn(&node, &mut tasks);
+        placement::spawn(&node, &mut tasks);
         tasks.spawn(trainer::run_samples(node.clone()));
         tasks.spawn(targets::roll_out(node.clone()));
         tasks.spawn(entry::maintain(node.clone()));
--- a/crates/catkinlatch-node/src/order.rs
+++ b/crates/catkinlatch-node/src/order.rs
@@ -11,9 +11,9 @@
     send::{Fault, send},
 };
 
-use crate::Node;
+use crate::{Node, Settings};
 use catkinlatch_base::{OrderId, event};
-use catkinlatch_fleet::order::{Permit, Step};
+use catkinlatch_fleet::order::{Permit, Step, Timing};
 use catkinlatch_state::{
     Command, Reply,
     order::{self, Action, Change, Stage},
@@ -28,6 +28,15 @@
 /// How long a change rests after it could not be committed.
 const COMMIT_RETRY: Duration = Duration::from_millis(100);
 
+/// Returns the times that orders keep under the cluster's settings.
+///
+/// An order's deadline takes at most half of a lease, so that a renewed lease covers it.
+pub fn timing(settings: &Settings) -> Timing {
+    let longest_lease = Duration::from_millis(settings.lease_ms);
+    let usual = Timing::default();
+    Timing { longest_lease, deadline: usual.deadline.min(longest_lease / 2), ..usual }
+}
+
 /// Sends orders for as long as the node runs.
 pub async fn run_orders(node: Arc<Node>) {
     let mut changes = node.control.changes();
--- a/crates/catkinlatch-node/src/peer/handler.rs
+++ b/crates/catkinlatch-node/src/peer/handler.rs
@@ -1,7 +1,7 @@
 //! Handles messages of other nodes.
 
 use super::{Message, Reply};
-use crate::{Node, operator::status, targets};
+use crate::{Node, operator::status, targets, usage};
 use catkinlatch_wire::{Frame, Hello, codec};
 use log::warn;
 use std::sync::Arc;
@@ -61,6 +61,11 @@
             Reply::Nothing
         }
         Message::Node => Reply::Node(status::own_node(node)),
+        Message::KeepUsage(handover) => {
+            usage::keep(node, &handover);
+            Reply::Nothing
+        }
+        Message::CloseUsage(window) => Reply::Usage(usage::answer(node, window)),
         Message::Members => Reply::Members(node.control.members_here()),
     }
 }
--- a/crates/catkinlatch-node/src/peer/message.rs
+++ b/crates/catkinlatch-node/src/peer/message.rs
@@ -1,7 +1,8 @@
 //! What nodes say to each other.
 
-use crate::{control, operator::status, settings::Agreement, targets::Withdrawal};
-use catkinlatch_base::{Revision, derive_value};
+use crate::{control, operator::status, settings::Agreement, targets::Withdrawal, usage};
+use catkinlatch_base::{Revision, WindowId, derive_value};
+use catkinlatch_fleet::usage::Answer;
 use catkinlatch_log::Frame;
 use catkinlatch_route::Announcement;
 use catkinlatch_state::Command;
@@ -21,6 +22,10 @@
         Members,
         /// Asks a node what it says of itself.
         Node,
+        /// Asks a host to hold usage counters.
+        KeepUsage(usage::Handover),
+        /// Asks a host to end a usage window and to say what it counted and holds.
+        CloseUsage(WindowId),
         /// A target announced itself to the sender, or renewed its announcement.
         Announce(Box<Announcement>),
         /// A target withdrew at the sender.
@@ -43,5 +48,7 @@
         Members(Vec<control::Member>),
         /// What a node says of itself.
         Node(status::Node),
+        /// What a host counted and holds.
+        Usage(Answer),
     }
 }
--- a/crates/catkinlatch-node/src/targets.rs
+++ b/crates/catkinlatch-node/src/targets.rs
@@ -4,7 +4,7 @@
 
 pub(crate) use self::weights::roll_out;
 
-use crate::{Node, peer::Message};
+use crate::{Node, peer::Message, placement};
 use catkinlatch_base::{BootId, TargetId, derive_schema, event};
 use catkinlatch_route::Announcement;
 use dropshot::{
@@ -58,6 +58,10 @@
 
 /// Records an announcement that came from a target or through another node.
 pub(crate) fn record(node: &Node, announcement: Announcement) {
+    if placement::is_leaving(node, &announcement.id) {
+        node.table().withdraw(&announcement.id, &announcement.boot);
+        return;
+    }
     let target = announcement.id.clone();
     if node.table().announce(announcement, node.clock.now()) {
         info!("targets: {target} announced itself");
--- a/crates/catkinlatch-node/src/usage.rs
+++ b/crates/catkinlatch-node/src/usage.rs
@@ -2,10 +2,17 @@
 
 mod api;
 mod close;
+mod handover;
 mod report;
 mod view;
 
-pub use self::{api::register, report::report_bytes, view::View};
+pub use self::{
+    api::register,
+    close::answer,
+    handover::{Handover, keep},
+    report::report_bytes,
+    view::View,
+};
 
 use crate::Node;
 use catkinlatch_base::{HostId, Incarnation, WindowId};
@@ -59,6 +66,7 @@
 /// Starts the tasks that count, close and report.
 pub fn spawn(node: &Arc<Node>, tasks: &mut JoinSet<()>) {
     tasks.spawn(take_part(node.clone()));
+    tasks.spawn(handover::hand_over(node.clone()));
     tasks.spawn(close::close_windows(node.clone()));
     tasks.spawn(report::report_windows(node.clone()));
 }
