Pass trainers' requests to their coordinator, and replace one whose host is gone

A trainer was refused by every node but its coordinator's, and a coordinator that died took the open groups and the last batch with it. Nodes now pass requests on, groups and batches have a copy on a second host before they are committed or confirmed, and a node that cannot reach the coordinator for three seconds takes its seat and gathers the copies.

Finished samples in no batch are not copied yet; they run again.

--- a/crates/catkinlatch-node/src/peer/handler.rs
+++ b/crates/catkinlatch-node/src/peer/handler.rs
@@ -1,7 +1,7 @@
 //! Handles messages of other nodes.
 
 use super::{Message, Reply};
-use crate::{Node, operator::status};
+use crate::{Node, operator::status, trainer};
 use catkinlatch_wire::{Frame, Hello, codec};
 use log::warn;
 use std::sync::Arc;
@@ -49,6 +49,7 @@
             Reply::InForce(node.control.in_force_here(revision).await.is_ok())
         }
         Message::Node => Reply::Node(status::own_node(node)),
+        Message::Rollout(message) => Reply::Rollout(trainer::receive(node, message).await),
         Message::Members => Reply::Members(node.control.members_here()),
     }
 }
--- a/crates/catkinlatch-node/src/peer/message.rs
+++ b/crates/catkinlatch-node/src/peer/message.rs
@@ -1,6 +1,6 @@
 //! What nodes say to each other.
 
-use crate::{control, operator::status, settings::Agreement};
+use crate::{control, operator::status, settings::Agreement, trainer};
 use catkinlatch_base::{Revision, derive_value};
 use catkinlatch_log::Frame;
 use catkinlatch_state::Command;
@@ -18,6 +18,8 @@
         InForce(Revision),
         /// Asks the leader what it knows of the nodes.
         Members,
+        /// Concerns a trainer's coordinator.
+        Rollout(trainer::Message),
         /// Asks a node what it says of itself.
         Node,
     }
@@ -32,6 +34,8 @@
         Proposed(Result<control::Proposed, control::ProposeError>),
         /// Whether the change is in force.
         InForce(bool),
+        /// What a coordinator answers.
+        Rollout(trainer::Reply),
         /// What the leader knows of the nodes.
         Members(Vec<control::Member>),
         /// What a node says of itself.
--- a/crates/catkinlatch-node/src/trainer.rs
+++ b/crates/catkinlatch-node/src/trainer.rs
@@ -5,10 +5,16 @@
 mod coordinator;
 mod doubt;
 mod group;
+mod kept;
+mod remote;
 mod runner;
 mod sample;
 mod seat;
 
-pub(crate) use self::{api::register, coordinator::Coordinators, runner::run_samples};
+pub use self::remote::{Message, Reply};
+
+pub(crate) use self::{
+    api::register, coordinator::Coordinators, remote::receive, runner::run_samples,
+};
 
 use self::coordinator::{Batch, Coordinator};
--- a/crates/catkinlatch-node/src/trainer/api.rs
+++ b/crates/catkinlatch-node/src/trainer/api.rs
@@ -1,8 +1,12 @@
 //! HTTP interface for trainers.
 
-use super::{Batch, batch, group, seat::Seat};
+use super::{
+    Batch, batch, group,
+    remote::{self, Message, Reply},
+    seat::Seat,
+};
 use crate::{Node, entry};
-use catkinlatch_base::{BatchNumber, TrainerId, Version, derive_schema, event};
+use catkinlatch_base::{BatchNumber, HostId, TrainerId, Version, derive_schema, event};
 use catkinlatch_rollout::pool::Group;
 use catkinlatch_state::{Command, batch::Change, config::Trainer};
 use dropshot::{
@@ -25,6 +29,12 @@
 /// How often a request that waits looks again.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How often another node's coordinator is asked for a batch that is not whole.
+const REMOTE_POLL: Duration = Duration::from_millis(200);
+
+/// How long a coordinator's host may be away before another takes its place.
+const TAKEOVER: Duration = Duration::from_secs(3);
+
 /// Adds the endpoints.
 pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
     api.register(post_group)?;
@@ -67,9 +77,19 @@
         return Err(HttpError::for_bad_request(None, message.to_owned()));
     }
     let until = tokio::time::Instant::now() + SEAT_TIMEOUT;
+    let mut away = None;
     loop {
-        sit(node, &trainer.id).await?;
-        match group::admit(node, &trainer, group.clone()).await {
+        let step = match sit(node, &trainer.id, &mut away).await? {
+            None => group::admit(node, &trainer, group.clone()).await,
+            Some(host) => {
+                let (trainer, group) = (trainer.id.clone(), group.clone());
+                match remote::call(node, &host, Message::Group { trainer, group }).await {
+                    Some(Reply::Group(step)) => step,
+                    Some(_) | None => group::Step::Moved,
+                }
+            }
+        };
+        match step {
             group::Step::Taken => return Ok(HttpResponseUpdatedNoContent()),
             group::Step::Differs => {
                 let message = "a group of this id and another size was posted before";
@@ -113,11 +133,26 @@
     let BatchPath { trainer, number } = path.into_inner();
     let trainer = authorize(&context, &trainer)?;
     let until = tokio::time::Instant::now() + LONG_POLL;
+    let number = BatchNumber::new(number);
+    let mut away = None;
     loop {
-        sit(node, &trainer.id).await?;
+        let host = sit(node, &trainer.id, &mut away).await?;
         let woken = node.trainers.progress.notified();
-        match batch::take(node, &trainer, BatchNumber::new(number)).await {
+        let step = match &host {
+            None => batch::take(node, &trainer, number).await,
+            Some(host) => {
+                let trainer = trainer.id.clone();
+                match remote::call(node, host, Message::Batch { trainer, number }).await {
+                    Some(Reply::Batch(step)) => step,
+                    Some(_) | None => batch::Step::Moved,
+                }
+            }
+        };
+        match step {
             batch::Step::Ready(batch) => return Ok(HttpResponseOk(batch)),
+            batch::Step::Wait if host.is_some() && tokio::time::Instant::now() < until => {
+                tokio::time::sleep(REMOTE_POLL).await;
+            }
             batch::Step::Wait => {
                 if tokio::time::timeout_at(until, woken).await.is_err() {
                     let message = "the batch is not whole yet; ask again";
@@ -146,19 +181,31 @@
     }
 }
 
-/// Makes sure that the trainer has a coordinator, and that it is this node.
-async fn sit(node: &Node, trainer: &TrainerId) -> Result<(), HttpError> {
-    match Seat::find(node, trainer) {
-        Seat::Here(_) => Ok(()),
-        Seat::Vacant(after) => {
-            let taken = Seat::take(node, trainer, after).await;
-            taken.map(drop).map_err(|error| HttpError::for_unavail(None, error))
+/// Makes sure that the trainer has a coordinator, and returns its host if that is another.
+///
+/// A coordinator whose host was away for long loses its seat to this node; `away` is since when.
+async fn sit(
+    node: &Node,
+    trainer: &TrainerId,
+    away: &mut Option<tokio::time::Instant>,
+) -> Result<Option<HostId>, HttpError> {
+    let after = match Seat::find(node, trainer) {
+        Seat::Here(_) => return Ok(None),
+        Seat::Vacant(after) => after,
+        Seat::Elsewhere(held) if node.peers.is_connected(&held.host) => {
+            *away = None;
+            return Ok(Some(held.host));
         }
         Seat::Elsewhere(held) => {
-            let message = format!("host {} coordinates this trainer; ask it", held.host);
-            Err(HttpError::for_unavail(None, message))
+            let since = *away.get_or_insert_with(tokio::time::Instant::now);
+            if since.elapsed() < TAKEOVER {
+                return Ok(Some(held.host));
+            }
+            held.epoch
         }
-    }
+    };
+    let taken = remote::take(node, trainer, after).await;
+    taken.map(|()| None).map_err(|error| HttpError::for_unavail(None, error))
 }
 
 /// Waits a moment, or says that the trainer has no coordinator yet.
--- a/crates/catkinlatch-node/src/trainer/batch.rs
+++ b/crates/catkinlatch-node/src/trainer/batch.rs
@@ -1,8 +1,8 @@
 //! Making batches: committed first, then handed out.
 
-use super::{Batch, coordinator::Proposal, seat};
+use super::{Batch, coordinator::Proposal, remote, seat};
 use crate::Node;
-use catkinlatch_base::{BatchNumber, Epoch, GroupId, GroupNumber, TrainerId, event};
+use catkinlatch_base::{BatchNumber, Epoch, GroupId, GroupNumber, TrainerId, derive_value, event};
 use catkinlatch_rollout::pool::Sample;
 use catkinlatch_state::{
     Command, Reply,
@@ -12,8 +12,8 @@
 use log::warn;
 use std::collections::BTreeSet;
 
+derive_value! {
 /// What a request for a batch comes to.
-#[derive(Debug)]
 pub enum Step {
     /// The batch.
     Ready(Batch),
@@ -31,6 +31,7 @@
     /// This node does not coordinate the trainer any more, or control does not answer.
     Moved,
 }
+}
 
 /// Makes the batch of that number, or returns it again.
 pub async fn take(node: &Node, trainer: &Trainer, number: BatchNumber) -> Step {
@@ -60,6 +61,11 @@
     if let Some(contents) = contents(node, trainer, &last.batch) {
         return Step::Ready(contents);
     }
+    if let Some(contents) = remote::fetch(node, trainer, &last.batch).await {
+        let make_up = last.batch.clone();
+        keep(node, trainer, Proposal { make_up, contents: contents.clone() });
+        return Step::Ready(contents);
+    }
     let number = last.batch.number;
     let change = batch::Change::Void { trainer: trainer.clone(), epoch, number };
     match node.control.propose(Command::Batch(change)).await {
@@ -82,8 +88,9 @@
     };
     let number = ledger.next_number();
     let contents = Batch { number, samples };
-    let holders = vec![node.settings.host.clone()];
-    let Some(make_up) = contents.make_up(holders) else { return Step::Wait };
+    let Some(make_up) = remote::replicate(node, &trainer.id, &contents).await else {
+        return Step::Wait;
+    };
     keep(node, &trainer.id, Proposal { make_up: make_up.clone(), contents: contents.clone() });
     let change = batch::Change::Commit {
         trainer: trainer.id.clone(),
--- a/crates/catkinlatch-node/src/trainer/coordinator.rs
+++ b/crates/catkinlatch-node/src/trainer/coordinator.rs
@@ -1,6 +1,9 @@
 //! What this node holds as the coordinator of trainers.
 
-use catkinlatch_base::{BatchNumber, Epoch, HostId, SampleId, TrainerId, derive_schema};
+use super::kept::Kept;
+use catkinlatch_base::{
+    BatchNumber, Epoch, HostId, SampleId, TrainerId, derive_schema, derive_value,
+};
 use catkinlatch_rollout::{Pool, pool};
 use catkinlatch_state::batch;
 use std::{
@@ -27,13 +30,14 @@
     }
 }
 
-/// A batch whose commit was proposed.
-#[derive(Clone, Debug)]
-pub struct Proposal {
-    /// What was proposed.
-    pub make_up: batch::Batch,
-    /// What it holds.
-    pub contents: Batch,
+derive_value! {
+    /// A batch whose commit was proposed.
+    pub struct Proposal {
+        /// What was proposed.
+        pub make_up: batch::Batch,
+        /// What it holds.
+        pub contents: Batch,
+    }
 }
 
 /// What a coordinator holds for one trainer under one epoch.
@@ -95,11 +99,17 @@
 #[derive(Debug, Default)]
 pub struct Coordinators {
     trainers: Mutex<BTreeMap<TrainerId, Coordinator>>,
+    kept: Mutex<BTreeMap<TrainerId, Kept>>,
     /// Wakes tasks that wait for samples.
     pub progress: Notify,
 }
 
 impl Coordinators {
+    /// Locks what this node keeps for coordinators on other hosts.
+    pub fn kept(&self) -> MutexGuard<'_, BTreeMap<TrainerId, Kept>> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the trainers.
     pub fn lock(&self) -> MutexGuard<'_, BTreeMap<TrainerId, Coordinator>> {
         self.trainers.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/catkinlatch-node/src/trainer/group.rs
+++ b/crates/catkinlatch-node/src/trainer/group.rs
@@ -1,8 +1,8 @@
 //! Admission of groups: numbered by the ledger, then held by the coordinator.
 
-use super::seat;
+use super::{remote, seat};
 use crate::Node;
-use catkinlatch_base::GroupNumber;
+use catkinlatch_base::{GroupNumber, derive_value};
 use catkinlatch_rollout::pool::Group;
 use catkinlatch_state::{
     Command, Reply,
@@ -10,8 +10,8 @@
     config::Trainer,
 };
 
+derive_value! {
 /// What became of a group.
-#[derive(Debug)]
 pub enum Step {
     /// The group is taken, or was taken before.
     Taken,
@@ -22,6 +22,7 @@
     /// This node does not coordinate the trainer any more, or control does not answer.
     Moved,
 }
+}
 
 /// Admits a group; one that was posted before changes nothing.
 pub async fn admit(node: &Node, trainer: &Trainer, group: Group) -> Step {
@@ -38,6 +39,7 @@
         return Step::Differs;
     }
     for number in numbers.into_iter().flatten() {
+        remote::keep_group(node, &trainer.id, number, &group).await;
         add(node, trainer, number, group.clone());
     }
     node.trainers.progress.notify_waiters();
