--- a/crates/catkinlatch-node/src/peer/handler.rs
+++ b/crates/catkinlatch-node/src/peer/handler.rs
@@ -1,7 +1,7 @@
 //! Handles messages of other nodes.
 
 use super::{Message, Reply};
-use crate::{Node, operator::status, targets, usage};
+use crate::{Node, operator::status, targets, trainer, usage};
 use catkinlatch_wire::{Frame, Hello, codec};
 use log::warn;
 use std::sync::Arc;
@@ -66,6 +66,7 @@
             Reply::Nothing
         }
         Message::CloseUsage(window) => Reply::Usage(usage::answer(node, window)),
+        Message::Rollout(message) => Reply::Rollout(trainer::receive(node, message).await),
         Message::Members => Reply::Members(node.control.members_here()),
     }
 }
--- a/crates/catkinlatch-node/src/peer/message.rs
+++ b/crates/catkinlatch-node/src/peer/message.rs
@@ -1,6 +1,6 @@
 //! What nodes say to each other.
 
-use crate::{control, operator::status, settings::Agreement, targets::Withdrawal, usage};
+use crate::{control, operator::status, settings::Agreement, targets::Withdrawal, trainer, usage};
 use catkinlatch_base::{Revision, WindowId, derive_value};
 use catkinlatch_fleet::usage::Answer;
 use catkinlatch_log::Frame;
@@ -20,6 +20,8 @@
         InForce(Revision),
         /// Asks the leader what it knows of the nodes.
         Members,
+        /// Concerns a trainer's coordinator.
+        Rollout(trainer::Message),
         /// Asks a node what it says of itself.
         Node,
         /// Asks a host to hold usage counters.
@@ -44,6 +46,8 @@
         Proposed(Result<control::Proposed, control::ProposeError>),
         /// Whether the change is in force.
         InForce(bool),
+        /// What a coordinator answers.
+        Rollout(trainer::Reply),
         /// What the leader knows of the nodes.
         Members(Vec<control::Member>),
         /// What a node says of itself.
