Soak six processes under random failures and compare all records

Cause: the failures were shown one at a time; nothing ran them together, at random, under traffic.

Change: `soak` draws kills, wiped disks, pauses, restarts and links cut both ways or one way, two at a time, while callers send requests that may not be repeated, a trainer takes batches across changes of weights through any host, and keys come and go. At the end the stand-ins' records are compared with what callers, the trainer and the usage reports saw, and the logs are searched for broken invariants.

--- a/crates/catkinlatch-standin/src/cluster.rs
+++ b/crates/catkinlatch-standin/src/cluster.rs
@@ -4,11 +4,13 @@
 mod link;
 mod ports;
 mod process;
+pub mod soak;
 mod work;
 
 pub use self::{
     hosts::{Cluster, Layout},
     link::Link,
     process::Process,
+    soak::Soak,
     work::{Tally, Work},
 };
--- a/crates/catkinlatch-standin/src/cluster/hosts.rs
+++ b/crates/catkinlatch-standin/src/cluster/hosts.rs
@@ -134,9 +134,13 @@
         }
     }
 
-    /// Mends all links.
-    pub fn mend(&self) {
-        self.links.values().for_each(Link::mend);
+    /// Mends the links from and to a host.
+    pub fn mend_host(&self, index: usize) {
+        for ((from, to), link) in &self.links {
+            if *from == index || *to == index {
+                link.mend();
+            }
+        }
     }
 
     /// Returns where callers connect to a host.
--- a/crates/catkinlatch-standin/src/cluster/process.rs
+++ b/crates/catkinlatch-standin/src/cluster/process.rs
@@ -21,11 +21,6 @@
         Self { program, settings, child: None }
     }
 
-    /// Returns whether the process was started and not killed since.
-    pub fn is_started(&self) -> bool {
-        self.child.is_some()
-    }
-
     /// Starts the process; what it prints is added to a file beside its settings.
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(self.log_file())?;
@@ -49,11 +44,9 @@
         Ok(())
     }
 
-    /// Asks the process to end, and returns whether it ended well.
-    pub fn terminate(&mut self) -> io::Result<bool> {
-        self.signal("TERM")?;
-        let Some(mut child) = self.child.take() else { return Ok(true) };
-        Ok(child.wait()?.success())
+    /// Asks the process to finish what it does and end.
+    pub fn request_end(&self) -> io::Result<()> {
+        self.signal("TERM")
     }
 
     /// Stops the process in the middle of what it does.
--- /dev/null
+++ b/crates/catkinlatch-standin/src/cluster/soak.rs
@@ -0,0 +1,305 @@
+//! A long run of the real program under random failures, with all records compared at the end.
+
+mod fault;
+mod report;
+mod training;
+
+pub use self::report::Report;
+
+use self::{fault::Fault, training::Training};
+use super::{Cluster, Layout, Tally, Work};
+use crate::{
+    engine::{self, Engine},
+    platform::Platform,
+    service::Service,
+};
+use catkinlatch_base::RequestId;
+use catkinlatch_state::config::{Edit, Key, Kind, Model, Route, Secret, Team, Trainer};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    str::FromStr,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    sync::{RwLock, watch},
+    task::JoinSet,
+    time,
+};
+
+/// How many hosts the cluster has.
+const HOSTS: usize = 6;
+
+/// How many of them have a disk.
+const DISKS: usize = 3;
+
+/// How many callers send requests side by side.
+const CALLERS: usize = 4;
+
+/// How long a caller rests between two requests.
+const CALL_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long a usage window lasts, in milliseconds.
+const WINDOW_MS: u64 = 5_000;
+
+/// How long a voter may be silent before it is replaced, in milliseconds.
+const REPAIR_AFTER_MS: u64 = 3_000;
+
+/// The shortest and longest time between two failures, in milliseconds.
+const FAULT_PAUSE_MS: std::ops::Range<u64> = 1_500..4_000;
+
+/// How long a host stays paused, down or cut off, in milliseconds.
+const FAULT_LENGTH_MS: std::ops::Range<u64> = 500..9_000;
+
+/// How long reports may take after the last request, in usage windows.
+const WINDOWS_TO_REPORT: u32 = 6;
+
+/// What a soak runs.
+#[derive(Clone, Debug)]
+pub struct Soak {
+    /// The program.
+    pub program: PathBuf,
+    /// Where settings, logs and data are kept.
+    pub folder: PathBuf,
+    /// How long failures go on.
+    pub length: Duration,
+    /// Chooses the failures.
+    pub seed: u64,
+}
+
+/// What runs around the cluster.
+struct Stand {
+    engines: Vec<Engine>,
+    services: Vec<Service>,
+    platform: Platform,
+}
+
+impl Soak {
+    /// Runs the soak and returns what was seen.
+    pub async fn run(&self) -> Result<Report, String> {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let platform = Platform::start(any_port).await?;
+        let mut cluster = self.cluster(&platform).await.map_err(|error| error.to_string())?;
+        cluster.start_all().map_err(|error| error.to_string())?;
+        let all: Vec<usize> = (0..HOSTS).collect();
+        cluster.all_serve(&all, 0).await?;
+        let secret = secret("surveyors");
+        let revision = cluster.change(0, "setup", configuration(&secret)).await?;
+        cluster.all_serve(&all, revision).await?;
+        let stand = Stand::start(platform, cluster.addresses()).await?;
+        let cluster = Arc::new(RwLock::new(cluster));
+        let (stop, stopped) = watch::channel(false);
+        let mut callers = JoinSet::new();
+        for number in 0..CALLERS {
+            let work = Work::new(&*cluster.read().await, &secret, &format!("caller-{number}"));
+            let random = fastrand::Rng::with_seed(self.seed + number as u64 + 1);
+            callers.spawn(call(work, random, stopped.clone()));
+        }
+        let trainer = Training::new(&*cluster.read().await, &secret, self.seed);
+        let training = tokio::spawn(trainer.run(stopped.clone()));
+        let keys = tokio::spawn(rotate_keys(cluster.clone(), stopped));
+        let mut report = Report::new(self.seed);
+        self.fail(&cluster, &mut report).await?;
+        stop.send_replace(true);
+        let mut tally = Tally::default();
+        while let Some(seen) = callers.join_next().await {
+            tally.add(seen.map_err(|error| error.to_string())?);
+        }
+        report.violations.extend(keys.await.map_err(|error| error.to_string())?);
+        let trained = training.await.map_err(|error| error.to_string())?;
+        self.finish(&cluster, &stand, revision, &mut report).await?;
+        report.judge_callers(&tally, &stand.runs());
+        report.judge_training(&trained, &stand.records());
+        report.judge_usage(&stand.platform, &stand.records());
+        report.judge_logs(&self.folder).map_err(|error| error.to_string())?;
+        cluster.write().await.kill_all().map_err(|error| error.to_string())?;
+        stand.stop().await?;
+        Ok(report)
+    }
+
+    async fn cluster(&self, platform: &Platform) -> std::io::Result<Cluster> {
+        let layout = Layout {
+            program: self.program.clone(),
+            folder: self.folder.clone(),
+            hosts: HOSTS,
+            disks: DISKS,
+            platform: Some(platform.address()),
+            usage_window_ms: WINDOW_MS,
+            repair_after_ms: REPAIR_AFTER_MS,
+        };
+        Cluster::new(&layout).await
+    }
+
+    /// Makes hosts fail, at most two at a time, until the time is over; then heals all.
+    async fn fail(
+        &self,
+        cluster: &Arc<RwLock<Cluster>>,
+        report: &mut Report,
+    ) -> Result<(), String> {
+        let mut random = fastrand::Rng::with_seed(self.seed);
+        let until = time::Instant::now() + self.length;
+        let mut open: Vec<(time::Instant, Fault)> = Vec::new();
+        while time::Instant::now() < until {
+            time::sleep(Duration::from_millis(random.u64(FAULT_PAUSE_MS))).await;
+            let now = time::Instant::now();
+            let mut cluster = cluster.write().await;
+            for (_, fault) in open.extract_if(.., |(end, _)| *end <= now) {
+                fault.end(&mut cluster).map_err(|error| error.to_string())?;
+            }
+            if let Some(fault) = Fault::draw(&mut random, HOSTS, open.iter().map(|(_, f)| f)) {
+                fault.begin(&mut cluster).map_err(|error| error.to_string())?;
+                report.faults.push(fault.clone());
+                let length = Duration::from_millis(random.u64(FAULT_LENGTH_MS));
+                open.push((now + length, fault));
+            }
+        }
+        let mut cluster = cluster.write().await;
+        for (_, fault) in open {
+            fault.end(&mut cluster).map_err(|error| error.to_string())?;
+        }
+        Ok(())
+    }
+
+    /// Waits until all hosts serve again and the last windows are reported.
+    async fn finish(
+        &self,
+        cluster: &Arc<RwLock<Cluster>>,
+        stand: &Stand,
+        revision: u64,
+        report: &mut Report,
+    ) -> Result<(), String> {
+        let all: Vec<usize> = (0..HOSTS).collect();
+        let cluster = cluster.read().await;
+        if let Err(error) = cluster.all_serve(&all, revision).await {
+            report.violations.push(format!("after all failures ended: {error}"));
+        }
+        let last = stand.platform.reports().len();
+        let reported = async || stand.platform.reports().len() > last + 1;
+        if let Err(error) = cluster.wait("reports after all failures ended", reported).await {
+            report.violations.push(error);
+        }
+        time::sleep(Duration::from_millis(WINDOW_MS) * WINDOWS_TO_REPORT).await;
+        Ok(())
+    }
+}
+
+impl Stand {
+    async fn start(platform: Platform, nodes: Vec<SocketAddr>) -> Result<Self, String> {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let (mut engines, mut services) = (Vec::new(), Vec::new());
+        for number in 1..=3 {
+            let zone = id(&format!("zone-{number}"));
+            let (name, options) = (id(&format!("engine-{number}")), engine::Options::default());
+            let engine =
+                Engine::start(name, id("draft"), zone, options, any_port, nodes.clone()).await?;
+            engines.push(engine);
+        }
+        for number in 1..=2 {
+            let (name, zone) = (id(&format!("survey-{number}")), id(&format!("zone-{number}")));
+            let service = Service::start(name, id("survey"), zone, any_port, nodes.clone()).await?;
+            services.push(service);
+        }
+        Ok(Self { engines, services, platform })
+    }
+
+    fn runs(&self) -> Vec<RequestId> {
+        self.services.iter().flat_map(Service::runs).collect()
+    }
+
+    fn records(&self) -> Vec<engine::Record> {
+        self.engines.iter().flat_map(Engine::records).collect()
+    }
+
+    async fn stop(self) -> Result<(), String> {
+        for engine in self.engines {
+            engine.stop().await?;
+        }
+        for service in self.services {
+            service.stop().await?;
+        }
+        self.platform.stop().await
+    }
+}
+
+/// Sends requests to hosts at random until the soak stops.
+async fn call(mut work: Work, mut random: fastrand::Rng, stopped: watch::Receiver<bool>) -> Tally {
+    let mut tally = Tally::default();
+    while !*stopped.borrow() {
+        let host = random.usize(..HOSTS);
+        work.call(host, &mut tally).await;
+        time::sleep(CALL_PAUSE).await;
+    }
+    tally
+}
+
+/// Puts a second key in force and withdraws it again and again; returns where it still worked.
+async fn rotate_keys(cluster: Arc<RwLock<Cluster>>, stopped: watch::Receiver<bool>) -> Vec<String> {
+    let mut violations = Vec::new();
+    let mut round = 0;
+    while !*stopped.borrow() {
+        round += 1;
+        let name = format!("passing-{round}");
+        let secret = secret(&name);
+        let put = vec![Edit::PutKey(Key::new(id("surveyors"), &secret))];
+        let withdraw = vec![Edit::WithdrawKey(id(&name))];
+        let is_gone = change(&cluster, &format!("put-{round}"), put).await
+            && change(&cluster, &format!("withdraw-{round}"), withdraw).await;
+        if is_gone {
+            violations.extend(still_works(&cluster, &secret, &name).await);
+        }
+        time::sleep(Duration::from_secs(1)).await;
+    }
+    violations
+}
+
+/// Makes a change through any host that takes it; returns whether it is known to be in force.
+async fn change(cluster: &RwLock<Cluster>, request: &str, edits: Vec<Edit>) -> bool {
+    for host in 0..HOSTS {
+        let cluster = cluster.read().await;
+        let changing = cluster.change(host, request, edits.clone());
+        if let Ok(Ok(_)) = time::timeout(Duration::from_secs(10), changing).await {
+            return true;
+        }
+    }
+    false
+}
+
+/// Tries a withdrawn key on every host.
+async fn still_works(cluster: &RwLock<Cluster>, secret: &Secret, name: &str) -> Vec<String> {
+    let mut work = Work::new(&*cluster.read().await, secret, name);
+    let mut violations = Vec::new();
+    for host in 0..HOSTS {
+        let mut tally = Tally::default();
+        let _ = time::timeout(Duration::from_secs(1), work.call(host, &mut tally)).await;
+        if !tally.answered.is_empty() {
+            violations.push(format!("key {name} worked on host {} after it was gone", host + 1));
+        }
+    }
+    violations
+}
+
+fn configuration(secret: &Secret) -> Vec<Edit> {
+    let team = Team::new(id("surveyors"));
+    let model = Model::new(id("draft")).with_trainer(id("defects"));
+    let draft = Route::new(id("draft"), Kind::Model(model.id.clone())).with_idempotent(true);
+    let trainer = Trainer::new(id("defects"), team.id.clone(), model.id.clone(), 4);
+    vec![
+        Edit::PutTeam(team.clone()),
+        Edit::PutKey(Key::new(team.id, secret)),
+        Edit::PutModel(model),
+        Edit::PutRoute(draft),
+        Edit::PutRoute(Route::new(id("survey"), Kind::Service).with_deadline_ms(5_000)),
+        Edit::PutTrainer(trainer),
+    ]
+}
+
+fn secret(name: &str) -> Secret {
+    let text = format!("ck_{name}_0123456789abcdef0123456789abcdef");
+    Secret::parse(&text).expect("the key is well formed")
+}
+
+fn id<T: FromStr>(text: &str) -> T {
+    let Ok(id) = text.parse() else { panic!("the soak's id {text:?} is valid") };
+    id
+}
