End an open load when a newer one of the same engine is committed

Cause: a leader that takes over open orders resends them under their ids. A load of version 4 whose answer was lost could so reach an engine after the load of version 5 (found by reading).

Change: committing a load settles open loads of the same engine and model as unknown, so that nobody resends them; a late confirmation still counts.

Before: newer_load_ends_an_open_one_so_that_no_leader_resends_it failed (two loads open). After: it passes, with the other tests of state and fleet.

--- a/crates/catkinlatch-node/src/entry/accused.rs
+++ b/crates/catkinlatch-node/src/entry/accused.rs
@@ -69,3 +69,11 @@
         }
     }
 }
+
+/// Drops suspects that crashed nothing for long; only the leader proposes.
+pub async fn expire(node: &Node) {
+    let now_ms = node.clock.wall_ms();
+    if node.control.leading().is_some() && node.control.state().suspects().has_due(now_ms) {
+        running::propose(node, Change::Expire { now_ms }).await;
+    }
+}
--- a/crates/catkinlatch-node/src/entry/admission.rs
+++ b/crates/catkinlatch-node/src/entry/admission.rs
@@ -235,6 +235,7 @@
         tokio::time::sleep(UPDATE_INTERVAL).await;
         super::claim::expire(&node).await;
         accused::clear_survivors(&node).await;
+        accused::expire(&node).await;
         let now = node.clock.now();
         let state = node.control.state();
         let table = node.table();
--- a/crates/catkinlatch-state/src/order.rs
+++ b/crates/catkinlatch-state/src/order.rs
@@ -132,10 +132,27 @@
             intended_ms: at_ms,
             settled_ms: None,
         };
+        self.end_older_loads(action, at_ms);
         self.orders.insert(id.clone(), order);
         Reply::Done
     }
 
+    /// Ends open orders that load other weights into the same engine.
+    ///
+    /// A later leader would otherwise resend an older load after the newer one.
+    fn end_older_loads(&mut self, action: &Action, at_ms: u64) {
+        let Action::LoadVersion { target, model, .. } = action else { return };
+        let is_older = |order: &Order| {
+            matches!(&order.action, Action::LoadVersion { target: t, model: m, .. }
+                if t == target && m == model)
+        };
+        let older = self.open().filter(|(_, order)| is_older(order));
+        let older: Vec<OrderId> = older.map(|(id, _)| id.clone()).collect();
+        for id in older {
+            self.settle(&id, Stage::Unknown, None, at_ms);
+        }
+    }
+
     fn adopt(&mut self, id: &OrderId, term: Term) -> Reply {
         if term < self.term {
             return Reply::Superseded;
--- a/crates/catkinlatch-state/tests/orders.rs
+++ b/crates/catkinlatch-state/tests/orders.rs
@@ -1,6 +1,6 @@
 //! Orders in the replicated state: fencing numbers, settlement and bounds.
 
-use catkinlatch_base::{OrderId, Term};
+use catkinlatch_base::{OrderId, Term, Version};
 use catkinlatch_state::order::{Action, Change, KEPT_SETTLED, MAX_OPEN, Orders, Reply, Stage};
 
 fn id(number: usize) -> OrderId {
@@ -51,3 +51,25 @@
     }
     assert_eq!(orders.apply(&intend(first + MAX_OPEN, 1)), Reply::Full);
 }
+
+fn load(number: usize, version: u64) -> Change {
+    let action = Action::LoadVersion {
+        target: "engine-1".parse().expect("the id is valid"),
+        model: "draft".parse().expect("the id is valid"),
+        version: Version::new(version),
+        source: None,
+    };
+    Change::Intend { id: id(number), action, term: Term::new(1), at_ms: 7 }
+}
+
+#[test]
+fn newer_load_ends_an_open_one_so_that_no_leader_resends_it() {
+    let mut orders = Orders::default();
+    orders.apply(&load(1, 4));
+    orders.apply(&intend(2, 1));
+    orders.apply(&load(3, 5));
+    let open: Vec<&OrderId> = orders.open().map(|(id, _)| id).collect();
+    assert_eq!(open, [&id(2), &id(3)]);
+    assert_eq!(orders.list()[&id(1)].stage, Stage::Unknown);
+    assert_eq!(orders.apply(&settle(1, Stage::Done)), Reply::Done);
+}
