--- /dev/null
+++ b/crates/catkinlatch-standin/src/capacity/slope.rs
@@ -0,0 +1,269 @@
+//! Slopes of state, messages, processor time and memory.
+
+use super::memory::bytes_each;
+use catkinlatch_base::{
+    Incarnation, Instant, Ratio, RouteId, TargetId, TeamId, Tokens, Version, WindowId,
+};
+use catkinlatch_fleet::{Meter, meter::Record};
+use catkinlatch_log::{self as log_core, AppendReply, Echo, Frame, Index, Message, Peer};
+use catkinlatch_node::peer;
+use catkinlatch_route::{
+    Announcement, Gate, Table,
+    admission::{Ask, Class, Decision},
+    target::{Role, Wanted},
+};
+use catkinlatch_state::{
+    Command, State, claim,
+    config::{Change, Edit, Key, Secret, Team},
+};
+use catkinlatch_wire::codec;
+use std::{
+    hint::black_box,
+    io,
+    str::FromStr,
+    time::{Duration, Instant as Clock},
+};
+
+/// How often a measured step is repeated.
+const ROUNDS: usize = 2_000;
+
+/// How many parts a measured state has.
+const PARTS: usize = 20_000;
+
+/// What one unit of each kind costs, as measured on this machine.
+#[derive(Clone, Copy, Debug)]
+pub struct Slopes {
+    /// Time to choose among targets, for each target, in seconds.
+    pub choose_seconds_per_target: f64,
+    /// Time to admit and finish a request with few teams, in seconds.
+    pub admit_seconds: f64,
+    /// Further time to admit a request, for each team that is known, in seconds.
+    pub admit_seconds_per_team: f64,
+    /// Time to count a request's usage, in seconds.
+    pub meter_seconds: f64,
+    /// Time to commit a claim's command to the state, in seconds.
+    pub apply_seconds: f64,
+    /// Time to encode, check and decode a frame, in seconds.
+    pub frame_seconds: f64,
+    /// Memory of a team, in bytes.
+    pub team_bytes: f64,
+    /// Memory of a key, in bytes.
+    pub key_bytes: f64,
+    /// Memory of a target's entry, in bytes.
+    pub target_bytes: f64,
+    /// Memory of a claim, in bytes.
+    pub claim_bytes: f64,
+    /// Encoded bytes of an announcement as nodes pass it on.
+    pub announcement_bytes: f64,
+    /// Encoded bytes of an answered heartbeat of the log, both ways.
+    pub beat_bytes: f64,
+    /// Encoded bytes of a claim's command.
+    pub claim_command_bytes: f64,
+    /// Encoded bytes of a small configuration change.
+    pub change_bytes: f64,
+}
+
+impl Slopes {
+    /// Measures all slopes; takes a few seconds.
+    pub fn measure() -> io::Result<Self> {
+        let claim_bytes = bytes_each(PARTS / 2, || claimed(PARTS / 2))?;
+        let target_bytes = bytes_each(PARTS / 4, || announced(PARTS / 4))?;
+        let key_bytes = bytes_each(PARTS, || configured(PARTS, |n| Edit::PutKey(key(n))))?;
+        let team_bytes = bytes_each(PARTS, || configured(PARTS, |n| Edit::PutTeam(team(n))))?;
+        let (few, many) = (admit_seconds(8), admit_seconds(1_000));
+        Ok(Self {
+            choose_seconds_per_target: choose_seconds(600) / 600.0,
+            admit_seconds: few,
+            admit_seconds_per_team: ((many - few) / 992.0).max(0.0),
+            meter_seconds: meter_seconds(),
+            apply_seconds: apply_seconds(),
+            frame_seconds: frame_seconds(),
+            team_bytes,
+            key_bytes,
+            target_bytes,
+            claim_bytes,
+            announcement_bytes: length(&peer::Message::Announce(Box::new(announcement(1)))),
+            beat_bytes: beat_bytes(),
+            claim_command_bytes: length(&open(1)),
+            change_bytes: length(&change(vec![Edit::PutTeam(team(1))])),
+        })
+    }
+}
+
+fn length<T: serde::Serialize>(message: &T) -> f64 {
+    (codec::encode(message).len() + catkinlatch_wire::HEADER_BYTES) as f64
+}
+
+fn seconds_each(rounds: usize, mut step: impl FnMut(usize)) -> f64 {
+    let begin = Clock::now();
+    (0..rounds).for_each(&mut step);
+    begin.elapsed().as_secs_f64() / rounds as f64
+}
+
+fn choose_seconds(targets: usize) -> f64 {
+    let table = announced(targets);
+    let wanted = Wanted::Engine(id("draft"));
+    seconds_each(ROUNDS, |_| {
+        black_box(table.choose(&wanted, &[], Instant::from_millis(1)));
+    })
+}
+
+fn admit_seconds(teams: usize) -> f64 {
+    let mut gate = Gate::new(Ratio::new(0.2));
+    let route: RouteId = id("draft");
+    gate.set_slots(&route, u32::MAX);
+    let asks: Vec<Ask> = (0..teams).map(|number| ask(&route, number)).collect();
+    let now = Instant::from_millis(1);
+    let mut round = |number: usize| {
+        if let Decision::Run(permit) = gate.enter(&asks[number % teams], now) {
+            gate.finish(permit, Some(Tokens::new(120)), now + Duration::from_millis(5));
+        }
+    };
+    (0..teams).for_each(&mut round);
+    seconds_each(ROUNDS, round)
+}
+
+fn ask(route: &RouteId, number: usize) -> Ask {
+    Ask {
+        route: route.clone(),
+        team: id(&format!("team-{number}")),
+        weight: 1,
+        class: Class::Live,
+        cost: Tokens::new(100),
+        deadline: Instant::from_millis(60_000),
+    }
+}
+
+fn meter_seconds() -> f64 {
+    let mut meter = Meter::new();
+    let records: Vec<Record> =
+        (0..100).map(|number| record(id(&format!("team-{number}")))).collect();
+    seconds_each(ROUNDS, |round| {
+        meter.add(WindowId::new(1), &records[round % records.len()]);
+    })
+}
+
+fn record(team: TeamId) -> Record {
+    Record {
+        team,
+        model: id("draft"),
+        prompt_tokens: Tokens::new(100),
+        completion_tokens: Tokens::new(200),
+        target_ms: 900,
+    }
+}
+
+fn apply_seconds() -> f64 {
+    let mut state = State::default();
+    let commands: Vec<Command> = (0..ROUNDS).map(open).collect();
+    seconds_each(ROUNDS, |round| {
+        black_box(state.apply(&commands[round]));
+    })
+}
+
+fn frame_seconds() -> f64 {
+    let message = open(1);
+    seconds_each(ROUNDS, |_| {
+        let frame = catkinlatch_wire::Frame::new(codec::encode(&message));
+        let mut bytes = bytes::BytesMut::from(&frame.encode()[..]);
+        let decoded = catkinlatch_wire::Frame::decode(&mut bytes);
+        let payload = decoded.ok().flatten().map(|frame| frame.payload).unwrap_or_default();
+        black_box(codec::decode::<Command>(&payload).is_ok());
+    })
+}
+
+/// Returns the bytes of a bare heartbeat's answer and of the heartbeat, which are about the same.
+fn beat_bytes() -> f64 {
+    let echo = Echo { run: 1, at: Instant::from_millis(1_000_000) };
+    let reply = AppendReply {
+        sent_at: Instant::from_millis(1_000_000),
+        matches: true,
+        index: Index::new(100_000),
+        applied: Index::new(100_000),
+        echo,
+    };
+    let frame: Frame<Command> = Frame {
+        cluster: id("loopback"),
+        group: log_core::Group::default(),
+        term: catkinlatch_base::Term::new(9),
+        from: Peer {
+            host: id("host-100"),
+            incarnation: Incarnation::new(1 << 100),
+            zone: id("zone-1"),
+            has_disk: true,
+        },
+        to: Some(Incarnation::new(1 << 100)),
+        message: Message::AppendReply(reply),
+    };
+    2.0 * length(&peer::Message::Control(Box::new(frame)))
+}
+
+fn configured(count: usize, edit: impl Fn(usize) -> Edit) -> State {
+    let mut state = State::default();
+    let mut edits = vec![Edit::PutTeam(team(0))];
+    edits.extend((0..count).map(edit));
+    state.apply(&change(edits));
+    state
+}
+
+fn change(edits: Vec<Edit>) -> Command {
+    Command::Config(Change { request: id("capacity"), base: None, edits })
+}
+
+fn team(number: usize) -> Team {
+    Team::new(id(&format!("team-{number}")))
+}
+
+fn key(number: usize) -> Key {
+    let text = format!("ck_key-{number}_0123456789abcdef0123456789abcdef");
+    Key::new(id("team-0"), &Secret::parse(&text).expect("the key is well formed"))
+}
+
+fn announced(count: usize) -> Table {
+    let mut table = Table::new();
+    for number in 0..count {
+        table.announce(announcement(number), Instant::ZERO);
+    }
+    table
+}
+
+fn announcement(number: usize) -> Announcement {
+    let target: TargetId = id(&format!("engine-{number}"));
+    Announcement {
+        id: target,
+        boot: id(&format!("{number:032x}")),
+        role: Role::Engine { model: id("draft"), version: Version::new(7) },
+        zone: id("zone-1"),
+        address: format!("10.0.0.1:{number}"),
+        slots: 8,
+        price_class: "full".to_owned(),
+        checks_fencing: true,
+    }
+}
+
+fn claimed(count: usize) -> State {
+    let mut state = State::default();
+    for number in 0..count {
+        state.apply(&open(number));
+    }
+    state
+}
+
+fn id<T: FromStr>(text: &str) -> T {
+    let Ok(id) = text.parse() else { panic!("the id {text:?} is valid") };
+    id
+}
+
+/// Makes the command that opens a claim.
+fn open(number: usize) -> Command {
+    let owner = claim::Owner { node: Incarnation::new(1 << 100), attempt: number as u64 };
+    let claim = claim::Claim {
+        digest: [7; 32],
+        owner,
+        opened_ms: 1_800_000_000_000,
+        deadline_ms: 1_800_000_060_000,
+        stage: claim::Stage::Running,
+    };
+    let name = claim::Name { team: id("team-0"), key: format!("{number:036}") };
+    Command::Claim(claim::Change::Open { name, claim, sent_ms: 1_800_000_000_000 })
+}
--- a/crates/catkinlatch-standin/src/lib.rs
+++ b/crates/catkinlatch-standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the systems around catkinlatch, and the run behind `catkinlatch try`.
 
 pub mod announce;
+pub mod capacity;
 pub mod client;
 pub mod cluster;
 pub mod engine;
--- a/crates/catkinlatch-wire/src/lib.rs
+++ b/crates/catkinlatch-wire/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use self::{
     error::Error,
-    frame::{Frame, FrameError},
+    frame::{Frame, FrameError, HEADER_BYTES},
     hello::{Hello, PROTOCOL},
     lane::Lane,
     secret::Secret,
