Let operators see the members of the log and override lost voters

Cause: the log can be overridden by hand, and its leader knows its members, but no command reached either; a granted override was never answered, since the log reports refusals only.

--- a/crates/catkinlatch-node/src/control/driver.rs
+++ b/crates/catkinlatch-node/src/control/driver.rs
@@ -95,6 +95,7 @@
             let now = self.clock.now();
             let actions = self.core.step_batch(now, inputs);
             self.carry_out(actions);
+            self.confirm_overrides();
             self.answer_watchers(now);
             self.publish(now);
         }
@@ -213,6 +214,16 @@
         }
     }
 
+    /// Answers overrides that were not refused in the step that took them.
+    fn confirm_overrides(&mut self) {
+        let is_override = |_: &Token, owed: &mut Owed| matches!(owed, Owed::Override(_));
+        for (_, owed) in self.owed.extract_if(.., is_override) {
+            if let Owed::Override(answer) = owed {
+                let _ = answer.send(Ok(()));
+            }
+        }
+    }
+
     /// Answers questions about changes that are in force, or that this node no longer leads.
     fn answer_watchers(&mut self, now: Instant) {
         let leads = self.core.role() == Role::Leader;
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -23,6 +23,6 @@
     control::Control,
     drain::Drain,
     node::{Node, Server},
-    operator::{health, status},
+    operator::{cluster, health, status},
     settings::Settings,
 };
--- a/crates/catkinlatch-node/src/operator.rs
+++ b/crates/catkinlatch-node/src/operator.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod access;
 mod api;
+pub mod cluster;
 pub mod health;
 pub mod status;
 
--- a/crates/catkinlatch-node/src/operator/api.rs
+++ b/crates/catkinlatch-node/src/operator/api.rs
@@ -2,7 +2,7 @@
 
 use super::{
     access::authorize,
-    health,
+    cluster, health,
     status::{self, Status},
 };
 use crate::{Node, control};
@@ -21,6 +21,7 @@
 /// Adds the endpoints.
 pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
     health::register(api)?;
+    cluster::register(api)?;
     api.register(get_status)?;
     api.register(get_timeline)?;
     api.register(get_config)?;
--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -5,6 +5,7 @@
 //! 130 a shutdown cut short by a second signal.
 
 mod check;
+mod cluster;
 mod drain;
 mod exit;
 mod key;
@@ -41,6 +42,7 @@
 #[argh(subcommand)]
 enum Verb {
     Check(check::Check),
+    Cluster(cluster::Cluster),
     Drain(drain::Drain),
     Key(key::Key),
     Plan(plan::Plan),
@@ -58,6 +60,7 @@
     pub fn run(self) -> ExitCode {
         let result = match self.verb {
             Verb::Check(verb) => verb.run(),
+            Verb::Cluster(verb) => verb.run(),
             Verb::Drain(verb) => verb.run(),
             Verb::Key(verb) => verb.run(),
             Verb::Plan(verb) => verb.run(),
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -217,3 +217,28 @@
     assert_eq!(tally.violations(&setup.service.runs()), none());
     setup.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_overrides_voters_that_are_lost_for_good() {
+    let mut setup = Setup::start().await;
+    for lost in [0, 1, 3] {
+        setup.cluster.process(lost).kill().unwrap();
+    }
+    setup.cluster.wait("no leader", async || setup.cluster.leader().await.is_none()).await.unwrap();
+    let operator = setup.cluster.operator(2);
+    let hosts = serde_json::json!({ "hosts": ["host-3", "host-5", "host-6"] });
+    setup
+        .cluster
+        .wait("the override", async || {
+            let answer = operator.post("/v1/cluster/override", &hosts).await;
+            answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
+        })
+        .await
+        .unwrap();
+    setup.cluster.all_serve(&[2, 4, 5], setup.revision).await.unwrap();
+    let mut work = setup.work("overridden");
+    setup.targets_known(&work, &[2, 4, 5]).await;
+    let tally = expect_answers(&mut work, &[2, 4, 5]).await;
+    assert_eq!(tally.violations(&setup.service.runs()), none());
+    setup.stop().await;
+}
