--- a/crates/catkinlatch-state/tests/config.rs
+++ b/crates/catkinlatch-state/tests/config.rs
@@ -136,3 +136,12 @@
     let only_z2 = model.with_zones(vec![id("z2")]);
     assert_eq!(config.tables().zones_of(&only_z2), Some(vec![]));
 }
+
+#[test]
+fn key_id_with_another_secret_is_refused() {
+    let config = filled();
+    let own = Secret::from_bytes(id("k1"), [1; 32]);
+    let other = Secret::from_bytes(id("k1"), [2; 32]);
+    assert_eq!(config.authenticate(&own.reveal()), Some((&id("k1"), &id("harbour"))));
+    assert_eq!(config.authenticate(&other.reveal()), None);
+}
