--- a/crates/catkinlatch-log/src/core.rs
+++ b/crates/catkinlatch-log/src/core.rs
@@ -1,5 +1,6 @@
 //! The state machine of one node in the log.
 
+mod compaction;
 mod election;
 mod entries;
 mod follower;
@@ -8,6 +9,7 @@
 mod lease;
 mod outbox;
 mod replication;
+mod view;
 mod voters;
 
 use self::{
@@ -202,85 +204,6 @@
         self.out.take()
     }
 
-    /// Returns the node's role.
-    pub fn role(&self) -> Role {
-        match self.state {
-            State::Leader(_) => Role::Leader,
-            State::PreCandidate { .. } | State::Candidate { .. } => Role::Candidate,
-            State::Follower if self.is_voter() => Role::Follower,
-            State::Follower => Role::Learner,
-            State::Failed => Role::Failed,
-        }
-    }
-
-    /// Returns this node's identity.
-    pub fn identity(&self) -> &Peer {
-        &self.identity
-    }
-
-    /// Returns the leader that the node last heard, or the node itself while it leads.
-    pub fn leader(&self) -> Option<&Peer> {
-        self.leader.as_ref()
-    }
-
-    /// Returns the newest term that the node has seen.
-    pub fn term(&self) -> Term {
-        self.hard.term
-    }
-
-    /// Returns the last position that is known to be committed.
-    pub fn commit(&self) -> Index {
-        self.commit
-    }
-
-    /// Returns the last position that is applied.
-    pub fn applied(&self) -> Index {
-        self.applied
-    }
-
-    /// Returns the last position of the log.
-    pub fn last_index(&self) -> Index {
-        self.entries.last_index()
-    }
-
-    /// Returns the term of the last entry of the log.
-    pub fn last_term(&self) -> Term {
-        self.entries.last_term()
-    }
-
-    /// Returns the replicated state as applied here.
-    pub fn machine(&self) -> &M {
-        &self.machine
-    }
-
-    /// Returns the settings.
-    pub fn settings(&self) -> &Settings {
-        &self.settings
-    }
-
-    /// Returns the voters, which take effect as soon as their entry is in the log.
-    pub fn voters(&self) -> &[Peer] {
-        self.memberships.last().map_or(&[], |(_, membership)| membership.voters())
-    }
-
-    /// Returns the nodes that take entries from this leader and do not vote.
-    pub fn learners(&self) -> Vec<&Peer> {
-        let State::Leader(leader) = &self.state else { return Vec::new() };
-        let nodes = leader.progress.values().map(|progress| &progress.peer);
-        nodes.filter(|peer| !self.membership().contains(peer.incarnation)).collect()
-    }
-
-    /// Returns the last position that the node has applied, as this leader knows it.
-    pub fn acknowledged(&self, incarnation: Incarnation) -> Option<Index> {
-        let State::Leader(leader) = &self.state else { return None };
-        leader.progress.get(&incarnation).map(|progress| progress.applied)
-    }
-
-    /// Returns the entry at a position, if the log still holds it.
-    pub fn entry(&self, index: Index) -> Option<&Entry<M::Command>> {
-        self.entries.get(index).map(|entry| &**entry)
-    }
-
     fn handle(&mut self, now: Instant, input: Input<M::Command>) {
         if matches!(self.state, State::Failed) {
             return self.refuse_failed(input);
@@ -439,39 +362,6 @@
         None
     }
 
-    /// Takes a snapshot when enough entries were applied since the last.
-    fn compact(&mut self) {
-        let last = self.entries.snapshot().map_or(0, |snapshot| snapshot.index.get());
-        let due = self.applied.get() - last >= self.settings.snapshot_every;
-        if !due || matches!(self.state, State::Failed) {
-            return;
-        }
-        let term = self.entries.term(self.applied).expect("applied entries are in memory");
-        let data = bincode::serde::encode_to_vec(&self.machine, bincode::config::standard())
-            .expect("a state machine serializes");
-        let membership = self.membership_at(self.applied);
-        let snapshot = Snapshot { index: self.applied, term, membership, data: data.into() };
-        let keep = self.settings.snapshot_keep;
-        self.entries.compact(Arc::new(snapshot), keep, &mut self.out.write);
-        let applied = self.applied;
-        let newest = self.memberships.iter().rposition(|(index, _)| *index <= applied);
-        self.memberships.drain(..newest.unwrap_or(0));
-    }
-
-    /// Adds to the write of a snapshot all that the log then consists of.
-    fn complete_snapshot_write(&mut self) {
-        if self.out.write.snapshot.is_some() {
-            self.out.write.hard = Some(self.hard);
-            self.out.write.truncate = None;
-            self.out.write.entries = self.entries.range(Index::ZERO, usize::MAX);
-        }
-    }
-
-    fn membership_at(&self, index: Index) -> Membership {
-        let found = self.memberships.iter().rev().find(|(from, _)| *from <= index);
-        found.map(|(_, membership)| membership.clone()).unwrap_or_default()
-    }
-
     fn announce(&mut self) {
         let leader = self.leader.as_ref().map(|leader| leader.incarnation);
         let current = Some((self.role(), self.hard.term, leader));
