Send callers nowhere that cannot serve them

Cause: a host that was cut off refused work, but its readiness said yes and it named its own address to callers.

Change: readiness and the entry list ask for both, no drain and a configuration lease that holds.

After: the test with a host cut off (six processes) checks its readiness too and passes, as do the tests of drain.

--- a/crates/catkinlatch-node/src/entry/address.rs
+++ b/crates/catkinlatch-node/src/entry/address.rs
@@ -24,11 +24,11 @@
 
 /// Returns the nodes that callers may use, those of the own zone first.
 ///
-/// Nodes that drain or cannot be reached are left out.
+/// Nodes that drain or cannot be reached are left out, and this one while it is cut off.
 pub fn list(node: &Node, local: SocketAddr) -> Vec<Address> {
     let now = node.clock.now();
     let mut addresses = Vec::new();
-    if !node.draining() {
+    if node.takes_callers() {
         let own = node.settings.peers.iter().find(|peer| peer.host == node.settings.host);
         let address = own.map_or_else(|| local.to_string(), |peer| peer.advertise.clone());
         let zone = node.settings.zone.clone();
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -66,6 +66,12 @@
         self.drain.has_begun()
     }
 
+    /// Returns whether callers may be sent here: the node does not drain, and its configuration
+    /// may be trusted.
+    pub fn takes_callers(&self) -> bool {
+        !self.draining() && self.control.serving_until().is_some()
+    }
+
     /// Locks the table of targets.
     pub(crate) fn table(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/catkinlatch-node/src/operator/health.rs
+++ b/crates/catkinlatch-node/src/operator/health.rs
@@ -41,8 +41,9 @@
 /// Answers 200 while the node takes new callers, and 503 otherwise.
 #[endpoint { method = GET, path = "/v1/ready" }]
 async fn get_ready(context: Context) -> Result<HttpResponseOk<()>, HttpError> {
-    if context.context().draining() {
-        return Err(HttpError::for_unavail(None, "the node drains".to_owned()));
+    if !context.context().takes_callers() {
+        let message = "the node drains, or hears no leader".to_owned();
+        return Err(HttpError::for_unavail(None, message));
     }
     Ok(HttpResponseOk(()))
 }
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -148,6 +148,8 @@
     setup.cluster.isolate(cut_off);
     let edits = vec![Edit::WithdrawKey("surveyors".parse().unwrap())];
     setup.cluster.change(leader, "withdraw", edits).await.unwrap();
+    let ready = setup.cluster.operator(cut_off).get::<serde_json::Value>("/v1/ready").await;
+    assert!(ready.is_err(), "a host that is cut off is not ready");
     let mut work = setup.work("withdrawn");
     let mut tally = Tally::default();
     for host in 0..HOSTS {
