--- a/crates/catkinlatch-standin/src/service.rs
+++ b/crates/catkinlatch-standin/src/service.rs
@@ -13,15 +13,22 @@
 use serde::Deserialize;
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 use tokio::task::JoinHandle;
 
+/// How callers' keys begin.
+const CALLER_KEY_MARK: &str = "ck_";
+
 /// What the service shares with its handlers.
 #[derive(Debug, Default)]
 struct Shared {
     runs: Mutex<Vec<RequestId>>,
+    saw_caller_key: AtomicBool,
 }
 
 /// A running stand-in service.
@@ -70,6 +77,11 @@
         self.shared.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns whether a caller's key came with any request, in a header or in the query.
+    pub fn saw_caller_key(&self) -> bool {
+        self.shared.saw_caller_key.load(Ordering::Relaxed)
+    }
+
     /// Stops the service.
     pub async fn stop(self) -> Result<(), String> {
         self.announcer.abort();
@@ -104,6 +116,11 @@
     body: UntypedBody,
 ) -> Result<Response<Body>, HttpError> {
     let id = context.request.headers().get(REQUEST_ID).cloned();
+    let headers = context.request.headers().values().map(|value| value.as_bytes());
+    let query = context.request.uri().query().unwrap_or_default().as_bytes();
+    if headers.chain([query]).any(|text| String::from_utf8_lossy(text).contains(CALLER_KEY_MARK)) {
+        context.context().saw_caller_key.store(true, Ordering::Relaxed);
+    }
     let mut response = Response::builder().header("content-type", "application/json");
     if let Some(id) = id {
         let parsed = id.to_str().ok().and_then(|text| text.parse().ok());
--- a/crates/catkinlatch-standin/src/trial/run.rs
+++ b/crates/catkinlatch-standin/src/trial/run.rs
@@ -143,7 +143,7 @@
 
     async fn service_call(&mut self) -> Result<(), String> {
         let body = Bytes::from_static(b"{\"parapet\":\"cracked\"}");
-        let path = "/v1/services/survey/records/7";
+        let path = "/v1/services/survey/records/7?api_key=ck_surveyors-1_in-the-query";
         let response = self.caller.send(Method::POST, path, &[], body.clone()).await?;
         let own = response.status() == StatusCode::OK && *response.body() == body;
         let runs = self.service.runs().len();
@@ -252,7 +252,8 @@
 
     fn credentials(&mut self) {
         let records: Vec<engine::Record> = self.engines.iter().flat_map(Engine::records).collect();
-        let seen = records.iter().filter(|record| record.saw_caller_key).count();
+        let seen = records.iter().filter(|record| record.saw_caller_key).count()
+            + usize::from(self.service.saw_caller_key());
         self.checks.add(
             "no target sees a caller's key",
             seen == 0,
