--- a/crates/catkinlatch-base/src/id.rs
+++ b/crates/catkinlatch-base/src/id.rs
@@ -104,12 +104,16 @@
     KeyId, "key";
     /// Names a route.
     RouteId, "route";
+    /// Names a service, which targets of one kind provide.
+    ServiceId, "service";
     /// Names a model.
     ModelId, "model";
     /// Names a trainer.
     TrainerId, "trainer";
     /// Names a group of samples, as given by the trainer.
     GroupId, "group";
+    /// Identifies a batch job.
+    JobId, "job";
     /// Identifies one sample.
     SampleId, "sample";
     /// Identifies one request.
--- /dev/null
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -0,0 +1,76 @@
+//! Keeps up with the leader.
+
+use crate::host::Host;
+use catkinlatch_runtime::{
+    Answer, Message, Reply,
+    message::{Entry, Follow, Role, Seen},
+};
+use log::info;
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use tokio::time;
+
+/// How long the leader may hold a question back until it knows something new.
+const WAIT: Duration = Duration::from_millis(500);
+
+/// How long one question may take in all.
+const LIMIT: Duration = Duration::from_millis(2_000);
+
+/// How long to rest while there is no leader.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// Follows the leader for as long as the process runs.
+pub async fn run(host: Arc<Host>) {
+    let mut seen = Seen::default();
+    let mut drains = host.drains();
+    loop {
+        let draining = *drains.borrow_and_update();
+        let question = Message::Follow(follow(&host, seen));
+        let asked = host.guide.ask(&question, WAIT, LIMIT);
+        let answer = tokio::select! {
+            answer = asked => answer,
+            // What changes here is told at once.
+            _ = drains.changed(), if !draining => continue,
+        };
+        match answer {
+            Answer::Reply(Reply::Followed(view)) => {
+                let before = host.view().version();
+                host.view_mut().update(&view);
+                host.guide.learn(&view.stores);
+                let known: BTreeSet<_> = view.targets.iter().map(|t| t.id.clone()).collect();
+                host.choice().retain(&known);
+                let version = host.view().version();
+                if version != before {
+                    info!(version = version.unwrap_or_default(); "entry: configuration in force");
+                }
+                seen = view.seen;
+            }
+            Answer::Reply(Reply::Nothing) => {}
+            Answer::Reply(_) | Answer::NotDone | Answer::Unknown => {
+                info!("entry: no leader answers; works with what it knows");
+                time::sleep(PAUSE).await;
+            }
+        }
+        host.client.prune();
+        host.peers.prune();
+    }
+}
+
+fn follow(host: &Host, seen: Seen) -> Follow {
+    let address = host.settings.callers_address.map(|address| address.to_string());
+    let entry = Entry {
+        host: host.settings.host.clone(),
+        zone: host.settings.zone.clone(),
+        address: address.unwrap_or_default(),
+        is_ready: host.is_ready(),
+    };
+    Follow {
+        host: host.settings.host.clone(),
+        name: host.settings.name.clone(),
+        incarnation: host.peers.local().incarnation,
+        role: Role::Entry(entry),
+        seen,
+        version: host.view().version(),
+        wait_ms: WAIT.as_millis() as u64,
+        counts: host.usage().counts(),
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -0,0 +1,108 @@
+//! Takes the requests of callers.
+
+use crate::{answer, batch, host::Host, proxy};
+use catkinlatch_base::TeamId;
+use catkinlatch_ledger::config::{Configuration, Kind, Route};
+use catkinlatch_platform::{
+    call::{self, EntryCall},
+    header,
+};
+use catkinlatch_runtime::http::{Body, BodyError, collect};
+use http::{Method, Response, StatusCode, request::Parts};
+use hyper::{Request, body::Incoming};
+use log::info;
+use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+
+/// When a caller should come back that this host cannot serve yet.
+const NOT_READY_AFTER: Duration = Duration::from_millis(250);
+
+type Answered = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
+/// A request and what the configuration says of it.
+pub struct Asked {
+    /// The head of the request.
+    pub head: Parts,
+    /// The body.
+    pub body: bytes::Bytes,
+    /// The route.
+    pub route: Route,
+    /// The team that holds the caller's key.
+    pub team: Option<TeamId>,
+}
+
+/// Returns what answers the callers.
+pub fn handler(host: Arc<Host>) -> impl Fn(Request<Incoming>) -> Answered + Send + Sync {
+    move |request| Box::pin(answer(host.clone(), request))
+}
+
+async fn answer(host: Arc<Host>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = host.clock.now();
+    let (head, body) = request.into_parts();
+    let view = host.view();
+    let Some(configuration) = view.configuration.clone() else {
+        return answer::refusal(NOT_READY_AFTER);
+    };
+    let call = call::entry_call(&head.method, &head.uri);
+    let decided = decide(&configuration, &head, &call);
+    let (route, team) = match decided {
+        Ok(decided) => decided,
+        Err(code) => {
+            let id = header::text(&head.headers, &header::REQUEST_ID).unwrap_or_default();
+            info!(
+                request = id, status = code.as_u16(), path = head.uri.path(),
+                version = configuration.version;
+                "entry: refused"
+            );
+            return answer::status(code);
+        }
+    };
+    let body = match collect(body, configuration.limits.body_bytes).await {
+        Ok(body) => body,
+        Err(BodyError::TooLong) => return answer::status(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(BodyError::Broken(reason)) => {
+            info!(path = head.uri.path(), reason = reason.as_str(); "entry: a body broke off");
+            return answer::status(StatusCode::BAD_REQUEST);
+        }
+    };
+    match (call, route) {
+        (EntryCall::Results { job, after }, _) => {
+            let wait = header::number(&head.headers, &header::WAIT).unwrap_or_default();
+            batch::results(&host, job, team, after, wait).await
+        }
+        (EntryCall::ItemBody { job, item }, _) => batch::item_body(&host, job, team, item).await,
+        (EntryCall::EndJob { job }, _) => batch::end(&host, job, team).await,
+        (EntryCall::Request, Some(route)) if route.kind == Kind::Rollout => {
+            if head.method != Method::POST {
+                return answer::status(StatusCode::METHOD_NOT_ALLOWED);
+            }
+            batch::submit(&host, &Asked { head, body, route, team }).await
+        }
+        (EntryCall::Request, Some(route)) => {
+            proxy::serve(&host, Asked { head, body, route, team }, arrived).await
+        }
+        (EntryCall::Request, None) => answer::status(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Returns the route and team of a request, or why it is refused.
+fn decide(
+    configuration: &Configuration,
+    head: &Parts,
+    call: &EntryCall,
+) -> Result<(Option<Route>, Option<TeamId>), StatusCode> {
+    let host = header::text(&head.headers, &http::header::HOST).unwrap_or_default();
+    let route = match call {
+        EntryCall::Request => {
+            let route = configuration.route(host, head.uri.path());
+            Some(route.ok_or(StatusCode::NOT_FOUND)?)
+        }
+        EntryCall::Results { .. } | EntryCall::ItemBody { .. } | EntryCall::EndJob { .. } => None,
+    };
+    let key = header::text(&head.headers, &header::KEY);
+    let team = key.and_then(|key| configuration.team_of(key)).cloned();
+    let is_open = configuration.teams.is_empty() || route.is_some_and(|route| route.is_open);
+    if team.is_none() && !is_open {
+        return Err(StatusCode::UNAUTHORIZED);
+    }
+    Ok((route.cloned(), team))
+}
--- /dev/null
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -0,0 +1,158 @@
+//! Passes live requests on to targets.
+
+use crate::{
+    answer,
+    attempt::{self, Outcome},
+    front::Asked,
+    host::Host,
+};
+use catkinlatch_base::Instant;
+use catkinlatch_ledger::{Target, config::Kind};
+use catkinlatch_platform::header;
+use catkinlatch_runtime::http::{Body, full};
+use http::{Response, StatusCode};
+use log::info;
+use std::{collections::BTreeSet, time::Duration};
+
+/// How long a request is kept waiting whose caller and route name no time.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How many times its objective a try may take before an idempotent request goes elsewhere.
+const TRY_OBJECTIVES: u32 = 3;
+
+/// The shortest time that is worth another try.
+const SHORTEST_TRY: Duration = Duration::from_millis(30);
+
+/// When a caller should come back that found no target with room: about one request's work.
+const FULL_AFTER: Duration = Duration::from_millis(150);
+
+/// When a caller should come back that found no target at all: about the rest of a failed one.
+const NO_TARGET_AFTER: Duration = Duration::from_millis(400);
+
+/// The most bytes of an answer that is kept whole before it is passed on.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// How the tries of a request ended.
+enum End {
+    /// A target answered.
+    Answered(Response<Body>),
+    /// No target has run it.
+    NotRun(Duration),
+    /// A target may have run it.
+    MayHaveRun,
+    /// Its time is over, and a target may have run it.
+    TimedOut,
+}
+
+/// Answers a request by sending it to one target after another, as its route allows.
+pub async fn serve(host: &Host, asked: Asked, arrived: Instant) -> Response<Body> {
+    let began_ms = host.clock.wall_ms();
+    let mut tries = Vec::new();
+    let end = try_targets(host, &asked, arrived, &mut tries).await;
+    let has_run = !matches!(end, End::NotRun(_));
+    if let Some(team) = asked.team.as_ref().filter(|_| has_run) {
+        host.count(team, began_ms);
+    }
+    let response = match end {
+        End::Answered(response) => response,
+        End::NotRun(after) => answer::refusal(after),
+        End::MayHaveRun => answer::status(StatusCode::BAD_GATEWAY),
+        End::TimedOut => answer::status(StatusCode::GATEWAY_TIMEOUT),
+    };
+    let took = host.clock.now() - arrived;
+    let is_plain = response.status().is_success() && tries.len() == 1;
+    metrics::counter!("catkinlatch_entry_requests").increment(1);
+    metrics::histogram!("catkinlatch_entry_seconds").record(took.as_secs_f64());
+    if !is_plain {
+        info!(
+            request = header::text(&asked.head.headers, &header::REQUEST_ID).unwrap_or_default(),
+            route = asked.route.name.as_str(), status = response.status().as_u16(),
+            ms = took.as_millis() as u64, tries = tries.join("; ");
+            "entry: request"
+        );
+    }
+    response
+}
+
+async fn try_targets(
+    host: &Host,
+    asked: &Asked,
+    arrived: Instant,
+    tries: &mut Vec<String>,
+) -> End {
+    let until = arrived + time_limit(asked);
+    let is_idempotent = asked.route.kind == Kind::Idempotent;
+    let mut tried = BTreeSet::new();
+    let (mut sends, mut may_have_run) = (0, false);
+    loop {
+        let now = host.clock.now();
+        let left = until - now;
+        if left < SHORTEST_TRY && sends > 0 || left.is_zero() {
+            return if may_have_run { End::TimedOut } else { End::NotRun(FULL_AFTER) };
+        }
+        let target = (sends < asked.route.max_attempts).then(|| pick(host, asked, &tried, now));
+        let Some(target) = target.flatten() else {
+            let after = if sends == 0 { NO_TARGET_AFTER } else { FULL_AFTER };
+            return if may_have_run { End::MayHaveRun } else { End::NotRun(after) };
+        };
+        sends += 1;
+        let is_last = sends >= asked.route.max_attempts || !is_idempotent;
+        let limit = if is_last { left } else { left.min(try_limit(asked, left)) };
+        match attempt::send(host, asked, &target, left, limit, ANSWER_BYTES).await {
+            Outcome::Answer(answer) => {
+                tries.push(format!("{} answered", target.id));
+                let is_retried = is_idempotent
+                    && answer.status() == StatusCode::INTERNAL_SERVER_ERROR
+                    && sends < asked.route.max_attempts;
+                if !is_retried {
+                    return End::Answered(passed_back(answer));
+                }
+                may_have_run = true;
+            }
+            Outcome::NotRun(reason) => tries.push(format!("{} not run: {reason}", target.id)),
+            Outcome::MayHaveRun(reason) => {
+                tries.push(format!("{} unknown: {reason}", target.id));
+                may_have_run = true;
+                if !is_idempotent {
+                    let is_over = host.clock.now() >= until;
+                    return if is_over { End::TimedOut } else { End::MayHaveRun };
+                }
+            }
+        }
+        tried.insert(target.id.clone());
+    }
+}
+
+/// Returns the time after which the caller gets its final answer.
+fn time_limit(asked: &Asked) -> Duration {
+    let caller = header::number(&asked.head.headers, &header::DEADLINE).map(Duration::from_millis);
+    let route = asked.route.timeout_ms.map(Duration::from_millis);
+    [caller, route].into_iter().flatten().min().unwrap_or(DEFAULT_TIMEOUT)
+}
+
+/// Returns how long a try may take that can be repeated elsewhere.
+fn try_limit(asked: &Asked, left: Duration) -> Duration {
+    let objective = asked.route.objective_ms.map(Duration::from_millis);
+    objective.map_or(left / 2, |objective| (objective * TRY_OBJECTIVES).min(left / 2))
+}
+
+fn pick(
+    host: &Host,
+    asked: &Asked,
+    tried: &BTreeSet<catkinlatch_base::TargetId>,
+    now: Instant,
+) -> Option<Target> {
+    // Leaving targets are learnt of while a request is tried, so what is known now decides.
+    let view = host.view();
+    let service = asked.route.service(fastrand::f64())?;
+    host.choice().pick(view.targets(service), &host.settings.zone, tried, now).cloned()
+}
+
+/// Returns a target's answer as the caller gets it.
+fn passed_back(answer: Response<bytes::Bytes>) -> Response<Body> {
+    let (head, body) = answer.into_parts();
+    let mut response = Response::new(full(body));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = header::passed_on(&head.headers);
+    response
+}
--- /dev/null
+++ b/crates/catkinlatch-entry/src/usage.rs
@@ -0,0 +1,36 @@
+//! What teams used at this host, by windows of time.
+
+use catkinlatch_base::{TeamId, WindowId};
+use catkinlatch_ledger::Count;
+use std::collections::BTreeMap;
+
+/// How many windows are handed to the leader again and again, in case it is a new one.
+const WINDOWS_KEPT: usize = 6;
+
+/// Counts since the start of the process.
+#[derive(Clone, Debug, Default)]
+pub struct Usage {
+    windows: BTreeMap<WindowId, BTreeMap<TeamId, u64>>,
+}
+
+impl Usage {
+    /// Counts a request that began to run in a window.
+    pub fn count(&mut self, window: WindowId, team: &TeamId) {
+        *self.windows.entry(window).or_default().entry(team.clone()).or_default() += 1;
+        while self.windows.len() > WINDOWS_KEPT {
+            self.windows.pop_first();
+        }
+    }
+
+    /// Returns the counts of the newest windows.
+    pub fn counts(&self) -> Vec<(WindowId, Vec<Count>)> {
+        let counts = |teams: &BTreeMap<TeamId, u64>| {
+            let count = |(team, requests): (&TeamId, &u64)| Count {
+                team: team.clone(),
+                requests: *requests,
+            };
+            teams.iter().map(count).collect()
+        };
+        self.windows.iter().map(|(window, teams)| (*window, counts(teams))).collect()
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-ledger/src/command.rs
@@ -0,0 +1,56 @@
+//! Changes of the replicated state.
+
+use crate::{Count, Job, Outcome, config::Document};
+use catkinlatch_base::{HostId, JobId, ModelId, Version, WindowId, derive_value};
+use std::sync::Arc;
+
+derive_value! {
+    /// A change of the replicated state.
+    pub enum Command {
+        /// Takes a configuration, if its version is higher than the one in force.
+        Configure(Document),
+        /// Records a version of a model's weights.
+        NameVersion {
+            /// The model.
+            model: ModelId,
+            /// The version.
+            version: Version,
+        },
+        /// Accepts a batch job, once.
+        Submit(Arc<Job>),
+        /// Lists the result of an item, once.
+        Finish {
+            /// The job.
+            job: JobId,
+            /// What became of the item.
+            outcome: Arc<Outcome>,
+        },
+        /// Ends a job.
+        End {
+            /// The job.
+            job: JobId,
+        },
+        /// Drops a job whose results need no longer be kept.
+        Forget {
+            /// The job.
+            job: JobId,
+        },
+        /// Fixes what is reported of a usage window, once.
+        CloseWindow {
+            /// The window.
+            window: WindowId,
+            /// What was used in it.
+            counts: Vec<Count>,
+        },
+        /// Records that the report of a window was taken.
+        WindowReported {
+            /// The window.
+            window: WindowId,
+        },
+        /// Asks that a host hold no state.
+        Retire {
+            /// The host.
+            host: HostId,
+        },
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -0,0 +1,184 @@
+//! Which item of which job runs next, and on which engine.
+//!
+//! The order answers a load of steps that trainers wait for, each with more items than there are
+//! free slots: what a trainer still gets in time goes first, then the step that is due first, then
+//! groups that an earlier job left unfinished, then the longest outputs, since they end last.
+
+mod engine;
+mod progress;
+mod task;
+
+pub use self::{engine::Engine, progress::Progress, task::Task};
+
+use crate::Record;
+use catkinlatch_base::{GroupId, JobId, TargetId, Version};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+/// How many groups of ended jobs are remembered, to know those that are carried over.
+const GROUPS_KEPT: usize = 4096;
+
+/// An item and the engine that should run it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Assignment {
+    /// The job.
+    pub job: JobId,
+    /// The item's position in the job.
+    pub item: usize,
+    /// The engine.
+    pub engine: TargetId,
+}
+
+/// The items that wait or run.
+#[derive(Clone, Debug, Default)]
+pub struct Schedule {
+    tasks: BTreeMap<(JobId, usize), Task>,
+    known: BTreeSet<JobId>,
+    started: BTreeSet<GroupId>,
+}
+
+impl Schedule {
+    /// Takes the items of a job that are to be run, once.
+    pub fn add(&mut self, record: &Record) {
+        let job = &record.job;
+        if record.is_done() || !self.known.insert(job.id.clone()) {
+            return;
+        }
+        let groups: BTreeSet<GroupId> =
+            job.items.iter().filter_map(|item| item.group.clone()).collect();
+        for position in record.open_items() {
+            let item = &job.items[position];
+            let is_carried = item.group.as_ref().is_some_and(|group| self.started.contains(group));
+            let task = Task::new(job.clone(), position, is_carried);
+            self.tasks.insert((job.id.clone(), position), task);
+        }
+        self.started.extend(groups);
+        while self.started.len() > GROUPS_KEPT {
+            self.started.pop_first();
+        }
+    }
+
+    /// Drops what is left of a job, and returns whether there was anything.
+    pub fn remove(&mut self, job: &JobId) -> bool {
+        let before = self.tasks.len();
+        self.tasks.retain(|(other, _), _| other != job);
+        before != self.tasks.len()
+    }
+
+    /// Forgets a job whose record was dropped.
+    pub fn forget(&mut self, job: &JobId) {
+        self.remove(job);
+        self.known.remove(job);
+    }
+
+    /// Returns the next item to run, and marks it as running.
+    pub fn next(&mut self, wall_ms: u64, engines: &[Engine]) -> Option<Assignment> {
+        let load = self.load();
+        let waiting = self.tasks.values().filter(|task| task.is_waiting(wall_ms));
+        let mut waiting: Vec<&Task> = waiting.collect();
+        waiting.sort_by_key(|task| rank(task, wall_ms));
+        for task in waiting {
+            let Some(engine) = self.place(task, engines, &load) else { continue };
+            let key = (task.job.id.clone(), task.item);
+            let assignment =
+                Assignment { job: key.0.clone(), item: key.1, engine: engine.id.clone() };
+            if let Some(task) = self.tasks.get_mut(&key) {
+                task.engine = Some(engine.id.clone());
+            }
+            return Some(assignment);
+        }
+        None
+    }
+
+    /// Returns a task that waits or runs.
+    pub fn task(&self, job: &JobId, item: usize) -> Option<&Task> {
+        self.tasks.get(&(job.clone(), item))
+    }
+
+    /// Returns a task that waits or runs.
+    pub fn task_mut(&mut self, job: &JobId, item: usize) -> Option<&mut Task> {
+        self.tasks.get_mut(&(job.clone(), item))
+    }
+
+    /// Drops an item that has its result.
+    pub fn finish(&mut self, job: &JobId, item: usize) {
+        self.tasks.remove(&(job.clone(), item));
+    }
+
+    /// Returns the items that may be given up and do not run.
+    pub fn overdue(&self, wall_ms: u64) -> Vec<(JobId, usize)> {
+        let is_overdue = |task: &&Task| {
+            task.engine.is_none() && task.job.give_up_ms.is_some_and(|give_up| wall_ms > give_up)
+        };
+        let overdue = self.tasks.values().filter(is_overdue);
+        overdue.map(|task| (task.job.id.clone(), task.item)).collect()
+    }
+
+    /// Returns how many items wait and how many run.
+    pub fn counts(&self) -> (usize, usize) {
+        let running = self.tasks.values().filter(|task| task.engine.is_some()).count();
+        (self.tasks.len() - running, running)
+    }
+
+    /// Returns how many items each engine runs.
+    fn load(&self) -> BTreeMap<TargetId, u32> {
+        let mut load = BTreeMap::new();
+        for engine in self.tasks.values().filter_map(|task| task.engine.as_ref()) {
+            *load.entry(engine.clone()).or_default() += 1;
+        }
+        load
+    }
+
+    /// Returns the engine on which the item should run: one with a free slot and fresh enough
+    /// weights, least loaded for its speed; the one that has read the group's prompt, if equal.
+    fn place<'a>(
+        &self,
+        task: &Task,
+        engines: &'a [Engine],
+        load: &BTreeMap<TargetId, u32>,
+    ) -> Option<&'a Engine> {
+        let running = |engine: &Engine| load.get(&engine.id).copied().unwrap_or_default();
+        let fits = |engine: &&Engine| {
+            engine.service == task.job.service
+                && running(engine) < engine.slots
+                && !task.refused.contains(&engine.id)
+                && task.accepts(engine.version(task.job.model.as_ref()))
+        };
+        let has_group = |engine: &Engine| {
+            let group = task.group();
+            self.tasks.values().any(|other| {
+                other.engine.as_ref() == Some(&engine.id)
+                    && group.is_some()
+                    && other.group() == group
+            })
+        };
+        let cost = |engine: &Engine| {
+            let share = f64::from(running(engine) + 1) / f64::from(engine.slots) * engine.slowness;
+            // Another read of a shared prompt costs less than one more request at an engine.
+            let saved = if has_group(engine) { 1.0 / f64::from(engine.slots) } else { 0.0 };
+            ((share - saved) * 1e6) as i64
+        };
+        engines
+            .iter()
+            .filter(fits)
+            .min_by_key(|engine| (cost(engine), Reverse(engine.version(task.job.model.as_ref()))))
+    }
+}
+
+/// Returns the order in which items are run.
+fn rank(task: &Task, wall_ms: u64) -> (bool, u64, bool, Reverse<u64>, usize) {
+    let is_late = wall_ms >= task.job.due_ms;
+    let tokens = task.expected_tokens();
+    (is_late, task.job.due_ms, !task.is_carried, Reverse(tokens), task.item)
+}
+
+/// Returns whether a version may make tokens for a job.
+pub(crate) fn is_fresh(version: Option<Version>, least: Option<Version>) -> bool {
+    match (version, least) {
+        (_, None) => true,
+        (Some(version), Some(least)) => version >= least,
+        (None, Some(_)) => false,
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-ledger/src/state.rs
@@ -0,0 +1,114 @@
+//! The replicated state.
+
+use crate::{Command, Job, Record, Reply, Window, config::Document};
+use catkinlatch_base::{HostId, JobId, ModelId, Version, WindowId, derive_value};
+use catkinlatch_log::{Index, Machine};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// How many usage windows are remembered; older ones are never closed again.
+const WINDOWS_KEPT: usize = 64;
+
+derive_value! {
+    /// What the hosts with a disk agree on.
+    #[derive(Default)]
+    pub struct State {
+        /// The configuration in force.
+        pub document: Option<Document>,
+        /// The newest version that was named of each model.
+        pub versions: BTreeMap<ModelId, Version>,
+        /// The jobs whose results are kept.
+        pub jobs: BTreeMap<JobId, Record>,
+        /// The usage windows that were closed.
+        pub windows: BTreeMap<WindowId, Window>,
+        /// Hosts that are to hold no state.
+        pub retiring: BTreeSet<HostId>,
+    }
+}
+
+impl State {
+    /// Returns the windows whose report was not taken yet.
+    pub fn unreported(&self) -> impl Iterator<Item = (WindowId, &Window)> {
+        let windows = self.windows.iter().map(|(id, window)| (*id, window));
+        windows.filter(|(_, window)| !window.is_reported)
+    }
+
+    /// Returns the newest window that was closed.
+    pub fn last_window(&self) -> Option<WindowId> {
+        self.windows.last_key_value().map(|(window, _)| *window)
+    }
+
+    fn configure(&mut self, document: &Document) -> Reply {
+        let version = document.configuration.version;
+        let held = self.document.as_ref().map(|held| held.configuration.version);
+        if held.is_some_and(|held| version <= held) {
+            return Reply::Overtaken;
+        }
+        self.document = Some(document.clone());
+        Reply::Done
+    }
+
+    fn name_version(&mut self, model: &ModelId, version: Version) -> Reply {
+        let held = self.versions.entry(model.clone()).or_insert(version);
+        *held = version.max(*held);
+        Reply::Done
+    }
+
+    fn submit(&mut self, job: &Arc<Job>) -> Reply {
+        let new = || Record::new(job.clone());
+        self.jobs.entry(job.id.clone()).or_insert_with(new);
+        Reply::Done
+    }
+
+    fn with_job(&mut self, job: &JobId, change: impl FnOnce(&mut Record) -> Reply) -> Reply {
+        self.jobs.get_mut(job).map_or(Reply::UnknownJob, change)
+    }
+
+    fn close_window(&mut self, window: WindowId, counts: &[crate::Count]) -> Reply {
+        if self.last_window().is_some_and(|last| window <= last) {
+            return Reply::Overtaken;
+        }
+        self.windows.insert(window, Window { counts: counts.to_vec(), is_reported: false });
+        while self.windows.len() > WINDOWS_KEPT {
+            self.windows.pop_first();
+        }
+        Reply::Done
+    }
+}
+
+impl Machine for State {
+    type Command = Command;
+    type Reply = Reply;
+
+    fn apply(&mut self, _: Index, command: &Command) -> Reply {
+        match command {
+            Command::Configure(document) => self.configure(document),
+            Command::NameVersion { model, version } => self.name_version(model, *version),
+            Command::Submit(job) => self.submit(job),
+            Command::Finish { job, outcome } => self.with_job(job, |record| {
+                if record.finish(outcome) { Reply::Done } else { Reply::Overtaken }
+            }),
+            Command::End { job } => self.with_job(job, |record| {
+                record.is_ended = true;
+                Reply::Done
+            }),
+            Command::Forget { job } => {
+                self.jobs.remove(job);
+                Reply::Done
+            }
+            Command::CloseWindow { window, counts } => self.close_window(*window, counts),
+            Command::WindowReported { window } => {
+                if let Some(window) = self.windows.get_mut(window) {
+                    window.is_reported = true;
+                }
+                Reply::Done
+            }
+            Command::Retire { host } => {
+                self.retiring.insert(host.clone());
+                Reply::Done
+            }
+        }
+    }
+}
--- a/crates/catkinlatch-log/src/core.rs
+++ b/crates/catkinlatch-log/src/core.rs
@@ -101,6 +101,8 @@
     hello_at: Instant,
     pending: BTreeMap<Index, Proposal>,
     receiving: Option<follower::Receiving>,
+    /// Hosts that are to hold no state.
+    retiring: BTreeSet<HostId>,
     out: Outbox<M::Command, M::Reply>,
     announced: Option<(Role, Term, Option<Incarnation>)>,
 }
@@ -167,6 +169,7 @@
             hello_at: now,
             pending: BTreeMap::new(),
             receiving: None,
+            retiring: BTreeSet::new(),
             out: Outbox::new(),
             announced: None,
         };
--- a/crates/catkinlatch-log/src/core/formation.rs
+++ b/crates/catkinlatch-log/src/core/formation.rs
@@ -1,7 +1,7 @@
 //! How nodes without a leader find each other, and how the first configuration forms.
 
 use super::{Core, Progress, State};
-use crate::{HardState, Hello, Machine, Membership, Message, Payload, Peer, Refusal, Token};
+use crate::{Frame, HardState, Hello, Machine, Membership, Message, Payload, Peer, Refusal, Token};
 use catkinlatch_base::{HostId, Incarnation, Instant, Term};
 use std::{collections::BTreeSet, time::Duration};
 
@@ -51,18 +51,31 @@
             self.send(&from, Message::Hello(hello));
         }
         if self.settings.hosts.contains(&from.host) {
-            let greeting = Greeting { peer: from.clone(), term, hello, at: now };
+            let greeting = Greeting { peer: from.clone(), term, hello: hello.clone(), at: now };
             self.greetings.insert(from.host.clone(), greeting);
         }
         let next = self.entries.last_index().next();
         let bound = self.settings.max_learners;
-        let State::Leader(leader) = &mut self.state else { return };
+        let State::Leader(leader) = &mut self.state else {
+            return self.forward_hello(term, from, hello);
+        };
         if leader.progress.contains_key(&from.incarnation) || leader.progress.len() >= bound {
             return;
         }
         leader.progress.insert(from.incarnation, Progress::new(from, next, now));
     }
 
+    /// Passes the greeting of a node that may not know the leader on to it.
+    fn forward_hello(&mut self, term: Term, from: Peer, hello: Hello) {
+        let Some(leader) = self.leader.clone().filter(|_| self.settings.is_open) else { return };
+        if leader.host == from.host {
+            return;
+        }
+        let message = Message::Hello(hello);
+        let frame = Frame { term, from, ..self.frame(Some(leader.incarnation), message) };
+        self.out.send(leader.host, frame);
+    }
+
     fn hello(&self) -> Hello {
         Hello {
             is_empty: self.is_empty(),
@@ -73,7 +86,9 @@
 
     fn greet(&mut self) {
         let hello = self.hello();
-        for host in self.settings.hosts.clone() {
+        let voters = self.membership().voters().iter().map(|voter| voter.host.clone());
+        let hosts: BTreeSet<HostId> = self.settings.hosts.iter().cloned().chain(voters).collect();
+        for host in hosts {
             if host != self.identity.host {
                 let frame = self.frame(None, Message::Hello(hello.clone()));
                 self.out.send(host, frame);
--- a/crates/catkinlatch-log/src/core/voters.rs
+++ b/crates/catkinlatch-log/src/core/voters.rs
@@ -2,7 +2,7 @@
 
 use super::{Core, Leader, Progress, State};
 use crate::{Action, Index, Machine, Membership, Payload, Peer, Report};
-use catkinlatch_base::{Incarnation, Instant};
+use catkinlatch_base::{HostId, Incarnation, Instant};
 use std::{cmp::Reverse, collections::BTreeSet};
 
 /// The fewest voters that repair shrinks to, or keeps despite the rule on disks.
@@ -154,7 +154,8 @@
         let is_spare = |progress: &&Progress| {
             let peer = &progress.peer;
             !current.contains(peer.incarnation)
-                && self.settings.hosts.contains(&peer.host)
+                && (self.settings.is_open || self.settings.hosts.contains(&peer.host))
+                && !self.retiring.contains(&peer.host)
                 && progress.confirmed.is_some()
                 && now < progress.seen + self.settings.learner_beat * 2
                 && progress.matched >= floor
@@ -171,6 +172,7 @@
     /// Returns the voters that should be, of those that are live: disks first, zones spread.
     fn wanted(&self, current: &Membership, spares: &[Peer]) -> Vec<Peer> {
         let mut left: Vec<Peer> = current.voters().iter().chain(spares).cloned().collect();
+        left.retain(|peer| !self.retiring.contains(&peer.host));
         let count = self.wanted_count(&left);
         let mut wanted: Vec<Peer> = Vec::new();
         let mut hosts = BTreeSet::new();
@@ -202,6 +204,12 @@
         if most > MIN_VOTERS && most.is_multiple_of(2) { most - 1 } else { most }
     }
 
+    /// Sets the hosts that are to hold no state: they become no voters, and the leader replaces
+    /// those that are.
+    pub fn set_retiring(&mut self, hosts: BTreeSet<HostId>) {
+        self.retiring = hosts;
+    }
+
     /// Returns the nodes that this leader has not heard from for too long.
     pub fn silent(&self, now: Instant) -> Vec<Incarnation> {
         let State::Leader(leader) = &self.state else { return Vec::new() };
--- a/crates/catkinlatch-log/src/fault.rs
+++ b/crates/catkinlatch-log/src/fault.rs
@@ -51,7 +51,7 @@
         (lease >= least, Fault::ConfigurationLease { lease, least }),
         (silence >= election * 2, Fault::Silence { silence, election }),
         ((0.0..0.5).contains(&settings.drift), Fault::Drift),
-        (!voters.is_empty() && all_known, Fault::InitialVoters),
+        ((settings.is_open || !voters.is_empty()) && all_known, Fault::InitialVoters),
     ];
     checks.into_iter().filter(|(holds, _)| !holds).map(|(_, fault)| fault).collect()
 }
--- a/crates/catkinlatch-log/src/settings.rs
+++ b/crates/catkinlatch-log/src/settings.rs
@@ -13,7 +13,11 @@
     pub group: Group,
     /// The hosts that a node without a leader turns to.
     pub hosts: Vec<HostId>,
-    /// The voters of the first configuration.
+    /// Whether hosts that are not in `hosts` may become voters.
+    ///
+    /// Set where a node is told a few hosts only and learns of the others as they join.
+    pub is_open: bool,
+    /// The voters of the first configuration; empty on a node that only joins.
     pub initial_voters: Vec<HostId>,
     /// How often the leader speaks to each voter.
     pub beat: Duration,
@@ -54,6 +58,7 @@
             cluster,
             group: Group::default(),
             hosts,
+            is_open: false,
             initial_voters,
             beat: Duration::from_millis(200),
             learner_beat: Duration::from_secs(1),
--- a/crates/catkinlatch-log/src/storage.rs
+++ b/crates/catkinlatch-log/src/storage.rs
@@ -7,12 +7,14 @@
 mod record;
 mod restored;
 mod scan;
+mod writer;
 
 pub use self::{
     disk::{Disk, Opened},
     error::OpenError,
     memory::Memory,
     restored::Restored,
+    writer::Writer,
 };
 
 use crate::{Entry, Index, Snapshot};
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -1,6 +1,6 @@
 //! The daemon: HTTP interfaces, sessions between processes, and the tasks that act on decisions.
 
-mod clock;
+
 pub mod control;
 mod drain;
 pub mod entry;
@@ -18,8 +18,10 @@
 mod upstream;
 mod usage;
 
+pub use catkinlatch_runtime::Clock;
+
 pub use self::{
-    clock::Clock,
+
     control::Control,
     drain::Drain,
     node::{Node, Server},
--- a/crates/catkinlatch-node/src/peer.rs
+++ b/crates/catkinlatch-node/src/peer.rs
@@ -1,7 +1,6 @@
 //! Messages between the nodes, and the sessions that carry them.
 
 mod handler;
-mod link;
 mod message;
 mod peers;
 
--- a/crates/catkinlatch-node/src/peer/peers.rs
+++ b/crates/catkinlatch-node/src/peer/peers.rs
@@ -1,12 +1,9 @@
 //! The other nodes of the cluster.
 
-use super::{
-    link::{self, Link},
-    message::{Message, Reply},
-};
+use super::message::{Message, Reply};
 use crate::{Clock, Settings, settings::Credential};
 use catkinlatch_base::{HostId, Incarnation, Timeline, ZoneId};
-use catkinlatch_wire::{Error, Frame, Hello, Secret, codec};
+use catkinlatch_wire::{Destination, Error, Frame, Hello, Link, Secret, codec, link};
 use derive_more::{Display, Error as DeriveError};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::task::JoinSet;
@@ -37,6 +34,7 @@
     secret: Secret,
     timeline: Arc<Timeline>,
     clock: Clock,
+    zones: BTreeMap<HostId, ZoneId>,
     links: BTreeMap<HostId, Link>,
 }
 
@@ -61,15 +59,18 @@
         let secret = settings.cluster_secret.as_ref();
         let secret = Secret::new(secret.map_or("", Credential::expose));
         let greeting = codec::encode(&Message::Greeting(agreement));
-        let others = settings.peers.iter().filter(|peer| peer.host != settings.host);
-        let links = others.map(|peer| {
+        let others = || settings.peers.iter().filter(|peer| peer.host != settings.host);
+        let zones = others().map(|peer| (peer.host.clone(), peer.zone.clone())).collect();
+        let links = others().map(|peer| {
+            let destination =
+                Destination { host: peer.host.clone(), address: peer.peer_address.clone() };
             let (link, driver) =
-                link::new(peer.clone(), local.clone(), secret.clone(), greeting.clone());
+                link(destination, local.clone(), secret.clone(), greeting.clone());
             tasks.spawn(driver);
             (peer.host.clone(), link)
         });
         let links = links.collect();
-        Self { local, secret, timeline, clock, links }
+        Self { local, secret, timeline, clock, zones, links }
     }
 
     /// Returns the other hosts.
@@ -79,7 +80,7 @@
 
     /// Returns the zone of another host.
     pub fn zone(&self, host: &HostId) -> Option<&ZoneId> {
-        self.links.get(host).map(Link::zone)
+        self.zones.get(host)
     }
 
     /// Returns the start of the process that this node is connected to on another host.
--- a/crates/catkinlatch-rollout/src/weights.rs
+++ b/crates/catkinlatch-rollout/src/weights.rs
@@ -80,6 +80,18 @@
         wanted: Version,
         floor: Version,
         engines: &[Engine],
+    ) -> Vec<Load> {
+        self.next_up_to(now, wanted, floor, engines, usize::MAX)
+    }
+
+    /// Returns the loads to order now, but no more than `most`: other models may load as well.
+    pub fn next_up_to(
+        &mut self,
+        now: Instant,
+        wanted: Version,
+        floor: Version,
+        engines: &[Engine],
+        most: usize,
     ) -> Vec<Load> {
         self.forget(now, engines);
         let mut wave = Wave::new(&self.limits, wanted, floor, engines, &self.loading);
@@ -87,7 +99,9 @@
         candidates.for_each(|engine| wave.add(engine));
         let until = now + self.limits.load_timeout;
         let mut loads = Vec::new();
-        while let Some(load) = wave.next() {
+        while loads.len() < most
+            && let Some(load) = wave.next()
+        {
             let loading = Loading { version: wanted, source: load.source.clone(), until };
             self.loading.insert(load.engine.clone(), loading);
             loads.push(load);
@@ -110,6 +124,11 @@
         }
     }
 
+    /// Returns whether an engine loads.
+    pub fn is_loading(&self, engine: &TargetId) -> bool {
+        self.loading.contains_key(engine)
+    }
+
     /// Returns how many loads are under way.
     pub fn loading(&self) -> usize {
         self.loading.len()
--- /dev/null
+++ b/crates/catkinlatch-runtime/src/http.rs
@@ -0,0 +1,11 @@
+//! HTTP/1.1 towards callers, targets and the platform.
+
+mod body;
+mod client;
+mod server;
+
+pub use self::{
+    body::{Body, BodyError, collect, empty, full},
+    client::{Client, Exchange, Failure},
+    server::{Server, serve},
+};
--- /dev/null
+++ b/crates/catkinlatch-runtime/src/lib.rs
@@ -0,0 +1,20 @@
+//! What the processes of all roles share: clocks, settings, logs, HTTP, sessions between
+//! processes, and the driver of the replicated state.
+
+mod clock;
+mod guide;
+pub mod http;
+pub mod journal;
+pub mod message;
+mod peers;
+pub mod replica;
+pub mod settings;
+
+pub use self::{
+    clock::Clock,
+    guide::{Answer, Guide},
+    message::{Message, Reply},
+    peers::{CallError, Peers},
+    replica::{ProposeError, Replica, Status},
+    settings::Settings,
+};
--- /dev/null
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -0,0 +1,294 @@
+//! Answers messages of other processes.
+
+use crate::host::Host;
+use catkinlatch_base::{JobId, Term};
+use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry::Change};
+use catkinlatch_runtime::{
+    Message, ProposeError, Reply,
+    message::{Follow, Results, Seen, View},
+};
+use catkinlatch_wire::{Frame, Hello, codec};
+use log::{info, warn};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    time::{self, Instant},
+};
+
+/// How long a change waits until all entry hosts hold it; one that takes longer is out of touch.
+const HELD_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The most bytes of results in one answer.
+const RESULTS_BYTES: usize = 900_000;
+
+/// Accepts sessions and answers their messages for as long as the process runs.
+pub async fn serve(host: Arc<Host>, listener: TcpListener) {
+    let (local, secret) = (host.peers.local().clone(), host.peers.secret().clone());
+    let handler = move |remote: Hello, frame: Frame| receive(host.clone(), remote, frame);
+    catkinlatch_wire::serve(listener, local, secret, handler).await;
+}
+
+async fn receive(host: Arc<Host>, remote: Hello, frame: Frame) -> Option<Frame> {
+    match codec::decode(&frame.payload) {
+        Ok(message) => Some(Frame::new(codec::encode(&handle(&host, message).await))),
+        Err(error) => {
+            warn!(host:% = remote.host, error:% = error; "peer: a message cannot be read");
+            None
+        }
+    }
+}
+
+/// Answers a message; one for the leader is answered only if this process can be sure to lead.
+pub async fn handle(host: &Arc<Host>, message: Message) -> Reply {
+    match message {
+        Message::Greeting => return Reply::Nothing,
+        Message::Log(frame) => {
+            host.replica.receive(frame).await;
+            return Reply::Nothing;
+        }
+        _ => {}
+    }
+    let Some(term) = host.replica.fencing() else {
+        return Reply::NotLeader(host.other_leader());
+    };
+    match message {
+        Message::Greeting | Message::Log(_) => Reply::Nothing,
+        Message::Follow(follow) => follow_up(host, term, &follow).await,
+        Message::Submit(job) => {
+            let (id, items) = (job.id.clone(), job.items.len());
+            let reply = propose(host, Command::Submit(job)).await;
+            info!(job:% = id, items = items, reply:? = reply; "jobs: handed in");
+            reply
+        }
+        Message::Read { job, team, after, wait_ms } => {
+            let is_owner = move |record: &Record| record.job.team == team;
+            read(host, &job, is_owner, after, Duration::from_millis(wait_ms)).await
+        }
+        Message::Body { job, team, item } => host.replica.read(|state| {
+            let record = state.jobs.get(&job).filter(|record| record.job.team == team);
+            let record = record.filter(|record| !record.is_ended);
+            let body = record.and_then(|record| {
+                let position = record.job.position(&item)?;
+                let is_open = !record.is_finished(position);
+                is_open.then(|| record.job.items[position].body.clone())
+            });
+            body.map_or(Reply::NotFound, Reply::Body)
+        }),
+        Message::End { job, team } => {
+            let owns = |record: &Record| record.job.team == team;
+            let known = host.replica.read(|state| state.jobs.get(&job).is_some_and(owns));
+            if !known {
+                return Reply::NotFound;
+            }
+            info!(job:% = job; "jobs: ended by its owner");
+            propose(host, Command::End { job }).await
+        }
+        Message::Configure(document) => {
+            let version = document.configuration.version;
+            let reply = propose(host, Command::Configure(document)).await;
+            if matches!(reply, Reply::Done) {
+                let is_held = await_held(host, term, Some(version)).await;
+                info!(version = version, held_by_all = is_held; "control: configuration in force");
+            }
+            reply
+        }
+        Message::Configuration => host.replica.read(|state| {
+            Reply::Configuration(state.document.as_ref().map(|document| document.source.clone()))
+        }),
+        Message::Register(target) => register(host, term, *target).await,
+        Message::Withdraw(id) => {
+            let now = host.clock.now();
+            {
+                let mut soft = host.soft();
+                soft.registry.withdraw(&id, host.clock.wall_ms(), now);
+                soft.revision += 1;
+            }
+            host.announce();
+            let is_held = await_held(host, term, None).await;
+            info!(target_id:% = id, held_by_all = is_held; "targets: withdrawn");
+            Reply::Done
+        }
+        Message::NameVersion { model, version } => {
+            info!(model:% = model, version = version.get(); "weights: a version was named");
+            propose(host, Command::NameVersion { model, version }).await
+        }
+        Message::Retire(name) => retire(host, &name).await,
+        Message::Retirement(name) => retirement(host, &name),
+    }
+}
+
+/// Commits a change.
+async fn propose(host: &Host, command: Command) -> Reply {
+    match host.replica.propose(command).await {
+        Ok(Outcome::Done | Outcome::Overtaken) => Reply::Done,
+        Ok(Outcome::UnknownJob) => Reply::NotFound,
+        Err(ProposeError::NotLeader) => Reply::NotLeader(host.other_leader()),
+        Err(ProposeError::Unknown) => Reply::Unknown,
+    }
+}
+
+/// Answers a follower once there is something that it does not hold.
+async fn follow_up(host: &Arc<Host>, term: Term, follow: &Follow) -> Reply {
+    let is_new = host.soft().heard(follow, host.clock.now());
+    if is_new {
+        host.announce();
+    }
+    let until = Instant::now() + Duration::from_millis(follow.wait_ms);
+    let (mut revision, mut applied) = (host.revision(), host.replica.applied());
+    loop {
+        let seen = Seen { term, revision: host.soft().revision };
+        let version = host.replica.read(|state| {
+            state.document.as_ref().map(|document| document.configuration.version)
+        });
+        if seen != follow.seen || version > follow.version {
+            return Reply::Followed(Box::new(view(host, seen, follow.version)));
+        }
+        tokio::select! {
+            _ = revision.changed() => {}
+            _ = applied.changed() => {}
+            () = time::sleep_until(until) => return Reply::Nothing,
+        }
+        if host.replica.fencing() != Some(term) {
+            return Reply::NotLeader(host.other_leader());
+        }
+    }
+}
+
+fn view(host: &Host, seen: Seen, version: Option<u64>) -> View {
+    let configuration = host.replica.read(|state| {
+        let configuration = state.document.as_ref().map(|document| &document.configuration);
+        configuration.filter(|held| Some(held.version) > version).cloned()
+    });
+    let soft = host.soft();
+    let own = host.settings.host.clone();
+    View {
+        seen,
+        configuration,
+        targets: soft.registry.targets().cloned().collect(),
+        gone: soft.registry.gone().collect(),
+        entries: soft.entries().cloned().collect(),
+        stores: soft.stores().map(|(host, _)| host.clone()).chain([own]).collect(),
+    }
+}
+
+/// Waits until all live entry hosts hold the present view, or until some seem to be out of touch.
+async fn await_held(host: &Arc<Host>, term: Term, version: Option<u64>) -> bool {
+    let until = Instant::now() + HELD_TIMEOUT;
+    let revision = host.soft().revision;
+    let mut poll = time::interval(Duration::from_millis(5));
+    while Instant::now() < until {
+        if host.soft().is_held(Seen { term, revision }, version) {
+            return true;
+        }
+        poll.tick().await;
+    }
+    false
+}
+
+async fn register(host: &Arc<Host>, term: Term, target: Target) -> Reply {
+    let (id, is_ready) = (target.id.clone(), target.is_ready());
+    let sequence = target.sequence;
+    let change = {
+        let mut soft = host.soft();
+        let change = soft.registry.register(target, host.clock.now());
+        soft.revision += u64::from(change == Change::Changed);
+        change
+    };
+    match change {
+        Change::Changed => {
+            host.announce();
+            info!(target_id:% = id, ready = is_ready, sequence = sequence; "targets: registered");
+        }
+        Change::Outdated => {
+            info!(target_id:% = id, sequence = sequence; "targets: an outdated registration");
+        }
+        Change::Renewed => {}
+    }
+    if !is_ready {
+        let is_held = await_held(host, term, None).await;
+        if change == Change::Changed {
+            info!(target_id:% = id, held_by_all = is_held; "targets: leaves");
+        }
+    }
+    Reply::Done
+}
+
+/// Returns results of a job, once there is one or the time is up.
+async fn read(
+    host: &Arc<Host>,
+    job: &JobId,
+    is_owner: impl Fn(&Record) -> bool,
+    after: u64,
+    wait: Duration,
+) -> Reply {
+    let until = Instant::now() + wait;
+    let mut applied = host.replica.applied();
+    loop {
+        applied.mark_unchanged();
+        let results = host.replica.read(|state| {
+            state.jobs.get(job).filter(|record| is_owner(record)).map(|record| results(record, after))
+        });
+        let Some(results) = results else { return Reply::NotFound };
+        let is_over = results.next >= results.total || Instant::now() >= until;
+        if !results.list.is_empty() || is_over {
+            return Reply::Results(results);
+        }
+        tokio::select! {
+            _ = applied.changed() => {}
+            () = time::sleep_until(until) => {}
+        }
+        if host.replica.fencing().is_none() {
+            return Reply::NotLeader(host.other_leader());
+        }
+    }
+}
+
+fn results(record: &Record, after: u64) -> Results {
+    let job = &record.job;
+    let start = usize::try_from(after).unwrap_or(usize::MAX).min(record.results.len());
+    let mut bytes = 0;
+    let mut list = Vec::new();
+    for outcome in &record.results[start..] {
+        bytes += outcome.bytes();
+        if !list.is_empty() && bytes > RESULTS_BYTES {
+            break;
+        }
+        let id = job.items[outcome.item as usize].id.clone();
+        list.push((id, outcome.clone()));
+    }
+    Results { total: job.items.len() as u64, next: after + list.len() as u64, list }
+}
+
+async fn retire(host: &Arc<Host>, name: &str) -> Reply {
+    let Some(retiring) = store_named(host, name) else { return Reply::NotFound };
+    let known = host.replica.read(|state| state.retiring.clone());
+    if known.contains(&retiring) {
+        return Reply::Done;
+    }
+    let stores = host.soft().stores().map(|(host, _)| host.clone()).collect::<Vec<_>>();
+    let all = stores.iter().chain([&host.settings.host]);
+    let left = all.filter(|store| **store != retiring && !known.contains(store)).count();
+    if left < 2 * host.settings.losses + 1 {
+        warn!(name = name, left = left; "control: too few hosts would be left");
+        return Reply::TooFew;
+    }
+    info!(name = name; "control: a host is to hold no state");
+    propose(host, Command::Retire { host: retiring }).await
+}
+
+fn retirement(host: &Arc<Host>, name: &str) -> Reply {
+    let Some(retiring) = store_named(host, name) else { return Reply::NotFound };
+    let is_asked = host.replica.read(|state| state.retiring.contains(&retiring));
+    let status = host.replica.status().borrow().clone();
+    let is_whole = status.voters.len() > 2 * host.settings.losses;
+    Reply::Retired(is_asked && is_whole && !status.voters.contains(&retiring))
+}
+
+fn store_named(host: &Arc<Host>, name: &str) -> Option<catkinlatch_base::HostId> {
+    if name == host.settings.name {
+        return Some(host.settings.host.clone());
+    }
+    let soft = host.soft();
+    let mut stores = soft.stores();
+    stores.find(|(_, other)| *other == name).map(|(host, _)| host.clone())
+}
--- /dev/null
+++ b/crates/catkinlatch-store/src/run.rs
@@ -0,0 +1,189 @@
+//! One run of an item on an engine.
+
+use crate::host::Host;
+use catkinlatch_base::Version;
+use catkinlatch_ledger::{Job, Target, schedule::Progress};
+use catkinlatch_platform::{Events, header};
+use catkinlatch_runtime::http::{Exchange, Failure, full};
+use http::{HeaderName, HeaderValue, Request, StatusCode};
+use std::time::Duration;
+use tokio::time;
+
+/// How long an engine may take until the first event: other requests may be read in before.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(4_000);
+
+/// How long an engine may pause between two events; a working one pauses a tenth of that.
+const PAUSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The text is whole.
+    Whole,
+    /// It broke off, and may go on elsewhere.
+    Broken,
+    /// The engine says that it failed.
+    Failed,
+    /// The engine says that the item can never be done.
+    Impossible,
+    /// The engine did not run it.
+    Refused,
+    /// The engine's weights are too old.
+    Outdated(Option<Version>),
+    /// Another target has the address.
+    OtherTarget,
+}
+
+/// A run and how it ended.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// How it ended.
+    pub end: End,
+    /// What was generated up to the last whole event, earlier runs included.
+    pub progress: Progress,
+    /// The version that the engine ran last.
+    pub version: Option<Version>,
+    /// Why, for the log.
+    pub reason: String,
+}
+
+/// Runs an item from where its progress ends.
+pub async fn run(host: &Host, job: &Job, item: usize, progress: Progress, engine: &Target) -> Ended {
+    let mut ended =
+        Ended { end: End::Broken, progress, version: None, reason: String::new() };
+    let request = request(job, item, &ended.progress, engine);
+    let sent = time::timeout(FIRST_TIMEOUT, host.client.send(&engine.address, request)).await;
+    let exchange = match sent {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err(failure)) => {
+            let is_sent = matches!(failure, Failure::Unknown(_));
+            ended.end = if is_sent { End::Broken } else { End::Refused };
+            ended.reason = failure.to_string();
+            return ended;
+        }
+        Err(_) => {
+            ended.reason = "no answer in time".to_owned();
+            return ended;
+        }
+    };
+    let id = job.items[item].id.as_str();
+    match judge(&exchange, id) {
+        Some(end) => {
+            ended.end = end;
+            ended.reason = format!("status {}", exchange.response.status().as_u16());
+        }
+        None => read(job, exchange, &mut ended).await,
+    }
+    ended
+}
+
+/// Builds the request of an item.
+fn request(
+    job: &Job,
+    item: usize,
+    progress: &Progress,
+    engine: &Target,
+) -> Request<catkinlatch_runtime::http::Body> {
+    let item = &job.items[item];
+    let mut request = Request::new(full(item.body.clone()));
+    *request.method_mut() = http::Method::POST;
+    if let Ok(uri) = item.path.parse() {
+        *request.uri_mut() = uri;
+    }
+    let headers = request.headers_mut();
+    let mut set = |name: HeaderName, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    for (name, value) in &item.headers {
+        if let Ok(name) = HeaderName::from_bytes(name.as_bytes()) {
+            set(name, value);
+        }
+    }
+    set(http::header::HOST, &job.host);
+    set(header::REQUEST_ID, item.id.as_str());
+    set(header::EXPECTED_TARGET, engine.id.as_str());
+    if let Some(team) = &job.team {
+        set(header::TEAM, team.as_str());
+    }
+    if progress.last_event > 0 {
+        set(header::LAST_EVENT, &progress.last_event.to_string());
+    }
+    request
+}
+
+/// Returns how the run ended by the head of the answer, or nothing if its events follow.
+fn judge(exchange: &Exchange, id: &str) -> Option<End> {
+    let headers = exchange.response.headers();
+    if header::text(headers, &header::REQUEST_ID).is_some_and(|echo| echo != id) {
+        return Some(End::Broken);
+    }
+    match exchange.response.status() {
+        StatusCode::MISDIRECTED_REQUEST => Some(End::OtherTarget),
+        _ if headers.contains_key(&header::NOT_RUN) => Some(End::Refused),
+        StatusCode::UNPROCESSABLE_ENTITY => Some(End::Impossible),
+        StatusCode::INTERNAL_SERVER_ERROR => Some(End::Failed),
+        StatusCode::OK => None,
+        _ => Some(End::Broken),
+    }
+}
+
+/// Reads events until the text is whole or breaks off.
+async fn read(job: &Job, mut exchange: Exchange, ended: &mut Ended) {
+    ended.version = header::version(exchange.response.headers());
+    let mut events = Events::default();
+    let mut limit = FIRST_TIMEOUT;
+    loop {
+        if ended.version < job.min_version {
+            ended.end = End::Outdated(ended.version);
+            ended.reason = "the weights are too old".to_owned();
+            return;
+        }
+        let part = match time::timeout(limit, exchange.next()).await {
+            Ok(Ok(Some(part))) => part,
+            Ok(Ok(None)) if events.is_partial() || ended.progress.text.is_empty() => {
+                ended.reason = "the stream ended within an event".to_owned();
+                return;
+            }
+            Ok(Ok(None)) => {
+                ended.end = End::Whole;
+                exchange.keep();
+                return;
+            }
+            Ok(Err(error)) => {
+                ended.reason = error.to_string();
+                return;
+            }
+            Err(_) => {
+                ended.reason = "the stream fell silent".to_owned();
+                return;
+            }
+        };
+        let whole = match events.push(&part) {
+            Ok(whole) => whole,
+            Err(reason) => {
+                ended.reason = reason;
+                return;
+            }
+        };
+        for event in whole {
+            limit = PAUSE_TIMEOUT;
+            if event.id != ended.progress.last_event + 1 {
+                ended.reason = format!("event {} is out of order", event.id);
+                return;
+            }
+            ended.version = event.version.or(ended.version);
+            if ended.version < job.min_version {
+                break;
+            }
+            ended.progress.push(event.id, event.data, ended.version);
+        }
+    }
+}
+
+/// Returns whether the text may be listed: of one version, where the job asks for that.
+pub fn is_acceptable(job: &Job, progress: &Progress) -> bool {
+    !job.is_single_version || progress.versions.len() <= 1
+}
+
--- /dev/null
+++ b/crates/catkinlatch-store/src/soft.rs
@@ -0,0 +1,143 @@
+//! What the leader knows without replicating it: it can be learnt again within a heartbeat.
+
+use catkinlatch_base::{HostId, Incarnation, Instant, TargetId, TeamId, WindowId};
+use catkinlatch_ledger::{Count, Registry};
+use catkinlatch_runtime::message::{Entry, Follow, Role, Seen, View};
+use std::{collections::BTreeMap, time::Duration};
+
+/// How long a silent process counts as alive; it speaks twice a second.
+const SILENCE: Duration = Duration::from_millis(2_000);
+
+/// How long the counts of a process that ended are kept.
+const COUNTS_KEPT: Duration = Duration::from_secs(60);
+
+/// A process that follows.
+#[derive(Clone, Debug)]
+struct Follower {
+    name: String,
+    entry: Option<Entry>,
+    seen: Seen,
+    version: Option<u64>,
+    at: Instant,
+}
+
+/// What a process counted.
+#[derive(Clone, Debug)]
+struct Counted {
+    counts: BTreeMap<WindowId, Vec<Count>>,
+    at: Instant,
+}
+
+/// What the leader knows without replicating it.
+#[derive(Clone, Debug, Default)]
+pub struct Soft {
+    /// The targets.
+    pub registry: Registry,
+    /// Counts the changes.
+    pub revision: u64,
+    /// How many orders each start of an engine has accepted, where that is known.
+    pub orders: BTreeMap<(TargetId, u64), u64>,
+    /// Engines that load weights, and until when they may.
+    loading: BTreeMap<TargetId, Instant>,
+    followers: BTreeMap<HostId, Follower>,
+    counted: BTreeMap<Incarnation, Counted>,
+}
+
+impl Soft {
+    /// Notes that an engine loads weights, until this time at most.
+    pub fn loads(&mut self, engine: &TargetId, until: Instant) {
+        self.loading.insert(engine.clone(), until);
+    }
+
+    /// Notes that an engine no longer loads.
+    pub fn loaded(&mut self, engine: &TargetId) {
+        self.loading.remove(engine);
+    }
+
+    /// Returns whether an engine loads weights and so takes no new work.
+    pub fn is_loading(&self, engine: &TargetId, now: Instant) -> bool {
+        self.loading.get(engine).is_some_and(|until| now < *until)
+    }
+
+    /// Takes what a process says, and returns whether others must learn of it.
+    pub fn heard(&mut self, follow: &Follow, now: Instant) -> bool {
+        let entry = match &follow.role {
+            Role::Entry(entry) => Some(entry.clone()),
+            Role::Store => None,
+        };
+        let counted = self.counted.entry(follow.incarnation);
+        let counted = counted.or_insert_with(|| Counted { counts: BTreeMap::new(), at: now });
+        counted.counts.extend(follow.counts.iter().cloned());
+        counted.at = now;
+        let follower = Follower {
+            name: follow.name.clone(),
+            entry,
+            seen: follow.seen,
+            version: follow.version,
+            at: now,
+        };
+        let is_new = |before: &Follower| {
+            before.entry != follower.entry || before.name != follower.name
+        };
+        let changes = self.followers.get(&follow.host).is_none_or(is_new);
+        self.followers.insert(follow.host.clone(), follower);
+        self.revision += u64::from(changes);
+        changes
+    }
+
+    /// Drops processes that are silent, and returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<HostId> {
+        self.counted.retain(|_, counted| now < counted.at + COUNTS_KEPT);
+        let silent = self.followers.extract_if(.., |_, follower| now >= follower.at + SILENCE);
+        let silent: Vec<HostId> = silent.map(|(host, _)| host).collect();
+        self.revision += u64::from(!silent.is_empty());
+        silent
+    }
+
+    /// Returns the entry hosts that callers may be sent to.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.followers.values().filter_map(|follower| follower.entry.as_ref())
+    }
+
+    /// Returns the hosts that keep state, without this one.
+    pub fn stores(&self) -> impl Iterator<Item = (&HostId, &str)> {
+        let stores = self.followers.iter().filter(|(_, follower)| follower.entry.is_none());
+        stores.map(|(host, follower)| (host, follower.name.as_str()))
+    }
+
+    /// Returns whether all live processes hold this view and version of the configuration.
+    pub fn is_held(&self, seen: Seen, version: Option<u64>) -> bool {
+        let entries = self.followers.values().filter(|follower| follower.entry.is_some());
+        let mut entries = entries.filter(|follower| follower.seen.term == seen.term);
+        entries.all(|follower| follower.seen >= seen && follower.version >= version)
+    }
+
+    /// Returns what was used in a window, in order of the teams.
+    pub fn used(&self, window: WindowId) -> Vec<Count> {
+        let mut used: BTreeMap<TeamId, u64> = BTreeMap::new();
+        for counted in self.counted.values() {
+            for count in counted.counts.get(&window).into_iter().flatten() {
+                *used.entry(count.team.clone()).or_default() += count.requests;
+            }
+        }
+        used.into_iter().map(|(team, requests)| Count { team, requests }).collect()
+    }
+
+    /// Takes the view of another leader, to be ready to lead.
+    pub fn adopt(&mut self, view: &View, now: Instant) {
+        self.registry = Registry::new(view.targets.clone(), view.gone.clone(), now);
+        for entry in &view.entries {
+            let follower = Follower {
+                name: entry.host.to_string(),
+                entry: Some(entry.clone()),
+                seen: Seen::default(),
+                version: None,
+                at: now,
+            };
+            self.followers.insert(entry.host.clone(), follower);
+        }
+        let known: Vec<&HostId> = view.entries.iter().map(|entry| &entry.host).collect();
+        self.followers.retain(|host, follower| follower.entry.is_none() || known.contains(&host));
+        self.revision += 1;
+    }
+}
--- /dev/null
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -0,0 +1,261 @@
+//! Brings named versions of weights to the engines, a few at a time.
+
+use crate::host::Host;
+use catkinlatch_base::{ModelId, Ratio, TargetId, Term, Version};
+use catkinlatch_ledger::Target;
+use catkinlatch_platform::{
+    EngineReport, ORDER_PATH, OrderAnswer, REPORT_PATH, WeightOrder, decode_report, header,
+};
+use catkinlatch_rollout::weights::{Engine, Limits, Outcome, Rollout};
+use catkinlatch_runtime::http::{Body, empty, full};
+use http::{HeaderValue, Method, Request};
+use log::{info, warn};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{sync::mpsc, task::JoinSet, time};
+
+/// How often the leader looks for engines that lack a version.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long an engine may take to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How often an engine that loads is asked how far it is.
+const REPORT_INTERVAL: Duration = Duration::from_millis(350);
+
+/// How long a load usually takes; an engine is not asked before.
+const LOAD_TIME: Duration = Duration::from_millis(950);
+
+/// How long a load may take before it counts as failed.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(15_000);
+
+/// The engines that load at one time, as a share of all: more slow each other down.
+const LOADING_SHARE: f64 = 0.2;
+
+/// The share of the engines that keeps serving.
+const LEAST_SERVING: f64 = 0.5;
+
+/// The most bytes of an engine's answer.
+const ANSWER_BYTES: usize = 1 << 20;
+
+/// An engine and its start.
+type Start = (TargetId, u64);
+
+/// The end of a load.
+struct Ended {
+    model: ModelId,
+    engine: TargetId,
+    outcome: Outcome,
+}
+
+/// Gives orders for as long as this host leads in this term.
+pub async fn run(host: Arc<Host>, term: Term) {
+    // A predecessor may have given orders until its lease ended.
+    time::sleep(host.settings.times.lease()).await;
+    let (tell, mut told) = mpsc::unbounded_channel();
+    let mut loads = JoinSet::new();
+    let mut rollouts: BTreeMap<ModelId, Rollout> = BTreeMap::new();
+    let mut loading: BTreeSet<TargetId> = BTreeSet::new();
+    loop {
+        time::sleep(INTERVAL).await;
+        while loads.try_join_next().is_some() {}
+        let now = host.clock.now();
+        while let Ok(Ended { model, engine, outcome }) = told.try_recv() {
+            loading.remove(&engine);
+            if let Some(rollout) = rollouts.get_mut(&model) {
+                rollout.ended(&engine, outcome, now);
+            }
+        }
+        let named = host.replica.read(|state| state.versions.clone());
+        for (model, version) in named {
+            let targets = engines(&host, &model);
+            let limits = limits(targets.len());
+            let rollout =
+                rollouts.entry(model.clone()).or_insert_with(|| Rollout::new(limits.clone()));
+            let free = (limits.store_loads as usize).saturating_sub(loading.len());
+            let idle = targets.iter().filter(|target| {
+                !loading.contains(&target.id) || rollout.is_loading(&target.id)
+            });
+            let engines: Vec<Engine> = idle.map(|target| engine(target, &model)).collect();
+            let floor = Version::new(version.get().saturating_sub(1));
+            for load in rollout.next_up_to(now, version, floor, &engines, free) {
+                let Some(target) = targets.iter().find(|target| target.id == load.engine) else {
+                    continue;
+                };
+                loading.insert(target.id.clone());
+                let (host, tell) = (host.clone(), tell.clone());
+                let (target, model) = (target.clone(), model.clone());
+                loads.spawn(async move {
+                    let outcome = bring(&host, term, &target, &model, version).await;
+                    host.soft().loaded(&target.id);
+                    host.announce();
+                    let _ = tell.send(Ended { model, engine: target.id, outcome });
+                });
+            }
+        }
+    }
+}
+
+/// Returns the engines that hold a model.
+fn engines(host: &Host, model: &ModelId) -> Vec<Target> {
+    let soft = host.soft();
+    let holds = |target: &&Target| target.models.contains_key(model) && target.is_ready();
+    soft.registry.targets().filter(holds).cloned().collect()
+}
+
+fn engine(target: &Target, model: &ModelId) -> Engine {
+    let reported = target.models.get(model).copied().unwrap_or_default();
+    Engine { id: target.id.clone(), zone: target.zone.clone(), reported }
+}
+
+fn limits(engines: usize) -> Limits {
+    let store_loads = ((engines as f64 * LOADING_SHARE).round() as u32).max(1);
+    let least_serving = Ratio::new(LEAST_SERVING);
+    Limits { store_loads, peer_loads: 0, least_serving, load_timeout: LOAD_TIMEOUT * 2 }
+}
+
+/// Orders a load and waits for its end.
+async fn bring(
+    host: &Host,
+    term: Term,
+    target: &Target,
+    model: &ModelId,
+    version: Version,
+) -> Outcome {
+    let start: Start = (target.id.clone(), target.born_ms);
+    let accepted = match known_orders(host, &start) {
+        Some(accepted) => Some(accepted),
+        None => match report(host, target).await {
+            Some(report) if !report.is_busy => {
+                learn(host, target, &report);
+                if report.models.get(model).is_some_and(|held| *held >= version) {
+                    return Outcome::Loaded;
+                }
+                Some(report.accepted)
+            }
+            _ => return Outcome::Failed,
+        },
+    };
+    if host.replica.fencing() != Some(term) {
+        return Outcome::Failed;
+    }
+    host.soft().loads(&target.id, host.clock.now() + LOAD_TIMEOUT);
+    let order = WeightOrder {
+        model,
+        version,
+        waits_for_runs: false,
+        holder: &host.settings.name,
+        fence: term,
+        accepted,
+    };
+    let answer = post(host, target, order.encode()).await;
+    info!(
+        target_id:% = target.id, model:% = model, version = version.get(), term = term.get(),
+        accepted:? = accepted, answer:? = answer;
+        "weights: order"
+    );
+    match answer {
+        Some(OrderAnswer::Accepted) => {
+            host.soft().orders.insert(start, accepted.unwrap_or_default() + 1);
+            time::sleep(LOAD_TIME).await;
+            await_load(host, target, model, version).await
+        }
+        Some(OrderAnswer::Holds) => {
+            host.soft().registry.saw_version(&target.id, model, version);
+            Outcome::Loaded
+        }
+        Some(_) => {
+            host.soft().orders.remove(&start);
+            Outcome::Failed
+        }
+        None => {
+            // It may be carried out later; a report tells the count of orders then.
+            host.soft().orders.remove(&start);
+            Outcome::Failed
+        }
+    }
+}
+
+/// Waits until an engine reports the version.
+async fn await_load(host: &Host, target: &Target, model: &ModelId, version: Version) -> Outcome {
+    let until = host.clock.now() + LOAD_TIMEOUT;
+    while host.clock.now() < until {
+        let seen = {
+            let soft = host.soft();
+            let known = soft.registry.target(&target.id);
+            known.filter(|known| known.born_ms == target.born_ms).map(|known| known.models.clone())
+        };
+        let Some(seen) = seen else { return Outcome::Failed };
+        if seen.get(model).is_some_and(|held| *held >= version) {
+            return Outcome::Loaded;
+        }
+        match report(host, target).await {
+            Some(report) => {
+                learn(host, target, &report);
+                let holds = report.models.get(model).is_some_and(|held| *held >= version);
+                if holds && !report.is_busy {
+                    return Outcome::Loaded;
+                }
+            }
+            None => warn!(target_id:% = target.id; "weights: no report from a loading engine"),
+        }
+        time::sleep(REPORT_INTERVAL).await;
+    }
+    host.soft().orders.remove(&(target.id.clone(), target.born_ms));
+    Outcome::Failed
+}
+
+fn known_orders(host: &Host, start: &Start) -> Option<u64> {
+    host.soft().orders.get(start).copied()
+}
+
+/// Takes what an engine reports.
+fn learn(host: &Host, target: &Target, report: &EngineReport) {
+    let mut soft = host.soft();
+    soft.orders.insert((target.id.clone(), target.born_ms), report.accepted);
+    for (model, version) in &report.models {
+        soft.registry.saw_version(&target.id, model, *version);
+    }
+}
+
+async fn report(host: &Host, target: &Target) -> Option<EngineReport> {
+    let request = request(target, Method::GET, REPORT_PATH, empty());
+    let asked = async {
+        let exchange = host.client.send(&target.address, request).await.ok()?;
+        exchange.whole(ANSWER_BYTES).await.ok()
+    };
+    let answer = time::timeout(ORDER_TIMEOUT, asked).await.ok().flatten()?;
+    if !answer.status().is_success() {
+        return None;
+    }
+    decode_report(answer.body()).ok()
+}
+
+async fn post(host: &Host, target: &Target, order: Vec<u8>) -> Option<OrderAnswer> {
+    let mut request = request(target, Method::POST, ORDER_PATH, full(order));
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    let asked = async {
+        let exchange = host.client.send(&target.address, request).await.ok()?;
+        let answer = exchange.whole(ANSWER_BYTES).await.ok()?;
+        Some(OrderAnswer::new(answer.status()))
+    };
+    time::timeout(ORDER_TIMEOUT, asked).await.ok().flatten()
+}
+
+fn request(target: &Target, method: Method, path: &'static str, body: Body) -> Request<Body> {
+    let mut request = Request::new(body);
+    *request.method_mut() = method;
+    *request.uri_mut() = http::Uri::from_static(path);
+    for (name, value) in
+        [(http::header::HOST, target.address.as_str()), (header::EXPECTED_TARGET, target.id.as_str())]
+    {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            request.headers_mut().insert(name, value);
+        }
+    }
+    request
+}
--- a/crates/catkinlatch-wire/src/lib.rs
+++ b/crates/catkinlatch-wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod hello;
 mod lane;
+mod link;
 mod secret;
 mod server;
 mod session;
@@ -18,6 +19,7 @@
     frame::{Frame, FrameError, HEADER_BYTES},
     hello::{Hello, PROTOCOL},
     lane::Lane,
+    link::{Destination, Link, link},
     secret::Secret,
     server::serve,
     session::{Session, connect},
--- a/crates/catkinlatch-node/src/peer/link.rs
+++ b/crates/catkinlatch-wire/src/link.rs
@@ -1,9 +1,8 @@
 //! Keeps a session with one other node open.
 
-use crate::settings::Peer;
+use crate::{Error, Frame, Hello, Secret, Session, connect};
 use bytes::Bytes;
-use catkinlatch_base::ZoneId;
-use catkinlatch_wire::{Error, Frame, Hello, Secret, Session, connect};
+use catkinlatch_base::HostId;
 use log::{debug, info, warn};
 use std::{future::Future, net::SocketAddr, time::Duration};
 use tokio::{
@@ -21,10 +20,18 @@
 /// How many failures in a row pass between two warnings about one node.
 const FAILURES_PER_WARNING: u32 = 100;
 
+/// Where another node is found.
+#[derive(Clone, Debug)]
+pub struct Destination {
+    /// The host that must answer there.
+    pub host: HostId,
+    /// The address, as `host:port`.
+    pub address: String,
+}
+
 /// The way to one other node.
 #[derive(Debug)]
 pub struct Link {
-    zone: ZoneId,
     queue: mpsc::Sender<Frame>,
     session: watch::Receiver<Opened>,
 }
@@ -40,11 +47,6 @@
 }
 
 impl Link {
-    /// Returns the zone of the node.
-    pub fn zone(&self) -> &ZoneId {
-        &self.zone
-    }
-
     /// Returns the session, if one is open.
     pub fn session(&self) -> Option<Session> {
         self.session.borrow().0.clone()
@@ -62,22 +64,23 @@
 }
 
 /// Creates a link and the future that keeps its session open, which never ends.
-pub fn new(
-    peer: Peer,
+///
+/// Each new session begins with the `greeting`, which the other node handles like any message.
+pub fn link(
+    destination: Destination,
     local: Hello,
     secret: Secret,
     greeting: Bytes,
 ) -> (Link, impl Future<Output = ()> + Send) {
     let (queue, waiting) = mpsc::channel(QUEUE_MESSAGES);
     let (opened, session) = watch::channel(Opened::default());
-    let zone = peer.zone.clone();
-    let driver = Driver { peer, local, secret, greeting, waiting, opened };
-    (Link { zone, queue, session }, driver.run())
+    let driver = Driver { destination, local, secret, greeting, waiting, opened };
+    (Link { queue, session }, driver.run())
 }
 
 /// Opens sessions and sends what waits.
 struct Driver {
-    peer: Peer,
+    destination: Destination,
     local: Hello,
     secret: Secret,
     greeting: Bytes,
@@ -89,13 +92,12 @@
     async fn run(mut self) {
         let mut failures = 0_u32;
         loop {
-            let was_open = self.opened.borrow().0.is_some();
             match self.session().await {
                 Ok(never) => match never {},
                 Err(error) => {
                     let had_session = self.opened.send_replace(Opened::default()).0.is_some();
                     failures = if had_session { 0 } else { failures + 1 };
-                    self.report(&error, had_session || was_open, failures);
+                    self.report(&error, had_session, failures);
                 }
             }
             time::sleep(RETRY_PAUSE).await;
@@ -103,7 +105,7 @@
     }
 
     fn report(&self, error: &Error, had_session: bool, failures: u32) {
-        let host = &self.peer.host;
+        let host = &self.destination.host;
         if had_session {
             info!("peer: the session with {host} ended: {error}");
         } else if failures % FAILURES_PER_WARNING == 1 {
@@ -117,7 +119,7 @@
     async fn session(&mut self) -> Result<std::convert::Infallible, Error> {
         let address = self.resolve().await?;
         let (session, driver) = connect(address, &self.local, &self.secret).await?;
-        if session.remote().host != self.peer.host {
+        if session.remote().host != self.destination.host {
             let reason = format!("host {} answers at its address", session.remote().host);
             return Err(Error::protocol(reason));
         }
@@ -128,7 +130,7 @@
         };
         while self.waiting.try_recv().is_ok() {}
         self.opened.send_replace(Opened(Some(session)));
-        info!("peer: a session with {} is open", self.peer.host);
+        info!("peer: a session with {} is open", self.destination.host);
         let greeting = Frame::new(self.greeting.clone());
         let send = async {
             lane.send(&greeting).await?;
@@ -144,7 +146,7 @@
     }
 
     async fn resolve(&self) -> Result<SocketAddr, Error> {
-        let mut addresses = lookup_host(&self.peer.peer_address).await?;
+        let mut addresses = lookup_host(&self.destination.address).await?;
         addresses.next().ok_or_else(|| Error::protocol("its address names no host"))
     }
 }
--- a/crates/catkinlatch-wire/src/session.rs
+++ b/crates/catkinlatch-wire/src/session.rs
@@ -20,10 +20,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How often a session is probed.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
+const PING_INTERVAL: Duration = Duration::from_millis(700);
 
 /// How long a probe may stay unanswered before the session counts as broken.
-const PING_TIMEOUT: Duration = Duration::from_secs(3);
+const PING_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// How many bytes of one stream may be under way unread.
 pub(crate) const STREAM_WINDOW_BYTES: u32 = 4 << 20;
--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -8,6 +8,7 @@
 mod cluster;
 mod drain;
 mod exit;
+mod host;
 mod key;
 mod operator;
 mod plan;
@@ -44,6 +45,7 @@
     Check(check::Check),
     Cluster(cluster::Cluster),
     Drain(drain::Drain),
+    Host(host::Host),
     Key(key::Key),
     Plan(plan::Plan),
     Serve(serve::Serve),
@@ -56,12 +58,18 @@
 }
 
 impl Command {
+    /// Returns whether the command keeps a log of its own.
+    pub fn has_own_log(&self) -> bool {
+        matches!(self.verb, Verb::Host(_))
+    }
+
     /// Runs the command and returns its exit code.
     pub fn run(self) -> ExitCode {
         let result = match self.verb {
             Verb::Check(verb) => verb.run(),
             Verb::Cluster(verb) => verb.run(),
             Verb::Drain(verb) => verb.run(),
+            Verb::Host(verb) => verb.run(),
             Verb::Key(verb) => verb.run(),
             Verb::Plan(verb) => verb.run(),
             Verb::Serve(verb) => verb.run(),
--- /dev/null
+++ b/crates/catkinlatch/src/command/host.rs
@@ -0,0 +1,101 @@
+//! `catkinlatch host`.
+
+use super::exit::{Failure, Outcome};
+use argh::FromArgs;
+use catkinlatch_runtime::{Settings, journal};
+use log::{error, info, warn};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::{Duration, SystemTime},
+};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    time,
+};
+
+/// How often the process looks whether its settings have changed without a signal.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
+
+/// Runs one host of a deployment, in the role that its settings name, until it gets SIGTERM.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "host",
+    example = "{command_name} --settings host.jsonc",
+    error_code(1, "the settings have faults, or the process cannot start")
+)]
+pub struct Host {
+    /// the settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+impl Host {
+    /// Runs the process.
+    pub fn run(self) -> Outcome {
+        journal::start();
+        let settings = Settings::load(&self.settings).map_err(|fault| {
+            error!("host: {fault}");
+            Failure::Failed(fault.to_string())
+        })?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|error| Failure::Failed(error.to_string()))?;
+        runtime.block_on(run(&self.settings, settings)).map_err(|reason| {
+            error!("host: {reason}");
+            Failure::Failed(reason)
+        })?;
+        // What is still under way is cut: its time is over.
+        runtime.shutdown_background();
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+async fn run(path: &Path, settings: Settings) -> Result<(), String> {
+    let (stop, stopped) = watch::channel(false);
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        info!("host: told to stop");
+        stop.send_replace(true);
+    });
+    tokio::spawn(watch_settings(path.to_owned()));
+    tokio::spawn(journal::report_losses());
+    if settings.control_address.is_some() {
+        return catkinlatch_store::run(settings, stopped).await.map_err(|error| error.to_string());
+    }
+    catkinlatch_entry::run(settings, stopped).await.map_err(|error| error.to_string())
+}
+
+/// Reads the settings again when they change; only what concerns a new start can change in them.
+async fn watch_settings(path: PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+    let mut changed = modified(&path);
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = time::sleep(SETTINGS_POLL) => {
+                let now = modified(&path);
+                if now == changed {
+                    continue;
+                }
+                changed = now;
+            }
+        }
+        match Settings::load(&path) {
+            Ok(settings) => {
+                info!(seeds:? = settings.seeds; "host: read the settings again");
+            }
+            Err(fault) => warn!("host: the changed settings are not used: {fault}"),
+        }
+    }
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|data| data.modified()).ok()
+}
--- a/crates/catkinlatch/src/main.rs
+++ b/crates/catkinlatch/src/main.rs
@@ -5,6 +5,9 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    argh::from_env::<command::Command>().run()
+    let command: command::Command = argh::from_env();
+    if !command.has_own_log() {
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    }
+    command.run()
 }
