Keep each model's newest version on engines of its own

Ruled out: processor time (0.03 of a core), refusals by engines (0), lost runs (0). Change: engines are allotted to models by the work that their jobs bring, spread over zones, with few changes; the model that lags most loads first; a load keeps an engine from its own model's items alone.

--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -74,12 +74,7 @@
     response
 }
 
-async fn try_targets(
-    host: &Host,
-    asked: &Asked,
-    arrived: Instant,
-    tries: &mut Vec<String>,
-) -> End {
+async fn try_targets(host: &Host, asked: &Asked, arrived: Instant, tries: &mut Vec<String>) -> End {
     let until = arrived + time_limit(asked);
     let is_idempotent = asked.route.kind == Kind::Idempotent;
     let mut tried = BTreeSet::new();
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -1,6 +1,5 @@
 //! The daemon: HTTP interfaces, sessions between processes, and the tasks that act on decisions.
 
-
 pub mod control;
 mod drain;
 pub mod entry;
@@ -21,7 +20,6 @@
 pub use catkinlatch_runtime::Clock;
 
 pub use self::{
-
     control::Control,
     drain::Drain,
     node::{Node, Server},
--- a/crates/catkinlatch-node/src/peer/peers.rs
+++ b/crates/catkinlatch-node/src/peer/peers.rs
@@ -64,8 +64,7 @@
         let links = others().map(|peer| {
             let destination =
                 Destination { host: peer.host.clone(), address: peer.peer_address.clone() };
-            let (link, driver) =
-                link(destination, local.clone(), secret.clone(), greeting.clone());
+            let (link, driver) = link(destination, local.clone(), secret.clone(), greeting.clone());
             tasks.spawn(driver);
             (peer.host.clone(), link)
         });
--- a/crates/catkinlatch-rollout/src/weights.rs
+++ b/crates/catkinlatch-rollout/src/weights.rs
@@ -1,11 +1,13 @@
 //! Roll-out of weights to engines in waves.
 
+mod allotment;
 mod engine;
 mod limit;
 mod load;
 mod wave;
 
 pub use self::{
+    allotment::Allotment,
     engine::Engine,
     limit::Limits,
     load::{Load, Outcome, Source},
--- /dev/null
+++ b/crates/catkinlatch-rollout/tests/allotment.rs
@@ -0,0 +1,68 @@
+//! Engines are divided among models by their demand, over the zones, with few changes.
+
+use catkinlatch_base::{ModelId, TargetId, ZoneId};
+use catkinlatch_rollout::weights::Allotment;
+use std::collections::{BTreeMap, BTreeSet};
+use test_case::test_case;
+
+fn model(name: &str) -> ModelId {
+    name.parse().unwrap()
+}
+
+fn engines(count: usize) -> BTreeMap<TargetId, ZoneId> {
+    let engine = |number: usize| {
+        let zone = format!("zone-{}", number % 3);
+        (format!("engine-{number}").parse().unwrap(), zone.parse().unwrap())
+    };
+    (0..count).map(engine).collect()
+}
+
+fn demand(parts: &[(&str, f64)]) -> BTreeMap<ModelId, f64> {
+    parts.iter().map(|(name, part)| (model(name), *part)).collect()
+}
+
+fn held(allotment: &Allotment, engines: &BTreeMap<TargetId, ZoneId>, name: &str) -> Vec<TargetId> {
+    let is_held = |engine: &&TargetId| allotment.contains(engine, &model(name));
+    engines.keys().filter(is_held).cloned().collect()
+}
+
+#[test_case(&[("a", 1.0)], &[9]; "one model has all")]
+#[test_case(&[("a", 1.0), ("b", 1.0), ("c", 1.0)], &[3, 3, 3]; "equal demands")]
+#[test_case(&[("a", 540.0), ("b", 1152.0), ("c", 1200.0)], &[2, 3, 4]; "by demand")]
+#[test_case(&[("a", 0.0), ("b", 1000.0)], &[1, 8]; "one at least")]
+fn shares_follow_demand(parts: &[(&str, f64)], counts: &[usize]) {
+    let engines = engines(9);
+    let mut allotment = Allotment::default();
+    allotment.update(&engines, &demand(parts));
+    let held = parts.iter().map(|(name, _)| held(&allotment, &engines, name).len());
+    assert_eq!(held.collect::<Vec<_>>(), counts);
+}
+
+#[test]
+fn a_model_is_held_in_several_zones() {
+    let engines = engines(9);
+    let mut allotment = Allotment::default();
+    allotment.update(&engines, &demand(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]));
+    for name in ["a", "b", "c"] {
+        let zones: BTreeSet<_> =
+            held(&allotment, &engines, name).iter().map(|id| engines[id].clone()).collect();
+        assert_eq!(zones.len(), 3, "model {name}");
+    }
+}
+
+#[test]
+fn an_engine_that_leaves_moves_few_others() {
+    let mut engines = engines(9);
+    let demand = demand(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]);
+    let mut allotment = Allotment::default();
+    allotment.update(&engines, &demand);
+    let before: Vec<_> = ["a", "b", "c"].iter().map(|n| held(&allotment, &engines, n)).collect();
+    let gone = before[0][0].clone();
+    engines.remove(&gone);
+    allotment.update(&engines, &demand);
+    let after: Vec<_> = ["a", "b", "c"].iter().map(|n| held(&allotment, &engines, n)).collect();
+    let kept = before.iter().zip(&after);
+    let moved: usize = kept.map(|(b, a)| a.iter().filter(|id| !b.contains(id)).count()).sum();
+    assert!(moved <= 1, "{moved} engines changed their model");
+    assert!(after.iter().all(|held| held.len() >= 2));
+}
--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -229,9 +229,9 @@
 /// Returns for how long the connection may be kept after this answer, if at all.
 fn idle_time(head: &hyper::http::response::Parts) -> Option<Duration> {
     let values = head.headers.get_all(header::CONNECTION).iter();
-    let closes = values.filter_map(|value| value.to_str().ok()).any(|value| {
-        value.split(',').any(|word| word.trim().eq_ignore_ascii_case("close"))
-    });
+    let closes = values
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")));
     let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
     if closes || !has_length || head.version != hyper::Version::HTTP_11 {
@@ -241,8 +241,7 @@
     let timeout = keep_alive.and_then(|value| {
         value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok())
     });
-    let idle = timeout.map_or(DEFAULT_IDLE, |seconds: u64| {
-        Duration::from_secs(seconds).mul_f64(IDLE_SHARE)
-    });
+    let idle = timeout
+        .map_or(DEFAULT_IDLE, |seconds: u64| Duration::from_secs(seconds).mul_f64(IDLE_SHARE));
     Some(idle.min(LONGEST_IDLE))
 }
--- a/crates/catkinlatch-runtime/src/http/server.rs
+++ b/crates/catkinlatch-runtime/src/http/server.rs
@@ -1,9 +1,7 @@
 //! The side that answers.
 
 use super::Body;
-use hyper::{
-    Request, Response, body::Incoming, server::conn::http1, service::service_fn,
-};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, warn};
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -7,10 +7,7 @@
 use crate::{Clock, Message, Peers, Settings};
 use catkinlatch_base::{HostId, Incarnation, Term, ZoneId};
 use catkinlatch_ledger::{Command, Reply, State};
-use catkinlatch_log::{
-    self as log_core, Core, Frame, Peer, Role,
-    storage::OpenError,
-};
+use catkinlatch_log::{self as log_core, Core, Frame, Peer, Role, storage::OpenError};
 use derive_more::{Display, Error};
 use std::{
     path::Path,
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -3,8 +3,9 @@
 use crate::host::Host;
 use catkinlatch_ledger::config::Document;
 use catkinlatch_platform::{
-    DecodeError, call::{self, ControlCall}, decode_configuration, decode_registration,
-    decode_version, encode_retirement,
+    DecodeError,
+    call::{self, ControlCall},
+    decode_configuration, decode_registration, decode_version, encode_retirement,
 };
 use catkinlatch_runtime::{
     Answer, Message, Reply,
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -137,9 +137,9 @@
     let (mut revision, mut applied) = (host.revision(), host.replica.applied());
     loop {
         let seen = Seen { term, revision: host.soft().revision };
-        let version = host.replica.read(|state| {
-            state.document.as_ref().map(|document| document.configuration.version)
-        });
+        let version = host
+            .replica
+            .read(|state| state.document.as_ref().map(|document| document.configuration.version));
         if seen != follow.seen || version > follow.version {
             return Reply::Followed(Box::new(view(host, seen, follow.version)));
         }
@@ -226,7 +226,11 @@
     loop {
         applied.mark_unchanged();
         let results = host.replica.read(|state| {
-            state.jobs.get(job).filter(|record| is_owner(record)).map(|record| results(record, after))
+            state
+                .jobs
+                .get(job)
+                .filter(|record| is_owner(record))
+                .map(|record| results(record, after))
         });
         let Some(results) = results else { return Reply::NotFound };
         let is_over = results.next >= results.total || Instant::now() >= until;
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -48,9 +48,14 @@
 }
 
 /// Runs an item from where its progress ends.
-pub async fn run(host: &Host, job: &Job, item: usize, progress: Progress, engine: &Target) -> Ended {
-    let mut ended =
-        Ended { end: End::Broken, progress, version: None, reason: String::new() };
+pub async fn run(
+    host: &Host,
+    job: &Job,
+    item: usize,
+    progress: Progress,
+    engine: &Target,
+) -> Ended {
+    let mut ended = Ended { end: End::Broken, progress, version: None, reason: String::new() };
     let request = request(job, item, &ended.progress, engine);
     let sent = time::timeout(FIRST_TIMEOUT, host.client.send(&engine.address, request)).await;
     let exchange = match sent {
@@ -186,4 +191,3 @@
 pub fn is_acceptable(job: &Job, progress: &Progress) -> bool {
     !job.is_single_version || progress.versions.len() <= 1
 }
-
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -164,15 +164,19 @@
         let now = self.host.clock.now();
         let choice = self.shared.choice();
         let soft = self.host.soft();
-        let is_usable = |target: &&Target| {
-            target.is_ready() && !choice.rests(&target.id, now) && !soft.is_loading(&target.id, now)
-        };
-        let engine = |target: &Target| Engine {
-            id: target.id.clone(),
-            service: target.service.clone(),
-            slots: target.slots,
-            slowness: choice.slowness(&target.id),
-            models: target.models.clone(),
+        let is_usable = |target: &&Target| target.is_ready() && !choice.rests(&target.id, now);
+        let engine = |target: &Target| {
+            let mut models = target.models.clone();
+            if let Some(loading) = soft.loading(&target.id, now) {
+                models.remove(loading);
+            }
+            Engine {
+                id: target.id.clone(),
+                service: target.service.clone(),
+                slots: target.slots,
+                slowness: choice.slowness(&target.id),
+                models,
+            }
         };
         soft.registry.targets().filter(is_usable).map(engine).collect()
     }
@@ -262,9 +266,10 @@
 
     /// Learns from a run which version an engine holds.
     fn learn_version(&self, job: &JobId, engine: &Target, ended: &Ended) {
-        let model = self.host.replica.read(|state| {
-            state.jobs.get(job).and_then(|record| record.job.model.clone())
-        });
+        let model = self
+            .host
+            .replica
+            .read(|state| state.jobs.get(job).and_then(|record| record.job.model.clone()));
         if let (Some(model), Some(version)) = (model, ended.version) {
             self.host.soft().registry.saw_version(&engine.id, &model, version);
         }
@@ -307,4 +312,3 @@
         });
     }
 }
-
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -44,9 +44,9 @@
     let mut failures = 0;
     let mut tried = BTreeSet::new();
     loop {
-        let configuration = host.replica.read(|state| {
-            state.document.as_ref().map(|document| document.configuration.clone())
-        });
+        let configuration = host
+            .replica
+            .read(|state| state.document.as_ref().map(|document| document.configuration.clone()));
         let Some((target, most)) = target(host, shared, configuration, scorer, &tried) else {
             tried.clear();
             time::sleep(PAUSE).await;
--- a/crates/catkinlatch-store/src/soft.rs
+++ b/crates/catkinlatch-store/src/soft.rs
@@ -1,6 +1,6 @@
 //! What the leader knows without replicating it: it can be learnt again within a heartbeat.
 
-use catkinlatch_base::{HostId, Incarnation, Instant, TargetId, TeamId, WindowId};
+use catkinlatch_base::{HostId, Incarnation, Instant, ModelId, TargetId, TeamId, WindowId};
 use catkinlatch_ledger::{Count, Registry};
 use catkinlatch_runtime::message::{Entry, Follow, Role, Seen, View};
 use std::{collections::BTreeMap, time::Duration};
@@ -37,16 +37,16 @@
     pub revision: u64,
     /// How many orders each start of an engine has accepted, where that is known.
     pub orders: BTreeMap<(TargetId, u64), u64>,
-    /// Engines that load weights, and until when they may.
-    loading: BTreeMap<TargetId, Instant>,
+    /// Engines that load weights of a model, and until when they may.
+    loading: BTreeMap<TargetId, (ModelId, Instant)>,
     followers: BTreeMap<HostId, Follower>,
     counted: BTreeMap<Incarnation, Counted>,
 }
 
 impl Soft {
     /// Notes that an engine loads weights, until this time at most.
-    pub fn loads(&mut self, engine: &TargetId, until: Instant) {
-        self.loading.insert(engine.clone(), until);
+    pub fn loads(&mut self, engine: &TargetId, model: &ModelId, until: Instant) {
+        self.loading.insert(engine.clone(), (model.clone(), until));
     }
 
     /// Notes that an engine no longer loads.
@@ -54,9 +54,9 @@
         self.loading.remove(engine);
     }
 
-    /// Returns whether an engine loads weights and so takes no new work.
-    pub fn is_loading(&self, engine: &TargetId, now: Instant) -> bool {
-        self.loading.get(engine).is_some_and(|until| now < *until)
+    /// Returns the model whose weights an engine loads, for which it takes no new work.
+    pub fn loading(&self, engine: &TargetId, now: Instant) -> Option<&ModelId> {
+        self.loading.get(engine).filter(|(_, until)| now < *until).map(|(model, _)| model)
     }
 
     /// Takes what a process says, and returns whether others must learn of it.
@@ -76,9 +76,8 @@
             version: follow.version,
             at: now,
         };
-        let is_new = |before: &Follower| {
-            before.entry != follower.entry || before.name != follower.name
-        };
+        let is_new =
+            |before: &Follower| before.entry != follower.entry || before.name != follower.name;
         let changes = self.followers.get(&follow.host).is_none_or(is_new);
         self.followers.insert(follow.host.clone(), follower);
         self.revision += u64::from(changes);
--- a/crates/catkinlatch-store/src/usage.rs
+++ b/crates/catkinlatch-store/src/usage.rs
@@ -55,7 +55,8 @@
 
 /// Fixes the counts of the windows that are over.
 async fn close(host: &Host, first: WindowId, length: u64) {
-    let Some(over) = (host.clock.wall_ms().saturating_sub(SETTLE_MS) / length).checked_sub(1) else {
+    let Some(over) = (host.clock.wall_ms().saturating_sub(SETTLE_MS) / length).checked_sub(1)
+    else {
         return;
     };
     let last = host.replica.read(|state| {
--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -1,16 +1,17 @@
 //! Brings named versions of weights to the engines, a few at a time.
 
 use crate::host::Host;
-use catkinlatch_base::{ModelId, Ratio, TargetId, Term, Version};
+use catkinlatch_base::{ModelId, Ratio, TargetId, Term, Version, ZoneId};
 use catkinlatch_ledger::Target;
 use catkinlatch_platform::{
     EngineReport, ORDER_PATH, OrderAnswer, REPORT_PATH, WeightOrder, decode_report, header,
 };
-use catkinlatch_rollout::weights::{Engine, Limits, Outcome, Rollout};
+use catkinlatch_rollout::weights::{Allotment, Engine, Limits, Outcome, Rollout};
 use catkinlatch_runtime::http::{Body, empty, full};
 use http::{HeaderValue, Method, Request};
 use log::{info, warn};
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
@@ -59,6 +60,7 @@
     let mut loads = JoinSet::new();
     let mut rollouts: BTreeMap<ModelId, Rollout> = BTreeMap::new();
     let mut loading: BTreeSet<TargetId> = BTreeSet::new();
+    let mut allotment = Allotment::default();
     loop {
         time::sleep(INTERVAL).await;
         while loads.try_join_next().is_some() {}
@@ -70,15 +72,18 @@
             }
         }
         let named = host.replica.read(|state| state.versions.clone());
-        for (model, version) in named {
-            let targets = engines(&host, &model);
-            let limits = limits(targets.len());
+        allotment.update(&zones(&host), &demand(&host, &named));
+        for (model, version) in by_lag(&host, &allotment, named) {
+            let targets = engines(&host, &model, &allotment);
+            let all =
+                host.soft().registry.targets().filter(|target| !target.models.is_empty()).count();
+            let limits = limits(all);
             let rollout =
                 rollouts.entry(model.clone()).or_insert_with(|| Rollout::new(limits.clone()));
             let free = (limits.store_loads as usize).saturating_sub(loading.len());
-            let idle = targets.iter().filter(|target| {
-                !loading.contains(&target.id) || rollout.is_loading(&target.id)
-            });
+            let idle = targets
+                .iter()
+                .filter(|target| !loading.contains(&target.id) || rollout.is_loading(&target.id));
             let engines: Vec<Engine> = idle.map(|target| engine(target, &model)).collect();
             let floor = Version::new(version.get().saturating_sub(1));
             for load in rollout.next_up_to(now, version, floor, &engines, free) {
@@ -99,10 +104,57 @@
     }
 }
 
-/// Returns the engines that hold a model.
-fn engines(host: &Host, model: &ModelId) -> Vec<Target> {
+/// Returns the engines and their zones.
+fn zones(host: &Host) -> BTreeMap<TargetId, ZoneId> {
     let soft = host.soft();
-    let holds = |target: &&Target| target.models.contains_key(model) && target.is_ready();
+    let engines =
+        soft.registry.targets().filter(|target| target.is_ready() && !target.models.is_empty());
+    engines.map(|target| (target.id.clone(), target.zone.clone())).collect()
+}
+
+/// Returns the tokens that the newest job of each model is expected to take.
+fn demand(host: &Host, named: &BTreeMap<ModelId, Version>) -> BTreeMap<ModelId, f64> {
+    let mut newest: BTreeMap<ModelId, (u64, f64)> = BTreeMap::new();
+    host.replica.read(|state| {
+        for record in state.jobs.values() {
+            let job = &record.job;
+            let Some(model) = &job.model else { continue };
+            let tokens = job.items.iter().map(|item| item.expected_tokens).sum::<u64>();
+            let entry = newest.entry(model.clone()).or_default();
+            if job.submitted_ms >= entry.0 {
+                *entry = (job.submitted_ms, tokens as f64);
+            }
+        }
+    });
+    let models = named.keys().chain(newest.keys());
+    let demand = |model: &ModelId| newest.get(model).map_or(1.0, |(_, tokens)| *tokens);
+    models.map(|model| (model.clone(), demand(model))).collect()
+}
+
+/// Returns the models, those first whose engines are furthest behind.
+fn by_lag(
+    host: &Host,
+    allotment: &Allotment,
+    named: BTreeMap<ModelId, Version>,
+) -> Vec<(ModelId, Version)> {
+    let lag = |(model, version): &(ModelId, Version)| {
+        let targets = engines(host, model, allotment);
+        let held = targets.iter().filter_map(|target| target.models.get(model));
+        held.map(|held| version.get().saturating_sub(held.get())).max()
+    };
+    let mut models: Vec<_> = named.into_iter().collect();
+    models.sort_by_cached_key(|named| Reverse(lag(named)));
+    models
+}
+
+/// Returns the engines that are kept at the newest version of a model.
+fn engines(host: &Host, model: &ModelId, allotment: &Allotment) -> Vec<Target> {
+    let soft = host.soft();
+    let holds = |target: &&Target| {
+        target.models.contains_key(model)
+            && target.is_ready()
+            && allotment.contains(&target.id, model)
+    };
     soft.registry.targets().filter(holds).cloned().collect()
 }
 
@@ -142,7 +194,7 @@
     if host.replica.fencing() != Some(term) {
         return Outcome::Failed;
     }
-    host.soft().loads(&target.id, host.clock.now() + LOAD_TIMEOUT);
+    host.soft().loads(&target.id, model, host.clock.now() + LOAD_TIMEOUT);
     let order = WeightOrder {
         model,
         version,
@@ -250,9 +302,10 @@
     let mut request = Request::new(body);
     *request.method_mut() = method;
     *request.uri_mut() = http::Uri::from_static(path);
-    for (name, value) in
-        [(http::header::HOST, target.address.as_str()), (header::EXPECTED_TARGET, target.id.as_str())]
-    {
+    for (name, value) in [
+        (http::header::HOST, target.address.as_str()),
+        (header::EXPECTED_TARGET, target.id.as_str()),
+    ] {
         if let Ok(value) = HeaderValue::from_str(value) {
             request.headers_mut().insert(name, value);
         }
