Load an engine only once its weights are of no more use, and begin duties at once

Ruled out: the engines' speed (31 ms an event at all loads), first events (57 ms at the 99th percentile), scoring.

--- a/crates/catkinlatch-rollout/src/weights/allotment.rs
+++ b/crates/catkinlatch-rollout/src/weights/allotment.rs
@@ -1,111 +1,127 @@
-//! Which engines are kept at the newest version of which model.
+//! Which engines are kept fresh for which models.
 //!
 //! Where several trainers share engines, bringing every version to every engine takes longer than
-//! a step. So each model has engines of its own, by the work that its jobs bring, spread over the
-//! zones, and an engine keeps its model for as long as the shares allow.
+//! a step. So each model has a share of the engines, by the work that its jobs bring, spread over
+//! the zones; an engine may be kept for several models, and keeps them for as long as the shares
+//! allow.
 
 use catkinlatch_base::{ModelId, TargetId, ZoneId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
-/// Which engines are kept at the newest version of which model.
+/// Which engines are kept fresh for which models.
 #[derive(Clone, Debug, Default)]
 pub struct Allotment {
-    model_of: BTreeMap<TargetId, ModelId>,
+    engines_of: BTreeMap<ModelId, BTreeSet<TargetId>>,
 }
 
 impl Allotment {
-    /// Allots the engines to the models by their demand, with few changes.
+    /// Allots engines to the models by their demand, with few changes.
+    ///
+    /// `most` bounds the sum over all models, since each place costs loads.
     pub fn update(
         &mut self,
         engines: &BTreeMap<TargetId, ZoneId>,
         demand: &BTreeMap<ModelId, f64>,
+        most: usize,
     ) {
-        self.model_of.retain(|engine, _| engines.contains_key(engine));
-        let counts = shares(engines.len(), demand);
+        let counts = shares(engines.len(), most.max(engines.len()), demand);
+        self.engines_of.retain(|model, _| counts.contains_key(model));
+        for held in self.engines_of.values_mut() {
+            held.retain(|engine| engines.contains_key(engine));
+        }
         for (model, count) in &counts {
-            self.shrink(model, *count, engines);
+            while self.count(model) > *count {
+                let Some(engine) = self.worst(model, engines) else { break };
+                self.engines_of.entry(model.clone()).or_default().remove(&engine);
+            }
         }
-        self.model_of.retain(|_, model| counts.contains_key(model));
-        loop {
-            let lacks = |(model, count): &(&ModelId, &usize)| self.count(model) < **count;
-            let Some((model, _)) = counts.iter().find(lacks) else { return };
-            let Some(engine) = self.best_free(model, engines) else { return };
-            self.model_of.insert(engine, model.clone());
+        for (model, count) in &counts {
+            while self.count(model) < *count {
+                let Some(engine) = self.best(model, engines) else { break };
+                self.engines_of.entry(model.clone()).or_default().insert(engine);
+            }
         }
     }
 
-    /// Returns whether an engine is kept at the newest version of a model.
+    /// Returns whether an engine is kept fresh for a model.
     pub fn contains(&self, engine: &TargetId, model: &ModelId) -> bool {
-        self.model_of.get(engine) == Some(model)
+        self.engines_of.get(model).is_some_and(|held| held.contains(engine))
     }
 
     fn count(&self, model: &ModelId) -> usize {
-        self.model_of.values().filter(|other| *other == model).count()
+        self.engines_of.get(model).map_or(0, BTreeSet::len)
     }
 
-    /// Takes engines from a model that has more than its share, where its zones have most.
-    fn shrink(&mut self, model: &ModelId, count: usize, engines: &BTreeMap<TargetId, ZoneId>) {
-        while self.count(model) > count {
-            let zones = self.zones(model, engines);
-            let own = self.model_of.iter().filter(|(_, other)| *other == model);
-            let crowd = |engine: &TargetId| engines.get(engine).and_then(|zone| zones.get(zone));
-            let Some(engine) = own.map(|(engine, _)| engine).max_by_key(|id| crowd(id)).cloned()
-            else {
-                return;
-            };
-            self.model_of.remove(&engine);
-        }
+    /// Returns how many models an engine is kept for.
+    fn models(&self, engine: &TargetId) -> usize {
+        self.engines_of.values().filter(|held| held.contains(engine)).count()
     }
 
-    /// Returns a free engine in the zone where the model has the fewest.
-    fn best_free(&self, model: &ModelId, engines: &BTreeMap<TargetId, ZoneId>) -> Option<TargetId> {
-        let zones = self.zones(model, engines);
-        let free = engines.iter().filter(|(engine, _)| !self.model_of.contains_key(*engine));
-        let best = free.min_by_key(|(_, zone)| zones.get(*zone).copied().unwrap_or_default());
-        best.map(|(engine, _)| engine.clone())
+    /// Returns how many engines of a zone are kept for a model.
+    fn crowd(&self, model: &ModelId, zone: &ZoneId, engines: &BTreeMap<TargetId, ZoneId>) -> usize {
+        let held = self.engines_of.get(model).into_iter().flatten();
+        held.filter(|engine| engines.get(*engine) == Some(zone)).count()
     }
 
-    /// Counts a model's engines in each zone.
-    fn zones<'a>(
-        &self,
-        model: &ModelId,
-        engines: &'a BTreeMap<TargetId, ZoneId>,
-    ) -> BTreeMap<&'a ZoneId, usize> {
-        let mut zones = BTreeMap::new();
-        let own: BTreeSet<&TargetId> =
-            self.model_of.iter().filter(|(_, other)| *other == model).map(|(id, _)| id).collect();
-        for (engine, zone) in engines {
-            *zones.entry(zone).or_default() += usize::from(own.contains(engine));
-        }
-        zones
+    /// Returns the engine that a model should give up: one kept for most models, in the zone where
+    /// it has most.
+    fn worst(&self, model: &ModelId, engines: &BTreeMap<TargetId, ZoneId>) -> Option<TargetId> {
+        let held = self.engines_of.get(model)?.iter();
+        let rank = |engine: &&TargetId| {
+            let zone = engines.get(*engine);
+            (self.models(engine), zone.map(|zone| self.crowd(model, zone, engines)))
+        };
+        held.max_by_key(rank).cloned()
+    }
+
+    /// Returns the engine that a model should take: one kept for fewest models, in the zone where
+    /// it has fewest.
+    fn best(&self, model: &ModelId, engines: &BTreeMap<TargetId, ZoneId>) -> Option<TargetId> {
+        let free = engines.iter().filter(|(engine, _)| !self.contains(engine, model));
+        let rank = |(engine, zone): &(&TargetId, &ZoneId)| {
+            (self.models(engine), self.crowd(model, zone, engines))
+        };
+        free.min_by_key(rank).map(|(engine, _)| engine.clone())
     }
 }
 
-/// Divides engines by demand: one each at least, and the rest by the largest remainders.
-fn shares(engines: usize, demand: &BTreeMap<ModelId, f64>) -> BTreeMap<ModelId, usize> {
+/// Divides places by demand: one for each model at least, no more than there are engines, and the
+/// rest by the largest remainders.
+fn shares(
+    engines: usize,
+    most: usize,
+    demand: &BTreeMap<ModelId, f64>,
+) -> BTreeMap<ModelId, usize> {
     let total: f64 = demand.values().sum();
-    let spare = engines.saturating_sub(demand.len());
-    let exact = |demand: f64| if total > 0.0 { demand / total * engines as f64 - 1.0 } else { 0.0 };
-    let extra = |demand: f64| exact(demand).max(0.0);
-    let wanted: f64 = demand.values().map(|demand| extra(*demand)).sum();
-    let scale = if wanted > 0.0 { spare as f64 / wanted } else { 0.0 };
-    let mut counts: BTreeMap<ModelId, usize> = BTreeMap::new();
-    let mut remainders: Vec<(f64, &ModelId)> = Vec::new();
-    let mut left = engines;
-    for (model, demand) in demand {
-        let part = extra(*demand) * scale;
-        let count = (1 + part.floor() as usize).min(left);
-        left -= count;
-        counts.insert(model.clone(), count);
-        remainders.push((part - part.floor(), model));
-    }
-    remainders.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
-    let mut next = remainders.iter().cycle();
-    while left > 0
-        && let Some((_, model)) = next.next()
+    let part = |demand: f64| {
+        let share = if total > 0.0 { demand / total } else { 1.0 };
+        share * most as f64
+    };
+    let count = |demand: f64| (part(demand).floor() as usize).clamp(1, engines.max(1));
+    let mut counts: BTreeMap<ModelId, usize> =
+        demand.iter().map(|(model, demand)| (model.clone(), count(*demand))).collect();
+    let mut order: Vec<(&ModelId, f64)> =
+        demand.iter().map(|(model, demand)| (model, part(*demand).fract())).collect();
+    order.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+    let sum = |counts: &BTreeMap<ModelId, usize>| counts.values().sum::<usize>();
+    while sum(&counts) > most
+        && let Some((_, count)) =
+            counts.iter_mut().max_by_key(|(model, count)| (**count, Reverse(*model)))
+        && *count > 1
     {
-        *counts.entry((*model).clone()).or_default() += 1;
-        left -= 1;
+        *count -= 1;
+    }
+    let room = engines * demand.len();
+    for (model, _) in order.iter().cycle() {
+        if sum(&counts) >= most.min(room) {
+            break;
+        }
+        if let Some(count) = counts.get_mut(*model).filter(|count| **count < engines) {
+            *count += 1;
+        }
     }
     counts
 }
--- a/crates/catkinlatch-rollout/tests/allotment.rs
+++ b/crates/catkinlatch-rollout/tests/allotment.rs
@@ -33,7 +33,7 @@
 fn shares_follow_demand(parts: &[(&str, f64)], counts: &[usize]) {
     let engines = engines(9);
     let mut allotment = Allotment::default();
-    allotment.update(&engines, &demand(parts));
+    allotment.update(&engines, &demand(parts), 9);
     let held = parts.iter().map(|(name, _)| held(&allotment, &engines, name).len());
     assert_eq!(held.collect::<Vec<_>>(), counts);
 }
@@ -42,7 +42,7 @@
 fn a_model_is_held_in_several_zones() {
     let engines = engines(9);
     let mut allotment = Allotment::default();
-    allotment.update(&engines, &demand(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]));
+    allotment.update(&engines, &demand(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]), 9);
     for name in ["a", "b", "c"] {
         let zones: BTreeSet<_> =
             held(&allotment, &engines, name).iter().map(|id| engines[id].clone()).collect();
@@ -55,14 +55,36 @@
     let mut engines = engines(9);
     let demand = demand(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]);
     let mut allotment = Allotment::default();
-    allotment.update(&engines, &demand);
+    allotment.update(&engines, &demand, 9);
     let before: Vec<_> = ["a", "b", "c"].iter().map(|n| held(&allotment, &engines, n)).collect();
     let gone = before[0][0].clone();
     engines.remove(&gone);
-    allotment.update(&engines, &demand);
+    allotment.update(&engines, &demand, 9);
     let after: Vec<_> = ["a", "b", "c"].iter().map(|n| held(&allotment, &engines, n)).collect();
     let kept = before.iter().zip(&after);
     let moved: usize = kept.map(|(b, a)| a.iter().filter(|id| !b.contains(id)).count()).sum();
     assert!(moved <= 1, "{moved} engines changed their model");
     assert!(after.iter().all(|held| held.len() >= 2));
 }
+
+#[test]
+fn engines_serve_several_models_where_loads_allow() {
+    let engines = engines(9);
+    let mut allotment = Allotment::default();
+    allotment.update(&engines, &demand(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]), 18);
+    for name in ["a", "b", "c"] {
+        assert_eq!(held(&allotment, &engines, name).len(), 6, "model {name}");
+    }
+    let models = |engine: &TargetId| {
+        ["a", "b", "c"].iter().filter(|name| allotment.contains(engine, &model(name))).count()
+    };
+    assert!(engines.keys().all(|engine| models(engine) == 2));
+}
+
+#[test]
+fn one_model_takes_no_more_places_than_engines() {
+    let engines = engines(9);
+    let mut allotment = Allotment::default();
+    allotment.update(&engines, &demand(&[("a", 1.0)]), 30);
+    assert_eq!(held(&allotment, &engines, "a").len(), 9);
+}
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -151,6 +151,11 @@
         self.lock().fencing(self.clock.now())
     }
 
+    /// Returns the newest term that this host has seen.
+    pub fn term(&self) -> Term {
+        self.lock().term()
+    }
+
     /// Runs a question on the state as applied here.
     pub fn read<T>(&self, question: impl FnOnce(&State) -> T) -> T {
         question(self.lock().machine())
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -1,7 +1,7 @@
 //! What all tasks of the process share.
 
 use crate::{handler, soft::Soft};
-use catkinlatch_base::HostId;
+use catkinlatch_base::{self as base, HostId, Term};
 use catkinlatch_runtime::{
     Answer, Clock, Guide, Message, Peers, Replica, Reply, Settings, http::Client,
 };
@@ -17,6 +17,18 @@
 /// How long to rest between two tries while this host seems to lead but is not sure.
 const PAUSE: Duration = Duration::from_millis(40);
 
+/// How much longer than the lease of duties a machine rests before it acts again.
+const TURN_MARGIN: Duration = Duration::from_millis(300);
+
+/// When this machine last acted as the one in charge.
+#[derive(Clone, Copy, Debug)]
+struct Acted {
+    /// The term in which it did; none where a process before this one may have.
+    term: Option<Term>,
+    /// The time on this process's clock.
+    at: base::Instant,
+}
+
 /// What all tasks of the process share.
 pub struct Host {
     /// The settings.
@@ -31,6 +43,8 @@
     pub guide: Guide,
     /// Connections to targets and the platform.
     pub client: Client,
+    /// When this machine may have acted last, if it may have acted at all.
+    acted: Mutex<Option<Acted>>,
     soft: Mutex<Soft>,
     revision: watch::Sender<u64>,
 }
@@ -45,9 +59,29 @@
         guide: Guide,
         client: Client,
     ) -> Self {
+        // A process before this one may have acted until just now.
+        let before = Acted { term: None, at: clock.now() };
+        let acted = Mutex::new((!settings.is_first_start).then_some(before));
         let soft = Mutex::new(Soft::default());
         let revision = watch::channel(0).0;
-        Self { settings, clock, peers, replica, guide, client, soft, revision }
+        Self { settings, clock, peers, replica, guide, client, acted, soft, revision }
+    }
+
+    /// Notes that this machine acts as the one in charge.
+    pub fn acts(&self) {
+        let acted = Acted { term: Some(self.replica.term()), at: self.clock.now() };
+        *self.acted.lock().unwrap_or_else(PoisonError::into_inner) = Some(acted);
+    }
+
+    /// Waits until this machine may act again after another one may have: two machines must not
+    /// alternate within the lease of duties.
+    pub async fn await_turn(&self) {
+        let acted = *self.acted.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(acted) = acted else { return };
+        if acted.term != Some(self.replica.term()) {
+            let turn = acted.at + self.settings.times.lease() + TURN_MARGIN;
+            time::sleep_until(self.clock.timer(turn)).await;
+        }
     }
 
     /// Locks what is known without being replicated; never held while waiting.
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -1,7 +1,7 @@
 //! One run of an item on an engine.
 
 use crate::host::Host;
-use catkinlatch_base::Version;
+use catkinlatch_base::{Instant, Version};
 use catkinlatch_ledger::{Job, Target, schedule::Progress};
 use catkinlatch_platform::{Events, header};
 use catkinlatch_runtime::http::{Exchange, Failure, full};
@@ -45,6 +45,24 @@
     pub version: Option<Version>,
     /// Why, for the log.
     pub reason: String,
+    /// How long the first event took.
+    pub first: Duration,
+    /// The longest pause between two events.
+    pub pause: Duration,
+}
+
+impl Ended {
+    /// Creates a run that has broken off before it generated anything.
+    fn new(progress: Progress) -> Self {
+        Self {
+            end: End::Broken,
+            progress,
+            version: None,
+            reason: String::new(),
+            first: Duration::ZERO,
+            pause: Duration::ZERO,
+        }
+    }
 }
 
 /// Runs an item from where its progress ends.
@@ -55,7 +73,8 @@
     progress: Progress,
     engine: &Target,
 ) -> Ended {
-    let mut ended = Ended { end: End::Broken, progress, version: None, reason: String::new() };
+    let mut ended = Ended::new(progress);
+    let began = host.clock.now();
     let request = request(job, item, &ended.progress, engine);
     let sent = time::timeout(FIRST_TIMEOUT, host.client.send(&engine.address, request)).await;
     let exchange = match sent {
@@ -77,7 +96,7 @@
             ended.end = end;
             ended.reason = format!("status {}", exchange.response.status().as_u16());
         }
-        None => read(job, exchange, &mut ended).await,
+        None => read(host, job, exchange, began, &mut ended).await,
     }
     ended
 }
@@ -135,10 +154,11 @@
 }
 
 /// Reads events until the text is whole or breaks off.
-async fn read(job: &Job, mut exchange: Exchange, ended: &mut Ended) {
+async fn read(host: &Host, job: &Job, mut exchange: Exchange, began: Instant, ended: &mut Ended) {
     ended.version = header::version(exchange.response.headers());
     let mut events = Events::default();
     let mut limit = FIRST_TIMEOUT;
+    let mut last = None;
     loop {
         if ended.version < job.min_version {
             ended.end = End::Outdated(ended.version);
@@ -172,6 +192,13 @@
                 return;
             }
         };
+        let now = host.clock.now();
+        if !whole.is_empty() {
+            match last.replace(now) {
+                Some(last) => ended.pause = ended.pause.max(now - last),
+                None => ended.first = now - began,
+            }
+        }
         for event in whole {
             limit = PAUSE_TIMEOUT;
             if event.id != ended.progress.last_event + 1 {
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -235,6 +235,7 @@
         info!(
             job:% = job, request:% = task.item().id, target_id:% = engine.id, end:? = ended.end,
             events = ended.progress.last_event, ms = took.as_millis() as u64,
+            first_ms = ended.first.as_millis() as u64, pause_ms = ended.pause.as_millis() as u64,
             reason = ended.reason.as_str();
             "jobs: run ended"
         );
--- a/crates/catkinlatch-store/src/usage.rs
+++ b/crates/catkinlatch-store/src/usage.rs
@@ -32,15 +32,11 @@
 /// Closes and reports windows for as long as this host leads in this term.
 pub async fn run(host: Arc<Host>, term: Term) {
     let length = host.settings.times.report_window_ms();
-    let began = host.clock.now();
     let first = WindowId::new(host.clock.wall_ms() / length);
     loop {
         time::sleep(INTERVAL).await;
         close(&host, first, length).await;
-        // A predecessor may have acted until its lease ended.
-        if host.clock.now() < began + host.settings.times.lease() {
-            continue;
-        }
+        host.await_turn().await;
         for (window, counts) in unreported(&host) {
             match report(&host, term, window, &counts).await {
                 Sent::Taken => {
@@ -94,6 +90,7 @@
         request.headers_mut().insert(http::header::HOST, authority);
     }
     let address = platform.to_string();
+    host.acts();
     let sent = time::timeout(ANSWER_TIMEOUT, host.client.send(&address, request)).await;
     let status = match sent {
         Ok(Ok(exchange)) => exchange.response.status(),
--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -11,7 +11,6 @@
 use http::{HeaderValue, Method, Request};
 use log::{info, warn};
 use std::{
-    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
@@ -36,6 +35,12 @@
 /// The engines that load at one time, as a share of all: more slow each other down.
 const LOADING_SHARE: f64 = 0.2;
 
+/// How many versions behind the newest one a trainer still takes samples.
+const STALENESS: u64 = 1;
+
+/// How often a trainer names a version, about; loads are planned for it.
+const STEP: Duration = Duration::from_secs(4);
+
 /// The share of the engines that keeps serving.
 const LEAST_SERVING: f64 = 0.5;
 
@@ -54,8 +59,7 @@
 
 /// Gives orders for as long as this host leads in this term.
 pub async fn run(host: Arc<Host>, term: Term) {
-    // A predecessor may have given orders until its lease ended.
-    time::sleep(host.settings.times.lease()).await;
+    host.await_turn().await;
     let (tell, mut told) = mpsc::unbounded_channel();
     let mut loads = JoinSet::new();
     let mut rollouts: BTreeMap<ModelId, Rollout> = BTreeMap::new();
@@ -72,7 +76,8 @@
             }
         }
         let named = host.replica.read(|state| state.versions.clone());
-        allotment.update(&zones(&host), &demand(&host, &named));
+        let zones = zones(&host);
+        allotment.update(&zones, &demand(&host, &named), places(zones.len()));
         for (model, version) in by_lag(&host, &allotment, named) {
             let targets = engines(&host, &model, &allotment);
             let all =
@@ -85,7 +90,7 @@
                 .iter()
                 .filter(|target| !loading.contains(&target.id) || rollout.is_loading(&target.id));
             let engines: Vec<Engine> = idle.map(|target| engine(target, &model)).collect();
-            let floor = Version::new(version.get().saturating_sub(1));
+            let floor = floor(version);
             for load in rollout.next_up_to(now, version, floor, &engines, free) {
                 let Some(target) = targets.iter().find(|target| target.id == load.engine) else {
                     continue;
@@ -131,19 +136,20 @@
     models.map(|model| (model.clone(), demand(model))).collect()
 }
 
-/// Returns the models, those first whose engines are furthest behind.
+/// Returns the models, those first that have the smallest share of engines of use.
 fn by_lag(
     host: &Host,
     allotment: &Allotment,
     named: BTreeMap<ModelId, Version>,
 ) -> Vec<(ModelId, Version)> {
-    let lag = |(model, version): &(ModelId, Version)| {
+    let useful = |(model, version): &(ModelId, Version)| {
         let targets = engines(host, model, allotment);
         let held = targets.iter().filter_map(|target| target.models.get(model));
-        held.map(|held| version.get().saturating_sub(held.get())).max()
+        let useful = held.filter(|held| **held >= floor(*version)).count();
+        useful * 100 / targets.len().max(1)
     };
     let mut models: Vec<_> = named.into_iter().collect();
-    models.sort_by_cached_key(|named| Reverse(lag(named)));
+    models.sort_by_cached_key(useful);
     models
 }
 
@@ -163,8 +169,25 @@
     Engine { id: target.id.clone(), zone: target.zone.clone(), reported }
 }
 
+/// Returns the oldest version that the next job of a model takes.
+fn floor(named: Version) -> Version {
+    Version::new(named.get().saturating_sub(STALENESS))
+}
+
+/// Returns how many engines may load at one time.
+fn loads_at_once(engines: usize) -> usize {
+    ((engines as f64 * LOADING_SHARE).round() as usize).max(1)
+}
+
+/// Returns how many places the models may have on the engines together: as many as can be loaded
+/// within the steps for which a load is of use.
+fn places(engines: usize) -> usize {
+    let loads = STEP.as_secs_f64() / LOAD_TIME.as_secs_f64() * loads_at_once(engines) as f64;
+    (loads * (STALENESS + 1) as f64) as usize
+}
+
 fn limits(engines: usize) -> Limits {
-    let store_loads = ((engines as f64 * LOADING_SHARE).round() as u32).max(1);
+    let store_loads = loads_at_once(engines) as u32;
     let least_serving = Ratio::new(LEAST_SERVING);
     Limits { store_loads, peer_loads: 0, least_serving, load_timeout: LOAD_TIMEOUT * 2 }
 }
@@ -203,6 +226,7 @@
         fence: term,
         accepted,
     };
+    host.acts();
     let answer = post(host, target, order.encode()).await;
     info!(
         target_id:% = target.id, model:% = model, version = version.get(), term = term.get(),
