Move runs away from slow engines, and notice silent ones sooner

Cause: items stayed at an engine that had become four times slower until they ended, and a dark engine was noticed after 4 s. Ruled out: the threshold of a first event: 57 ms at the 99th percentile of whole runs, pauses 240 ms at a slow engine.

--- a/crates/catkinlatch-entry/src/batch.rs
+++ b/crates/catkinlatch-entry/src/batch.rs
@@ -37,6 +37,7 @@
         team: asked.team.clone(),
         route: &asked.route,
         service,
+        priority: asked.priority,
         now_ms: host.clock.wall_ms(),
     };
     let job = match decode_job(&asked.body, context) {
--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -28,6 +28,8 @@
     pub route: Route,
     /// The team that holds the caller's key.
     pub team: Option<TeamId>,
+    /// The rank; 0 is the highest.
+    pub priority: u8,
 }
 
 /// Returns what answers the callers.
@@ -75,10 +77,12 @@
             if head.method != Method::POST {
                 return answer::status(StatusCode::METHOD_NOT_ALLOWED);
             }
-            batch::submit(&host, &Asked { head, body, route, team }).await
+            let priority = configuration.priority(&route, team.as_ref());
+            batch::submit(&host, &Asked { head, body, route, team, priority }).await
         }
         (EntryCall::Request, Some(route)) => {
-            proxy::serve(&host, Asked { head, body, route, team }, arrived).await
+            let priority = configuration.priority(&route, team.as_ref());
+            proxy::serve(&host, Asked { head, body, route, team, priority }, arrived).await
         }
         (EntryCall::Request, None) => answer::status(StatusCode::NOT_FOUND),
     }
--- a/crates/catkinlatch-ledger/src/choice.rs
+++ b/crates/catkinlatch-ledger/src/choice.rs
@@ -82,12 +82,15 @@
         self.standings.get(id).is_some_and(|standing| now < standing.rests_until)
     }
 
-    /// Returns the time that a target takes, as a multiple of the fastest target's.
-    pub fn slowness(&self, id: &TargetId) -> f64 {
-        let means = || self.standings.values().filter_map(|standing| standing.mean_ms);
-        let fastest = means().fold(f64::INFINITY, f64::min);
-        let own = self.standings.get(id).and_then(|standing| standing.mean_ms);
-        own.map_or(1.0, |own| if fastest > 0.0 { own / fastest } else { 1.0 })
+    /// Returns the time that a target takes, as a multiple of what the middle one of these takes.
+    pub fn slowness(&self, id: &TargetId, fellows: &[TargetId]) -> f64 {
+        let mean = |id: &TargetId| self.standings.get(id).and_then(|standing| standing.mean_ms);
+        let mut means: Vec<f64> = fellows.iter().filter_map(mean).collect();
+        means.sort_by(f64::total_cmp);
+        match (mean(id), means.get(means.len() / 2)) {
+            (Some(own), Some(middle)) if *middle > 0.0 => own / middle,
+            _ => 1.0,
+        }
     }
 
     /// Notes that a request goes to a target.
@@ -101,9 +104,7 @@
         standing.running = standing.running.saturating_sub(1);
         match verdict {
             Verdict::Answered(time) => {
-                let time_ms = time.as_secs_f64() * 1_000.0;
-                let mean = standing.mean_ms.unwrap_or(time_ms);
-                standing.mean_ms = Some(mean + (time_ms - mean) * TIME_WEIGHT);
+                standing.learn(time);
                 standing.failures = 0;
                 standing.rests_until = Instant::ZERO;
             }
@@ -117,6 +118,11 @@
         }
     }
 
+    /// Takes the time that a part of a running request took.
+    pub fn pace(&mut self, id: &TargetId, time: Duration) {
+        self.standings.entry(id.clone()).or_default().learn(time);
+    }
+
     /// Takes what a target reports: what it runs and what waits there, the sender's own included.
     pub fn report(&mut self, id: &TargetId, running: u32, waiting: u32, now: Instant) {
         let standing = self.standings.entry(id.clone()).or_default();
@@ -131,6 +137,12 @@
 }
 
 impl Standing {
+    fn learn(&mut self, time: Duration) {
+        let time_ms = time.as_secs_f64() * 1_000.0;
+        let mean = self.mean_ms.unwrap_or(time_ms);
+        self.mean_ms = Some(mean + (time_ms - mean) * TIME_WEIGHT);
+    }
+
     fn reported_by_others(&self, now: Instant) -> u32 {
         let is_fresh = self.reported_at.is_some_and(|at| now < at + REPORT_FRESH);
         if is_fresh { self.reported } else { 0 }
--- a/crates/catkinlatch-ledger/src/config.rs
+++ b/crates/catkinlatch-ledger/src/config.rs
@@ -48,6 +48,12 @@
         self.teams.iter().find(holds).map(|team| &team.name)
     }
 
+    /// Returns the rank of a team's requests on a route: the team's own goes before the route's.
+    pub fn priority(&self, route: &Route, team: Option<&TeamId>) -> u8 {
+        let named = self.teams.iter().find(|other| Some(&other.name) == team);
+        named.and_then(|team| team.priority).unwrap_or(route.priority)
+    }
+
     /// Returns a service.
     pub fn service(&self, name: &ServiceId) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name)
--- a/crates/catkinlatch-ledger/src/job.rs
+++ b/crates/catkinlatch-ledger/src/job.rs
@@ -25,6 +25,8 @@
         pub host: String,
         /// The service that runs its items.
         pub service: ServiceId,
+        /// Its rank; 0 is the highest.
+        pub priority: u8,
         /// The step of the trainer that waits for it.
         pub step: Option<u64>,
         /// The model that must run it.
--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -20,6 +20,15 @@
 /// How many groups of ended jobs are remembered, to know those that are carried over.
 const GROUPS_KEPT: usize = 4096;
 
+/// Jobs that are due within this time of each other go by their priority.
+const DUE_BUCKET_MS: u64 = 2_000;
+
+/// From which multiple of its fellows' time an engine loses its items to them.
+const SLOW_FACTOR: f64 = 2.0;
+
+/// Below which multiple of its fellows' time an engine takes items from a slow one.
+const FAST_FACTOR: f64 = 1.4;
+
 /// An item and the engine that should run it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Assignment {
@@ -92,6 +101,42 @@
         None
     }
 
+    /// Returns the items that should go on at a faster engine which has a free slot: those whose
+    /// engine takes far longer than its fellows, longest expected first.
+    ///
+    /// Reading a prompt again takes an engine a few milliseconds, so that a move costs little.
+    pub fn stragglers(&self, engines: &[Engine]) -> Vec<(JobId, usize)> {
+        let load = self.load();
+        let running = |engine: &Engine| load.get(&engine.id).copied().unwrap_or_default();
+        let slow: Vec<&Engine> =
+            engines.iter().filter(|engine| engine.slowness >= SLOW_FACTOR).collect();
+        let mut free: usize = engines
+            .iter()
+            .filter(|engine| engine.slowness < FAST_FACTOR)
+            .map(|engine| engine.slots.saturating_sub(running(engine)) as usize)
+            .sum();
+        let is_slow = |task: &&Task| {
+            let engine = task.engine.as_ref();
+            !task.is_generated && slow.iter().any(|slow| Some(&slow.id) == engine)
+        };
+        let mut tasks: Vec<&Task> = self.tasks.values().filter(is_slow).collect();
+        tasks.sort_by_key(|task| Reverse(task.expected_tokens()));
+        let mut stragglers = Vec::new();
+        for task in tasks {
+            let can_move = engines.iter().any(|engine| {
+                engine.slowness < FAST_FACTOR
+                    && running(engine) < engine.slots
+                    && engine.service == task.job.service
+                    && task.accepts(engine.version(task.job.model.as_ref()))
+            });
+            if can_move && free > 0 {
+                free -= 1;
+                stragglers.push((task.job.id.clone(), task.item));
+            }
+        }
+        stragglers
+    }
+
     /// Returns a task that waits or runs.
     pub fn task(&self, job: &JobId, item: usize) -> Option<&Task> {
         self.tasks.get(&(job.clone(), item))
@@ -168,10 +213,12 @@
 }
 
 /// Returns the order in which items are run.
-fn rank(task: &Task, wall_ms: u64) -> (bool, u64, bool, Reverse<u64>, usize) {
-    let is_late = wall_ms >= task.job.due_ms;
+fn rank(task: &Task, wall_ms: u64) -> (bool, u64, u8, u64, bool, Reverse<u64>, usize) {
+    let job = &task.job;
+    let is_late = wall_ms >= job.due_ms;
     let tokens = task.expected_tokens();
-    (is_late, task.job.due_ms, !task.is_carried, Reverse(tokens), task.item)
+    let urgency = job.due_ms / DUE_BUCKET_MS;
+    (is_late, urgency, job.priority, job.due_ms, !task.is_carried, Reverse(tokens), task.item)
 }
 
 /// Returns whether a version may make tokens for a job.
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -1,19 +1,23 @@
 //! One run of an item on an engine.
 
-use crate::host::Host;
+use crate::{host::Host, runner::Shared};
 use catkinlatch_base::{Instant, Version};
 use catkinlatch_ledger::{Job, Target, schedule::Progress};
-use catkinlatch_platform::{Events, header};
+use catkinlatch_platform::{Event, Events, header};
 use catkinlatch_runtime::http::{Exchange, Failure, full};
 use http::{HeaderName, HeaderValue, Request, StatusCode};
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 use tokio::time;
 
-/// How long an engine may take until the first event: other requests may be read in before.
-const FIRST_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// How long an engine may take until the first event: live ones take under 0.1 s, and those that
+/// read other requests in before some tenths more.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(1_300);
 
-/// How long an engine may pause between two events; a working one pauses a tenth of that.
-const PAUSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long an engine may pause between two events; a slow one pauses a third of that.
+const PAUSE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +38,9 @@
     OtherTarget,
 }
 
+/// What a run has generated, as those who may cut it see it.
+pub type Shown = Arc<Mutex<Progress>>;
+
 /// A run and how it ended.
 #[derive(Clone, Debug)]
 pub struct Ended {
@@ -68,11 +75,13 @@
 /// Runs an item from where its progress ends.
 pub async fn run(
     host: &Host,
+    shared: &Shared,
     job: &Job,
     item: usize,
-    progress: Progress,
     engine: &Target,
+    shown: &Shown,
 ) -> Ended {
+    let progress = shown.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let mut ended = Ended::new(progress);
     let began = host.clock.now();
     let request = request(job, item, &ended.progress, engine);
@@ -96,7 +105,10 @@
             ended.end = end;
             ended.reason = format!("status {}", exchange.response.status().as_u16());
         }
-        None => read(host, job, exchange, began, &mut ended).await,
+        None => {
+            let run = Run { host, shared, job, engine, shown, began };
+            run.read(exchange, &mut ended).await;
+        }
     }
     ended
 }
@@ -153,64 +165,94 @@
     }
 }
 
-/// Reads events until the text is whole or breaks off.
-async fn read(host: &Host, job: &Job, mut exchange: Exchange, began: Instant, ended: &mut Ended) {
-    ended.version = header::version(exchange.response.headers());
-    let mut events = Events::default();
-    let mut limit = FIRST_TIMEOUT;
-    let mut last = None;
-    loop {
-        if ended.version < job.min_version {
-            ended.end = End::Outdated(ended.version);
-            ended.reason = "the weights are too old".to_owned();
-            return;
-        }
-        let part = match time::timeout(limit, exchange.next()).await {
-            Ok(Ok(Some(part))) => part,
-            Ok(Ok(None)) if events.is_partial() || ended.progress.text.is_empty() => {
-                ended.reason = "the stream ended within an event".to_owned();
-                return;
-            }
-            Ok(Ok(None)) => {
-                ended.end = End::Whole;
-                exchange.keep();
-                return;
-            }
-            Ok(Err(error)) => {
-                ended.reason = error.to_string();
+/// A run whose events follow.
+struct Run<'a> {
+    host: &'a Host,
+    shared: &'a Shared,
+    job: &'a Job,
+    engine: &'a Target,
+    shown: &'a Shown,
+    began: Instant,
+}
+
+impl Run<'_> {
+    /// Reads events until the text is whole or breaks off.
+    async fn read(&self, mut exchange: Exchange, ended: &mut Ended) {
+        ended.version = header::version(exchange.response.headers());
+        let mut events = Events::default();
+        let mut last = None;
+        loop {
+            if ended.version < self.job.min_version {
+                ended.end = End::Outdated(ended.version);
+                ended.reason = "the weights are too old".to_owned();
                 return;
             }
-            Err(_) => {
-                ended.reason = "the stream fell silent".to_owned();
-                return;
+            let limit = if last.is_some() { PAUSE_TIMEOUT } else { FIRST_TIMEOUT };
+            let part = match time::timeout(limit, exchange.next()).await {
+                Ok(Ok(Some(part))) => part,
+                Ok(Ok(None)) if events.is_partial() || ended.progress.text.is_empty() => {
+                    ended.reason = "the stream ended within an event".to_owned();
+                    return;
+                }
+                Ok(Ok(None)) => {
+                    ended.end = End::Whole;
+                    exchange.keep();
+                    return;
+                }
+                Ok(Err(error)) => {
+                    ended.reason = error.to_string();
+                    return;
+                }
+                Err(_) => {
+                    ended.reason = "the stream fell silent".to_owned();
+                    return;
+                }
+            };
+            let whole = match events.push(&part) {
+                Ok(whole) => whole,
+                Err(reason) => {
+                    ended.reason = reason;
+                    return;
+                }
+            };
+            if !whole.is_empty() {
+                self.note_pace(&mut last, whole.len() as u32, ended);
             }
-        };
-        let whole = match events.push(&part) {
-            Ok(whole) => whole,
-            Err(reason) => {
+            if let Err(reason) = self.take(whole, ended) {
                 ended.reason = reason;
                 return;
             }
-        };
-        let now = host.clock.now();
-        if !whole.is_empty() {
-            match last.replace(now) {
-                Some(last) => ended.pause = ended.pause.max(now - last),
-                None => ended.first = now - began,
+        }
+    }
+
+    /// Notes how long the engine took for events.
+    fn note_pace(&self, last: &mut Option<Instant>, events: u32, ended: &mut Ended) {
+        let now = self.host.clock.now();
+        match last.replace(now) {
+            Some(last) => {
+                let pause = now - last;
+                ended.pause = ended.pause.max(pause);
+                self.shared.choice().pace(&self.engine.id, pause / events);
             }
+            None => ended.first = now - self.began,
         }
+    }
+
+    /// Appends events, which must follow each other.
+    fn take(&self, whole: Vec<Event>, ended: &mut Ended) -> Result<(), String> {
         for event in whole {
-            limit = PAUSE_TIMEOUT;
             if event.id != ended.progress.last_event + 1 {
-                ended.reason = format!("event {} is out of order", event.id);
-                return;
+                return Err(format!("event {} is out of order", event.id));
             }
             ended.version = event.version.or(ended.version);
-            if ended.version < job.min_version {
+            if ended.version < self.job.min_version {
                 break;
             }
+            let mut shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
+            shown.push(event.id, event.data.clone(), ended.version);
             ended.progress.push(event.id, event.data, ended.version);
         }
+        Ok(())
     }
 }
 
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     host::Host,
-    run::{self, End, Ended},
+    run::{self, End, Ended, Shown},
     score::{self, Score},
 };
-use catkinlatch_base::JobId;
+use catkinlatch_base::{JobId, TargetId};
 use catkinlatch_ledger::{
     Choice, Command, Job, Outcome, Schedule, Target,
     choice::Verdict,
@@ -54,6 +54,13 @@
     Result { job: JobId, outcome: Outcome },
 }
 
+/// A task that works on an item.
+struct Handle {
+    task: AbortHandle,
+    /// What a run has generated; none while the sample is scored.
+    shown: Option<Shown>,
+}
+
 /// Runs the items of batch jobs.
 pub struct Runner {
     host: Arc<Host>,
@@ -62,7 +69,7 @@
     /// Jobs whose open items are in the schedule.
     open: BTreeSet<JobId>,
     runs: JoinSet<()>,
-    handles: BTreeMap<(JobId, usize), AbortHandle>,
+    handles: BTreeMap<(JobId, usize), Handle>,
     tell: mpsc::Sender<Told>,
     told: mpsc::Receiver<Told>,
 }
@@ -128,7 +135,7 @@
                 let now = self.host.clock.now();
                 self.shared.choice().end(&engine, Verdict::Unknown, now);
             }
-            handle.abort();
+            handle.task.abort();
             stopped += 1;
         }
         self.schedule.remove(job);
@@ -154,6 +161,7 @@
         if engines.is_empty() {
             return;
         }
+        self.move_stragglers(&engines);
         while let Some(assignment) = self.schedule.next(self.host.clock.wall_ms(), &engines) {
             self.start(&assignment);
         }
@@ -164,6 +172,12 @@
         let now = self.host.clock.now();
         let choice = self.shared.choice();
         let soft = self.host.soft();
+        let fellows: Vec<TargetId> = soft
+            .registry
+            .targets()
+            .filter(|target| !target.models.is_empty())
+            .map(|target| target.id.clone())
+            .collect();
         let is_usable = |target: &&Target| target.is_ready() && !choice.rests(&target.id, now);
         let engine = |target: &Target| {
             let mut models = target.models.clone();
@@ -174,7 +188,7 @@
                 id: target.id.clone(),
                 service: target.service.clone(),
                 slots: target.slots,
-                slowness: choice.slowness(&target.id),
+                slowness: choice.slowness(&target.id, &fellows),
                 models,
             }
         };
@@ -192,19 +206,47 @@
             "jobs: run"
         );
         self.shared.choice().begin(engine);
-        let (shared_job, progress) = (task.job.clone(), task.progress.clone());
+        let shown = Shown::new(Mutex::new(task.progress.clone()));
+        let (shared_job, shared) = (task.job.clone(), self.shared.clone());
         let (host, tell, item) = (self.host.clone(), self.tell.clone(), *item);
+        let progress = shown.clone();
         let handle = self.runs.spawn(async move {
             let began = host.clock.now();
-            let ended = run::run(&host, &shared_job, item, progress, &target).await;
+            let ended = run::run(&host, &shared, &shared_job, item, &target, &progress).await;
             let took = host.clock.now() - began;
             let job = shared_job.id.clone();
             let told = Told::Ended { job, item, engine: target, ended: Box::new(ended), took };
             let _ = tell.send(told).await;
         });
+        let handle = Handle { task: handle, shown: Some(shown) };
         self.handles.insert((job.clone(), item), handle);
     }
 
+    /// Cuts runs at slow engines, to go on elsewhere from their last whole event.
+    fn move_stragglers(&mut self, engines: &[Engine]) {
+        for (job, item) in self.schedule.stragglers(engines) {
+            let key = (job, item);
+            let shown = self.handles.get(&key).and_then(|handle| handle.shown.clone());
+            let Some(shown) = shown else { continue };
+            let Some(handle) = self.handles.remove(&key) else { continue };
+            handle.task.abort();
+            let progress = shown.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            let Some(task) = self.schedule.task_mut(&key.0, item) else { continue };
+            let engine = task.engine.clone();
+            info!(
+                job:% = key.0, request:% = task.item().id, after = progress.last_event,
+                target_id:? = engine;
+                "jobs: moves a run away from a slow engine"
+            );
+            task.put_back(progress);
+            if let Some(engine) = engine {
+                let now = self.host.clock.now();
+                self.shared.choice().end(&engine, Verdict::Unknown, now);
+                task.refused.insert(engine);
+            }
+        }
+    }
+
     fn take_all(&mut self, told: Option<Told>) {
         let mut next = told;
         while let Some(told) = next {
@@ -240,6 +282,7 @@
             "jobs: run ended"
         );
         task.put_back(ended.progress);
+        task.refused.clear();
         match ended.end {
             End::Whole if run::is_acceptable(&task.job, &task.progress) => {
                 task.is_generated = true;
@@ -296,7 +339,7 @@
             let outcome = Outcome { item: item as u32, end };
             let _ = tell.send(Told::Result { job: job.id.clone(), outcome }).await;
         });
-        self.handles.insert((id, item), handle);
+        self.handles.insert((id, item), Handle { task: handle, shown: None });
     }
 
     /// Commits the result of an item.
