Commit usage counts as they grow, let a retiring leader hand over, and move runs rarely

Ruled out: the platform's answers (all 200), the membership rules of the log (spare joined, old voter never the leader's own). Change: counts are replicated every 0.7 s and a window is closed from them; a leader resigns once enough others vote; a run stays 0.3 s and moves three times at most, and an engine's pace is forgotten after 4 s. Tests: catkinlatch-log/tests/log/open.rs.

--- a/crates/catkinlatch-ledger/src/choice.rs
+++ b/crates/catkinlatch-ledger/src/choice.rs
@@ -22,6 +22,9 @@
 /// How long a reported load counts.
 const REPORT_FRESH: Duration = Duration::from_millis(500);
 
+/// How long a measured time counts; a target that seemed slow is tried again after that.
+const PACE_FRESH: Duration = Duration::from_secs(4);
+
 /// How much a new measurement weighs in the mean of a target's time.
 const TIME_WEIGHT: f64 = 0.2;
 
@@ -47,6 +50,7 @@
     failures: u32,
     rests_until: Instant,
     mean_ms: Option<f64>,
+    paced_at: Option<Instant>,
 }
 
 /// What a sender knows of its targets.
@@ -83,8 +87,11 @@
     }
 
     /// Returns the time that a target takes, as a multiple of what the middle one of these takes.
-    pub fn slowness(&self, id: &TargetId, fellows: &[TargetId]) -> f64 {
-        let mean = |id: &TargetId| self.standings.get(id).and_then(|standing| standing.mean_ms);
+    pub fn slowness(&self, id: &TargetId, fellows: &[TargetId], now: Instant) -> f64 {
+        let fresh = |standing: &Standing| {
+            standing.paced_at.filter(|at| now < *at + PACE_FRESH).and(standing.mean_ms)
+        };
+        let mean = |id: &TargetId| self.standings.get(id).and_then(fresh);
         let mut means: Vec<f64> = fellows.iter().filter_map(mean).collect();
         means.sort_by(f64::total_cmp);
         match (mean(id), means.get(means.len() / 2)) {
@@ -104,7 +111,7 @@
         standing.running = standing.running.saturating_sub(1);
         match verdict {
             Verdict::Answered(time) => {
-                standing.learn(time);
+                standing.learn(time, now);
                 standing.failures = 0;
                 standing.rests_until = Instant::ZERO;
             }
@@ -119,8 +126,8 @@
     }
 
     /// Takes the time that a part of a running request took.
-    pub fn pace(&mut self, id: &TargetId, time: Duration) {
-        self.standings.entry(id.clone()).or_default().learn(time);
+    pub fn pace(&mut self, id: &TargetId, time: Duration, now: Instant) {
+        self.standings.entry(id.clone()).or_default().learn(time, now);
     }
 
     /// Takes what a target reports: what it runs and what waits there, the sender's own included.
@@ -137,7 +144,8 @@
 }
 
 impl Standing {
-    fn learn(&mut self, time: Duration) {
+    fn learn(&mut self, time: Duration, now: Instant) {
+        self.paced_at = Some(now);
         let time_ms = time.as_secs_f64() * 1_000.0;
         let mean = self.mean_ms.unwrap_or(time_ms);
         self.mean_ms = Some(mean + (time_ms - mean) * TIME_WEIGHT);
--- a/crates/catkinlatch-ledger/src/command.rs
+++ b/crates/catkinlatch-ledger/src/command.rs
@@ -1,6 +1,6 @@
 //! Changes of the replicated state.
 
-use crate::{Count, Job, Outcome, config::Document};
+use crate::{Counted, Job, Outcome, config::Document};
 use catkinlatch_base::{HostId, JobId, ModelId, Version, WindowId, derive_value};
 use std::sync::Arc;
 
@@ -35,12 +35,12 @@
             /// The job.
             job: JobId,
         },
+        /// Records what processes counted so far in windows that are not closed.
+        Count(Vec<Counted>),
         /// Fixes what is reported of a usage window, once.
         CloseWindow {
             /// The window.
             window: WindowId,
-            /// What was used in it.
-            counts: Vec<Count>,
         },
         /// Records that the report of a window was taken.
         WindowReported {
--- a/crates/catkinlatch-ledger/src/lib.rs
+++ b/crates/catkinlatch-ledger/src/lib.rs
@@ -24,5 +24,5 @@
     reply::Reply,
     schedule::Schedule,
     state::State,
-    usage::{Count, Window},
+    usage::{Count, Counted, Window},
 };
--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -26,6 +26,12 @@
 /// From which multiple of its fellows' time an engine loses its items to them.
 const SLOW_FACTOR: f64 = 2.0;
 
+/// How long an item stays at an engine at least, in milliseconds: about ten events.
+const SHORTEST_STAY_MS: u64 = 300;
+
+/// How often an item is moved at most.
+const MOST_MOVES: u32 = 3;
+
 /// Below which multiple of its fellows' time an engine takes items from a slow one.
 const FAST_FACTOR: f64 = 1.4;
 
@@ -95,6 +101,7 @@
                 Assignment { job: key.0.clone(), item: key.1, engine: engine.id.clone() };
             if let Some(task) = self.tasks.get_mut(&key) {
                 task.engine = Some(engine.id.clone());
+                task.began_ms = wall_ms;
             }
             return Some(assignment);
         }
@@ -105,7 +112,7 @@
     /// engine takes far longer than its fellows, longest expected first.
     ///
     /// Reading a prompt again takes an engine a few milliseconds, so that a move costs little.
-    pub fn stragglers(&self, engines: &[Engine]) -> Vec<(JobId, usize)> {
+    pub fn stragglers(&self, wall_ms: u64, engines: &[Engine]) -> Vec<(JobId, usize)> {
         let load = self.load();
         let running = |engine: &Engine| load.get(&engine.id).copied().unwrap_or_default();
         let slow: Vec<&Engine> =
@@ -117,7 +124,8 @@
             .sum();
         let is_slow = |task: &&Task| {
             let engine = task.engine.as_ref();
-            !task.is_generated && slow.iter().any(|slow| Some(&slow.id) == engine)
+            let is_settled = wall_ms >= task.began_ms + SHORTEST_STAY_MS && task.moves < MOST_MOVES;
+            is_settled && !task.is_generated && slow.iter().any(|slow| Some(&slow.id) == engine)
         };
         let mut tasks: Vec<&Task> = self.tasks.values().filter(is_slow).collect();
         tasks.sort_by_key(|task| Reverse(task.expected_tokens()));
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -24,6 +24,10 @@
     pub failures: u32,
     /// Engines that refused it since it last ran.
     pub refused: BTreeSet<TargetId>,
+    /// How often it was moved away from a slow engine.
+    pub moves: u32,
+    /// When its present run began, in milliseconds since the Unix epoch.
+    pub began_ms: u64,
     /// Until when it rests, in milliseconds since the Unix epoch.
     pub rests_until_ms: u64,
 }
@@ -40,6 +44,8 @@
             is_generated: false,
             failures: 0,
             refused: BTreeSet::new(),
+            moves: 0,
+            began_ms: 0,
             rests_until_ms: 0,
         }
     }
--- a/crates/catkinlatch-ledger/src/state.rs
+++ b/crates/catkinlatch-ledger/src/state.rs
@@ -1,7 +1,9 @@
 //! The replicated state.
 
-use crate::{Command, Job, Record, Reply, Window, config::Document};
-use catkinlatch_base::{HostId, JobId, ModelId, Version, WindowId, derive_value};
+use crate::{Command, Count, Counted, Job, Record, Reply, Window, config::Document};
+use catkinlatch_base::{
+    HostId, Incarnation, JobId, ModelId, TeamId, Version, WindowId, derive_value,
+};
 use catkinlatch_log::{Index, Machine};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -21,6 +23,8 @@
         pub versions: BTreeMap<ModelId, Version>,
         /// The jobs whose results are kept.
         pub jobs: BTreeMap<JobId, Record>,
+        /// What each process counted in the windows that are not closed.
+        pub counted: BTreeMap<WindowId, BTreeMap<Incarnation, Vec<Count>>>,
         /// The usage windows that were closed.
         pub windows: BTreeMap<WindowId, Window>,
         /// Hosts that are to hold no state.
@@ -66,11 +70,29 @@
         self.jobs.get_mut(job).map_or(Reply::UnknownJob, change)
     }
 
-    fn close_window(&mut self, window: WindowId, counts: &[crate::Count]) -> Reply {
+    fn count(&mut self, counted: &[Counted]) -> Reply {
+        let last = self.last_window();
+        for Counted { source, window, counts } in counts_after(counted, last) {
+            let held = self.counted.entry(*window).or_default().entry(*source).or_default();
+            if requests(counts) >= requests(held) {
+                *held = counts.clone();
+            }
+        }
+        Reply::Done
+    }
+
+    fn close_window(&mut self, window: WindowId) -> Reply {
         if self.last_window().is_some_and(|last| window <= last) {
             return Reply::Overtaken;
         }
-        self.windows.insert(window, Window { counts: counts.to_vec(), is_reported: false });
+        let mut sums: BTreeMap<TeamId, u64> = BTreeMap::new();
+        let counted = self.counted.get(&window).into_iter().flat_map(BTreeMap::values).flatten();
+        for count in counted {
+            *sums.entry(count.team.clone()).or_default() += count.requests;
+        }
+        let counts = sums.into_iter().map(|(team, requests)| Count { team, requests }).collect();
+        self.windows.insert(window, Window { counts, is_reported: false });
+        self.counted = self.counted.split_off(&window.next());
         while self.windows.len() > WINDOWS_KEPT {
             self.windows.pop_first();
         }
@@ -98,7 +120,8 @@
                 self.jobs.remove(job);
                 Reply::Done
             }
-            Command::CloseWindow { window, counts } => self.close_window(*window, counts),
+            Command::Count(counted) => self.count(counted),
+            Command::CloseWindow { window } => self.close_window(*window),
             Command::WindowReported { window } => {
                 if let Some(window) = self.windows.get_mut(window) {
                     window.is_reported = true;
@@ -112,3 +135,12 @@
         }
     }
 }
+
+/// Returns what concerns windows that come after the last closed one.
+fn counts_after(counted: &[Counted], last: Option<WindowId>) -> impl Iterator<Item = &Counted> {
+    counted.iter().filter(move |counted| last.is_none_or(|last| counted.window > last))
+}
+
+fn requests(counts: &[Count]) -> u64 {
+    counts.iter().map(|count| count.requests).sum()
+}
--- a/crates/catkinlatch-log/src/core/voters.rs
+++ b/crates/catkinlatch-log/src/core/voters.rs
@@ -11,6 +11,9 @@
 /// How old a voter's answer may be for it to count in a change of voters, in heartbeats.
 const FRESH_BEATS: u32 = 2;
 
+/// For how many election timeouts a leader that resigned asks for no votes.
+const RESIGNED_ELECTIONS: u32 = 8;
+
 /// How far behind the commit a spare may be, in entries.
 const SPARE_LAG: u64 = 1_000;
 
@@ -32,11 +35,32 @@
         }
         match next {
             Some(membership) => self.change_voters(membership),
+            None if self.may_resign(&silent) => self.resign(now),
             None if !has_reported => self.report_voters(&silent),
             None => {}
         }
     }
 
+    /// Returns whether this leader is to hold no state and enough others vote without it.
+    fn may_resign(&self, silent: &[Peer]) -> bool {
+        let others: Vec<Peer> = self
+            .membership()
+            .voters()
+            .iter()
+            .filter(|voter| voter.incarnation != self.identity.incarnation)
+            .cloned()
+            .collect();
+        silent.is_empty()
+            && self.retiring.contains(&self.identity.host)
+            && others.len() >= MIN_VOTERS.max(self.wanted_count(&others))
+    }
+
+    /// Stops leading, and leaves the next election to others.
+    fn resign(&mut self, now: Instant) {
+        self.follow(now, self.hard.term, None);
+        self.election_at = now + self.settings.election * RESIGNED_ELECTIONS;
+    }
+
     fn change_voters(&mut self, membership: Membership) {
         self.out.push(Action::Report(Report::Members { membership: membership.clone() }));
         if !membership.disks_decide() && membership.disks() > 0 {
--- a/crates/catkinlatch-log/tests/log/main.rs
+++ b/crates/catkinlatch-log/tests/log/main.rs
@@ -5,6 +5,7 @@
 mod formation;
 mod lease;
 mod net;
+mod open;
 mod repair;
 mod storm;
 mod sync;
--- a/crates/catkinlatch-log/tests/log/net.rs
+++ b/crates/catkinlatch-log/tests/log/net.rs
@@ -73,6 +73,27 @@
         }
     }
 
+    /// Creates hosts of which all know the first `known` alone, starts these, and waits until there
+    /// is a leader.
+    pub fn open(mut settings: Settings, known: usize) -> Self {
+        let disks = settings.hosts.len();
+        settings.is_open = true;
+        let mut net = Self::new(settings, disks);
+        net.settings.hosts.truncate(known);
+        (0..known).for_each(|number| net.start(number));
+        net.run_for(10_000);
+        assert!(net.leader().is_some(), "no leader is elected");
+        net
+    }
+
+    /// Tells all hosts that one is to hold no state.
+    pub fn retire(&mut self, number: usize) {
+        let retiring = BTreeSet::from([host(number)]);
+        for core in self.nodes.iter_mut().filter_map(|node| node.core.as_mut()) {
+            core.set_retiring(retiring.clone());
+        }
+    }
+
     /// Creates hosts, starts them all and waits until there is a leader.
     pub fn formed(settings: Settings, disks: usize) -> Self {
         let mut net = Self::new(settings, disks);
--- /dev/null
+++ b/crates/catkinlatch-log/tests/log/open.rs
@@ -0,0 +1,77 @@
+//! Hosts that are told a few others only, and hosts that are to hold no state.
+
+use crate::net::{Net, settings};
+
+/// Three voters, and two hosts that nobody was told of.
+fn net() -> Net {
+    let mut three = settings(5, 3);
+    three.max_voters = 3;
+    Net::open(three, 3)
+}
+
+#[test]
+fn a_host_that_nobody_was_told_of_takes_the_place_of_a_lost_voter() {
+    let mut net = net();
+    net.commit(1);
+    net.start(3);
+    net.run_for(2_000);
+    let leader = net.leader().unwrap();
+    let lost = net.voters().into_iter().find(|number| *number != leader).unwrap();
+    net.kill(lost);
+    net.run_for(8_000);
+    let voters = net.voters();
+    assert!(voters.contains(&3) && !voters.contains(&lost), "{voters:?}");
+    net.commit(2);
+    assert_eq!(net.journal(3), [1, 2]);
+}
+
+#[test]
+fn a_newcomer_finds_a_leader_that_is_no_seed() {
+    let mut net = net();
+    net.commit(1);
+    net.start(3);
+    net.run_for(2_000);
+    let seeds: Vec<usize> = net.voters();
+    // All seeds but one are retired or lost until the leader is the host that nobody knew.
+    net.retire(seeds[0]);
+    net.run_for(12_000);
+    net.kill(seeds[0]);
+    while net.leader() != Some(3) {
+        let leader = net.leader().unwrap();
+        net.kill(leader);
+        net.run_for(3_000);
+        net.start(leader);
+        net.run_for(3_000);
+    }
+    net.start(4);
+    net.run_for(4_000);
+    net.commit(2);
+    net.run_for(1_000);
+    assert_eq!(net.journal(4), [1, 2]);
+}
+
+#[test]
+fn a_leader_that_is_to_hold_no_state_hands_over() {
+    let mut net = net();
+    net.start(3);
+    net.commit(1);
+    net.run_for(2_000);
+    let leader = net.leader().unwrap();
+    net.retire(leader);
+    net.run_for(8_000);
+    let voters = net.voters();
+    assert!(voters.len() == 3 && !voters.contains(&leader), "{voters:?}");
+    assert_ne!(net.leader(), Some(leader));
+    net.commit(2);
+}
+
+#[test]
+fn a_host_stays_a_voter_while_nobody_can_take_its_place() {
+    let mut net = net();
+    net.commit(1);
+    let leader = net.leader().unwrap();
+    net.retire(leader);
+    net.run_for(8_000);
+    assert_eq!(net.voters().len(), 3);
+    net.commit(2);
+}
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -232,7 +232,7 @@
             Some(last) => {
                 let pause = now - last;
                 ended.pause = ended.pause.max(pause);
-                self.shared.choice().pace(&self.engine.id, pause / events);
+                self.shared.choice().pace(&self.engine.id, pause / events, now);
             }
             None => ended.first = now - self.began,
         }
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -188,7 +188,7 @@
                 id: target.id.clone(),
                 service: target.service.clone(),
                 slots: target.slots,
-                slowness: choice.slowness(&target.id, &fellows),
+                slowness: choice.slowness(&target.id, &fellows, now),
                 models,
             }
         };
@@ -224,7 +224,7 @@
 
     /// Cuts runs at slow engines, to go on elsewhere from their last whole event.
     fn move_stragglers(&mut self, engines: &[Engine]) {
-        for (job, item) in self.schedule.stragglers(engines) {
+        for (job, item) in self.schedule.stragglers(self.host.clock.wall_ms(), engines) {
             let key = (job, item);
             let shown = self.handles.get(&key).and_then(|handle| handle.shown.clone());
             let Some(shown) = shown else { continue };
@@ -243,6 +243,7 @@
                 let now = self.host.clock.now();
                 self.shared.choice().end(&engine, Verdict::Unknown, now);
                 task.refused.insert(engine);
+                task.moves += 1;
             }
         }
     }
--- a/crates/catkinlatch-store/src/soft.rs
+++ b/crates/catkinlatch-store/src/soft.rs
@@ -1,7 +1,7 @@
 //! What the leader knows without replicating it: it can be learnt again within a heartbeat.
 
-use catkinlatch_base::{HostId, Incarnation, Instant, ModelId, TargetId, TeamId, WindowId};
-use catkinlatch_ledger::{Count, Registry};
+use catkinlatch_base::{HostId, Incarnation, Instant, ModelId, TargetId, WindowId};
+use catkinlatch_ledger::{Count, Counted, Registry, State};
 use catkinlatch_runtime::message::{Entry, Follow, Role, Seen, View};
 use std::{collections::BTreeMap, time::Duration};
 
@@ -21,9 +21,9 @@
     at: Instant,
 }
 
-/// What a process counted.
+/// What a process counted, and when it was last heard.
 #[derive(Clone, Debug)]
-struct Counted {
+struct Source {
     counts: BTreeMap<WindowId, Vec<Count>>,
     at: Instant,
 }
@@ -40,7 +40,7 @@
     /// Engines that load weights of a model, and until when they may.
     loading: BTreeMap<TargetId, (ModelId, Instant)>,
     followers: BTreeMap<HostId, Follower>,
-    counted: BTreeMap<Incarnation, Counted>,
+    sources: BTreeMap<Incarnation, Source>,
 }
 
 impl Soft {
@@ -65,10 +65,10 @@
             Role::Entry(entry) => Some(entry.clone()),
             Role::Store => None,
         };
-        let counted = self.counted.entry(follow.incarnation);
-        let counted = counted.or_insert_with(|| Counted { counts: BTreeMap::new(), at: now });
-        counted.counts.extend(follow.counts.iter().cloned());
-        counted.at = now;
+        let source = self.sources.entry(follow.incarnation);
+        let source = source.or_insert_with(|| Source { counts: BTreeMap::new(), at: now });
+        source.counts.extend(follow.counts.iter().cloned());
+        source.at = now;
         let follower = Follower {
             name: follow.name.clone(),
             entry,
@@ -86,7 +86,7 @@
 
     /// Drops processes that are silent, and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<HostId> {
-        self.counted.retain(|_, counted| now < counted.at + COUNTS_KEPT);
+        self.sources.retain(|_, source| now < source.at + COUNTS_KEPT);
         let silent = self.followers.extract_if(.., |_, follower| now >= follower.at + SILENCE);
         let silent: Vec<HostId> = silent.map(|(host, _)| host).collect();
         self.revision += u64::from(!silent.is_empty());
@@ -111,15 +111,24 @@
         entries.all(|follower| follower.seen >= seen && follower.version >= version)
     }
 
-    /// Returns what was used in a window, in order of the teams.
-    pub fn used(&self, window: WindowId) -> Vec<Count> {
-        let mut used: BTreeMap<TeamId, u64> = BTreeMap::new();
-        for counted in self.counted.values() {
-            for count in counted.counts.get(&window).into_iter().flatten() {
-                *used.entry(count.team.clone()).or_default() += count.requests;
-            }
-        }
-        used.into_iter().map(|(team, requests)| Count { team, requests }).collect()
+    /// Returns what processes counted in windows that are not closed, as far as the replicated
+    /// state does not hold it.
+    pub fn uncounted(&self, state: &State) -> Vec<Counted> {
+        let last = state.last_window();
+        let all = self.sources.iter().flat_map(|(id, source)| {
+            let windows = source.counts.iter();
+            windows.map(|(window, counts)| Counted {
+                source: *id,
+                window: *window,
+                counts: counts.clone(),
+            })
+        });
+        let is_new = |counted: &Counted| {
+            let held = state.counted.get(&counted.window);
+            let held = held.and_then(|sources| sources.get(&counted.source));
+            last.is_none_or(|last| counted.window > last) && held != Some(&counted.counts)
+        };
+        all.filter(is_new).collect()
     }
 
     /// Takes the view of another leader, to be ready to lead.
--- a/crates/catkinlatch-store/src/usage.rs
+++ b/crates/catkinlatch-store/src/usage.rs
@@ -11,7 +11,10 @@
 use tokio::time;
 
 /// How often the leader looks for windows that are over.
-const INTERVAL: Duration = Duration::from_millis(250);
+const INTERVAL: Duration = Duration::from_millis(700);
+
+/// How long a new leader waits for the counts of all entry hosts.
+const TAKEOVER: Duration = Duration::from_millis(1_500);
 
 /// How long after a window's end its counts are taken: entry hosts hand over theirs twice a second.
 const SETTLE_MS: u64 = 1_800;
@@ -33,8 +36,10 @@
 pub async fn run(host: Arc<Host>, term: Term) {
     let length = host.settings.times.report_window_ms();
     let first = WindowId::new(host.clock.wall_ms() / length);
+    // Entry hosts hand their counts to a new leader as soon as they have found it.
+    time::sleep(TAKEOVER).await;
     loop {
-        time::sleep(INTERVAL).await;
+        keep_counts(&host).await;
         close(&host, first, length).await;
         host.await_turn().await;
         for (window, counts) in unreported(&host) {
@@ -46,26 +51,37 @@
                 Sent::Unsure => break,
             }
         }
+        time::sleep(INTERVAL).await;
+    }
+}
+
+/// Commits what processes counted, so that it outlives this host.
+async fn keep_counts(host: &Host) {
+    let uncounted = {
+        let soft = host.soft();
+        host.replica.read(|state| soft.uncounted(state))
+    };
+    if !uncounted.is_empty() {
+        let _ = host.replica.propose(Command::Count(uncounted)).await;
     }
 }
 
 /// Fixes the counts of the windows that are over.
 async fn close(host: &Host, first: WindowId, length: u64) {
-    let Some(over) = (host.clock.wall_ms().saturating_sub(SETTLE_MS) / length).checked_sub(1)
-    else {
-        return;
-    };
+    let settled_ms = host.clock.wall_ms().saturating_sub(SETTLE_MS);
+    let Some(over) = (settled_ms / length).checked_sub(1) else { return };
     let last = host.replica.read(|state| {
         state.document.as_ref().map(|_| state.last_window().map_or(first, WindowId::next))
     });
     let Some(mut window) = last else { return };
     while window.get() <= over {
-        let counts = host.soft().used(window);
-        let requests: u64 = counts.iter().map(|count| count.requests).sum();
-        info!(window = window.get(), requests = requests; "usage: closed a window");
-        if host.replica.propose(Command::CloseWindow { window, counts }).await.is_err() {
+        if host.replica.propose(Command::CloseWindow { window }).await.is_err() {
             return;
         }
+        let counts = host.replica.read(|state| state.windows.get(&window).cloned());
+        let counts = counts.into_iter().flat_map(|window| window.counts);
+        let requests: u64 = counts.map(|count| count.requests).sum();
+        info!(window = window.get(), requests = requests; "usage: closed a window");
         window = window.next();
     }
 }
