Serve the directory at entry hosts, and elect leaders sooner

After a kill of all processes entry hosts refused callers for 1.4 s until a leader was found, and told them to come back in 0.25 s, within that time. Ruled out: targets (one try each, 50 ms), admission, processor time. Change: entry hosts answer where to connect, from the leader's list and what they know of themselves; elections time out after 0.5 s; a refused caller is told 0.45 s, or a third of its time.

--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -13,8 +13,12 @@
 use log::info;
 use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
 
-/// When a caller should come back that this host cannot serve yet.
-const NOT_READY_AFTER: Duration = Duration::from_millis(250);
+/// When a caller should come back that this host cannot serve yet: about the time in which a host
+/// that starts finds the leader.
+const NOT_READY_AFTER: Duration = Duration::from_millis(450);
+
+/// The part of its time after which a caller comes back at the latest.
+const COME_BACK_SHARE: u32 = 3;
 
 type Answered = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
@@ -42,7 +46,7 @@
     let (head, body) = request.into_parts();
     let view = host.view();
     let Some(configuration) = view.configuration.clone() else {
-        return answer::refusal(NOT_READY_AFTER);
+        return answer::refusal(come_back(&head));
     };
     let call = call::entry_call(&head.method, &head.uri);
     let decided = decide(&configuration, &head, &call);
@@ -88,6 +92,12 @@
     }
 }
 
+/// Returns when a caller should come back that this host cannot serve yet.
+fn come_back(head: &Parts) -> Duration {
+    let left = header::number(&head.headers, &header::DEADLINE).map(Duration::from_millis);
+    left.map_or(NOT_READY_AFTER, |left| NOT_READY_AFTER.min(left / COME_BACK_SHARE))
+}
+
 /// Returns the route and team of a request, or why it is refused.
 fn decide(
     configuration: &Configuration,
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempt;
 mod batch;
+mod directory;
 mod follow;
 mod front;
 mod host;
@@ -71,7 +72,11 @@
     let listener = TcpListener::bind(callers).await?;
     let front = tokio::spawn(serve(server.clone(), listener, front::handler(host.clone())));
     let listener = TcpListener::bind(ready).await?;
-    tokio::spawn(serve(server, listener, ready::handler(host.clone())));
+    tokio::spawn(serve(server.clone(), listener, ready::handler(host.clone())));
+    if let Some(address) = host.settings.directory_address {
+        let listener = TcpListener::bind(address).await?;
+        tokio::spawn(serve(server, listener, directory::handler(host.clone())));
+    }
     tokio::spawn(follow::run(host.clone()));
     info!(name = host.settings.name.as_str(), callers:% = callers; "entry: started");
 
--- a/crates/catkinlatch-entry/src/view.rs
+++ b/crates/catkinlatch-entry/src/view.rs
@@ -2,7 +2,7 @@
 
 use catkinlatch_base::ServiceId;
 use catkinlatch_ledger::{Configuration, Target};
-use catkinlatch_runtime::message;
+use catkinlatch_runtime::message::{self, Entry};
 use std::sync::Arc;
 
 /// What an entry host was told by the leader.
@@ -12,12 +12,15 @@
     pub configuration: Option<Arc<Configuration>>,
     /// The targets.
     pub targets: Arc<Vec<Target>>,
+    /// The entry hosts.
+    pub entries: Arc<Vec<Entry>>,
 }
 
 impl View {
     /// Takes what the leader says; the configuration never goes back to an older one.
     pub fn update(&mut self, view: &message::View) {
         self.targets = Arc::new(view.targets.clone());
+        self.entries = Arc::new(view.entries.clone());
         if let Some(newer) = &view.configuration
             && self.version() < Some(newer.version)
         {
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -17,19 +17,19 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// How often the leader speaks to each voter.
-const BEAT: Duration = Duration::from_millis(150);
+const BEAT: Duration = Duration::from_millis(100);
 
 /// How often the leader speaks to each learner, so that it can be made a voter soon.
 const LEARNER_BEAT: Duration = Duration::from_millis(300);
 
 /// How long a voter stands by a leader that it has heard.
-const ELECTION: Duration = Duration::from_millis(800);
+const ELECTION: Duration = Duration::from_millis(500);
 
 /// The largest error of a clock's rate; clocks of today's machines are far better.
 const DRIFT: f64 = 0.05;
 
 /// How long a voter may be silent before it is replaced.
-const SILENCE: Duration = Duration::from_millis(1_700);
+const SILENCE: Duration = Duration::from_millis(1_500);
 
 /// How long the leader keeps a silent learner.
 const FORGET: Duration = Duration::from_secs(10);
@@ -198,7 +198,7 @@
         learner_beat: LEARNER_BEAT,
         election: ELECTION,
         drift: DRIFT,
-        configuration_lease: ELECTION * 4,
+        configuration_lease: ELECTION * 6,
         silence: SILENCE,
         forget: FORGET,
         max_voters: 2 * settings.losses + 1,
--- a/crates/catkinlatch-runtime/src/settings.rs
+++ b/crates/catkinlatch-runtime/src/settings.rs
@@ -47,7 +47,7 @@
     /// Where targets and operators connect, on a control host.
     #[serde(default)]
     pub control_address: Option<SocketAddr>,
-    /// Where callers ask for addresses, on a control host.
+    /// Where callers ask for addresses.
     #[serde(default)]
     pub directory_address: Option<SocketAddr>,
     /// The port on which processes speak to each other, the same on all hosts.
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -2,7 +2,6 @@
 //! jobs, brings weights to engines and reports usage.
 
 mod control;
-mod directory;
 mod follow;
 mod handler;
 mod host;
@@ -73,11 +72,7 @@
     tokio::spawn(handler::serve(host.clone(), TcpListener::bind(peer_address).await?));
     let server = Server { idle_timeout: IDLE_TIMEOUT, stop: stop.clone() };
     let listener = TcpListener::bind(control).await?;
-    tokio::spawn(serve(server.clone(), listener, control::handler(host.clone())));
-    if let Some(address) = host.settings.directory_address {
-        let listener = TcpListener::bind(address).await?;
-        tokio::spawn(serve(server, listener, directory::handler(host.clone())));
-    }
+    tokio::spawn(serve(server, listener, control::handler(host.clone())));
     tokio::spawn(follow::run(host.clone()));
     let lead = tokio::spawn(lead::run(host.clone()));
     info!(name = host.settings.name.as_str(), control:% = control; "store: started");
