--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -13,6 +13,7 @@
 use http::{Response, StatusCode};
 use log::info;
 use std::{collections::BTreeSet, time::Duration};
+use tokio::time;
 
 /// How long a request is kept waiting whose caller and route name no time.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -20,6 +21,12 @@
 /// How many times its objective a try may take before an idempotent request goes elsewhere.
 const TRY_OBJECTIVES: u32 = 3;
 
+/// How long to rest before full targets are asked again.
+const FULL_PAUSE: Duration = Duration::from_millis(15);
+
+/// The share of its objective for which a request asks full targets again.
+const FULL_SHARE: f64 = 0.24;
+
 /// The shortest time that is worth another try.
 const SHORTEST_TRY: Duration = Duration::from_millis(30);
 
@@ -76,6 +83,7 @@
 
 async fn try_targets(host: &Host, asked: &Asked, arrived: Instant, tries: &mut Vec<String>) -> End {
     let until = arrived + time_limit(asked);
+    let full_until = arrived + full_limit(asked);
     let is_idempotent = asked.route.kind == Kind::Idempotent;
     let mut tried = BTreeSet::new();
     let (mut sends, mut may_have_run) = (0, false);
@@ -87,6 +95,13 @@
         }
         let target = (sends < asked.route.max_attempts).then(|| pick(host, asked, &tried, now));
         let Some(target) = target.flatten() else {
+            if !may_have_run && sends > 0 && host.clock.now() + FULL_PAUSE < full_until {
+                // All that it was sent to are full; a request's work ends within moments.
+                time::sleep(FULL_PAUSE).await;
+                tried.clear();
+                sends = 0;
+                continue;
+            }
             let after = if sends == 0 { NO_TARGET_AFTER } else { FULL_AFTER };
             return if may_have_run { End::MayHaveRun } else { End::NotRun(after) };
         };
@@ -125,6 +140,13 @@
     [caller, route].into_iter().flatten().min().unwrap_or(DEFAULT_TIMEOUT)
 }
 
+/// Returns how long full targets are asked again, so that the caller still gets its answer, or the
+/// refusal, early.
+fn full_limit(asked: &Asked) -> Duration {
+    let objective = asked.route.objective_ms.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
+    objective.mul_f64(FULL_SHARE)
+}
+
 /// Returns how long a try may take that can be repeated elsewhere.
 fn try_limit(asked: &Asked, left: Duration) -> Duration {
     let objective = asked.route.objective_ms.map(Duration::from_millis);
--- a/crates/catkinlatch-ledger/src/choice.rs
+++ b/crates/catkinlatch-ledger/src/choice.rs
@@ -81,6 +81,11 @@
         })
     }
 
+    /// Returns how many of this sender's requests a target has.
+    pub fn running(&self, id: &TargetId) -> u32 {
+        self.standings.get(id).map_or(0, |standing| standing.running)
+    }
+
     /// Returns whether a target rests.
     pub fn rests(&self, id: &TargetId, now: Instant) -> bool {
         self.standings.get(id).is_some_and(|standing| now < standing.rests_until)
--- a/crates/catkinlatch-ledger/src/command.rs
+++ b/crates/catkinlatch-ledger/src/command.rs
@@ -51,6 +51,8 @@
         Retire {
             /// The host.
             host: HostId,
+            /// The machine's name.
+            name: String,
         },
     }
 }
--- a/crates/catkinlatch-ledger/src/state.rs
+++ b/crates/catkinlatch-ledger/src/state.rs
@@ -5,10 +5,7 @@
     HostId, Incarnation, JobId, ModelId, TeamId, Version, WindowId, derive_value,
 };
 use catkinlatch_log::{Index, Machine};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 /// How many usage windows are remembered; older ones are never closed again.
 const WINDOWS_KEPT: usize = 64;
@@ -27,8 +24,8 @@
         pub counted: BTreeMap<WindowId, BTreeMap<Incarnation, Vec<Count>>>,
         /// The usage windows that were closed.
         pub windows: BTreeMap<WindowId, Window>,
-        /// Hosts that are to hold no state.
-        pub retiring: BTreeSet<HostId>,
+        /// Hosts that are to hold no state, with the names of their machines.
+        pub retiring: BTreeMap<HostId, String>,
     }
 }
 
@@ -128,8 +125,8 @@
                 }
                 Reply::Done
             }
-            Command::Retire { host } => {
-                self.retiring.insert(host.clone());
+            Command::Retire { host, name } => {
+                self.retiring.insert(host.clone(), name.clone());
                 Reply::Done
             }
         }
--- /dev/null
+++ b/crates/catkinlatch-ledger/tests/choice.rs
@@ -0,0 +1,81 @@
+//! Which target serves a request.
+
+use catkinlatch_base::{Instant, TargetId, ZoneId};
+use catkinlatch_ledger::{Choice, Target, choice::Verdict, registry::Phase};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+fn target(name: &str, zone: &str) -> Target {
+    Target {
+        id: name.parse().unwrap(),
+        born_ms: 1,
+        sequence: 1,
+        service: "survey".parse().unwrap(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: zone.parse().unwrap(),
+        slots: 6,
+        phase: Phase::Ready,
+        cold_ms: 0,
+        is_spot: false,
+        models: BTreeMap::new(),
+    }
+}
+
+fn zone() -> ZoneId {
+    "zone-a".parse().unwrap()
+}
+
+fn pick(choice: &Choice, targets: &[Target], now: Instant) -> Option<TargetId> {
+    let tried = BTreeSet::new();
+    choice.pick(targets.iter(), &zone(), &tried, now).map(|target| target.id.clone())
+}
+
+#[test]
+fn a_near_target_serves_if_loads_are_equal() {
+    let targets = [target("a", "zone-b"), target("b", "zone-a")];
+    assert_eq!(pick(&Choice::default(), &targets, Instant::ZERO).unwrap().as_str(), "b");
+}
+
+#[test]
+fn the_load_of_others_counts_while_its_report_is_fresh() {
+    let targets = [target("a", "zone-b"), target("b", "zone-a")];
+    let mut choice = Choice::default();
+    choice.report(&targets[1].id, 5, 2, Instant::ZERO);
+    assert_eq!(pick(&choice, &targets, Instant::from_millis(100)).unwrap().as_str(), "a");
+    assert_eq!(pick(&choice, &targets, Instant::from_millis(600)).unwrap().as_str(), "b");
+}
+
+#[test]
+fn a_target_that_fails_rests_longer_each_time_and_serves_if_there_is_no_other() {
+    let targets = [target("a", "zone-a"), target("b", "zone-b")];
+    let mut choice = Choice::default();
+    for _ in 0..2 {
+        choice.begin(&targets[0].id);
+        choice.end(&targets[0].id, Verdict::Failed, Instant::ZERO);
+    }
+    assert!(choice.rests(&targets[0].id, Instant::from_millis(599)));
+    assert!(!choice.rests(&targets[0].id, Instant::from_millis(600)));
+    assert_eq!(pick(&choice, &targets, Instant::ZERO).unwrap().as_str(), "b");
+    assert_eq!(pick(&choice, &targets[..1], Instant::ZERO).unwrap().as_str(), "a");
+}
+
+#[test]
+fn a_leaving_target_gets_nothing() {
+    let leaving = Target { phase: Phase::Draining, ..target("a", "zone-a") };
+    assert_eq!(pick(&Choice::default(), &[leaving], Instant::ZERO), None);
+}
+
+#[test]
+fn slowness_is_told_from_the_middle_of_the_fellows_and_forgotten() {
+    let ids: Vec<TargetId> = ["a", "b", "c"].iter().map(|id| id.parse().unwrap()).collect();
+    let mut choice = Choice::default();
+    for (id, ms) in ids.iter().zip([30, 33, 120]) {
+        choice.pace(id, Duration::from_millis(ms), Instant::ZERO);
+    }
+    assert!(choice.slowness(&ids[2], &ids, Instant::ZERO) > 3.0);
+    assert!(choice.slowness(&ids[0], &ids, Instant::ZERO) < 1.0);
+    let later = Instant::from_millis(4_000);
+    assert_eq!(choice.slowness(&ids[2], &ids, later), 1.0);
+}
--- /dev/null
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -0,0 +1,105 @@
+//! Which item runs next, and where.
+
+mod common;
+
+use catkinlatch_base::{TargetId, Version};
+use catkinlatch_ledger::{
+    Job, Record, Schedule,
+    schedule::{Assignment, Engine},
+};
+use common::{job, job_id};
+use std::{collections::BTreeMap, sync::Arc};
+
+fn engine(name: &str, slots: u32, version: u64) -> Engine {
+    let model = "model".parse().unwrap();
+    Engine {
+        id: name.parse().unwrap(),
+        service: "drafts".parse().unwrap(),
+        slots,
+        slowness: 1.0,
+        models: BTreeMap::from([(model, Version::new(version))]),
+    }
+}
+
+fn schedule(jobs: &[Arc<Job>]) -> Schedule {
+    let mut schedule = Schedule::default();
+    jobs.iter().for_each(|job| schedule.add(&Record::new(job.clone())));
+    schedule
+}
+
+fn all(schedule: &mut Schedule, engines: &[Engine]) -> Vec<Assignment> {
+    std::iter::from_fn(|| schedule.next(1_000, engines)).collect()
+}
+
+#[test]
+fn no_engine_gets_more_items_than_it_has_slots() {
+    let mut schedule = schedule(&[job("job", 10)]);
+    let engines = [engine("a", 2, 1), engine("b", 3, 1)];
+    let assigned = all(&mut schedule, &engines);
+    let count = |name: &str| {
+        let id: TargetId = name.parse().unwrap();
+        assigned.iter().filter(|assignment| assignment.engine == id).count()
+    };
+    assert_eq!((count("a"), count("b")), (2, 3));
+    assert_eq!(schedule.counts(), (5, 5));
+}
+
+#[test]
+fn weights_that_are_too_old_run_nothing() {
+    let strict = Job { min_version: Some(Version::new(3)), ..(*job("job", 1)).clone() };
+    let mut schedule = schedule(&[Arc::new(strict)]);
+    assert!(all(&mut schedule, &[engine("old", 8, 2)]).is_empty());
+    let assigned = all(&mut schedule, &[engine("old", 8, 2), engine("new", 8, 3)]);
+    assert_eq!(assigned[0].engine.as_str(), "new");
+}
+
+#[test]
+fn what_is_due_first_and_still_in_time_goes_first() {
+    let late = Job { due_ms: 500, ..(*job("late", 1)).clone() };
+    let next = Job { due_ms: 9_000, ..(*job("next", 1)).clone() };
+    let soon = Job { due_ms: 5_000, ..(*job("soon", 1)).clone() };
+    let mut schedule = schedule(&[Arc::new(late), Arc::new(next), Arc::new(soon)]);
+    let order = all(&mut schedule, &[engine("a", 8, 1)]);
+    let order: Vec<&str> = order.iter().map(|assignment| assignment.job.as_str()).collect();
+    assert_eq!(order, ["soon", "next", "late"]);
+}
+
+#[test]
+fn the_longest_item_of_a_job_goes_first() {
+    let mut mixed = (*job("job", 3)).clone();
+    mixed.items[1].expected_tokens = 900;
+    let mut schedule = schedule(&[Arc::new(mixed)]);
+    assert_eq!(schedule.next(0, &[engine("a", 1, 1)]).unwrap().item, 1);
+}
+
+#[test]
+fn groups_that_an_earlier_job_began_go_first() {
+    let mut schedule = schedule(&[job("first", 2)]);
+    schedule.forget(&job_id("first"));
+    let mut second = (*job("second", 4)).clone();
+    // The items of group 0 are carried over, and come last in the list.
+    second.items.rotate_left(2);
+    schedule.add(&Record::new(Arc::new(second)));
+    let first = schedule.next(0, &[engine("a", 1, 1)]).unwrap();
+    assert_eq!(first.item, 2);
+}
+
+#[test]
+fn items_leave_an_engine_that_became_slow_if_another_has_room() {
+    let mut schedule = schedule(&[job("job", 2)]);
+    let slow = Engine { slowness: 3.0, ..engine("slow", 8, 1) };
+    all(&mut schedule, std::slice::from_ref(&slow));
+    let full = [slow.clone(), engine("fast", 0, 1)];
+    assert!(schedule.stragglers(5_000, &full).is_empty());
+    let one = [slow, engine("fast", 1, 1)];
+    assert!(schedule.stragglers(1_100, &one).is_empty(), "the runs have only begun");
+    assert_eq!(schedule.stragglers(5_000, &one).len(), 1);
+}
+
+#[test]
+fn an_item_may_be_given_up_only_after_its_time_and_not_while_it_runs() {
+    let mut schedule = schedule(&[job("job", 2)]);
+    schedule.next(0, &[engine("a", 1, 1)]);
+    assert!(schedule.overdue(40_000).is_empty());
+    assert_eq!(schedule.overdue(40_001).len(), 1);
+}
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -156,6 +156,12 @@
         self.lock().term()
     }
 
+    /// Returns for how long this host has led, if it leads.
+    pub fn leading_for(&self) -> Option<Duration> {
+        let since = self.lock().leading_since()?;
+        Some(self.clock.now() - since)
+    }
+
     /// Runs a question on the state as applied here.
     pub fn read<T>(&self, question: impl FnOnce(&State) -> T) -> T {
         question(self.lock().machine())
--- a/crates/catkinlatch-runtime/src/replica/driver.rs
+++ b/crates/catkinlatch-runtime/src/replica/driver.rs
@@ -183,7 +183,7 @@
     /// Keeps hosts that are to hold no state from voting.
     fn heed_retiring(&self) {
         let mut core = self.lock();
-        let retiring: BTreeSet<_> = core.machine().retiring.clone();
+        let retiring: BTreeSet<_> = core.machine().retiring.keys().cloned().collect();
         core.set_retiring(retiring);
     }
 
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -1,7 +1,7 @@
 //! Answers messages of other processes.
 
 use crate::host::Host;
-use catkinlatch_base::{JobId, Term};
+use catkinlatch_base::{HostId, JobId, Term};
 use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry::Change};
 use catkinlatch_runtime::{
     Message, ProposeError, Reply,
@@ -18,6 +18,9 @@
 /// How long a change waits until all entry hosts hold it; one that takes longer is out of touch.
 const HELD_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// How long after its election a leader may not have heard from all stores.
+const HEARD_FROM_ALL: Duration = Duration::from_millis(2_500);
+
 /// The most bytes of results in one answer.
 const RESULTS_BYTES: usize = 900_000;
 
@@ -264,31 +267,43 @@
 }
 
 async fn retire(host: &Arc<Host>, name: &str) -> Reply {
-    let Some(retiring) = store_named(host, name) else { return Reply::NotFound };
     let known = host.replica.read(|state| state.retiring.clone());
-    if known.contains(&retiring) {
+    if known.values().any(|other| other == name) {
         return Reply::Done;
     }
+    let Some(retiring) = store_named(host, name) else { return unknown_store(host) };
     let stores = host.soft().stores().map(|(host, _)| host.clone()).collect::<Vec<_>>();
     let all = stores.iter().chain([&host.settings.host]);
-    let left = all.filter(|store| **store != retiring && !known.contains(store)).count();
+    let left = all.filter(|store| **store != retiring && !known.contains_key(store)).count();
     if left < 2 * host.settings.losses + 1 {
         warn!(name = name, left = left; "control: too few hosts would be left");
         return Reply::TooFew;
     }
     info!(name = name; "control: a host is to hold no state");
-    propose(host, Command::Retire { host: retiring }).await
+    propose(host, Command::Retire { host: retiring, name: name.to_owned() }).await
 }
 
 fn retirement(host: &Arc<Host>, name: &str) -> Reply {
-    let Some(retiring) = store_named(host, name) else { return Reply::NotFound };
-    let is_asked = host.replica.read(|state| state.retiring.contains(&retiring));
+    let retiring = host.replica.read(|state| {
+        let retiring = state.retiring.iter().find(|(_, other)| *other == name);
+        retiring.map(|(host, _)| host.clone())
+    });
+    let Some(retiring) = retiring else {
+        let is_known = store_named(host, name).is_some();
+        return if is_known { Reply::Retired(false) } else { unknown_store(host) };
+    };
     let status = host.replica.status().borrow().clone();
     let is_whole = status.voters.len() > 2 * host.settings.losses;
-    Reply::Retired(is_asked && is_whole && !status.voters.contains(&retiring))
+    Reply::Retired(is_whole && !status.voters.contains(&retiring))
+}
+
+/// Answers for a machine that this leader has not heard of, which means nothing while it is new.
+fn unknown_store(host: &Host) -> Reply {
+    let is_new = host.replica.leading_for().is_none_or(|time| time < HEARD_FROM_ALL);
+    if is_new { Reply::NotLeader(None) } else { Reply::NotFound }
 }
 
-fn store_named(host: &Arc<Host>, name: &str) -> Option<catkinlatch_base::HostId> {
+fn store_named(host: &Host, name: &str) -> Option<HostId> {
     if name == host.settings.name {
         return Some(host.settings.host.clone());
     }
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -19,7 +19,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::mpsc,
+    sync::{Notify, mpsc},
     task::{AbortHandle, JoinSet},
     time,
 };
@@ -37,6 +37,7 @@
 #[derive(Clone, Default)]
 pub struct Shared {
     choice: Arc<Mutex<Choice>>,
+    freed: Arc<Notify>,
 }
 
 impl Shared {
@@ -44,6 +45,11 @@
     pub fn choice(&self) -> MutexGuard<'_, Choice> {
         self.choice.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns what is told when a scoring call has ended.
+    pub fn freed(&self) -> &Notify {
+        &self.freed
+    }
 }
 
 /// What a run tells.
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -13,6 +13,10 @@
 /// How long one scoring call may take; it is short, and another target may be quicker.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The share of a target's slots that scoring calls take: the others are for live requests, whose
+/// callers wait.
+const SLOT_SHARE: f64 = 0.6;
+
 /// How long to rest before a call is repeated.
 const PAUSE: Duration = Duration::from_millis(60);
 
@@ -49,7 +53,7 @@
             .read(|state| state.document.as_ref().map(|document| document.configuration.clone()));
         let Some((target, most)) = target(host, shared, configuration, scorer, &tried) else {
             tried.clear();
-            time::sleep(PAUSE).await;
+            let _ = time::timeout(PAUSE, shared.freed().notified()).await;
             continue;
         };
         let id = scorer.id.as_str();
@@ -87,9 +91,15 @@
     let route = configuration.route(&scorer.host, &scorer.path)?;
     let service = route.service(fastrand::f64())?;
     let soft = host.soft();
+    let choice = shared.choice();
+    let has_room = |target: &&Target| {
+        let most = f64::from(target.slots) * SLOT_SHARE;
+        f64::from(choice.running(&target.id)) < most
+    };
     let targets = soft.registry.targets().filter(|target| target.service == *service);
     let now = host.clock.now();
-    let target = shared.choice().pick(targets, &host.settings.zone, tried, now)?.clone();
+    let open = targets.filter(has_room);
+    let target = choice.pick(open, &host.settings.zone, tried, now)?.clone();
     Some((target, route.max_attempts))
 }
 
@@ -108,6 +118,7 @@
         Called::Full => Verdict::Full,
         Called::Unsure => Verdict::Failed,
     };
+    shared.freed().notify_one();
     let mut choice = shared.choice();
     choice.end(&target.id, verdict, now);
     let load = answer.as_ref().and_then(|answer| header::load(answer.headers()));
