Run the whole path on a deployment of five processes in tests

Cause: no test ran the roles as processes against stand-ins of the platform's calls. Change: stand-ins for engines, plain services and the platform (standin::site), and five tests: the whole path, bad input, three disks lost one after the other, all processes killed, a leaving target. A service's requests go round its targets where loads are equal; before, the first in order of ids had them all.

--- a/crates/catkinlatch-ledger/src/choice.rs
+++ b/crates/catkinlatch-ledger/src/choice.rs
@@ -45,6 +45,8 @@
 #[derive(Clone, Debug, Default)]
 struct Standing {
     running: u32,
+    /// How many requests it got in all.
+    begun: u64,
     reported: u32,
     reported_at: Option<Instant>,
     failures: u32,
@@ -61,7 +63,7 @@
 
 impl Choice {
     /// Returns the target that should serve a request: the one with the least load that does not
-    /// rest, a near one if equal; the one that rests least if all do.
+    /// rest; if equal, a near one, and the one that has had fewest; the one that rests least if all do.
     pub fn pick<'a>(
         &self,
         targets: impl Iterator<Item = &'a Target>,
@@ -77,7 +79,7 @@
             let share = f64::from(standing.running + others) / f64::from(target.slots);
             let slowness = standing.mean_ms.unwrap_or_default();
             let load = (share * 16.0) as u64;
-            (rest, load, (slowness / 40.0) as u64, target.zone != *zone, target.id.clone())
+            (rest, load, (slowness / 40.0) as u64, target.zone != *zone, standing.begun)
         })
     }
 
@@ -107,7 +109,9 @@
 
     /// Notes that a request goes to a target.
     pub fn begin(&mut self, id: &TargetId) {
-        self.standings.entry(id.clone()).or_default().running += 1;
+        let standing = self.standings.entry(id.clone()).or_default();
+        standing.running += 1;
+        standing.begun += 1;
     }
 
     /// Notes how a request ended.
--- a/crates/catkinlatch-standin/src/cluster.rs
+++ b/crates/catkinlatch-standin/src/cluster.rs
@@ -2,7 +2,7 @@
 
 mod hosts;
 mod link;
-mod ports;
+pub(crate) mod ports;
 mod process;
 pub mod soak;
 mod work;
--- a/crates/catkinlatch-standin/src/cluster/process.rs
+++ b/crates/catkinlatch-standin/src/cluster/process.rs
@@ -12,20 +12,27 @@
 pub struct Process {
     program: PathBuf,
     settings: PathBuf,
+    verb: &'static str,
     child: Option<Child>,
 }
 
 impl Process {
     /// Names the program and its settings; nothing is started yet.
     pub fn new(program: PathBuf, settings: PathBuf) -> Self {
-        Self { program, settings, child: None }
+        Self { program, settings, verb: "serve", child: None }
+    }
+
+    /// Runs another command of the program that takes settings.
+    pub fn with_verb(mut self, verb: &'static str) -> Self {
+        self.verb = verb;
+        self
     }
 
     /// Starts the process; what it prints is added to a file beside its settings.
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(self.log_file())?;
         let child = Command::new(&self.program)
-            .args(["serve", "--settings"])
+            .args([self.verb, "--settings"])
             .arg(&self.settings)
             .env("RUST_LOG", "info,dropshot=warn")
             .stdin(Stdio::null())
@@ -49,6 +56,14 @@
         self.signal("TERM")
     }
 
+    /// Waits until the process has ended, and returns its exit code.
+    pub fn wait(&mut self) -> io::Result<Option<i32>> {
+        match self.child.take() {
+            Some(mut child) => Ok(child.wait()?.code()),
+            None => Ok(None),
+        }
+    }
+
     /// Stops the process in the middle of what it does.
     pub fn pause(&self) -> io::Result<()> {
         self.signal("STOP")
--- a/crates/catkinlatch-standin/src/lib.rs
+++ b/crates/catkinlatch-standin/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod policy;
 mod server;
 pub mod service;
+pub mod site;
 pub mod trial;
--- /dev/null
+++ b/tests/site.rs
@@ -0,0 +1,324 @@
+//! The whole path on a deployment of the users' kind: five processes of the real program, with
+//! stand-ins that speak the platform's calls.
+//!
+//! The tests wait for states, never for times; a state that does not come within a minute fails
+//! the test.
+
+#![expect(clippy::unwrap_used, reason = "a failed test may panic")]
+
+use bytes::Bytes;
+use catkinlatch_standin::site::{Engine, Service, Site};
+use http::{Request, Response, StatusCode};
+use serde_json::{Value, json};
+use std::{future::Future, path::PathBuf, sync::atomic::Ordering, time::Duration};
+use tempfile::TempDir;
+use tokio::time;
+
+const KEY: &str = "key-of-the-team";
+
+/// What a store host logs once it has started.
+const STARTED: &str = "\"event\":\"started\"";
+
+/// A deployment with its targets and a configuration in force.
+struct Setup {
+    site: Site,
+    engines: Vec<Engine>,
+    service: Service,
+    _folder: TempDir,
+}
+
+impl Setup {
+    async fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_catkinlatch"));
+        let site = Site::start(&program, folder.path()).await.unwrap();
+        let controls: Vec<String> =
+            site.stores().iter().map(|host| host.address(site.ports.control)).collect();
+        let mut engines = Vec::new();
+        for id in ["engine-1", "engine-2"] {
+            engines.push(Engine::start(id, "drafts", controls.clone()).await.unwrap());
+        }
+        let service = Service::start("survey-1", "survey", controls).await.unwrap();
+        site.control("PUT", "/config", &configuration(1)).await;
+        let setup = Self { site, engines, service, _folder: folder };
+        for entry in 0..setup.site.entries().len() {
+            until("an entry host serves", || async {
+                setup.request(entry, "POST", "/survey/1", "first", "").await.is_some_and(ok)
+            })
+            .await;
+        }
+        setup
+    }
+
+    /// Sends a request of the team to an entry host.
+    async fn request(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> Option<Response<Bytes>> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "site.example")
+            .header("x-api-key", KEY)
+            .header("attempt-id", id)
+            .header("deadline-ms", "3000")
+            .header("wait-ms", "200");
+        let address = self.site.entries()[entry].address(self.site.ports.callers);
+        self.site.call(&address, request.body(body.as_bytes().to_vec()).unwrap()).await
+    }
+
+    /// Hands a job in at one host after another until it is accepted.
+    async fn submit(&self, id: &str, min_version: u64, items: usize) {
+        let body = job(id, min_version, items);
+        until("the job is accepted", || async {
+            let path = format!("/drafts/{id}");
+            let answer = self.request(0, "POST", &path, id, &body).await;
+            answer.is_some_and(|answer| answer.status() == StatusCode::ACCEPTED)
+        })
+        .await;
+    }
+
+    /// Reads all results of a job, once there are as many.
+    async fn results(&self, entry: usize, id: &str, count: usize) -> Vec<Value> {
+        let mut results = Vec::new();
+        until("all results are listed", || async {
+            let answer = self.request(entry, "GET", &format!("/lots/{id}?after=0"), "", "").await;
+            answer.is_some_and(|answer| list(&answer).len() == count)
+        })
+        .await;
+        if let Some(answer) =
+            self.request(entry, "GET", &format!("/lots/{id}?after=0"), "", "").await
+        {
+            results = list(&answer);
+        }
+        results
+    }
+}
+
+fn ok(answer: Response<Bytes>) -> bool {
+    answer.status() == StatusCode::OK
+}
+
+fn list(answer: &Response<Bytes>) -> Vec<Value> {
+    let body: Value = serde_json::from_slice(answer.body()).unwrap_or_default();
+    body["results"].as_array().cloned().unwrap_or_default()
+}
+
+async fn until<F: Future<Output = bool>>(what: &str, state: impl Fn() -> F) {
+    let wait = async {
+        while !state().await {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    assert!(time::timeout(Duration::from_secs(60), wait).await.is_ok(), "never came: {what}");
+}
+
+fn configuration(version: u64) -> String {
+    json!({
+        "version": version,
+        "routes": [
+            {"name": "survey", "host": "site.example", "path_prefix": "/survey/",
+             "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2,
+             "service": "survey", "max_attempts": 4, "public": false},
+            {"name": "score", "host": "site.example", "path_prefix": "/score/",
+             "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2,
+             "service": "survey", "max_attempts": 4, "public": true},
+            {"name": "drafts", "host": "site.example", "path_prefix": "/drafts/",
+             "kind": "rollout", "target_latency_ms": 400, "priority": 1, "service": "drafts",
+             "max_attempts": 3, "public": false, "due_ms": 7500, "max_wait_s": 40},
+        ],
+        "services": [{"name": "survey", "health_path": "/health", "max_conns": 96},
+                     {"name": "drafts", "health_path": "/health", "max_conns": 96, "engine": {}}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "team", "api_keys": [KEY], "priority": 1}],
+    })
+    .to_string()
+}
+
+fn job(id: &str, min_version: u64, items: usize) -> String {
+    let item = |number: usize| {
+        json!({"id": format!("{id}-{number}"), "path": format!("/drafts/{number}"),
+               "headers": {"Model": "model", "Token-Count": "10,50"}, "body": "Ym9keQ==",
+               "tokens": 60, "group": format!("g{}", number / 2),
+               "scorer": {"id": format!("{id}-{number}-score"), "host": "site.example",
+                          "path": "/score/1", "body": "c2NvcmU="}})
+    };
+    let items: Vec<Value> = (0..items).map(item).collect();
+    json!({"step": 1, "model": "model", "min_version": min_version, "group_count": 1,
+           "items": items})
+    .to_string()
+}
+
+/// Checks that each result is whole, of these versions, and scored by its own call.
+fn check(results: &[Value], versions: &[u64]) {
+    for result in results {
+        let id = result["id"].as_str().unwrap();
+        let text: Vec<String> = (1..=5).map(|event| format!("{id} event {event}")).collect();
+        assert_eq!(result["text"], text.join("\n"), "{result}");
+        assert_eq!(result["state"], "completed");
+        assert_eq!(result["score"], format!("seal-of-{id}-score"));
+        let made: Vec<u64> =
+            result["versions"].as_array().unwrap().iter().filter_map(Value::as_u64).collect();
+        assert!(made.iter().all(|version| versions.contains(version)), "{result}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_whole_path_serves_a_deployment() {
+    let mut setup = Setup::start().await;
+
+    // A live request: whole, signed, once, without the caller's key.
+    let answer = setup.request(0, "POST", "/survey/9", "live", "body").await.unwrap();
+    assert_eq!(answer.headers()["server-seal"], "seal-of-live");
+    assert_eq!(answer.body(), "answer to live");
+    let headers = setup.service.ran.lock().unwrap()["live"][0].clone();
+    assert_eq!((headers["tenant"].as_str(), headers.contains_key("x-api-key")), ("team", false));
+    assert_eq!(headers["expect-instance"], "survey-1");
+
+    // A batch job, with a run that breaks off and goes on where it broke.
+    setup.engines[0].memory().breaks = 1;
+    setup.engines[1].memory().breaks = 1;
+    setup.submit("job-1", 1, 6).await;
+    check(&setup.results(1, "job-1", 6).await, &[1]);
+    let resumed: Vec<u64> = setup
+        .engines
+        .iter()
+        .flat_map(|engine| engine.memory().runs.values().flatten().copied().collect::<Vec<_>>())
+        .filter(|last| *last > 0)
+        .collect();
+    assert_eq!(resumed, [2, 2], "two runs broke off after their second event");
+
+    // A version that is named comes to the engines, and a job may ask for it.
+    setup.site.control("POST", "/version-put", r#"{"model":"model","version":2}"#).await;
+    setup.site.control("POST", "/version-put", r#"{"model":"model","version":3}"#).await;
+    setup.submit("job-2", 3, 4).await;
+    check(&setup.results(0, "job-2", 4).await, &[3]);
+
+    // The end of a job is final; what is listed stays.
+    let ended = setup.request(1, "DELETE", "/lots/job-2", "", "").await.unwrap();
+    assert_eq!(ended.status(), StatusCode::OK);
+    assert_eq!(setup.results(0, "job-2", 4).await.len(), 4);
+
+    // Use is reported, each window once.
+    until("the live requests are reported", || async { setup.site.platform.requests("team") >= 3 })
+        .await;
+    assert!(setup.site.platform.reports().values().all(|report| !report.is_contradicted));
+
+    // All processes stop when they are told to.
+    for host in &mut setup.site.hosts {
+        assert_eq!(host.stop().unwrap(), Some(0), "{}: {}", host.name, host.log());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_input_gets_the_answer_that_is_named_and_harms_nobody() {
+    let setup = Setup::start().await;
+    let status = |answer: Option<Response<Bytes>>| answer.map(|answer| answer.status());
+
+    let unknown = setup.request(0, "POST", "/none/1", "a", "").await;
+    assert_eq!(status(unknown), Some(StatusCode::NOT_FOUND));
+    let no_job = setup.request(0, "GET", "/lots/none?after=0", "b", "").await;
+    assert_eq!(status(no_job), Some(StatusCode::NOT_FOUND));
+    let unreadable = setup.request(0, "POST", "/drafts/x", "c", "{\"items\":").await;
+    assert_eq!(status(unreadable), Some(StatusCode::BAD_REQUEST));
+    let long = "x".repeat(1_048_577);
+    let too_long = setup.request(0, "POST", "/survey/1", "d", &long).await;
+    assert_eq!(status(too_long), Some(StatusCode::PAYLOAD_TOO_LARGE));
+
+    let entry = setup.site.entries()[0].address(setup.site.ports.callers);
+    let keyless = Request::post("/survey/1").header("host", "site.example");
+    let keyless = keyless.header("attempt-id", "e").body(Vec::new()).unwrap();
+    let answer = setup.site.call(&entry, keyless).await;
+    assert_eq!(status(answer), Some(StatusCode::UNAUTHORIZED));
+    assert_eq!(setup.service.runs("e"), 0);
+
+    let control = setup.site.stores()[0].address(setup.site.ports.control);
+    let invalid = configuration(9).replace("\"timeout_ms\":2000", "\"timeout_ms\":0");
+    for (path, body) in [
+        ("/config", invalid.as_str()),
+        ("/config", &configuration(9)[..100]),
+        ("/instances/survey-9", "{\"service\":3}"),
+    ] {
+        let request = Request::put(path).header("host", "control");
+        let request = request.body(body.as_bytes().to_vec()).unwrap();
+        let answer = setup.site.call(&control, request).await;
+        assert_eq!(status(answer), Some(StatusCode::BAD_REQUEST), "{path} {body}");
+    }
+    let held: Value =
+        serde_json::from_slice(&setup.site.control("GET", "/config", "").await).unwrap();
+    assert_eq!(held["version"], 1);
+    let served = setup.request(0, "POST", "/survey/1", "f", "").await;
+    assert_eq!(status(served), Some(StatusCode::OK));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_acknowledged_is_lost_with_disks_one_after_the_other() {
+    let mut setup = Setup::start().await;
+    setup.submit("job-1", 1, 4).await;
+    let before = setup.results(0, "job-1", 4).await;
+    setup.site.control("PUT", "/config", &configuration(5)).await;
+    for store in 0..setup.site.stores().len() {
+        let starts = |log: &str| log.matches(STARTED).count();
+        let before = starts(&setup.site.hosts[store].log());
+        setup.site.hosts[store].wipe().unwrap();
+        setup.site.hosts[store].start().unwrap();
+        until("the wiped host votes again", || async {
+            let log = setup.site.hosts[store].log();
+            let since = log.rsplit(STARTED).next().unwrap_or_default();
+            let role = since.lines().rev().find(|line| line.contains("\"event\":\"role\""));
+            let votes = role.is_some_and(|line| {
+                ["follower", "candidate", "\"role\":\"leader\""]
+                    .iter()
+                    .any(|role| line.contains(role))
+            });
+            starts(&log) > before && votes
+        })
+        .await;
+    }
+    assert_eq!(setup.results(1, "job-1", 4).await, before);
+    let held: Value =
+        serde_json::from_slice(&setup.site.control("GET", "/config", "").await).unwrap();
+    assert_eq!(held["version"], 5);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_goes_on_after_all_processes_were_killed() {
+    let mut setup = Setup::start().await;
+    setup.submit("job-1", 1, 40).await;
+    setup.site.hosts.iter_mut().for_each(|host| host.kill().unwrap());
+    setup.site.hosts.iter_mut().for_each(|host| host.start().unwrap());
+    check(&setup.results(0, "job-1", 40).await, &[1]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_target_gets_nothing_once_that_is_acknowledged() {
+    let setup = Setup::start().await;
+    let second = Service::start(
+        "survey-2",
+        "survey",
+        setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect(),
+    )
+    .await
+    .unwrap();
+    until("the second target serves", || async {
+        setup.request(0, "POST", "/survey/1", "again", "").await;
+        second.runs("again") > 0
+    })
+    .await;
+    second.target.leaves.store(true, Ordering::Relaxed);
+    until("its leaving is acknowledged", || async {
+        second.target.acknowledged.load(Ordering::Relaxed) > 0
+    })
+    .await;
+    for number in 0..20 {
+        let id = format!("late-{number}");
+        let answer = setup.request(number % 2, "POST", "/survey/1", &id, "").await;
+        assert!(answer.is_some_and(ok));
+        assert_eq!(second.runs(&id), 0);
+    }
+}
