--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -11,7 +11,7 @@
 pub use self::{engine::Engine, progress::Progress, task::Task};
 
 use crate::Record;
-use catkinlatch_base::{GroupId, JobId, TargetId, Version};
+use catkinlatch_base::{GroupId, JobId, ModelId, TargetId, Version};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -175,8 +175,19 @@
         (self.tasks.len() - running, running)
     }
 
+    /// Returns how many items of each model wait for an engine.
+    pub fn waiting(&self, wall_ms: u64) -> BTreeMap<ModelId, usize> {
+        let mut waiting = BTreeMap::new();
+        for task in self.tasks.values().filter(|task| task.is_waiting(wall_ms)) {
+            if let Some(model) = &task.job.model {
+                *waiting.entry(model.clone()).or_default() += 1;
+            }
+        }
+        waiting
+    }
+
     /// Returns how many items each engine runs.
-    fn load(&self) -> BTreeMap<TargetId, u32> {
+    pub fn load(&self) -> BTreeMap<TargetId, u32> {
         let mut load = BTreeMap::new();
         for engine in self.tasks.values().filter_map(|task| task.engine.as_ref()) {
             *load.entry(engine.clone()).or_default() += 1;
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -35,10 +35,10 @@
 const FORGET: Duration = Duration::from_secs(10);
 
 /// Entries between two snapshots; a job's entry may hold a hundred kilobytes.
-const SNAPSHOT_EVERY: u64 = 3_000;
+const SNAPSHOT_EVERY: u64 = 20_000;
 
 /// Entries kept before a snapshot for hosts that lag a little.
-const SNAPSHOT_KEEP: u64 = 300;
+const SNAPSHOT_KEEP: u64 = 1_000;
 
 /// The most entries of one message.
 const MAX_ENTRIES: usize = 64;
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -13,6 +13,7 @@
 mod soft;
 mod usage;
 mod weights;
+mod work;
 
 use self::host::Host;
 use catkinlatch_base::Incarnation;
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -4,6 +4,7 @@
     host::Host,
     run::{self, End, Ended, Shown},
     score::{self, Score},
+    work::Work,
 };
 use catkinlatch_base::{JobId, TargetId};
 use catkinlatch_ledger::{
@@ -171,6 +172,8 @@
         while let Some(assignment) = self.schedule.next(self.host.clock.wall_ms(), &engines) {
             self.start(&assignment);
         }
+        let waiting = self.schedule.waiting(self.host.clock.wall_ms());
+        self.host.soft().work = Work { waiting, running: self.schedule.load() };
     }
 
     /// Returns the engines that take new items.
--- a/crates/catkinlatch-store/src/soft.rs
+++ b/crates/catkinlatch-store/src/soft.rs
@@ -1,5 +1,6 @@
 //! What the leader knows without replicating it: it can be learnt again within a heartbeat.
 
+use crate::work::Work;
 use catkinlatch_base::{HostId, Incarnation, Instant, ModelId, TargetId, WindowId};
 use catkinlatch_ledger::{Count, Counted, Registry, State};
 use catkinlatch_runtime::message::{Entry, Follow, Role, Seen, View};
@@ -35,6 +36,8 @@
     pub registry: Registry,
     /// Counts the changes.
     pub revision: u64,
+    /// How much work there is.
+    pub work: Work,
     /// How many orders each start of an engine has accepted, where that is known.
     pub orders: BTreeMap<(TargetId, u64), u64>,
     /// Engines that load weights of a model, and until when they may.
--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -11,6 +11,7 @@
 use http::{HeaderValue, Method, Request};
 use log::{info, warn};
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
@@ -41,6 +42,9 @@
 /// How often a trainer names a version, about; loads are planned for it.
 const STEP: Duration = Duration::from_secs(4);
 
+/// How many slots must be free on an engine that is loaded for items that wait.
+const FREE_SLOTS: u32 = 2;
+
 /// The share of the engines that keeps serving.
 const LEAST_SERVING: f64 = 0.5;
 
@@ -60,53 +64,124 @@
 /// Gives orders for as long as this host leads in this term.
 pub async fn run(host: Arc<Host>, term: Term) {
     host.await_turn().await;
-    let (tell, mut told) = mpsc::unbounded_channel();
-    let mut loads = JoinSet::new();
-    let mut rollouts: BTreeMap<ModelId, Rollout> = BTreeMap::new();
-    let mut loading: BTreeSet<TargetId> = BTreeSet::new();
-    let mut allotment = Allotment::default();
+    let mut loader = Loader::new(host, term);
     loop {
         time::sleep(INTERVAL).await;
-        while loads.try_join_next().is_some() {}
-        let now = host.clock.now();
-        while let Ok(Ended { model, engine, outcome }) = told.try_recv() {
-            loading.remove(&engine);
-            if let Some(rollout) = rollouts.get_mut(&model) {
+        loader.tick();
+    }
+}
+
+/// Decides which engine loads what, and follows the loads.
+struct Loader {
+    host: Arc<Host>,
+    term: Term,
+    allotment: Allotment,
+    rollouts: BTreeMap<ModelId, Rollout>,
+    loading: BTreeSet<TargetId>,
+    loads: JoinSet<()>,
+    tell: mpsc::UnboundedSender<Ended>,
+    told: mpsc::UnboundedReceiver<Ended>,
+}
+
+impl Loader {
+    fn new(host: Arc<Host>, term: Term) -> Self {
+        let (tell, told) = mpsc::unbounded_channel();
+        Self {
+            host,
+            term,
+            allotment: Allotment::default(),
+            rollouts: BTreeMap::new(),
+            loading: BTreeSet::new(),
+            loads: JoinSet::new(),
+            tell,
+            told,
+        }
+    }
+
+    /// Takes the ends of loads and starts the next ones.
+    fn tick(&mut self) {
+        while self.loads.try_join_next().is_some() {}
+        let now = self.host.clock.now();
+        while let Ok(Ended { model, engine, outcome }) = self.told.try_recv() {
+            self.loading.remove(&engine);
+            if let Some(rollout) = self.rollouts.get_mut(&model) {
                 rollout.ended(&engine, outcome, now);
             }
         }
-        let named = host.replica.read(|state| state.versions.clone());
-        let zones = zones(&host);
-        allotment.update(&zones, &demand(&host, &named), places(zones.len()));
-        for (model, version) in by_lag(&host, &allotment, named) {
-            let targets = engines(&host, &model, &allotment);
-            let all =
-                host.soft().registry.targets().filter(|target| !target.models.is_empty()).count();
-            let limits = limits(all);
-            let rollout =
-                rollouts.entry(model.clone()).or_insert_with(|| Rollout::new(limits.clone()));
-            let free = (limits.store_loads as usize).saturating_sub(loading.len());
-            let idle = targets
-                .iter()
-                .filter(|target| !loading.contains(&target.id) || rollout.is_loading(&target.id));
-            let engines: Vec<Engine> = idle.map(|target| engine(target, &model)).collect();
-            let floor = floor(version);
-            for load in rollout.next_up_to(now, version, floor, &engines, free) {
-                let Some(target) = targets.iter().find(|target| target.id == load.engine) else {
-                    continue;
-                };
-                loading.insert(target.id.clone());
-                let (host, tell) = (host.clone(), tell.clone());
-                let (target, model) = (target.clone(), model.clone());
-                loads.spawn(async move {
-                    let outcome = bring(&host, term, &target, &model, version).await;
-                    host.soft().loaded(&target.id);
-                    host.announce();
-                    let _ = tell.send(Ended { model, engine: target.id, outcome });
-                });
-            }
+        let named = self.host.replica.read(|state| state.versions.clone());
+        let zones = zones(&self.host);
+        self.allotment.update(&zones, &demand(&self.host, &named), places(zones.len()));
+        for (model, version) in self.by_need(named) {
+            self.load(&model, version, zones.len());
+        }
+    }
+
+    /// Orders the loads of one model that may begin now.
+    fn load(&mut self, model: &ModelId, version: Version, engines: usize) {
+        let limits = limits(engines);
+        let free = (limits.store_loads as usize).saturating_sub(self.loading.len());
+        let targets = self.candidates(model);
+        let rollout = self.rollouts.entry(model.clone()).or_insert_with(|| Rollout::new(limits));
+        let floor = floor(version);
+        // An engine whose weights still serve the next job is left alone.
+        let is_stale = |target: &&Target| {
+            target.models.get(model).is_none_or(|held| *held < floor)
+                && !self.loading.contains(&target.id)
+        };
+        let concerned =
+            targets.iter().filter(|target| is_stale(target) || rollout.is_loading(&target.id));
+        let engines: Vec<Engine> = concerned.map(|target| engine(target, model)).collect();
+        let now = self.host.clock.now();
+        for load in rollout.next_up_to(now, version, floor, &engines, free) {
+            let Some(target) = targets.iter().find(|target| target.id == load.engine) else {
+                continue;
+            };
+            self.loading.insert(target.id.clone());
+            let (host, term, tell) = (self.host.clone(), self.term, self.tell.clone());
+            let (target, model) = (target.clone(), model.clone());
+            self.loads.spawn(async move {
+                let outcome = bring(&host, term, &target, &model, version).await;
+                host.soft().loaded(&target.id);
+                host.announce();
+                let _ = tell.send(Ended { model, engine: target.id, outcome });
+            });
         }
     }
+
+    /// Returns the engines that may be brought to a model's newest version, those with most free
+    /// slots first: the ones kept fresh for it, and while its items wait, all that have room.
+    fn candidates(&self, model: &ModelId) -> Vec<Target> {
+        let soft = self.host.soft();
+        let has_room = |target: &Target| {
+            soft.work.waiting(model) > 0
+                && soft.work.running(&target.id) + FREE_SLOTS <= target.slots
+        };
+        let may_load = |target: &&Target| {
+            target.models.contains_key(model)
+                && target.is_ready()
+                && (self.allotment.contains(&target.id, model) || has_room(target))
+        };
+        let mut targets: Vec<Target> = soft.registry.targets().filter(may_load).cloned().collect();
+        targets.sort_by_key(|target| soft.work.running(&target.id));
+        targets
+    }
+
+    /// Returns the models, those first that have most items waiting, then those with the smallest
+    /// share of engines of use.
+    fn by_need(&self, named: BTreeMap<ModelId, Version>) -> Vec<(ModelId, Version)> {
+        let useful = |model: &ModelId, version: Version| {
+            let targets = self.candidates(model);
+            let held = targets.iter().filter_map(|target| target.models.get(model));
+            held.filter(|held| **held >= floor(version)).count() * 100 / targets.len().max(1)
+        };
+        let need = |(model, version): &(ModelId, Version)| {
+            let waiting = self.host.soft().work.waiting(model);
+            (Reverse(waiting), useful(model, *version))
+        };
+        let mut models: Vec<_> = named.into_iter().collect();
+        models.sort_by_cached_key(need);
+        models
+    }
 }
 
 /// Returns the engines and their zones.
@@ -136,34 +211,6 @@
     models.map(|model| (model.clone(), demand(model))).collect()
 }
 
-/// Returns the models, those first that have the smallest share of engines of use.
-fn by_lag(
-    host: &Host,
-    allotment: &Allotment,
-    named: BTreeMap<ModelId, Version>,
-) -> Vec<(ModelId, Version)> {
-    let useful = |(model, version): &(ModelId, Version)| {
-        let targets = engines(host, model, allotment);
-        let held = targets.iter().filter_map(|target| target.models.get(model));
-        let useful = held.filter(|held| **held >= floor(*version)).count();
-        useful * 100 / targets.len().max(1)
-    };
-    let mut models: Vec<_> = named.into_iter().collect();
-    models.sort_by_cached_key(useful);
-    models
-}
-
-/// Returns the engines that are kept at the newest version of a model.
-fn engines(host: &Host, model: &ModelId, allotment: &Allotment) -> Vec<Target> {
-    let soft = host.soft();
-    let holds = |target: &&Target| {
-        target.models.contains_key(model)
-            && target.is_ready()
-            && allotment.contains(&target.id, model)
-    };
-    soft.registry.targets().filter(holds).cloned().collect()
-}
-
 fn engine(target: &Target, model: &ModelId) -> Engine {
     let reported = target.models.get(model).copied().unwrap_or_default();
     Engine { id: target.id.clone(), zone: target.zone.clone(), reported }
