Load ahead while nothing waits

Change: once no engine lacks weights for the next job, and while no item of the model waits, engines are brought to the newest version ahead.

--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -71,6 +71,15 @@
     }
 }
 
+/// Why an engine should load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Need {
+    /// Its weights are too old for the next job.
+    Now,
+    /// They will be once another version is named, and no item waits that it could run meanwhile.
+    Ahead,
+}
+
 /// Decides which engine loads what, and follows the loads.
 struct Loader {
     host: Arc<Host>,
@@ -111,25 +120,34 @@
         let named = self.host.replica.read(|state| state.versions.clone());
         let zones = zones(&self.host);
         self.allotment.update(&zones, &demand(&self.host, &named), places(zones.len()));
-        for (model, version) in self.by_need(named) {
-            self.load(&model, version, zones.len());
+        let models = self.by_need(named);
+        for (model, version) in &models {
+            self.load(model, *version, zones.len(), Need::Now);
+        }
+        for (model, version) in &models {
+            if self.host.soft().work.waiting(model) == 0 {
+                self.load(model, *version, zones.len(), Need::Ahead);
+            }
         }
     }
 
     /// Orders the loads of one model that may begin now.
-    fn load(&mut self, model: &ModelId, version: Version, engines: usize) {
+    fn load(&mut self, model: &ModelId, version: Version, engines: usize, need: Need) {
         let limits = limits(engines);
         let free = (limits.store_loads as usize).saturating_sub(self.loading.len());
         let targets = self.candidates(model);
         let rollout = self.rollouts.entry(model.clone()).or_insert_with(|| Rollout::new(limits));
         let floor = floor(version);
-        // An engine whose weights still serve the next job is left alone.
-        let is_stale = |target: &&Target| {
-            target.models.get(model).is_none_or(|held| *held < floor)
+        let least = match need {
+            Need::Now => floor,
+            Need::Ahead => version,
+        };
+        let may_load = |target: &&Target| {
+            target.models.get(model).is_none_or(|held| *held < least)
                 && !self.loading.contains(&target.id)
         };
         let concerned =
-            targets.iter().filter(|target| is_stale(target) || rollout.is_loading(&target.id));
+            targets.iter().filter(|target| may_load(target) || rollout.is_loading(&target.id));
         let engines: Vec<Engine> = concerned.map(|target| engine(target, model)).collect();
         let now = self.host.clock.now();
         for load in rollout.next_up_to(now, version, floor, &engines, free) {
