--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -46,16 +46,21 @@
     let (head, body) = request.into_parts();
     let view = host.view();
     let Some(configuration) = view.configuration.clone() else {
-        return answer::refusal(come_back(&head));
+        let after = come_back(&head);
+        info!(
+            request = request_id(&head), after_ms = after.as_millis() as u64;
+            "entry: refused, no configuration is known yet"
+        );
+        return answer::refusal(after);
     };
     let call = call::entry_call(&head.method, &head.uri);
     let decided = decide(&configuration, &head, &call);
     let (route, team) = match decided {
         Ok(decided) => decided,
         Err(code) => {
-            let id = header::text(&head.headers, &header::REQUEST_ID).unwrap_or_default();
+            metrics::counter!("catkinlatch_entry_refused").increment(1);
             info!(
-                request = id, status = code.as_u16(), path = head.uri.path(),
+                request = request_id(&head), status = code.as_u16(), path = head.uri.path(),
                 version = configuration.version;
                 "entry: refused"
             );
@@ -64,9 +69,12 @@
     };
     let body = match collect(body, configuration.limits.body_bytes).await {
         Ok(body) => body,
-        Err(BodyError::TooLong) => return answer::status(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(BodyError::TooLong) => {
+            info!(request = request_id(&head); "entry: refused, the body is too long");
+            return answer::status(StatusCode::PAYLOAD_TOO_LARGE);
+        }
         Err(BodyError::Broken(reason)) => {
-            info!(path = head.uri.path(), reason = reason.as_str(); "entry: a body broke off");
+            info!(request = request_id(&head), reason = reason.as_str(); "entry: a body broke off");
             return answer::status(StatusCode::BAD_REQUEST);
         }
     };
@@ -92,6 +100,11 @@
     }
 }
 
+/// Returns the id of a request, for the log.
+fn request_id(head: &Parts) -> &str {
+    header::text(&head.headers, &header::REQUEST_ID).unwrap_or_default()
+}
+
 /// Returns when a caller should come back that this host cannot serve yet.
 fn come_back(head: &Parts) -> Duration {
     let left = header::number(&head.headers, &header::DEADLINE).map(Duration::from_millis);
--- a/crates/catkinlatch-ledger/src/config/route.rs
+++ b/crates/catkinlatch-ledger/src/config/route.rs
@@ -73,6 +73,6 @@
                 return Some(&share.service);
             }
         }
-        weighty().last().map(|share| &share.service)
+        weighty().next_back().map(|share| &share.service)
     }
 }
--- a/crates/catkinlatch-ledger/tests/choice.rs
+++ b/crates/catkinlatch-ledger/tests/choice.rs
@@ -1,5 +1,7 @@
 //! Which target serves a request.
 
+#![allow(clippy::unwrap_used, reason = "a failed test may panic")]
+
 use catkinlatch_base::{Instant, TargetId, ZoneId};
 use catkinlatch_ledger::{Choice, Target, choice::Verdict, registry::Phase};
 use std::{
--- a/crates/catkinlatch-ledger/tests/registry.rs
+++ b/crates/catkinlatch-ledger/tests/registry.rs
@@ -1,5 +1,7 @@
 //! Targets are ordered by their starts, and nothing late revives one that has ended.
 
+#![allow(clippy::unwrap_used, reason = "a failed test may panic")]
+
 use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::{
     Registry, Target,
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -1,5 +1,7 @@
 //! Which item runs next, and where.
 
+#![allow(clippy::unwrap_used, reason = "a failed test may panic")]
+
 mod common;
 
 use catkinlatch_base::{TargetId, Version};
--- a/crates/catkinlatch-ledger/tests/state.rs
+++ b/crates/catkinlatch-ledger/tests/state.rs
@@ -1,5 +1,7 @@
 //! What is committed stays: configurations, results at their positions, usage windows.
 
+#![allow(clippy::unwrap_used, reason = "a failed test may panic")]
+
 mod common;
 
 use catkinlatch_base::{Incarnation, Version, WindowId};
--- a/crates/catkinlatch-rollout/tests/allotment.rs
+++ b/crates/catkinlatch-rollout/tests/allotment.rs
@@ -1,5 +1,7 @@
 //! Engines are divided among models by their demand, over the zones, with few changes.
 
+#![allow(clippy::unwrap_used, reason = "a failed test may panic")]
+
 use catkinlatch_base::{ModelId, TargetId, ZoneId};
 use catkinlatch_rollout::weights::Allotment;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/catkinlatch-runtime/src/lib.rs
+++ b/crates/catkinlatch-runtime/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod http;
 pub mod journal;
 pub mod message;
+pub mod metric;
 mod peers;
 pub mod replica;
 pub mod settings;
--- a/crates/catkinlatch-runtime/src/settings.rs
+++ b/crates/catkinlatch-runtime/src/settings.rs
@@ -50,6 +50,9 @@
     /// Where callers ask for addresses.
     #[serde(default)]
     pub directory_address: Option<SocketAddr>,
+    /// Where metrics are served, if anywhere.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
     /// The port on which processes speak to each other, the same on all hosts.
     pub peer_port: u16,
     /// The control addresses of the hosts that are known from the start.
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -16,13 +16,16 @@
 /// How long the service works on a request.
 const WORK: Duration = Duration::from_millis(5);
 
+/// The headers of a request, by name.
+pub type Headers = BTreeMap<String, String>;
+
 /// A plain service.
 #[derive(Clone, Debug)]
 pub struct Service {
     /// What it announces.
     pub target: Target,
     /// The headers of each request that it ran, by id.
-    pub ran: Arc<Mutex<BTreeMap<String, Vec<BTreeMap<String, String>>>>>,
+    pub ran: Arc<Mutex<BTreeMap<String, Vec<Headers>>>>,
     _stop: watch::Sender<bool>,
 }
 
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -273,6 +273,7 @@
     /// Decides what follows the end of a run.
     fn take(&mut self, job: JobId, item: usize, engine: &Target, ended: Ended, took: Duration) {
         self.handles.remove(&(job.clone(), item));
+        metrics::histogram!("catkinlatch_jobs_run_seconds").record(took.as_secs_f64());
         let now = self.host.clock.now();
         let verdict = match ended.end {
             End::Whole => Verdict::Answered(took / ended.progress.text.len().max(1) as u32),
@@ -362,6 +363,8 @@
             let is_lost = outcome.end == job::End::Lost;
             let command = Command::Finish { job: job.clone(), outcome: Arc::new(outcome) };
             let reply = host.replica.propose(command).await;
+            let end = if is_lost { "lost" } else { "completed" };
+            metrics::counter!("catkinlatch_jobs_items", "end" => end).increment(1);
             info!(job:% = job, item = item, lost = is_lost, reply:? = reply; "jobs: listed");
         });
     }
--- a/crates/catkinlatch-store/src/soft.rs
+++ b/crates/catkinlatch-store/src/soft.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 /// How long a silent process counts as alive; it speaks twice a second.
-const SILENCE: Duration = Duration::from_millis(2_000);
+const SILENCE: Duration = Duration::from_millis(1_400);
 
 /// How long the counts of a process that ended are kept.
 const COUNTS_KEPT: Duration = Duration::from_secs(60);
