Tell a run that was cut from the next one, and share what two crates had twice

Cause, found in reading: a run that ended while its item was moved to another engine was taken for the item's next run, so that its handle was dropped and two runs went on; an item avoided an engine that it had left for ever, also if no other could serve it. Change: runs are numbered; an engine is avoided for 2 s. CallError stands once; unused functions went; Peers reads the settings itself. Test: an_item_that_left_its_engine_comes_back_if_no_other_serves_it; none for the runs' numbers.

--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -14,11 +14,9 @@
 mod view;
 
 use self::host::Host;
-use catkinlatch_base::Incarnation;
 use catkinlatch_runtime::{
     Clock, Guide, Peers, Settings,
     http::{Client, Server, serve},
-    settings,
 };
 use derive_more::{Display, Error, From};
 use log::info;
@@ -57,13 +55,7 @@
     let callers = settings.callers_address.ok_or(Error::Missing("callers_address"))?;
     let ready = settings.ready_address.ok_or(Error::Missing("ready_address"))?;
     let clock = Clock::new();
-    let peers = Arc::new(Peers::new(
-        settings::CLUSTER.parse().expect("the name is valid"),
-        settings.host.clone(),
-        settings.zone.clone(),
-        Incarnation::draw(&mut fastrand::Rng::new()),
-        settings.peer_port,
-    ));
+    let peers = Arc::new(Peers::new(&settings));
     let guide = Guide::new(peers.clone(), settings.seed_hosts());
     let host = Arc::new(Host::new(settings, clock, peers, guide, Client::new()));
 
--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -95,7 +95,7 @@
         let mut waiting: Vec<&Task> = waiting.collect();
         waiting.sort_by_key(|task| rank(task, wall_ms));
         for task in waiting {
-            let Some(engine) = self.place(task, engines, &load) else { continue };
+            let Some(engine) = self.place(task, wall_ms, engines, &load) else { continue };
             let key = (task.job.id.clone(), task.item);
             let assignment =
                 Assignment { job: key.0.clone(), item: key.1, engine: engine.id.clone() };
@@ -200,6 +200,7 @@
     fn place<'a>(
         &self,
         task: &Task,
+        wall_ms: u64,
         engines: &'a [Engine],
         load: &BTreeMap<TargetId, u32>,
     ) -> Option<&'a Engine> {
@@ -207,7 +208,7 @@
         let fits = |engine: &&Engine| {
             engine.service == task.job.service
                 && running(engine) < engine.slots
-                && !task.refused.contains(&engine.id)
+                && !task.avoids(&engine.id, wall_ms)
                 && task.accepts(engine.version(task.job.model.as_ref()))
         };
         let has_group = |engine: &Engine| {
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -5,6 +5,9 @@
 use catkinlatch_base::{GroupId, TargetId, Version};
 use std::{collections::BTreeSet, sync::Arc};
 
+/// How long after a run's beginning its item avoids the engine that it left, in milliseconds.
+const AVOIDED_MS: u64 = 2_000;
+
 /// An item that waits or runs.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -22,7 +25,7 @@
     pub is_generated: bool,
     /// How often it failed.
     pub failures: u32,
-    /// Engines that refused it since it last ran.
+    /// Engines that it left since a run of it last ended.
     pub refused: BTreeSet<TargetId>,
     /// How often it was moved away from a slow engine.
     pub moves: u32,
@@ -65,6 +68,11 @@
         self.engine.is_none() && !self.is_generated && wall_ms >= self.rests_until_ms
     }
 
+    /// Returns whether the engine refused it, or lost it, so lately that another is better.
+    pub fn avoids(&self, engine: &TargetId, wall_ms: u64) -> bool {
+        wall_ms < self.began_ms + AVOIDED_MS && self.refused.contains(engine)
+    }
+
     /// Returns whether an engine that holds the version may run it.
     pub fn accepts(&self, version: Option<Version>) -> bool {
         is_fresh(version, self.job.min_version)
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -105,3 +105,16 @@
     assert!(schedule.overdue(40_000).is_empty());
     assert_eq!(schedule.overdue(40_001).len(), 1);
 }
+
+#[test]
+fn an_item_that_left_its_engine_comes_back_if_no_other_serves_it() {
+    let mut schedule = schedule(&[job("job", 1)]);
+    let engines = [engine("only", 8, 1)];
+    schedule.next(1_000, &engines).unwrap();
+    let task = schedule.task_mut(&job_id("job"), 0).unwrap();
+    let left = task.engine.clone().unwrap();
+    task.put_back(task.progress.clone());
+    task.refused.insert(left);
+    assert!(schedule.next(2_999, &engines).is_none(), "another engine is better for a while");
+    assert!(schedule.next(3_000, &engines).is_some());
+}
--- a/crates/catkinlatch-node/src/peer.rs
+++ b/crates/catkinlatch-node/src/peer.rs
@@ -4,9 +4,11 @@
 mod message;
 mod peers;
 
+pub use catkinlatch_runtime::CallError;
+
 pub use self::{
     message::{Message, Reply},
-    peers::{CallError, Peers},
+    peers::Peers,
 };
 
 pub(crate) use self::handler::serve;
--- a/crates/catkinlatch-node/src/peer/peers.rs
+++ b/crates/catkinlatch-node/src/peer/peers.rs
@@ -3,30 +3,11 @@
 use super::message::{Message, Reply};
 use crate::{Clock, Settings, settings::Credential};
 use catkinlatch_base::{HostId, Incarnation, Timeline, ZoneId};
+use catkinlatch_runtime::CallError;
 use catkinlatch_wire::{Destination, Error, Frame, Hello, Link, Secret, codec, link};
-use derive_more::{Display, Error as DeriveError};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::task::JoinSet;
 
-/// Says why another node did not answer.
-#[derive(Debug, Display, DeriveError)]
-pub enum CallError {
-    /// No byte of the message was sent.
-    #[display("host {host} is not connected")]
-    NotSent {
-        /// The host.
-        host: HostId,
-    },
-    /// The message may have been handled.
-    #[display("host {host} did not answer: {reason}")]
-    Unknown {
-        /// The host.
-        host: HostId,
-        /// What happened.
-        reason: Error,
-    },
-}
-
 /// The sessions with all other nodes of the cluster.
 #[derive(Debug)]
 pub struct Peers {
--- a/crates/catkinlatch-runtime/src/peers.rs
+++ b/crates/catkinlatch-runtime/src/peers.rs
@@ -1,6 +1,7 @@
 //! Sessions with other processes, opened when they are first needed.
 
-use catkinlatch_base::{HostId, Incarnation, ZoneId};
+use crate::{Settings, settings::CLUSTER};
+use catkinlatch_base::{HostId, Incarnation};
 use catkinlatch_wire::{Destination, Error, Frame, Hello, Link, PROTOCOL, Secret, codec, link};
 use derive_more::{Display, Error as DeriveError};
 use serde::{Serialize, de::DeserializeOwned};
@@ -57,19 +58,19 @@
 }
 
 impl Peers {
-    /// Creates the sessions of a process; all processes listen on the same `port`.
-    pub fn new(
-        cluster: catkinlatch_base::ClusterId,
-        host: HostId,
-        zone: ZoneId,
-        incarnation: Incarnation,
-        port: u16,
-    ) -> Self {
-        let agreement = [0; 32];
-        let local = Hello { protocol: PROTOCOL, cluster, host, incarnation, zone, agreement };
+    /// Creates the sessions of a process that starts.
+    pub fn new(settings: &Settings) -> Self {
+        let local = Hello {
+            protocol: PROTOCOL,
+            cluster: CLUSTER.parse().expect("the name is valid"),
+            host: settings.host.clone(),
+            incarnation: Incarnation::draw(&mut fastrand::Rng::new()),
+            zone: settings.zone.clone(),
+            agreement: [0; 32],
+        };
         // Only the system's own hosts reach the port; the platform hands out no secret.
         let secret = Secret::new("");
-        Self { local, secret, port, links: Mutex::default() }
+        Self { local, secret, port: settings.peer_port, links: Mutex::default() }
     }
 
     /// Returns who this process is to the others.
@@ -118,11 +119,6 @@
         codec::decode(&answer.payload).map_err(|error| unknown(Error::protocol(error.to_string())))
     }
 
-    /// Returns whether a session with the host is open.
-    pub fn is_connected(&self, host: &HostId) -> bool {
-        self.link(host).session().is_some()
-    }
-
     /// Ends the sessions that nobody has used for a while.
     pub fn prune(&self) {
         let now = Instant::now();
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -5,7 +5,7 @@
 
 use self::driver::{Driver, Request};
 use crate::{Clock, Message, Peers, Settings};
-use catkinlatch_base::{HostId, Incarnation, Term, ZoneId};
+use catkinlatch_base::{HostId, Term};
 use catkinlatch_ledger::{Command, Reply, State};
 use catkinlatch_log::{self as log_core, Core, Frame, Peer, Role, storage::OpenError};
 use derive_more::{Display, Error};
@@ -177,17 +177,6 @@
         self.status.clone()
     }
 
-    /// Returns this host's identity in the log.
-    pub fn incarnation(&self) -> Incarnation {
-        self.lock().identity().incarnation
-    }
-
-    /// Returns the hosts that take entries from this leader and do not vote, with their zones.
-    pub fn learners(&self) -> Vec<(HostId, ZoneId)> {
-        let core = self.lock();
-        core.learners().into_iter().map(|peer| (peer.host.clone(), peer.zone.clone())).collect()
-    }
-
     fn lock(&self) -> MutexGuard<'_, Core<State>> {
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -16,11 +16,10 @@
 mod work;
 
 use self::host::Host;
-use catkinlatch_base::Incarnation;
 use catkinlatch_runtime::{
     Clock, Guide, Peers, Replica, Settings,
     http::{Client, Server, serve},
-    replica, settings,
+    replica,
 };
 use derive_more::{Display, Error, From};
 use log::info;
@@ -58,13 +57,7 @@
     let control = settings.control_address.ok_or(Error::Missing("control_address"))?;
     let opened = replica::open(folder)?;
     let clock = Clock::new();
-    let peers = Arc::new(Peers::new(
-        settings::CLUSTER.parse().expect("the name is valid"),
-        settings.host.clone(),
-        settings.zone.clone(),
-        Incarnation::draw(&mut fastrand::Rng::new()),
-        settings.peer_port,
-    ));
+    let peers = Arc::new(Peers::new(&settings));
     let replica = Replica::start(&settings, clock, peers.clone(), opened);
     let guide = Guide::new(peers.clone(), settings.seed_hosts());
     let host = Arc::new(Host::new(settings, clock, peers, replica, guide, Client::new()));
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -56,13 +56,15 @@
 /// What a run tells.
 enum Told {
     /// It ended.
-    Ended { job: JobId, item: usize, engine: Target, ended: Box<Ended>, took: Duration },
+    Ended { run: u64, job: JobId, item: usize, engine: Target, ended: Box<Ended>, took: Duration },
     /// The item's result is to be listed.
     Result { job: JobId, outcome: Outcome },
 }
 
 /// A task that works on an item.
 struct Handle {
+    /// Counts the runs of this leader, so that one that was cut is told from the next.
+    run: u64,
     task: AbortHandle,
     /// What a run has generated; none while the sample is scored.
     shown: Option<Shown>,
@@ -79,6 +81,7 @@
     handles: BTreeMap<(JobId, usize), Handle>,
     tell: mpsc::Sender<Told>,
     told: mpsc::Receiver<Told>,
+    last_run: u64,
 }
 
 impl Runner {
@@ -94,6 +97,7 @@
             handles: BTreeMap::new(),
             tell,
             told,
+            last_run: 0,
         }
     }
 
@@ -219,15 +223,18 @@
         let (shared_job, shared) = (task.job.clone(), self.shared.clone());
         let (host, tell, item) = (self.host.clone(), self.tell.clone(), *item);
         let progress = shown.clone();
+        self.last_run += 1;
+        let run = self.last_run;
         let handle = self.runs.spawn(async move {
             let began = host.clock.now();
             let ended = run::run(&host, &shared, &shared_job, item, &target, &progress).await;
             let took = host.clock.now() - began;
             let job = shared_job.id.clone();
-            let told = Told::Ended { job, item, engine: target, ended: Box::new(ended), took };
+            let ended = Box::new(ended);
+            let told = Told::Ended { run, job, item, engine: target, ended, took };
             let _ = tell.send(told).await;
         });
-        let handle = Handle { task: handle, shown: Some(shown) };
+        let handle = Handle { run, task: handle, shown: Some(shown) };
         self.handles.insert((job.clone(), item), handle);
     }
 
@@ -261,8 +268,12 @@
         let mut next = told;
         while let Some(told) = next {
             match told {
-                Told::Ended { job, item, engine, ended, took } => {
-                    self.take(job, item, &engine, *ended, took);
+                Told::Ended { run, job, item, engine, ended, took } => {
+                    let handle = self.handles.get(&(job.clone(), item));
+                    // A run that was cut when it had just ended is over already.
+                    if handle.is_some_and(|handle| handle.run == run) {
+                        self.take(job, item, &engine, *ended, took);
+                    }
                 }
                 Told::Result { job, outcome } => self.list(job, outcome),
             }
@@ -350,7 +361,7 @@
             let outcome = Outcome { item: item as u32, end };
             let _ = tell.send(Told::Result { job: job.id.clone(), outcome }).await;
         });
-        self.handles.insert((id, item), Handle { task: handle, shown: None });
+        self.handles.insert((id, item), Handle { run: 0, task: handle, shown: None });
     }
 
     /// Commits the result of an item.
