--- a/crates/catkinlatch-runtime/src/journal.rs
+++ b/crates/catkinlatch-runtime/src/journal.rs
@@ -9,11 +9,11 @@
 use std::{
     io::{self, Write},
     sync::{
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// How many lines may wait for a slow reader of the log; further ones are dropped and counted.
@@ -22,6 +22,15 @@
 /// How often lost lines are reported.
 const LOSS_INTERVAL: Duration = Duration::from_secs(5);
 
+/// How long a process that ends waits for its last lines to be written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How often it looks whether they are.
+const FLUSH_POLL: Duration = Duration::from_millis(5);
+
+/// Lines that wait to be written.
+static WAITING: AtomicUsize = AtomicUsize::new(0);
+
 /// Lines that did not fit into the queue.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -39,6 +48,14 @@
     builder.init();
 }
 
+/// Waits until all lines are written, but not for a reader that is slow.
+pub fn flush() {
+    let until = Instant::now() + FLUSH_TIMEOUT;
+    while WAITING.load(Ordering::Acquire) > 0 && Instant::now() < until {
+        thread::sleep(FLUSH_POLL);
+    }
+}
+
 /// Reports lines that were dropped, for as long as the process runs.
 pub async fn report_losses() {
     loop {
@@ -58,7 +75,9 @@
 
 impl Write for Queue {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        WAITING.fetch_add(1, Ordering::AcqRel);
         if self.lines.try_send(line.to_vec()).is_err() {
+            WAITING.fetch_sub(1, Ordering::AcqRel);
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -73,10 +92,15 @@
 fn write_all(waiting: &Receiver<Vec<u8>>) {
     let mut out = io::stdout();
     while let Ok(mut lines) = waiting.recv() {
-        waiting.try_iter().for_each(|line| lines.extend(line));
+        let mut count = 1;
+        for line in waiting.try_iter() {
+            lines.extend(line);
+            count += 1;
+        }
         if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
+            DROPPED.fetch_add(count as u64, Ordering::Relaxed);
         }
+        WAITING.fetch_sub(count, Ordering::AcqRel);
     }
 }
 
--- a/crates/catkinlatch/src/command/host.rs
+++ b/crates/catkinlatch/src/command/host.rs
@@ -42,13 +42,15 @@
         })?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|error| Failure::Failed(error.to_string()))?;
-        runtime.block_on(run(&self.settings, settings)).map_err(|reason| {
+        let ended = runtime.block_on(run(&self.settings, settings)).map_err(|reason| {
             error!("host: {reason}");
             Failure::Failed(reason)
-        })?;
+        });
         // What is still under way is cut: its time is over.
         runtime.shutdown_background();
-        Ok(ExitCode::SUCCESS)
+        info!("host: ends");
+        journal::flush();
+        ended.map(|()| ExitCode::SUCCESS)
     }
 }
 
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -212,6 +212,8 @@
     // All processes stop when they are told to.
     for host in &mut setup.site.hosts {
         assert_eq!(host.stop().unwrap(), Some(0), "{}: {}", host.name, host.log());
+        let log = host.log();
+        assert!(log.trim_end().lines().last().unwrap().contains("\"event\":\"ends\""), "{log}");
     }
 }
 
