Record the progress of long items, for the next leader to go on from

The text of a run was held by the leader alone. Ruled out: a silent engine (its other runs ended), waiting for a slot (begun 7 ms after the takeover). Change: every 0.5 s the leader commits the new events of items that have run for a second; a record grows only by what follows its last event, and ends with its item. A new leader starts the item after the last recorded event, as after a move.

--- a/crates/catkinlatch-ledger/src/command.rs
+++ b/crates/catkinlatch-ledger/src/command.rs
@@ -1,6 +1,6 @@
 //! Changes of the replicated state.
 
-use crate::{Counted, Job, Outcome, config::Document};
+use crate::{Counted, Job, Outcome, config::Document, job::Advance};
 use catkinlatch_base::{HostId, JobId, ModelId, Version, WindowId, derive_value};
 use std::sync::Arc;
 
@@ -18,6 +18,8 @@
         },
         /// Accepts a batch job, once.
         Submit(Arc<Job>),
+        /// Records how far long items have come, for the next leader to go on from.
+        Advance(Vec<Advance>),
         /// Lists the result of an item, once.
         Finish {
             /// The job.
--- a/crates/catkinlatch-ledger/src/job.rs
+++ b/crates/catkinlatch-ledger/src/job.rs
@@ -2,12 +2,14 @@
 
 mod item;
 mod outcome;
+mod progress;
 mod record;
 mod scorer;
 
 pub use self::{
     item::Item,
     outcome::{End, Outcome},
+    progress::{Advance, Progress},
     record::Record,
     scorer::Scorer,
 };
--- a/crates/catkinlatch-ledger/src/job/record.rs
+++ b/crates/catkinlatch-ledger/src/job/record.rs
@@ -1,8 +1,8 @@
 //! A batch job with what became of it.
 
-use super::{Job, Outcome};
+use super::{Advance, Job, Outcome, Progress};
 use catkinlatch_base::derive_value;
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 derive_value! {
     /// A batch job with what became of it.
@@ -15,6 +15,8 @@
         pub is_ended: bool,
         /// Which items have a result, by position.
         finished: Vec<bool>,
+        /// How far long items without a result have come, by position.
+        progress: BTreeMap<u32, Progress>,
     }
 }
 
@@ -22,7 +24,7 @@
     /// Creates the record of a job without results.
     pub fn new(job: Arc<Job>) -> Self {
         let finished = vec![false; job.items.len()];
-        Self { job, results: Vec::new(), is_ended: false, finished }
+        Self { job, results: Vec::new(), is_ended: false, finished, progress: BTreeMap::new() }
     }
 
     /// Appends a result, unless its item has one or does not exist.
@@ -30,6 +32,7 @@
         match self.finished.get_mut(outcome.item as usize) {
             Some(finished) if !*finished => {
                 *finished = true;
+                self.progress.remove(&outcome.item);
                 self.results.push(outcome.clone());
                 true
             }
@@ -37,6 +40,24 @@
         }
     }
 
+    /// Records how far an item has come; one that has ended stays as it is.
+    pub fn advance(&mut self, advance: &Advance) -> bool {
+        let is_open = !self.is_ended && self.finished.get(advance.item as usize) == Some(&false);
+        let progress = self.progress.entry(advance.item);
+        is_open && progress.or_default().advance(advance.after, &advance.progress)
+    }
+
+    /// Ends the job; its results stay.
+    pub fn end(&mut self) {
+        self.is_ended = true;
+        self.progress.clear();
+    }
+
+    /// Returns how far an item without a result had come when that was recorded.
+    pub fn progress(&self, item: usize) -> Option<&Progress> {
+        self.progress.get(&(item as u32))
+    }
+
     /// Returns whether an item has a result.
     pub fn is_finished(&self, item: usize) -> bool {
         self.finished.get(item).copied().unwrap_or_default()
--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -5,10 +5,9 @@
 //! groups that an earlier job left unfinished, then the longest outputs, since they end last.
 
 mod engine;
-mod progress;
 mod task;
 
-pub use self::{engine::Engine, progress::Progress, task::Task};
+pub use self::{engine::Engine, task::Task};
 
 use crate::Record;
 use catkinlatch_base::{GroupId, JobId, ModelId, TargetId, Version};
@@ -66,7 +65,10 @@
         for position in record.open_items() {
             let item = &job.items[position];
             let is_carried = item.group.as_ref().is_some_and(|group| self.started.contains(group));
-            let task = Task::new(job.clone(), position, is_carried);
+            let mut task = Task::new(job.clone(), position, is_carried);
+            if let Some(progress) = record.progress(position) {
+                task.resume(progress.clone());
+            }
             self.tasks.insert((job.id.clone(), position), task);
         }
         self.started.extend(groups);
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -1,13 +1,20 @@
 //! An item that waits or runs.
 
-use super::{Progress, is_fresh};
-use crate::{Item, Job};
+use super::is_fresh;
+use crate::{Item, Job, job::Progress};
 use catkinlatch_base::{GroupId, TargetId, Version};
 use std::{collections::BTreeSet, sync::Arc};
 
 /// How long after a run's beginning its item avoids the engine that it left, in milliseconds.
 const AVOIDED_MS: u64 = 2_000;
 
+/// How long an item runs before its progress is recorded, in milliseconds: most end sooner, and
+/// are soon run again.
+const RECORDED_AFTER_MS: u64 = 1_000;
+
+/// How many more events are worth a record: about a fifth of a second at a full engine.
+const RECORDED_EVENTS: u64 = 6;
+
 /// An item that waits or runs.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -21,6 +28,8 @@
     pub is_carried: bool,
     /// What it has generated so far.
     pub progress: Progress,
+    /// The last event of the progress that was recorded, to outlast this leader.
+    pub recorded_event: u64,
     /// Whether its text is whole, so that only its score is missing.
     pub is_generated: bool,
     /// How often it failed.
@@ -44,6 +53,7 @@
             engine: None,
             is_carried,
             progress: Progress::default(),
+            recorded_event: 0,
             is_generated: false,
             failures: 0,
             refused: BTreeSet::new(),
@@ -83,6 +93,24 @@
         self.item().expected_tokens
     }
 
+    /// Goes on from the progress that an earlier leader recorded.
+    pub fn resume(&mut self, progress: Progress) {
+        self.recorded_event = progress.last_event;
+        self.progress = progress;
+    }
+
+    /// Drops its progress, to begin anew.
+    pub fn restart(&mut self) {
+        self.progress = Progress::default();
+        self.recorded_event = 0;
+    }
+
+    /// Returns whether its progress up to an event is to be recorded.
+    pub fn wants_record(&self, last_event: u64, wall_ms: u64) -> bool {
+        let is_long = self.recorded_event > 0 || wall_ms >= self.began_ms + RECORDED_AFTER_MS;
+        is_long && last_event >= self.recorded_event + RECORDED_EVENTS
+    }
+
     /// Takes it back from its engine, to wait again.
     pub fn put_back(&mut self, progress: Progress) {
         self.engine = None;
--- a/crates/catkinlatch-ledger/src/state.rs
+++ b/crates/catkinlatch-ledger/src/state.rs
@@ -106,11 +106,19 @@
             Command::Configure(document) => self.configure(document),
             Command::NameVersion { model, version } => self.name_version(model, *version),
             Command::Submit(job) => self.submit(job),
+            Command::Advance(advances) => {
+                for advance in advances {
+                    if let Some(record) = self.jobs.get_mut(&advance.job) {
+                        record.advance(advance);
+                    }
+                }
+                Reply::Done
+            }
             Command::Finish { job, outcome } => self.with_job(job, |record| {
                 if record.finish(outcome) { Reply::Done } else { Reply::Overtaken }
             }),
             Command::End { job } => self.with_job(job, |record| {
-                record.is_ended = true;
+                record.end();
                 Reply::Done
             }),
             Command::Forget { job } => {
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -7,6 +7,7 @@
 use catkinlatch_base::{TargetId, Version};
 use catkinlatch_ledger::{
     Job, Record, Schedule,
+    job::{Advance, Progress},
     schedule::{Assignment, Engine},
 };
 use common::{job, job_id};
@@ -118,3 +119,31 @@
     assert!(schedule.next(2_999, &engines).is_none(), "another engine is better for a while");
     assert!(schedule.next(3_000, &engines).is_some());
 }
+
+#[test]
+fn a_new_leader_goes_on_from_the_recorded_progress() {
+    let mut record = Record::new(job("job", 2));
+    let mut progress = Progress::default();
+    progress.push(1, "first".to_owned(), Some(Version::new(1)));
+    let advance = Advance { job: job_id("job"), item: 1, after: 0, progress: progress.clone() };
+    assert!(record.advance(&advance));
+    let mut schedule = Schedule::default();
+    schedule.add(&record);
+    assert_eq!(schedule.task(&job_id("job"), 0).unwrap().progress, Progress::default());
+    assert_eq!(schedule.task(&job_id("job"), 1).unwrap().progress, progress);
+}
+
+#[test]
+fn only_long_items_are_recorded_and_only_what_is_new() {
+    let mut schedule = schedule(&[job("job", 1)]);
+    all(&mut schedule, &[engine("a", 1, 1)]);
+    let task = schedule.task_mut(&job_id("job"), 0).unwrap();
+    let (began, second) = (task.began_ms, 1_000);
+    assert!(!task.wants_record(40, began + second / 2), "it may end soon");
+    assert!(task.wants_record(40, began + second));
+    task.recorded_event = 40;
+    assert!(!task.wants_record(42, began + 2 * second), "two events are not worth a record");
+    assert!(task.wants_record(60, began + 2 * second));
+    task.restart();
+    assert!(task.wants_record(10, began + 2 * second), "the new run's events are others");
+}
--- a/crates/catkinlatch-ledger/tests/state.rs
+++ b/crates/catkinlatch-ledger/tests/state.rs
@@ -8,7 +8,7 @@
 use catkinlatch_ledger::{
     Command, Configuration, Count, Counted, Outcome, Reply, State,
     config::{Document, Limits},
-    job::End,
+    job::{Advance, End, Progress},
 };
 use catkinlatch_log::{Index, Machine as _};
 use common::{job, job_id};
@@ -111,3 +111,39 @@
     apply(&mut state, Command::WindowReported { window: WindowId::new(5) });
     assert_eq!(state.unreported().count(), 0);
 }
+
+fn advance(item: u32, after: u64, events: std::ops::RangeInclusive<u64>) -> Command {
+    let mut progress = Progress::default();
+    events.for_each(|event| progress.push(event, format!("e{event}"), Some(Version::new(1))));
+    Command::Advance(vec![Advance { job: job_id("job"), item, after, progress }])
+}
+
+/// Returns what is recorded of an item's text.
+fn recorded(state: &State, item: usize) -> Option<String> {
+    let progress = state.jobs[&job_id("job")].progress(item)?;
+    assert_eq!(progress.last_event as usize, progress.text.len());
+    Some(progress.text.join(" "))
+}
+
+#[test]
+fn progress_grows_by_whole_events_and_ends_with_the_item() {
+    let mut state = State::default();
+    apply(&mut state, Command::Submit(job("job", 3)));
+    apply(&mut state, advance(1, 0, 1..=2));
+    apply(&mut state, advance(1, 2, 3..=4));
+    assert_eq!(recorded(&state, 1).unwrap(), "e1 e2 e3 e4");
+    // One that was overtaken, or whose forerunner was lost, would leave a hole.
+    apply(&mut state, advance(1, 2, 3..=3));
+    apply(&mut state, advance(1, 6, 7..=8));
+    assert_eq!(recorded(&state, 1).unwrap(), "e1 e2 e3 e4");
+    apply(&mut state, advance(1, 0, 1..=1));
+    assert_eq!(recorded(&state, 1).unwrap(), "e1", "a run that began anew");
+    apply(&mut state, finish(1, "text"));
+    apply(&mut state, advance(1, 0, 1..=1));
+    apply(&mut state, advance(9, 0, 1..=1));
+    assert_eq!((recorded(&state, 1), recorded(&state, 9)), (None, None));
+    apply(&mut state, advance(2, 0, 1..=1));
+    apply(&mut state, Command::End { job: job_id("job") });
+    apply(&mut state, advance(2, 0, 1..=1));
+    assert_eq!(recorded(&state, 2), None);
+}
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -19,17 +19,17 @@
 /// The only model.
 pub const MODEL: &str = "model";
 
-/// How many events an item has.
-pub const EVENTS: u64 = 5;
+/// How many events an item has unless a test says otherwise.
+const EVENTS: u64 = 5;
 
-/// How long an event takes.
+/// How long an event takes unless a test says otherwise.
 const EVENT: Duration = Duration::from_millis(15);
 
 /// How long a load takes.
 const LOAD: Duration = Duration::from_millis(60);
 
 /// What an engine knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Memory {
     /// The version of the weights.
     pub version: u64,
@@ -43,6 +43,25 @@
     pub runs: BTreeMap<String, Vec<u64>>,
     /// How many runs break off after two events.
     pub breaks: u32,
+    /// How many events an item has.
+    pub events: u64,
+    /// How long an event takes.
+    pub event: Duration,
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Self {
+            version: 1,
+            accepted: 0,
+            fence: 0,
+            is_busy: false,
+            runs: BTreeMap::new(),
+            breaks: 0,
+            events: EVENTS,
+            event: EVENT,
+        }
+    }
 }
 
 /// A model engine.
@@ -60,7 +79,7 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let target = Target::new(id, service, listener.local_addr()?, 4);
         let (keep, stop) = watch::channel(false);
-        let memory = Arc::new(Mutex::new(Memory { version: 1, ..Memory::default() }));
+        let memory = Arc::new(Mutex::new(Memory::default()));
         let engine = Self { target: target.clone(), memory, _stop: keep };
         let (answering, announced) = (engine.clone(), engine.clone());
         let server = Server { idle_timeout: Duration::from_secs(10), stop };
@@ -121,18 +140,18 @@
     }
 
     fn generate(self, id: String, last: u64) -> Response<Body> {
-        let (version, breaks) = {
+        let (version, breaks, events, pace) = {
             let mut memory = self.memory();
             memory.runs.entry(id.clone()).or_default().push(last);
             let breaks = memory.breaks > 0;
             memory.breaks = memory.breaks.saturating_sub(1);
-            (memory.version, breaks)
+            (memory.version, breaks, memory.events, memory.event)
         };
         let (mut sender, body) = Channel::<Bytes, io::Error>::new(4);
         let item = id.clone();
         tokio::spawn(async move {
-            for event in last + 1..=EVENTS {
-                time::sleep(EVENT).await;
+            for event in last + 1..=events {
+                time::sleep(pace).await;
                 let text = format!("id: {event}\ndata: {item} event {event}\n\n");
                 if breaks && event == last + 3 {
                     sender.abort(io::Error::other("the engine breaks off"));
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::{host::Host, runner::Shared};
 use catkinlatch_base::{Instant, Version};
-use catkinlatch_ledger::{Job, Target, schedule::Progress};
+use catkinlatch_ledger::{Job, Target, job::Progress};
 use catkinlatch_platform::{Event, Events, header};
 use catkinlatch_runtime::http::{Exchange, Failure, full};
 use http::{HeaderName, HeaderValue, Request, StatusCode};
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -6,12 +6,12 @@
     score::{self, Score},
     work::Work,
 };
-use catkinlatch_base::{JobId, TargetId};
+use catkinlatch_base::{Instant, JobId, TargetId};
 use catkinlatch_ledger::{
     Choice, Command, Job, Outcome, Schedule, Target,
     choice::Verdict,
-    job,
-    schedule::{Assignment, Engine, Progress},
+    job::{self, Advance, Progress},
+    schedule::{Assignment, Engine},
 };
 use log::{info, warn};
 use std::{
@@ -28,6 +28,12 @@
 /// How often the runner looks for what no event tells.
 const TICK: Duration = Duration::from_millis(50);
 
+/// How often the progress of long items is recorded: what a change of leader may cost of them.
+const RECORD_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How many items one record names at most, which bounds the size of an entry of the log.
+const RECORDED_ITEMS: usize = 64;
+
 /// How long an item rests after it failed, in milliseconds.
 const FAILURE_REST_MS: u64 = 100;
 
@@ -80,12 +86,14 @@
     tell: mpsc::Sender<Told>,
     told: mpsc::Receiver<Told>,
     last_run: u64,
+    recorded: Instant,
 }
 
 impl Runner {
     /// Creates the runner of a new leader.
     pub fn new(host: Arc<Host>) -> Self {
         let (tell, told) = mpsc::channel(QUEUE);
+        let recorded = host.clock.now();
         Self {
             host,
             shared: Shared::default(),
@@ -95,6 +103,7 @@
             tell,
             told,
             last_run: 0,
+            recorded,
         }
     }
 
@@ -106,6 +115,7 @@
             self.follow_jobs();
             self.give_up_overdue();
             self.assign();
+            self.record_progress();
             tokio::select! {
                 told = self.told.recv() => self.take_all(told),
                 _ = applied.changed() => {}
@@ -260,6 +270,36 @@
         }
     }
 
+    /// Commits how far long items have come, so that the next leader need not begin them anew.
+    fn record_progress(&mut self) {
+        let now = self.host.clock.now();
+        if now < self.recorded + RECORD_INTERVAL {
+            return;
+        }
+        self.recorded = now;
+        let wall_ms = self.host.clock.wall_ms();
+        let mut advances = Vec::new();
+        for ((job, item), handle) in &self.handles {
+            let Some(shown) = &handle.shown else { continue };
+            let Some(task) = self.schedule.task_mut(job, *item) else { continue };
+            let shown = shown.lock().unwrap_or_else(PoisonError::into_inner);
+            if task.wants_record(shown.last_event, wall_ms) {
+                let after = task.recorded_event;
+                let (job, item, progress) = (job.clone(), *item as u32, shown.since(after));
+                task.recorded_event = shown.last_event;
+                advances.push(Advance { job, item, after, progress });
+            }
+        }
+        for chunk in advances.chunks(RECORDED_ITEMS) {
+            let (host, chunk) = (self.host.clone(), chunk.to_vec());
+            self.runs.spawn(async move {
+                let items = chunk.len();
+                let reply = host.replica.propose(Command::Advance(chunk)).await;
+                info!(items = items, reply:? = reply; "jobs: recorded progress");
+            });
+        }
+    }
+
     fn take_all(&mut self, told: Option<Told>) {
         let mut next = told;
         while let Some(told) = next {
@@ -308,10 +348,10 @@
                 let (shared_job, progress) = (task.job.clone(), task.progress.clone());
                 self.score(shared_job, item, progress);
             }
-            End::Whole => task.progress = Progress::default(),
+            End::Whole => task.restart(),
             End::Failed => {
                 task.failures += 1;
-                task.progress = Progress::default();
+                task.restart();
                 task.rests_until_ms = wall_ms + FAILURE_REST_MS;
                 if task.failures >= task.job.max_attempts {
                     warn!(job:% = job, item = item; "jobs: gave an item up, it failed too often");
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -156,9 +156,13 @@
 
 /// Checks that each result is whole, of these versions, and scored by its own call.
 fn check(results: &[Value], versions: &[u64]) {
+    check_events(results, versions, 5);
+}
+
+fn check_events(results: &[Value], versions: &[u64], events: u64) {
     for result in results {
         let id = result["id"].as_str().unwrap();
-        let text: Vec<String> = (1..=5).map(|event| format!("{id} event {event}")).collect();
+        let text: Vec<String> = (1..=events).map(|event| format!("{id} event {event}")).collect();
         assert_eq!(result["text"], text.join("\n"), "{result}");
         assert_eq!(result["state"], "completed");
         assert_eq!(result["score"], format!("seal-of-{id}-score"));
@@ -297,6 +301,33 @@
     check(&setup.results(0, "job-1", 40).await, &[1]);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_item_goes_on_from_what_was_recorded_of_it() {
+    let mut setup = Setup::start().await;
+    for engine in &setup.engines {
+        engine.memory().events = 60;
+        engine.memory().event = Duration::from_millis(50);
+    }
+    setup.submit("job-1", 1, 2).await;
+    until("progress is recorded", || async {
+        let is_recorded =
+            |line: &str| line.contains("recorded progress") && line.contains("Ok(Done)");
+        setup.site.hosts.iter().any(|host| host.log().lines().any(is_recorded))
+    })
+    .await;
+    setup.site.hosts.iter_mut().for_each(|host| host.kill().unwrap());
+    setup.site.hosts.iter_mut().for_each(|host| host.start().unwrap());
+    check_events(&setup.results(0, "job-1", 2).await, &[1], 60);
+    let runs = |id: &str| -> Vec<u64> {
+        let of = |engine: &Engine| engine.memory().runs.get(id).cloned().unwrap_or_default();
+        setup.engines.iter().flat_map(of).collect()
+    };
+    for id in ["job-1-0", "job-1-1"] {
+        let runs = runs(id);
+        assert!(runs.len() > 1 && runs.iter().any(|last| *last >= 6), "{id}: {runs:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leaving_target_gets_nothing_once_that_is_acknowledged() {
     let setup = Setup::start().await;
