Read the files of a log a part at a time

Ruled out: the transfer of entries to a wiped store (sent in batches). Change: records are read through a window of 256 KB that grows to the longest record; a bad record still makes the rest be read, to tell a torn tail from damage. Test: disk.rs with entries longer than the window, torn and damaged.

--- a/crates/catkinlatch-log/src/storage.rs
+++ b/crates/catkinlatch-log/src/storage.rs
@@ -7,6 +7,7 @@
 mod record;
 mod restored;
 mod scan;
+mod window;
 mod writer;
 
 pub use self::{
--- a/crates/catkinlatch-log/src/storage/disk.rs
+++ b/crates/catkinlatch-log/src/storage/disk.rs
@@ -69,9 +69,9 @@
         let lock = lock(folder)?;
         let path = folder.join(LOG_FILE);
         let source = Source { path: &path, cluster: &cluster, group };
-        let bytes = file::read(&path).map_err(|error| io_error(&path, error))?;
-        let has_log = bytes.is_some();
-        let records = source.read(&bytes.unwrap_or_default())?;
+        let file = file::open(&path).map_err(|error| io_error(&path, error))?;
+        let has_log = file.is_some();
+        let records = file.map_or_else(|| source.read(io::empty()), |file| source.read(file))?;
         let length = records.length;
         let snapshot = read_snapshot::<C>(folder, &cluster, group)?;
         let restored = replay(&source, records, snapshot)?;
@@ -296,12 +296,13 @@
     cluster: &ClusterId,
     group: Group,
 ) -> Result<Option<Body<C>>, OpenError> {
-    let Some(bytes) = file::read(path).map_err(|error| io_error(path, error))? else {
+    let Some(file) = file::open(path).map_err(|error| io_error(path, error))? else {
         return Ok(None);
     };
+    let bytes = file.metadata().map_err(|error| io_error(path, error))?.len();
     let source = Source { path, cluster, group };
-    let mut records = source.read::<C>(&bytes)?;
-    if records.length != bytes.len() as u64 || records.list.len() != 1 {
+    let mut records = source.read::<C>(file)?;
+    if records.length != bytes || records.list.len() != 1 {
         return Err(source.damaged(records.length, "the file does not hold one whole record"));
     }
     Ok(records.list.pop().map(|(_, record)| record.body))
--- a/crates/catkinlatch-log/src/storage/file.rs
+++ b/crates/catkinlatch-log/src/storage/file.rs
@@ -17,10 +17,10 @@
     Ok(file)
 }
 
-/// Reads a file, or returns nothing if there is none.
-pub fn read(path: &Path) -> io::Result<Option<Vec<u8>>> {
-    match fs::read(path) {
-        Ok(bytes) => Ok(Some(bytes)),
+/// Opens a file to read, or returns nothing if there is none.
+pub fn open(path: &Path) -> io::Result<Option<File>> {
+    match File::open(path) {
+        Ok(file) => Ok(Some(file)),
         Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(error) => Err(error),
     }
--- a/crates/catkinlatch-log/src/storage/scan.rs
+++ b/crates/catkinlatch-log/src/storage/scan.rs
@@ -3,11 +3,12 @@
 use super::{
     OpenError,
     record::{self, HEADER_BYTES, MAGIC, Record},
+    window::Window,
 };
 use crate::Group;
 use catkinlatch_base::ClusterId;
 use serde::de::DeserializeOwned;
-use std::path::Path;
+use std::{io::Read, path::Path};
 
 /// Which file is read, and what its records must say.
 #[derive(Clone, Copy, Debug)]
@@ -28,19 +29,23 @@
     /// # Errors
     ///
     /// Returns an error if synced content is damaged or belongs elsewhere.
-    pub fn read<C: DeserializeOwned>(&self, bytes: &[u8]) -> Result<Records<C>, OpenError> {
+    pub fn read<C: DeserializeOwned>(&self, file: impl Read) -> Result<Records<C>, OpenError> {
+        let mut window = Window::new(file);
         let mut list = Vec::new();
-        let mut offset = 0;
-        while offset < bytes.len() {
-            let Some(body) = record::body(&bytes[offset..]) else {
-                self.check_tail::<C>(bytes, offset)?;
+        loop {
+            while let Some(body) = record::body(window.bytes()) {
+                let record = self.check(body, window.offset())?;
+                let bytes = HEADER_BYTES + body.len();
+                list.push((window.offset(), record));
+                window.skip(bytes);
+            }
+            // What looks bad may only go on in the next part.
+            if !window.fill().map_err(|error| OpenError::Io { path: self.path.into(), error })? {
                 break;
-            };
-            let record = self.check(body, offset)?;
-            list.push((offset as u64, record));
-            offset += HEADER_BYTES + body.len();
+            }
         }
-        Ok(Records { list, length: offset as u64 })
+        self.check_tail::<C>(window.bytes(), window.offset())?;
+        Ok(Records { list, length: window.offset() })
     }
 
     /// Creates an error about a place in the file.
@@ -48,13 +53,9 @@
         OpenError::Damaged { path: self.path.into(), offset, reason: reason.into() }
     }
 
-    fn check<C: DeserializeOwned>(
-        &self,
-        body: &[u8],
-        offset: usize,
-    ) -> Result<Record<C>, OpenError> {
+    fn check<C: DeserializeOwned>(&self, body: &[u8], offset: u64) -> Result<Record<C>, OpenError> {
         let record: Record<C> =
-            record::decode(body).map_err(|reason| self.damaged(offset as u64, reason))?;
+            record::decode(body).map_err(|reason| self.damaged(offset, reason))?;
         if record.cluster != *self.cluster {
             return Err(OpenError::Cluster {
                 path: self.path.into(),
@@ -64,19 +65,19 @@
         }
         if record.group != self.group {
             let reason = format!("it holds group {}, not {}", record.group, self.group);
-            return Err(self.damaged(offset as u64, reason));
+            return Err(self.damaged(offset, reason));
         }
         Ok(record)
     }
 
-    /// Refuses a bad record that a later record says was synced.
-    fn check_tail<C: DeserializeOwned>(&self, bytes: &[u8], bad: usize) -> Result<(), OpenError> {
-        let mut at = bad + 1;
+    /// Refuses a bad record at the beginning of the tail that a later record says was synced.
+    fn check_tail<C: DeserializeOwned>(&self, bytes: &[u8], bad: u64) -> Result<(), OpenError> {
+        let mut at = 1;
         while let Some(found) = find_magic(bytes, at) {
             let body = record::body(&bytes[found..]);
             let record = body.and_then(|body| record::decode::<C>(body).ok());
-            if record.is_some_and(|record| record.synced > bad as u64) {
-                return Err(self.damaged(bad as u64, "a synced record fails its checksum"));
+            if record.is_some_and(|record| record.synced > bad) {
+                return Err(self.damaged(bad, "a synced record fails its checksum"));
             }
             at = found + 1;
         }
--- a/crates/catkinlatch-log/tests/log/disk.rs
+++ b/crates/catkinlatch-log/tests/log/disk.rs
@@ -202,3 +202,32 @@
     assert!(disk.write(&write(5, &[entry(4, 5, 50)])).is_err());
     assert!(disk.sync().is_err());
 }
+
+#[test]
+fn entries_longer_than_what_is_read_at_once_are_found_torn_and_refused_alike() {
+    let folder = TempDir::new().unwrap();
+    let path = folder.path().join("log");
+    let open = || {
+        let mut random = fastrand::Rng::with_seed(1);
+        let cluster = "test".parse().unwrap();
+        Disk::open::<Vec<u8>>(folder.path(), cluster, Group::default(), &mut random)
+    };
+    let mut disk = open().unwrap().disk;
+    for index in 1..=4_u64 {
+        let payload = Payload::Command(vec![index as u8; 300_000 * index as usize]);
+        let entry = Entry { index: Index::new(index), term: Term::new(1), payload };
+        let mut write = Write::new(index);
+        write.entries = vec![Arc::new(entry)];
+        disk.write(&write).unwrap();
+        disk.sync().unwrap();
+    }
+    drop(disk);
+    let whole = fs::read(&path).unwrap();
+    assert_eq!(open().unwrap().restored.entries.len(), 4);
+    fs::write(&path, &whole[..whole.len() - 300_000]).unwrap();
+    assert_eq!(open().unwrap().restored.entries.len(), 3);
+    let mut bytes = whole;
+    bytes[400_000] ^= 1;
+    fs::write(&path, &bytes).unwrap();
+    assert!(matches!(open(), Err(OpenError::Damaged { .. })));
+}
