Decide what follows the end of a run without a network, and tell cut runs from the next there

The runner decided between logs, calls and tasks what becomes of an item whose run ended; the numbering of runs had no test. Tests: schedule.rs, six new cases.

--- a/crates/catkinlatch-base/src/id.rs
+++ b/crates/catkinlatch-base/src/id.rs
@@ -141,6 +141,8 @@
     GroupNumber;
     /// Numbers usage windows since the Unix epoch.
     WindowId;
+    /// Counts the runs of one leader's items.
+    RunId;
 }
 
 crate::derive_key! {
--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -5,12 +5,20 @@
 //! groups that an earlier job left unfinished, then the longest outputs, since they end last.
 
 mod engine;
+mod run;
 mod task;
 
-pub use self::{engine::Engine, task::Task};
+pub use self::{
+    engine::Engine,
+    run::{End, Loss, Next},
+    task::Task,
+};
 
-use crate::Record;
-use catkinlatch_base::{GroupId, JobId, ModelId, TargetId, Version};
+use crate::{
+    Outcome, Record,
+    job::{self, Progress},
+};
+use catkinlatch_base::{GroupId, JobId, ModelId, RunId, TargetId, Version};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -43,6 +51,8 @@
     pub item: usize,
     /// The engine.
     pub engine: TargetId,
+    /// Counts the runs of this schedule, so that one that was cut is told from the next.
+    pub run: RunId,
 }
 
 /// The items that wait or run.
@@ -51,6 +61,7 @@
     tasks: BTreeMap<(JobId, usize), Task>,
     known: BTreeSet<JobId>,
     started: BTreeSet<GroupId>,
+    last_run: RunId,
 }
 
 impl Schedule {
@@ -97,13 +108,14 @@
         for task in waiting {
             let Some(engine) = self.place(task, wall_ms, engines, &load) else { continue };
             let key = (task.job.id.clone(), task.item);
-            let assignment =
-                Assignment { job: key.0.clone(), item: key.1, engine: engine.id.clone() };
+            self.last_run = self.last_run.next();
+            let (run, engine) = (self.last_run, engine.id.clone());
             if let Some(task) = self.tasks.get_mut(&key) {
-                task.engine = Some(engine.id.clone());
+                task.engine = Some(engine.clone());
+                task.run = Some(run);
                 task.began_ms = wall_ms;
             }
-            return Some(assignment);
+            return Some(Assignment { job: key.0, item: key.1, engine, run });
         }
         None
     }
@@ -155,9 +167,36 @@
         self.tasks.get_mut(&(job.clone(), item))
     }
 
-    /// Drops an item that has its result.
-    pub fn finish(&mut self, job: &JobId, item: usize) {
-        self.tasks.remove(&(job.clone(), item));
+    /// Takes the end of a run with what its item has generated, and decides what follows.
+    pub fn end(
+        &mut self,
+        job: &JobId,
+        item: usize,
+        run: RunId,
+        end: End,
+        progress: Progress,
+        wall_ms: u64,
+    ) -> Next {
+        match self.task_mut(job, item).filter(|task| task.run == Some(run)) {
+            Some(task) => task.end(end, progress, wall_ms),
+            None => Next::Nothing,
+        }
+    }
+
+    /// Takes the signature of an item's scoring call, if there was one to make; returns the result
+    /// to list.
+    pub fn complete(&mut self, job: &JobId, item: usize, score: Option<String>) -> Option<Outcome> {
+        self.task(job, item).filter(|task| task.is_generated)?;
+        let task = self.tasks.remove(&(job.clone(), item))?;
+        let Progress { text, versions, .. } = task.progress;
+        let (text, versions) = (text.join("\n"), versions.into_iter().collect());
+        Some(Outcome { item: item as u32, end: job::End::Completed { text, versions, score } })
+    }
+
+    /// Gives an item up; returns the result to list.
+    pub fn lose(&mut self, job: &JobId, item: usize) -> Option<Outcome> {
+        self.tasks.remove(&(job.clone(), item))?;
+        Some(Outcome { item: item as u32, end: job::End::Lost })
     }
 
     /// Returns the items that may be given up and do not run.
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -1,8 +1,11 @@
 //! An item that waits or runs.
 
-use super::is_fresh;
-use crate::{Item, Job, job::Progress};
-use catkinlatch_base::{GroupId, TargetId, Version};
+use super::{End, Loss, Next, is_fresh};
+use crate::{
+    Item, Job,
+    job::{Advance, Progress},
+};
+use catkinlatch_base::{GroupId, RunId, TargetId, Version};
 use std::{collections::BTreeSet, sync::Arc};
 
 /// How long after a run's beginning its item avoids the engine that it left, in milliseconds.
@@ -15,6 +18,9 @@
 /// How many more events are worth a record: about a fifth of a second at a full engine.
 const RECORDED_EVENTS: u64 = 6;
 
+/// How long an item rests after it failed, in milliseconds: the engine may fail for it alone.
+const FAILURE_REST_MS: u64 = 100;
+
 /// An item that waits or runs.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -24,6 +30,8 @@
     pub item: usize,
     /// The engine that runs it, if one does.
     pub engine: Option<TargetId>,
+    /// Its present run, if it runs.
+    pub run: Option<RunId>,
     /// Whether an earlier job began its group.
     pub is_carried: bool,
     /// What it has generated so far.
@@ -51,6 +59,7 @@
             job,
             item,
             engine: None,
+            run: None,
             is_carried,
             progress: Progress::default(),
             recorded_event: 0,
@@ -100,20 +109,66 @@
     }
 
     /// Drops its progress, to begin anew.
-    pub fn restart(&mut self) {
+    fn restart(&mut self) {
         self.progress = Progress::default();
         self.recorded_event = 0;
     }
 
-    /// Returns whether its progress up to an event is to be recorded.
-    pub fn wants_record(&self, last_event: u64, wall_ms: u64) -> bool {
-        let is_long = self.recorded_event > 0 || wall_ms >= self.began_ms + RECORDED_AFTER_MS;
-        is_long && last_event >= self.recorded_event + RECORDED_EVENTS
+    /// Returns what is to be recorded of its present run's progress, and takes it as recorded:
+    /// what is new of a long item.
+    pub fn advance(&mut self, progress: &Progress, wall_ms: u64) -> Option<Advance> {
+        let after = self.recorded_event;
+        let is_long = after > 0 || wall_ms >= self.began_ms + RECORDED_AFTER_MS;
+        if !is_long || progress.last_event < after + RECORDED_EVENTS {
+            return None;
+        }
+        self.recorded_event = progress.last_event;
+        let (job, item) = (self.job.id.clone(), self.item as u32);
+        Some(Advance { job, item, after, progress: progress.since(after) })
     }
 
-    /// Takes it back from its engine, to wait again.
-    pub fn put_back(&mut self, progress: Progress) {
-        self.engine = None;
+    /// Takes it back from its engine, to wait again; returns the engine.
+    pub fn put_back(&mut self, progress: Progress) -> Option<TargetId> {
+        self.run = None;
         self.progress = progress;
+        self.engine.take()
+    }
+
+    /// Cuts its run, to go on at another engine; returns the one that it leaves.
+    pub fn cut(&mut self, progress: Progress) -> Option<TargetId> {
+        let engine = self.put_back(progress);
+        self.refused.extend(engine.clone());
+        self.moves += 1;
+        engine
+    }
+
+    /// Takes the end of its run, and decides what follows.
+    pub(super) fn end(&mut self, end: End, progress: Progress, wall_ms: u64) -> Next {
+        self.put_back(progress);
+        self.refused.clear();
+        match end {
+            End::Whole if self.is_acceptable() => {
+                self.is_generated = true;
+                Next::Score
+            }
+            End::Whole => {
+                self.restart();
+                Next::Again
+            }
+            End::Failed => {
+                self.failures += 1;
+                self.restart();
+                self.rests_until_ms = wall_ms + FAILURE_REST_MS;
+                let is_over = self.failures >= self.job.max_attempts;
+                if is_over { Next::Lose(Loss::Failures) } else { Next::Again }
+            }
+            End::Impossible => Next::Lose(Loss::Impossible),
+            End::Broken | End::Refused | End::Outdated(_) | End::OtherTarget => Next::Again,
+        }
+    }
+
+    /// Returns whether its text may be listed: of one version, where the job asks for that.
+    fn is_acceptable(&self) -> bool {
+        !self.job.is_single_version || self.progress.versions.len() <= 1
     }
 }
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -8,10 +8,11 @@
 use catkinlatch_ledger::{
     Job, Record, Schedule,
     job::{Advance, Progress},
-    schedule::{Assignment, Engine},
+    schedule::{Assignment, End, Engine, Loss, Next},
 };
 use common::{job, job_id};
 use std::{collections::BTreeMap, sync::Arc};
+use test_case::test_case;
 
 fn engine(name: &str, slots: u32, version: u64) -> Engine {
     let model = "model".parse().unwrap();
@@ -133,17 +134,75 @@
     assert_eq!(schedule.task(&job_id("job"), 1).unwrap().progress, progress);
 }
 
+/// Events 1 to `last` of one version.
+fn events(last: u64) -> Progress {
+    let mut progress = Progress::default();
+    (1..=last).for_each(|id| progress.push(id, format!("e{id}"), Some(Version::new(1))));
+    progress
+}
+
 #[test]
 fn only_long_items_are_recorded_and_only_what_is_new() {
     let mut schedule = schedule(&[job("job", 1)]);
     all(&mut schedule, &[engine("a", 1, 1)]);
     let task = schedule.task_mut(&job_id("job"), 0).unwrap();
     let (began, second) = (task.began_ms, 1_000);
-    assert!(!task.wants_record(40, began + second / 2), "it may end soon");
-    assert!(task.wants_record(40, began + second));
-    task.recorded_event = 40;
-    assert!(!task.wants_record(42, began + 2 * second), "two events are not worth a record");
-    assert!(task.wants_record(60, began + 2 * second));
-    task.restart();
-    assert!(task.wants_record(10, began + 2 * second), "the new run's events are others");
+    assert_eq!(task.advance(&events(40), began + second / 2), None, "it may end soon");
+    let first = task.advance(&events(40), began + second).unwrap();
+    assert_eq!((first.after, first.progress), (0, events(40)));
+    assert_eq!(task.advance(&events(42), began + second), None, "too little is new");
+    let more = task.advance(&events(60), began + second).unwrap();
+    assert_eq!((more.after, more.progress.text.len()), (40, 20));
+}
+
+#[test]
+fn a_run_that_begins_anew_is_recorded_from_its_first_event() {
+    let mut schedule = schedule(&[job("job", 1)]);
+    let engines = [engine("a", 1, 1)];
+    let first = all(&mut schedule, &engines).pop().unwrap();
+    let (id, second) = (job_id("job"), 3_000);
+    assert!(schedule.task_mut(&id, 0).unwrap().advance(&events(40), second).is_some());
+    assert_eq!(schedule.end(&id, 0, first.run, End::Failed, events(40), second), Next::Again);
+    schedule.next(2 * second, &engines).unwrap();
+    let again = schedule.task_mut(&id, 0).unwrap().advance(&events(10), 3 * second).unwrap();
+    assert_eq!((again.after, again.progress), (0, events(10)));
+}
+
+#[test]
+fn the_end_of_a_run_that_was_cut_counts_for_nothing() {
+    let mut schedule = schedule(&[job("job", 1)]);
+    let engines = [engine("a", 1, 1), engine("b", 1, 1)];
+    let first = schedule.next(1_000, &engines).unwrap();
+    let id = job_id("job");
+    assert_eq!(schedule.task_mut(&id, 0).unwrap().cut(events(3)), Some(first.engine.clone()));
+    let second = schedule.next(1_010, &engines).unwrap();
+    assert_ne!(second.engine, first.engine);
+    assert_eq!(schedule.end(&id, 0, first.run, End::Whole, events(9), 1_020), Next::Nothing);
+    assert!(schedule.complete(&id, 0, None).is_none(), "nothing is whole yet");
+    let task = schedule.task(&id, 0).unwrap();
+    assert_eq!((&task.progress, task.run), (&events(3), Some(second.run)));
+}
+
+#[test_case(End::Broken, 3; "goes on where it broke off")]
+#[test_case(End::Refused, 3; "goes on after a refusal")]
+#[test_case(End::Failed, 0; "begins anew after a failure")]
+fn what_was_generated_is_kept_unless_the_engine_failed(end: End, kept: u64) {
+    let mut schedule = schedule(&[job("job", 1)]);
+    let run = schedule.next(1_000, &[engine("a", 1, 1)]).unwrap().run;
+    assert_eq!(schedule.end(&job_id("job"), 0, run, end, events(3), 1_000), Next::Again);
+    assert_eq!(schedule.task(&job_id("job"), 0).unwrap().progress, events(kept));
+}
+
+#[test]
+fn an_item_is_given_up_after_as_many_failures_as_its_job_allows() {
+    let mut schedule = schedule(&[job("job", 1)]);
+    let (id, engines) = (job_id("job"), [engine("a", 1, 1)]);
+    for (failure, next) in [Next::Again, Next::Again, Next::Lose(Loss::Failures)].iter().enumerate()
+    {
+        let wall_ms = 1_000 * (failure as u64 + 1);
+        let run = schedule.next(wall_ms, &engines).unwrap().run;
+        assert_eq!(schedule.end(&id, 0, run, End::Failed, events(3), wall_ms), *next);
+    }
+    assert!(schedule.lose(&id, 0).is_some());
+    assert!(schedule.lose(&id, 0).is_none(), "it is given up once");
 }
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -10,6 +10,7 @@
 mod run;
 mod runner;
 mod score;
+mod shared;
 mod soft;
 mod usage;
 mod weights;
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -1,8 +1,8 @@
 //! One run of an item on an engine.
 
-use crate::{host::Host, runner::Shared};
+use crate::{host::Host, shared::Shared};
 use catkinlatch_base::{Instant, Version};
-use catkinlatch_ledger::{Job, Target, job::Progress};
+use catkinlatch_ledger::{Job, Target, job::Progress, schedule::End};
 use catkinlatch_platform::{Event, Events, header};
 use catkinlatch_runtime::http::{Exchange, Failure, full};
 use http::{HeaderName, HeaderValue, Request, StatusCode};
@@ -19,25 +19,6 @@
 /// How long an engine may pause between two events; a slow one pauses a third of that.
 const PAUSE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// The text is whole.
-    Whole,
-    /// It broke off, and may go on elsewhere.
-    Broken,
-    /// The engine says that it failed.
-    Failed,
-    /// The engine says that the item can never be done.
-    Impossible,
-    /// The engine did not run it.
-    Refused,
-    /// The engine's weights are too old.
-    Outdated(Option<Version>),
-    /// Another target has the address.
-    OtherTarget,
-}
-
 /// What a run has generated, as those who may cut it see it.
 pub type Shown = Arc<Mutex<Progress>>;
 
@@ -255,8 +236,3 @@
         Ok(())
     }
 }
-
-/// Returns whether the text may be listed: of one version, where the job asks for that.
-pub fn is_acceptable(job: &Job, progress: &Progress) -> bool {
-    !job.is_single_version || progress.versions.len() <= 1
-}
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -1,6 +1,6 @@
 //! The call that scores a sample.
 
-use crate::{host::Host, runner::Shared};
+use crate::{host::Host, shared::Shared};
 use catkinlatch_base::TargetId;
 use catkinlatch_ledger::{Configuration, Target, choice::Verdict, job::Scorer};
 use catkinlatch_platform::header;
