Run the job ledger at random for millions of steps, and drop the items of a job that is gone

After each step: results keep position and content on all hosts, each text is whole and of the versions listed, what is recorded is a beginning of the text, no item runs that is listed, no engine runs more than it has slots, no accepted job is lost; in the end all open jobs end.

--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -88,9 +88,12 @@
         }
     }
 
-    /// Returns whether a job was added and not removed.
-    pub fn contains(&self, job: &JobId) -> bool {
-        self.known.contains(job)
+    /// Takes new jobs, and returns those that it still holds though nothing of them is to be run:
+    /// they are done, or were dropped.
+    pub fn follow(&mut self, jobs: &BTreeMap<JobId, Record>) -> Vec<JobId> {
+        jobs.values().for_each(|record| self.add(record));
+        let is_over = |job: &&JobId| jobs.get(*job).is_none_or(Record::is_done);
+        self.known.iter().filter(is_over).cloned().collect()
     }
 
     /// Drops what is left of a job.
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -206,3 +206,15 @@
     assert!(schedule.lose(&id, 0).is_some());
     assert!(schedule.lose(&id, 0).is_none(), "it is given up once");
 }
+
+#[test]
+fn a_job_that_was_dropped_before_its_end_was_seen_is_over() {
+    let mut schedule = Schedule::default();
+    let record = Record::new(job("job", 2));
+    let jobs = BTreeMap::from([(job_id("job"), record)]);
+    assert!(schedule.follow(&jobs).is_empty());
+    assert_eq!(schedule.follow(&BTreeMap::new()), [job_id("job")]);
+    schedule.remove(&job_id("job"));
+    assert!(all(&mut schedule, &[engine("a", 4, 1)]).is_empty());
+    assert!(schedule.follow(&BTreeMap::new()).is_empty());
+}
--- /dev/null
+++ b/crates/catkinlatch-ledger/tests/storm/leader.rs
@@ -0,0 +1,174 @@
+//! A leader of the randomised runs: its schedule, its runs, and what it has proposed.
+
+use super::model;
+use catkinlatch_base::{JobId, RunId, TargetId};
+use catkinlatch_ledger::{
+    Command, Item, Outcome, Schedule, State,
+    job::{Advance, Progress},
+    schedule::{End, Engine, Loss, Next},
+};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+type Key = (JobId, usize);
+
+/// A run of an item on an engine.
+pub struct Run {
+    pub run: RunId,
+    pub engine: TargetId,
+    pub progress: Progress,
+}
+
+/// How a run that was cut ended, told late.
+struct Late {
+    key: Key,
+    run: RunId,
+    progress: Progress,
+}
+
+#[derive(Default)]
+pub struct Leader {
+    schedule: Schedule,
+    runs: BTreeMap<Key, Run>,
+    late: Vec<Late>,
+    /// Items whose scoring call is under way.
+    scoring: Vec<Key>,
+    /// What was proposed and is not committed yet, oldest first.
+    pub proposed: VecDeque<Command>,
+}
+
+impl Leader {
+    /// Takes new jobs, and stops those that ended.
+    pub fn follow(&mut self, state: &State) {
+        for id in self.schedule.follow(&state.jobs) {
+            self.schedule.remove(&id);
+            self.runs.retain(|(job, _), _| *job != id);
+            self.scoring.retain(|(job, _)| *job != id);
+        }
+    }
+
+    /// Gives up what may be given up, and starts runs while there are items and free slots.
+    pub fn assign(&mut self, state: &State, engines: &[Engine], wall_ms: u64) {
+        for (job, item) in self.schedule.overdue(wall_ms) {
+            if !self.scoring.contains(&(job.clone(), item)) {
+                self.lose(&job, item);
+            }
+        }
+        while let Some(assignment) = self.schedule.next(wall_ms, engines) {
+            let key = (assignment.job, assignment.item);
+            let record = &state.jobs[&key.0];
+            assert!(!record.is_finished(key.1), "{key:?} runs though it is listed");
+            let progress = self.schedule.task(&key.0, key.1).unwrap().progress.clone();
+            super::check::check_prefix(&record.job.items[key.1], &progress);
+            let run = Run { run: assignment.run, engine: assignment.engine, progress };
+            assert!(self.runs.insert(key, run).is_none(), "an item has two runs");
+        }
+        for engine in engines {
+            let running = self.runs.values().filter(|run| run.engine == engine.id).count();
+            assert!(running <= engine.slots as usize, "{} runs {running} items", engine.id);
+        }
+    }
+
+    /// Draws a run, with its item.
+    fn draw(&mut self, random: &mut fastrand::Rng) -> Option<(Key, Item)> {
+        let key = random.choice(self.runs.keys().cloned().collect::<Vec<_>>())?;
+        let item = self.schedule.task(&key.0, key.1).unwrap().item().clone();
+        Some((key, item))
+    }
+
+    /// Lets a run generate some events, or end.
+    pub fn work(&mut self, engines: &[Engine], wall_ms: u64, random: &mut fastrand::Rng) {
+        let Some((key, item)) = self.draw(random) else { return };
+        let run = self.runs.get_mut(&key).unwrap();
+        let engine = engines.iter().find(|engine| engine.id == run.engine).unwrap();
+        let version = engine.version(Some(&model::model()));
+        let task = self.schedule.task(&key.0, key.1).unwrap();
+        let length = model::events(&item);
+        for _ in 0..random.u64(..12) {
+            if run.progress.last_event < length && task.accepts(version) {
+                model::generate(&item, &mut run.progress, version.unwrap());
+            }
+        }
+        let end = match random.u8(..12) {
+            _ if length == 0 => End::Impossible,
+            _ if !task.accepts(version) => End::Outdated(version),
+            0 => End::Broken,
+            1 if run.progress.last_event == 0 => End::Refused,
+            2 => End::Failed,
+            3 => End::OtherTarget,
+            _ if run.progress.last_event == length => End::Whole,
+            _ => return,
+        };
+        let Run { run, progress, .. } = self.runs.remove(&key).unwrap();
+        self.end(key, run, end, progress, wall_ms);
+    }
+
+    fn end(&mut self, key: Key, run: RunId, end: End, progress: Progress, wall_ms: u64) {
+        match self.schedule.end(&key.0, key.1, run, end, progress, wall_ms) {
+            Next::Nothing | Next::Again => {}
+            Next::Score => self.scoring.push(key),
+            Next::Lose(Loss::Failures | Loss::Impossible) => self.lose(&key.0, key.1),
+            Next::Lose(loss) => panic!("the end of a run is no reason for {loss:?}"),
+        }
+    }
+
+    /// Cuts a run, whose end is told late.
+    pub fn cut(&mut self, random: &mut fastrand::Rng) {
+        let Some((key, _)) = self.draw(random) else { return };
+        let Run { run, progress, engine } = self.runs.remove(&key).unwrap();
+        let left = self.schedule.task_mut(&key.0, key.1).unwrap().cut(progress.clone());
+        assert_eq!(left, Some(engine));
+        self.late.push(Late { key, run, progress });
+    }
+
+    /// Tells the end of a run that was cut; nothing follows from it.
+    pub fn tell_late(&mut self, wall_ms: u64, random: &mut fastrand::Rng) {
+        if self.late.is_empty() {
+            return;
+        }
+        let Late { key, run, progress } = self.late.swap_remove(random.usize(..self.late.len()));
+        let next = self.schedule.end(&key.0, key.1, run, End::Whole, progress, wall_ms);
+        assert_eq!(next, Next::Nothing, "{key:?} ended twice");
+    }
+
+    /// Ends a scoring call.
+    pub fn score(&mut self, random: &mut fastrand::Rng) {
+        if self.scoring.is_empty() {
+            return;
+        }
+        let (job, item) = self.scoring.swap_remove(random.usize(..self.scoring.len()));
+        match random.u8(..20) {
+            0 => self.lose(&job, item),
+            _ => {
+                let outcome = self.schedule.complete(&job, item, Some("signed".to_owned()));
+                self.list(&job, outcome.expect("a whole text is scored once"));
+            }
+        }
+    }
+
+    /// Proposes the records of long items; the log may lose any of them.
+    pub fn record(&mut self, wall_ms: u64, random: &mut fastrand::Rng) {
+        let mut advances: Vec<Arc<Advance>> = Vec::new();
+        for ((job, item), run) in &self.runs {
+            let task = self.schedule.task_mut(job, *item).unwrap();
+            advances.extend(task.advance(&run.progress, wall_ms).map(Arc::new));
+        }
+        if !advances.is_empty() && random.u8(..5) > 0 {
+            let advances = advances.into_iter().map(Arc::unwrap_or_clone).collect();
+            self.proposed.push_back(Command::Advance(advances));
+        }
+    }
+
+    fn lose(&mut self, job: &JobId, item: usize) {
+        if let Some(outcome) = self.schedule.lose(job, item) {
+            self.list(job, outcome);
+        }
+    }
+
+    fn list(&mut self, job: &JobId, outcome: Outcome) {
+        let command = Command::Finish { job: job.clone(), outcome: Arc::new(outcome) };
+        self.proposed.push_back(command);
+    }
+}
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -100,17 +100,8 @@
 
     /// Takes new jobs, and stops what was ended.
     fn follow_jobs(&mut self) {
-        let mut ended = Vec::new();
         let schedule = &mut self.schedule;
-        self.host.replica.read(|state| {
-            for (id, record) in &state.jobs {
-                schedule.add(record);
-                if record.is_done() && schedule.contains(id) {
-                    ended.push(id.clone());
-                }
-            }
-        });
-        for job in ended {
+        for job in self.host.replica.read(|state| schedule.follow(&state.jobs)) {
             self.stop(&job);
         }
     }
