Pass streams of live routes on event by event, and go on elsewhere where the route allows

Change: once a target's head is here, its whole events are passed on as they come; a stream that breaks off, falls silent for 0.8 s or repeats an event goes on at another target after its last event where the route is resumable, within its attempts; else it breaks off for the caller too, so that a part is never taken for the whole. A caller that leaves drops the connection to the target. Streams that may be resumed may be sent again before their first event. Tests: tests/site.rs, two over five processes (events before the end, a caller that leaves, a break that is mended, one that must not be).

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -2,12 +2,12 @@
 
 use crate::{front::Asked, host::Host};
 use bytes::Bytes;
-use catkinlatch_base::Instant;
+use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::{Target, choice::Verdict};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::http::{Body, Exchange, Failure, full};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::time;
 
 /// What a try came to.
@@ -21,84 +21,136 @@
 }
 
 /// Counts a try as under way until it is dropped, also where its caller leaves.
-struct UnderWay<'a> {
-    host: &'a Host,
-    target: &'a Target,
+pub struct UnderWay {
+    host: Arc<Host>,
+    target: TargetId,
     began: Instant,
     verdict: Verdict,
 }
 
-impl Drop for UnderWay<'_> {
+impl UnderWay {
+    /// Returns when the try began.
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
+    /// Notes that the target answered whole, in the time until now or until its first event.
+    pub fn answered(&mut self, took: Duration) {
+        self.verdict = Verdict::Answered(took);
+    }
+
+    /// Notes that the target failed.
+    pub fn failed(&mut self) {
+        self.verdict = Verdict::Failed;
+    }
+}
+
+impl Drop for UnderWay {
     fn drop(&mut self) {
-        self.host.choice().end(&self.target.id, self.verdict, self.host.clock.now());
+        self.host.choice().end(&self.target, self.verdict, self.host.clock.now());
     }
 }
 
+/// A target's answer to this request, whose body is still to be read.
+pub struct Opened {
+    /// The answer.
+    pub exchange: Exchange,
+    /// Counts the try.
+    pub under_way: UnderWay,
+}
+
 /// Sends a request to a target and reads the whole answer.
 pub async fn send(
-    host: &Host,
+    host: &Arc<Host>,
     asked: &Asked,
     target: &Target,
     left: Duration,
     limit: Duration,
     most_bytes: usize,
 ) -> Outcome {
+    match open(host, request(asked, target, left), asked.id(), target, limit).await {
+        Ok(opened) => whole(host, opened, limit, most_bytes).await,
+        Err(outcome) => outcome,
+    }
+}
+
+/// Sends a request and reads the head of the answer, which must be to this request.
+///
+/// # Errors
+///
+/// Returns what the try came to if no answer to this request follows.
+pub async fn open(
+    host: &Arc<Host>,
+    request: Request<Body>,
+    id: Option<&str>,
+    target: &Target,
+    limit: Duration,
+) -> Result<Opened, Outcome> {
     let began = host.clock.now();
     host.choice().begin(&target.id);
-    let mut under_way = UnderWay { host, target, began, verdict: Verdict::Unknown };
-    let request = request(asked, target, left);
+    let verdict = Verdict::Unknown;
+    let mut under_way = UnderWay { host: host.clone(), target: target.id.clone(), began, verdict };
     let exchange = match time::timeout(limit, host.client.send(&target.address, request)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::NotSent(_))) => {
             under_way.verdict = Verdict::Failed;
-            return Outcome::NotRun("no connection");
+            return Err(Outcome::NotRun("no connection"));
         }
         Ok(Err(Failure::Unknown(reason))) => {
             under_way.verdict = Verdict::Failed;
-            return Outcome::MayHaveRun(reason);
+            return Err(Outcome::MayHaveRun(reason));
         }
         Err(_) => {
             under_way.verdict = Verdict::Failed;
-            return Outcome::MayHaveRun("no answer in time".to_owned());
+            return Err(Outcome::MayHaveRun("no answer in time".to_owned()));
         }
     };
     if let Some((running, waiting)) = header::load(exchange.response.headers()) {
         host.choice().report(&target.id, running, waiting, host.clock.now());
     }
-    let outcome = read(asked, exchange, limit, most_bytes).await;
-    under_way.verdict = match &outcome {
-        Outcome::Answer(_) => Verdict::Answered(host.clock.now() - under_way.began),
-        Outcome::NotRun(_) => Verdict::Full,
-        Outcome::MayHaveRun(_) => Verdict::Failed,
+    if let Some(outcome) = judge(&exchange, id) {
+        let is_full = matches!(outcome, Outcome::NotRun(_));
+        under_way.verdict = if is_full { Verdict::Full } else { Verdict::Failed };
+        return Err(outcome);
+    }
+    Ok(Opened { exchange, under_way })
+}
+
+/// Reads the rest of an answer.
+pub async fn whole(host: &Host, opened: Opened, limit: Duration, most_bytes: usize) -> Outcome {
+    let Opened { exchange, mut under_way } = opened;
+    let reason = match time::timeout(limit, exchange.whole(most_bytes)).await {
+        Ok(Ok(answer)) => {
+            under_way.answered(host.clock.now() - under_way.began);
+            return Outcome::Answer(answer);
+        }
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "the answer did not end in time".to_owned(),
     };
-    outcome
+    under_way.failed();
+    Outcome::MayHaveRun(reason)
 }
 
-/// Reads the answer, which must be whole and for this request.
-async fn read(asked: &Asked, exchange: Exchange, limit: Duration, most_bytes: usize) -> Outcome {
-    let id = header::text(&asked.head.headers, &header::REQUEST_ID);
+/// Returns what a try came to whose answer is none to this request.
+fn judge(exchange: &Exchange, id: Option<&str>) -> Option<Outcome> {
     let headers = exchange.response.headers();
     let status = exchange.response.status();
     let echo = header::text(headers, &header::REQUEST_ID);
     if echo.is_some() && echo != id {
-        return Outcome::MayHaveRun("the answer belongs to another request".to_owned());
+        return Some(Outcome::MayHaveRun("the answer belongs to another request".to_owned()));
     }
     if headers.contains_key(&header::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
-        return Outcome::NotRun("the target refused it");
+        return Some(Outcome::NotRun("the target refused it"));
     }
     let is_success = status.is_success();
     if is_success && (echo.is_none() || !headers.contains_key(&header::SIGNATURE)) {
-        return Outcome::MayHaveRun("the answer is not signed".to_owned());
-    }
-    match time::timeout(limit, exchange.whole(most_bytes)).await {
-        Ok(Ok(answer)) => Outcome::Answer(answer),
-        Ok(Err(error)) => Outcome::MayHaveRun(error.to_string()),
-        Err(_) => Outcome::MayHaveRun("the answer did not end in time".to_owned()),
+        return Some(Outcome::MayHaveRun("the answer is not signed".to_owned()));
     }
+    None
 }
 
 /// Builds the request for the target: the caller's, without its key.
-fn request(asked: &Asked, target: &Target, left: Duration) -> Request<Body> {
+pub fn request(asked: &Asked, target: &Target, left: Duration) -> Request<Body> {
     let mut request = Request::new(full(asked.body.clone()));
     *request.method_mut() = asked.head.method.clone();
     *request.uri_mut() = asked.head.uri.clone();
--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -36,6 +36,13 @@
     pub priority: u8,
 }
 
+impl Asked {
+    /// Returns the request's id.
+    pub fn id(&self) -> Option<&str> {
+        header::text(&self.head.headers, &header::REQUEST_ID)
+    }
+}
+
 /// Returns what answers the callers.
 pub fn handler(host: Arc<Host>) -> impl Fn(Request<Incoming>) -> Answered + Send + Sync {
     move |request| Box::pin(answer(host.clone(), request))
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod host;
 mod proxy;
 mod ready;
+mod stream;
 mod usage;
 mod view;
 
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -5,6 +5,7 @@
     attempt::{self, Outcome},
     front::Asked,
     host::Host,
+    stream::{self, Passed},
 };
 use catkinlatch_base::Instant;
 use catkinlatch_ledger::{Target, config::Kind};
@@ -12,11 +13,11 @@
 use catkinlatch_runtime::http::{Body, full};
 use http::{Response, StatusCode};
 use log::info;
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::time;
 
 /// How long a request is kept waiting whose caller and route name no time.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How many times its objective a try may take before an idempotent request goes elsewhere.
 const TRY_OBJECTIVES: u32 = 3;
@@ -28,7 +29,7 @@
 const FULL_SHARE: f64 = 0.24;
 
 /// The shortest time that is worth another try.
-const SHORTEST_TRY: Duration = Duration::from_millis(30);
+pub const SHORTEST_TRY: Duration = Duration::from_millis(30);
 
 /// When a caller should come back that found no target with room: about one request's work.
 const FULL_AFTER: Duration = Duration::from_millis(150);
@@ -37,7 +38,7 @@
 const NO_TARGET_AFTER: Duration = Duration::from_millis(400);
 
 /// The most bytes of an answer that is kept whole before it is passed on.
-const ANSWER_BYTES: usize = 64 << 20;
+pub const ANSWER_BYTES: usize = 64 << 20;
 
 /// How the tries of a request ended.
 enum End {
@@ -52,9 +53,10 @@
 }
 
 /// Answers a request by sending it to one target after another, as its route allows.
-pub async fn serve(host: &Host, asked: Asked, arrived: Instant) -> Response<Body> {
+pub async fn serve(host: &Arc<Host>, asked: Asked, arrived: Instant) -> Response<Body> {
     let began_ms = host.clock.wall_ms();
     let mut tries = Vec::new();
+    let asked = Arc::new(asked);
     let end = try_targets(host, &asked, arrived, &mut tries).await;
     let has_run = !matches!(end, End::NotRun(_));
     if let Some(team) = asked.team.as_ref().filter(|_| has_run) {
@@ -72,7 +74,7 @@
     metrics::histogram!("catkinlatch_entry_seconds").record(took.as_secs_f64());
     if !is_plain {
         info!(
-            request = header::text(&asked.head.headers, &header::REQUEST_ID).unwrap_or_default(),
+            request = asked.id().unwrap_or_default(),
             route = asked.route.name.as_str(), status = response.status().as_u16(),
             ms = took.as_millis() as u64, tries = tries.join("; ");
             "entry: request"
@@ -81,10 +83,16 @@
     response
 }
 
-async fn try_targets(host: &Host, asked: &Asked, arrived: Instant, tries: &mut Vec<String>) -> End {
+async fn try_targets(
+    host: &Arc<Host>,
+    asked: &Arc<Asked>,
+    arrived: Instant,
+    tries: &mut Vec<String>,
+) -> End {
     let until = arrived + time_limit(asked);
     let full_until = arrived + full_limit(asked);
-    let is_idempotent = asked.route.kind == Kind::Idempotent;
+    let is_stream = asked.route.kind == Kind::Stream;
+    let is_idempotent = asked.route.may_repeat();
     let mut tried = BTreeSet::new();
     let (mut sends, mut may_have_run) = (0, false);
     loop {
@@ -108,7 +116,19 @@
         sends += 1;
         let is_last = sends >= asked.route.max_attempts || !is_idempotent;
         let limit = if is_last { left } else { left.min(try_limit(asked, left)) };
-        match attempt::send(host, asked, &target, left, limit, ANSWER_BYTES).await {
+        let outcome = if is_stream {
+            let passed = Passed { sends, tried: tried.clone(), arrived, until };
+            match stream::open(host, asked, &target, passed, limit).await {
+                Ok(response) => {
+                    tries.push(format!("{} streams", target.id));
+                    return End::Answered(response);
+                }
+                Err(outcome) => outcome,
+            }
+        } else {
+            attempt::send(host, asked, &target, left, limit, ANSWER_BYTES).await
+        };
+        match outcome {
             Outcome::Answer(answer) => {
                 tries.push(format!("{} answered", target.id));
                 let is_retried = is_idempotent
@@ -153,7 +173,7 @@
     objective.map_or(left / 2, |objective| (objective * TRY_OBJECTIVES).min(left / 2))
 }
 
-fn pick(
+pub fn pick(
     host: &Host,
     asked: &Asked,
     tried: &BTreeSet<catkinlatch_base::TargetId>,
@@ -166,7 +186,7 @@
 }
 
 /// Returns a target's answer as the caller gets it.
-fn passed_back(answer: Response<bytes::Bytes>) -> Response<Body> {
+pub fn passed_back(answer: Response<bytes::Bytes>) -> Response<Body> {
     let (head, body) = answer.into_parts();
     let mut response = Response::new(full(body));
     *response.status_mut() = head.status;
--- /dev/null
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -0,0 +1,228 @@
+//! Passes streams of events on as they arrive.
+
+use crate::{
+    attempt::{self, Opened, Outcome},
+    front::Asked,
+    host::Host,
+    proxy,
+};
+use bytes::Bytes;
+use catkinlatch_base::{Instant, TargetId};
+use catkinlatch_ledger::Target;
+use catkinlatch_platform::{Events, header};
+use catkinlatch_runtime::http::{Body, parts};
+use http::{HeaderValue, Response, StatusCode};
+use log::info;
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time;
+
+/// How long a target may pause between two events before a stream goes on elsewhere: a slow one
+/// pauses a third of that, and callers leave after two seconds.
+const PAUSE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What was tried of a request before its stream began.
+pub struct Passed {
+    /// How many targets it was sent to.
+    pub sends: u32,
+    /// The targets that did not serve it.
+    pub tried: BTreeSet<TargetId>,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its time is over, unless events flow by then.
+    pub until: Instant,
+}
+
+/// A stream that is passed on.
+struct Passing {
+    host: Arc<Host>,
+    asked: Arc<Asked>,
+    passed: Passed,
+    target: TargetId,
+    opened: Option<Opened>,
+    events: Events,
+    /// Whole blocks that the caller has not got yet.
+    ready: VecDeque<Bytes>,
+    /// The last event among them and those that the caller has.
+    last_event: Option<u64>,
+    /// Whether an event has come since the caller asked.
+    has_begun: bool,
+}
+
+/// What a stream's target came to.
+enum Read {
+    /// Whole blocks came.
+    Blocks,
+    /// The stream has ended.
+    End,
+    /// It broke off.
+    Broken(String),
+}
+
+/// Sends a request whose answer is a stream; returns the answer once its head is here.
+///
+/// # Errors
+///
+/// Returns what the try came to if the target sends no stream.
+pub async fn open(
+    host: &Arc<Host>,
+    asked: &Arc<Asked>,
+    target: &Target,
+    passed: Passed,
+    limit: Duration,
+) -> Result<Response<Body>, Outcome> {
+    let left = passed.until - host.clock.now();
+    let request = attempt::request(asked, target, left);
+    let opened = attempt::open(host, request, asked.id(), target, limit).await?;
+    if opened.exchange.response.status() != StatusCode::OK {
+        return Err(attempt::whole(host, opened, limit, proxy::ANSWER_BYTES).await);
+    }
+    let head = &opened.exchange.response;
+    let (status, headers) = (head.status(), header::passed_on(head.headers()));
+    let passing = Passing {
+        host: host.clone(),
+        asked: asked.clone(),
+        passed,
+        target: target.id.clone(),
+        opened: Some(opened),
+        events: Events::default(),
+        ready: VecDeque::new(),
+        last_event: header::number(&asked.head.headers, &header::LAST_EVENT),
+        has_begun: false,
+    };
+    let body = parts(passing, async |mut passing| {
+        let part = passing.next().await?;
+        Some((part, passing))
+    });
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Ok(response)
+}
+
+impl Passing {
+    /// Returns what the caller gets next, or nothing at the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream breaks off, so that the caller does not take it for whole.
+    async fn next(&mut self) -> Option<Result<Bytes, String>> {
+        loop {
+            if let Some(block) = self.ready.pop_front() {
+                return Some(Ok(block));
+            }
+            match self.read().await {
+                Read::Blocks => {}
+                Read::End => {
+                    if let Some(opened) = self.opened.take() {
+                        opened.exchange.keep();
+                        self.log("whole");
+                    }
+                    return None;
+                }
+                Read::Broken(reason) => {
+                    if let Some(opened) = &mut self.opened {
+                        opened.under_way.failed();
+                    }
+                    self.log(&reason);
+                    if !self.resume().await {
+                        self.opened = None;
+                        return Some(Err(reason));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads on until whole blocks are here.
+    async fn read(&mut self) -> Read {
+        let left = self.left(self.host.clock.now());
+        let limit = if self.asked.route.may_repeat() { left.min(PAUSE_TIMEOUT) } else { left };
+        let Some(opened) = &mut self.opened else { return Read::End };
+        let part = match time::timeout(limit, opened.exchange.next()).await {
+            Ok(Ok(Some(part))) => part,
+            Ok(Ok(None)) if self.events.is_partial() => {
+                return Read::Broken("it ended within an event".to_owned());
+            }
+            Ok(Ok(None)) => return Read::End,
+            Ok(Err(error)) => return Read::Broken(error.to_string()),
+            Err(_) => return Read::Broken("it fell silent".to_owned()),
+        };
+        let blocks = match self.events.pass(&part) {
+            Ok(blocks) => blocks,
+            Err(reason) => return Read::Broken(reason),
+        };
+        for (id, block) in blocks {
+            if let Some(id) = id {
+                if let Some(last) = self.last_event.filter(|last| id <= *last) {
+                    return Read::Broken(format!("event {id} comes after {last}"));
+                }
+                if !self.has_begun {
+                    let took = self.host.clock.now() - opened.under_way.began();
+                    opened.under_way.answered(took);
+                }
+                (self.last_event, self.has_begun) = (Some(id), true);
+            }
+            self.ready.push_back(block);
+        }
+        Read::Blocks
+    }
+
+    /// Returns the time that is left: the caller's alone once events flow, since it then no longer
+    /// waits.
+    fn left(&self, now: Instant) -> Duration {
+        let left = self.passed.until - now;
+        if !self.has_begun {
+            return left;
+        }
+        let caller = header::number(&self.asked.head.headers, &header::DEADLINE);
+        let caller = caller.map(|caller| self.passed.arrived + Duration::from_millis(caller) - now);
+        caller.unwrap_or(proxy::DEFAULT_TIMEOUT)
+    }
+
+    /// Goes on at another target after the last event, if the route allows that.
+    async fn resume(&mut self) -> bool {
+        self.events = Events::default();
+        while self.asked.route.may_repeat() && self.passed.sends < self.asked.route.max_attempts {
+            let now = self.host.clock.now();
+            let left = self.left(now);
+            if left < proxy::SHORTEST_TRY {
+                return false;
+            }
+            self.passed.tried.insert(self.target.clone());
+            let Some(target) = proxy::pick(&self.host, &self.asked, &self.passed.tried, now) else {
+                return false;
+            };
+            self.passed.sends += 1;
+            self.target = target.id.clone();
+            let mut request = attempt::request(&self.asked, &target, left);
+            if let Some(last) = self.last_event {
+                request.headers_mut().insert(header::LAST_EVENT, HeaderValue::from(last));
+            }
+            let limit = left.min(PAUSE_TIMEOUT);
+            match attempt::open(&self.host, request, self.asked.id(), &target, limit).await {
+                Ok(opened) if opened.exchange.response.status() == StatusCode::OK => {
+                    self.opened = Some(opened);
+                    return true;
+                }
+                Ok(_) => self.log("the next target answered, but with no stream"),
+                Err(Outcome::NotRun(reason)) => self.log(reason),
+                Err(Outcome::MayHaveRun(reason)) => self.log(&reason),
+                Err(Outcome::Answer(_)) => {}
+            }
+        }
+        false
+    }
+
+    /// Logs what became of the stream at a target.
+    fn log(&self, outcome: &str) {
+        info!(
+            request = self.asked.id().unwrap_or_default(), target_id:% = self.target,
+            last_event = self.last_event.unwrap_or_default(), sends = self.passed.sends, outcome = outcome;
+            "entry: stream"
+        );
+    }
+}
--- a/crates/catkinlatch-ledger/src/config/route.rs
+++ b/crates/catkinlatch-ledger/src/config/route.rs
@@ -62,6 +62,12 @@
 }
 
 impl Route {
+    /// Returns whether a request may be run more than once; a stream then goes on elsewhere after
+    /// its last event.
+    pub fn may_repeat(&self) -> bool {
+        self.kind == Kind::Idempotent || (self.kind == Kind::Stream && self.is_resumable)
+    }
+
     /// Returns the service that a number between 0 and 1 falls to, by the weights.
     pub fn service(&self, fraction: f64) -> Option<&ServiceId> {
         let total: f64 = self.shares.iter().map(|share| share.weight).sum();
--- a/crates/catkinlatch-runtime/src/http/body.rs
+++ b/crates/catkinlatch-runtime/src/http/body.rs
@@ -1,9 +1,12 @@
 //! Bodies of requests and answers.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
-use hyper::body::Body as HttpBody;
-use std::error::Error;
+use futures::{StreamExt as _, stream};
+use http_body_util::{
+    BodyExt as _, Full, LengthLimitError, Limited, StreamBody, combinators::UnsyncBoxBody,
+};
+use hyper::body::{Body as HttpBody, Frame};
+use std::{error::Error, future::Future};
 
 /// The body of an answer: whole, or passed on as it arrives.
 pub type Body = UnsyncBoxBody<Bytes, Box<dyn Error + Send + Sync>>;
@@ -18,6 +21,20 @@
     full(Bytes::new())
 }
 
+/// Returns a body whose parts are asked for one after another; dropping it, as when the other side
+/// leaves, drops the state.
+pub fn parts<S, N, F, E>(state: S, next: N) -> Body
+where
+    S: Send + 'static,
+    N: FnMut(S) -> F + Send + 'static,
+    F: Future<Output = Option<(Result<Bytes, E>, S)>> + Send + 'static,
+    E: Into<Box<dyn Error + Send + Sync>> + 'static,
+{
+    let parts = stream::unfold(state, next);
+    let frames = parts.map(|part| part.map(Frame::data).map_err(Into::into));
+    StreamBody::new(frames).boxed_unsync()
+}
+
 /// Reads a whole body.
 ///
 /// # Errors
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -43,6 +43,10 @@
     pub runs: BTreeMap<String, Vec<u64>>,
     /// How many runs break off after two events.
     pub breaks: u32,
+    /// How many events were made.
+    pub made: u64,
+    /// How many runs ended since nobody took their events.
+    pub left: u64,
     /// How many events an item has.
     pub events: u64,
     /// How long an event takes.
@@ -58,6 +62,8 @@
             is_busy: false,
             runs: BTreeMap::new(),
             breaks: 0,
+            made: 0,
+            left: 0,
             events: EVENTS,
             event: EVENT,
         }
@@ -158,12 +164,15 @@
                     return;
                 }
                 if sender.send_data(Bytes::from(text)).await.is_err() {
+                    self.memory().left += 1;
                     return;
                 }
+                self.memory().made += 1;
             }
         });
         Response::builder()
-            .header("attempt-id", id)
+            .header("attempt-id", id.as_str())
+            .header("server-seal", format!("seal-of-{id}"))
             .header("content-type", "text/event-stream")
             .header("weight-versions", version)
             .body(body.map_err(Into::into).boxed_unsync())
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -7,6 +7,7 @@
 #![expect(clippy::unwrap_used, reason = "a failed test may panic")]
 
 use bytes::Bytes;
+use catkinlatch_runtime::http::{BodyError, Client, Exchange, full};
 use catkinlatch_standin::site::{Engine, Service, Site};
 use http::{Request, Response, StatusCode};
 use serde_json::{Value, json};
@@ -99,6 +100,44 @@
     }
 }
 
+/// A stream as its caller sees it.
+struct Stream {
+    exchange: Exchange,
+    text: String,
+}
+
+impl Stream {
+    /// Asks an entry host for a stream, and waits for its head.
+    async fn open(setup: &Setup, path: &str, id: &str) -> Self {
+        let address = setup.site.entries()[0].address(setup.site.ports.callers);
+        let request = Request::builder()
+            .method("POST")
+            .uri(path)
+            .header("host", "site.example")
+            .header("x-api-key", KEY)
+            .header("attempt-id", id)
+            .header("deadline-ms", "20000");
+        let request = request.body(full("ask")).unwrap();
+        let exchange = Client::new().send(&address, request).await.unwrap();
+        assert_eq!(exchange.response.status(), StatusCode::OK);
+        assert_eq!(exchange.response.headers()["server-seal"], format!("seal-of-{id}"));
+        Self { exchange, text: String::new() }
+    }
+
+    /// Reads on; returns whether more may follow, or that the stream broke off.
+    async fn read(&mut self) -> Result<bool, BodyError> {
+        let part = self.exchange.next().await?;
+        self.text.push_str(std::str::from_utf8(part.as_deref().unwrap_or_default()).unwrap());
+        Ok(part.is_some())
+    }
+
+    /// Returns the ids of the events that have come.
+    fn events(&self) -> Vec<u64> {
+        let ids = self.text.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.map(|id| id.parse().unwrap()).collect()
+    }
+}
+
 fn ok(answer: Response<Bytes>) -> bool {
     answer.status() == StatusCode::OK
 }
@@ -127,6 +166,12 @@
             {"name": "score", "host": "site.example", "path_prefix": "/score/",
              "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2,
              "service": "survey", "max_attempts": 4, "public": true},
+            {"name": "chat", "host": "site.example", "path_prefix": "/chat/", "kind": "stream",
+             "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1, "service": "drafts",
+             "max_attempts": 3, "public": false, "resumable": true},
+            {"name": "once", "host": "site.example", "path_prefix": "/once/", "kind": "stream",
+             "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1, "service": "drafts",
+             "max_attempts": 3, "public": false},
             {"name": "drafts", "host": "site.example", "path_prefix": "/drafts/",
              "kind": "rollout", "target_latency_ms": 400, "priority": 1, "service": "drafts",
              "max_attempts": 3, "public": false, "due_ms": 7500, "max_wait_s": 40},
@@ -328,6 +373,58 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn events_are_passed_on_as_they_come_until_the_caller_leaves() {
+    let setup = Setup::start().await;
+    for engine in &setup.engines {
+        engine.memory().events = 1_000;
+    }
+    let mut stream = Stream::open(&setup, "/chat/1", "talk").await;
+    while stream.events().is_empty() {
+        assert!(stream.read().await.unwrap());
+    }
+    let made = |engine: &Engine| engine.memory().made;
+    assert!(setup.engines.iter().map(made).sum::<u64>() < 900, "it was kept until its end");
+    drop(stream);
+    until("the engine is told that its caller left", || async {
+        setup.engines.iter().any(|engine| engine.memory().left > 0)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_breaks_goes_on_elsewhere_only_where_it_may() {
+    let setup = Setup::start().await;
+    let break_one = || {
+        for engine in &setup.engines {
+            engine.memory().breaks = 1;
+        }
+    };
+    break_one();
+    let mut stream = Stream::open(&setup, "/chat/1", "talk").await;
+    setup.engines.iter().for_each(|engine| engine.memory().breaks = 0);
+    while stream.read().await.unwrap() {}
+    assert_eq!(stream.events(), [1, 2, 3, 4, 5]);
+    let runs = |id: &str| -> Vec<u64> {
+        let of = |engine: &Engine| engine.memory().runs.get(id).cloned().unwrap_or_default();
+        let mut runs: Vec<u64> = setup.engines.iter().flat_map(of).collect();
+        runs.sort_unstable();
+        runs
+    };
+    assert_eq!(runs("talk"), [0, 2], "it goes on after its second event");
+
+    break_one();
+    let mut stream = Stream::open(&setup, "/once/1", "once").await;
+    let end = loop {
+        match stream.read().await {
+            Ok(true) => {}
+            other => break other,
+        }
+    };
+    assert!(end.is_err(), "a part was passed on as the whole");
+    assert_eq!((stream.events(), runs("once")), (vec![1, 2], vec![0]));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leaving_target_gets_nothing_once_that_is_acknowledged() {
     let setup = Setup::start().await;
