--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -124,14 +124,15 @@
 #[test]
 fn a_new_leader_goes_on_from_the_recorded_progress() {
     let mut record = Record::new(job("job", 2));
-    let mut progress = Progress::default();
-    progress.push(1, "first".to_owned(), Some(Version::new(1)));
-    let advance = Advance { job: job_id("job"), item: 1, after: 0, progress: progress.clone() };
+    let advance = Advance { job: job_id("job"), item: 1, after: 0, progress: events(10) };
     assert!(record.advance(&advance));
     let mut schedule = Schedule::default();
     schedule.add(&record);
     assert_eq!(schedule.task(&job_id("job"), 0).unwrap().progress, Progress::default());
-    assert_eq!(schedule.task(&job_id("job"), 1).unwrap().progress, progress);
+    let task = schedule.task_mut(&job_id("job"), 1).unwrap();
+    assert_eq!(task.progress, events(10));
+    let more = task.advance(&events(20), 1_000).unwrap();
+    assert_eq!((more.after, more.progress.text.len()), (10, 10), "what is recorded stays so");
 }
 
 /// Events 1 to `last` of one version.
