Run a deployment of the users' kind under random failures, and compare all that was told

Checked: answers are their own and whole, streams have no hole and end whole, what was refused with 503 never ran (requests, streams, jobs), what may run once does, results keep position and content on all hosts and are whole, fresh and scored, accepted jobs stay known and end, an acknowledged configuration is never followed by an older one, one holder for each fencing number, no window reported with two figures. tests/site.rs runs it for 12 s with seed 7.

--- a/crates/catkinlatch-ledger/tests/state.rs
+++ b/crates/catkinlatch-ledger/tests/state.rs
@@ -99,6 +99,7 @@
     let close = || Command::CloseWindow { window: WindowId::new(5) };
     assert_eq!(apply(&mut state, close()), Reply::Done);
     apply(&mut state, counted(1, 5, 90));
+    assert!(state.counted.is_empty(), "what comes too late is not kept");
     assert_eq!(apply(&mut state, close()), Reply::Overtaken);
     assert_eq!(state.windows[&WindowId::new(5)].counts[0].requests, 13);
 }
--- a/crates/catkinlatch-standin/src/bin/soak.rs
+++ b/crates/catkinlatch-standin/src/bin/soak.rs
@@ -1,7 +1,7 @@
-//! Runs six processes of the real program under random failures.
+//! Runs processes of the real program under random failures.
 
 use argh::FromArgs;
-use catkinlatch_standin::cluster::Soak;
+use catkinlatch_standin::{cluster, site};
 use std::{
     io::{self, Write},
     path::PathBuf,
@@ -9,7 +9,8 @@
     time::Duration,
 };
 
-/// Runs six processes under random failures and compares all records at the end.
+/// Runs six processes, or a deployment of five on the users' platform, under random failures and
+/// compares all records at the end.
 #[derive(FromArgs)]
 struct Arguments {
     /// the program, such as target/debug/catkinlatch
@@ -24,6 +25,9 @@
     /// an empty folder for settings, logs and data, kept afterwards
     #[argh(option)]
     folder: PathBuf,
+    /// run a deployment on the users' platform
+    #[argh(switch)]
+    site: bool,
 }
 
 #[tokio::main]
@@ -31,17 +35,21 @@
     env_logger::init();
     let arguments: Arguments = argh::from_env();
     std::fs::create_dir_all(&arguments.folder)?;
-    let soak = Soak {
-        program: arguments.program,
-        folder: arguments.folder,
-        length: Duration::from_secs(arguments.seconds),
-        seed: arguments.seed,
+    let length = Duration::from_secs(arguments.seconds);
+    let Arguments { program, folder, seed, site, .. } = arguments;
+    let ran = if site {
+        let ran = site::Soak { program, folder, length, seed }.run().await;
+        let ran = ran.map_err(|error| error.to_string());
+        ran.map(|report| (report.to_string(), report.violations.len()))
+    } else {
+        let ran = cluster::Soak { program, folder, length, seed }.run().await;
+        ran.map(|report| (report.to_string(), report.violations.len()))
     };
     let mut out = io::stdout();
-    match soak.run().await {
-        Ok(report) => {
+    match ran {
+        Ok((report, violations)) => {
             write!(out, "{report}")?;
-            Ok(if report.violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+            Ok(if violations == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
         Err(error) => {
             writeln!(out, "soak: {error}")?;
--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -5,9 +5,17 @@
 mod host;
 mod platform;
 mod service;
+mod soak;
 mod target;
 
-pub use self::{engine::Engine, host::Host, platform::Platform, service::Service, target::Target};
+pub use self::{
+    engine::Engine,
+    host::Host,
+    platform::Platform,
+    service::Service,
+    soak::{Report, Soak},
+    target::Target,
+};
 
 use crate::cluster::ports;
 use http::{Request, StatusCode};
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io,
     net::Ipv4Addr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -37,6 +37,8 @@
     pub accepted: u64,
     /// The highest fencing number.
     pub fence: u64,
+    /// Who gave orders under each fencing number.
+    pub holders: BTreeMap<u64, BTreeSet<String>>,
     /// Whether it loads.
     pub is_busy: bool,
     /// From which event on each item was run, by its id.
@@ -59,6 +61,7 @@
             version: 1,
             accepted: 0,
             fence: 0,
+            holders: BTreeMap::new(),
             is_busy: false,
             runs: BTreeMap::new(),
             breaks: 0,
@@ -129,6 +132,8 @@
             return respond(StatusCode::PRECONDITION_FAILED, "");
         }
         memory.fence = fence;
+        let holder = order["holder"].as_str().unwrap_or_default().to_owned();
+        memory.holders.entry(fence).or_default().insert(holder);
         if memory.is_busy || number("expected").is_some_and(|expected| expected != memory.accepted)
         {
             return respond(StatusCode::CONFLICT, "");
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -87,6 +87,16 @@
         self.process.kill()
     }
 
+    /// Stops the process in the middle of what it does.
+    pub fn pause(&self) -> io::Result<()> {
+        self.process.pause()
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) -> io::Result<()> {
+        self.process.resume()
+    }
+
     /// Ends the process at once and takes its disk away; it starts as a newcomer.
     pub fn wipe(&mut self) -> io::Result<()> {
         self.process.kill()?;
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -16,7 +16,10 @@
 /// How long the service works on a request.
 const WORK: Duration = Duration::from_millis(5);
 
-/// The headers of a request, by name.
+/// The name under which a request's path is kept beside its headers.
+const PATH: &str = ":path";
+
+/// The headers of a request and its path, by name.
 pub type Headers = BTreeMap<String, String>;
 
 /// A plain service.
@@ -44,6 +47,18 @@
         Ok(service)
     }
 
+    /// Returns the ids of all requests that it ran.
+    pub fn ids(&self) -> Vec<String> {
+        self.ran.lock().unwrap_or_else(PoisonError::into_inner).keys().cloned().collect()
+    }
+
+    /// Returns whether a request ran that came at this path.
+    pub fn is_at(&self, id: &str, path: &str) -> bool {
+        let ran = self.ran.lock().unwrap_or_else(PoisonError::into_inner);
+        let headers = ran.get(id).and_then(|runs| runs.first());
+        headers.and_then(|headers| headers.get(PATH)).is_some_and(|held| held == path)
+    }
+
     /// Returns how often a request ran.
     pub fn runs(&self, id: &str) -> usize {
         let ran = self.ran.lock().unwrap_or_else(PoisonError::into_inner);
@@ -52,11 +67,12 @@
 
     async fn answer(self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
-        let headers: BTreeMap<String, String> = head
+        let mut headers: BTreeMap<String, String> = head
             .headers
             .iter()
             .map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_owned()))
             .collect();
+        headers.insert(PATH.to_owned(), head.uri.path().to_owned());
         let id = headers.get("attempt-id").cloned().unwrap_or_default();
         if headers.get("expect-instance").is_some_and(|expected| *expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, &id, "");
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use catkinlatch_runtime::http::{BodyError, Client, Exchange, full};
-use catkinlatch_standin::site::{Engine, Service, Site};
+use catkinlatch_standin::site::{Engine, Service, Site, Soak};
 use http::{Request, Response, StatusCode};
 use serde_json::{Value, json};
 use std::{future::Future, path::PathBuf, sync::atomic::Ordering, time::Duration};
@@ -452,3 +452,18 @@
         assert_eq!(second.runs(&id), 0);
     }
 }
+
+/// How long the random failures of the test go on; `soak --site` runs for longer.
+const FAILURES: Duration = Duration::from_secs(12);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn random_failures_break_no_promise() {
+    let folder = tempfile::tempdir().unwrap();
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_catkinlatch"));
+    let soak = Soak { program, folder: folder.path().into(), length: FAILURES, seed: 7 };
+    let report = soak.run().await.unwrap();
+    assert!(report.violations.is_empty(), "{report}\n{:#?}", report.faults);
+    for name in ["served", "streams", "results", "configurations", "windows"] {
+        assert!(report.counts[name] > 0, "no {name}: {report}");
+    }
+}
