Send entries to hosts in reserve only once they are to vote

Change: a setting of the log, set on the users' platform: learners get heartbeats; entries go to those that belong among the voters as the leader sees it (a voter is silent, gone or retired, or fewer vote than should), and to all if one does not catch up within six election timeouts. A retired voter gets no more entries.

--- a/crates/catkinlatch-log/src/core/election.rs
+++ b/crates/catkinlatch-log/src/core/election.rs
@@ -160,6 +160,8 @@
             configuration_until: now,
             repair_at: now + self.settings.silence,
             reported: false,
+            candidates: None,
+            choose_at: now,
         }));
     }
 
--- a/crates/catkinlatch-log/src/core/leader.rs
+++ b/crates/catkinlatch-log/src/core/leader.rs
@@ -3,7 +3,7 @@
 use crate::{Echo, Index, Peer, Snapshot, Token};
 use catkinlatch_base::{Incarnation, Instant};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
 };
 
@@ -28,6 +28,10 @@
     pub repair_at: Instant,
     /// Whether the state of the voters has been reported.
     pub reported: bool,
+    /// The learners that are about to vote, and since when there are any.
+    pub candidates: Option<(BTreeSet<Incarnation>, Instant)>,
+    /// When the learners are looked at next.
+    pub choose_at: Instant,
 }
 
 /// What a leader knows about one node.
--- a/crates/catkinlatch-log/src/core/replication.rs
+++ b/crates/catkinlatch-log/src/core/replication.rs
@@ -161,8 +161,17 @@
     fn replicate_to(&mut self, now: Instant, node: Incarnation, has_lease: bool) {
         let is_voter = self.membership().contains(node);
         let interval = if is_voter { self.settings.beat } else { self.settings.learner_beat };
+        let feeds_all = self.settings.feeds_learners;
         let State::Leader(leader) = &mut self.state else { return };
+        let is_candidate = leader.candidates.as_ref().is_some_and(|(list, _)| list.contains(&node));
+        let is_fed = is_voter || feeds_all || is_candidate;
         let Some(mut progress) = leader.progress.remove(&node) else { return };
+        if !is_fed {
+            self.beat_reserve(now, &mut progress);
+            let State::Leader(leader) = &mut self.state else { return };
+            leader.progress.insert(node, progress);
+            return;
+        }
         if progress.next < self.entries.first_index() && progress.transfer.is_none() {
             let snapshot = self.entries.snapshot().expect("entries are dropped for a snapshot");
             progress.transfer = Some((snapshot.clone(), 0));
@@ -184,6 +193,25 @@
         leader.progress.insert(node, progress);
     }
 
+    /// Sends a learner in reserve a heartbeat if it is due, without entries.
+    fn beat_reserve(&mut self, now: Instant, progress: &mut Progress) {
+        if now < progress.beat_at {
+            return;
+        }
+        progress.beat_at = now + self.settings.learner_beat;
+        progress.transfer = None;
+        let append = Append {
+            sent_at: now,
+            previous_index: Index::ZERO,
+            previous_term: Term::default(),
+            entries: Vec::new(),
+            commit: Index::ZERO,
+            grant: None,
+        };
+        let peer = progress.peer.clone();
+        self.send(&peer, Message::Append(append));
+    }
+
     /// Sends entries while there are any and the node is not too far behind.
     fn send_entries(
         &mut self,
--- a/crates/catkinlatch-log/src/core/voters.rs
+++ b/crates/catkinlatch-log/src/core/voters.rs
@@ -14,12 +14,17 @@
 /// For how many election timeouts a leader that resigned asks for no votes.
 const RESIGNED_ELECTIONS: u32 = 8;
 
+/// For how many election timeouts learners that should vote may catch up before all learners are
+/// sent entries.
+const CATCH_UP_ELECTIONS: u32 = 6;
+
 /// How far behind the commit a spare may be, in entries.
 const SPARE_LAG: u64 = 1_000;
 
 impl<M: Machine> Core<M> {
     /// Makes the next change of voters, if one is due and the last one is committed.
     pub(super) fn mend_voters(&mut self, now: Instant) {
+        self.choose_candidates(now);
         let State::Leader(leader) = &self.state else { return };
         let is_settled = self.commit >= leader.opening
             && self.memberships.last().is_some_and(|(index, _)| *index <= self.commit);
@@ -41,6 +46,37 @@
         }
     }
 
+    /// Notes which learners should vote, so that they are sent entries.
+    fn choose_candidates(&mut self, now: Instant) {
+        let State::Leader(leader) = &self.state else { return };
+        if self.settings.feeds_learners || now < leader.choose_at {
+            return;
+        }
+        let missing = self.missing_voters(now, leader);
+        let since = leader.candidates.as_ref().map_or(now, |(_, since)| *since);
+        // One that does not catch up must not keep the others from it.
+        let is_late = now >= since + self.settings.election * CATCH_UP_ELECTIONS;
+        let all = || leader.progress.keys().copied().collect();
+        let candidates = (!missing.is_empty()).then(|| if is_late { all() } else { missing });
+        let candidates = candidates.map(|candidates| (candidates, since));
+        if let State::Leader(leader) = &mut self.state {
+            leader.candidates = candidates;
+            leader.choose_at = now + self.settings.beat;
+        }
+    }
+
+    /// Returns the live learners that belong among the voters, whether they are caught up or not.
+    fn missing_voters(&self, now: Instant, leader: &Leader) -> BTreeSet<Incarnation> {
+        let silent = self.silent_voters(now, leader);
+        let current = self.membership();
+        let live = silent.iter().fold(current.clone(), |live, dead| live.without(dead.incarnation));
+        let learners: Vec<Peer> =
+            self.live_learners(now, leader).map(|progress| progress.peer.clone()).collect();
+        let wanted = self.wanted(&live, &learners);
+        let missing = wanted.iter().filter(|peer| !current.contains(peer.incarnation));
+        missing.map(|peer| peer.incarnation).collect()
+    }
+
     /// Returns whether this leader is to hold no state and enough others vote without it.
     fn may_resign(&self, silent: &[Peer]) -> bool {
         let others: Vec<Peer> = self
@@ -175,22 +211,30 @@
     fn spares(&self, now: Instant, leader: &Leader) -> Vec<Peer> {
         let current = self.membership();
         let floor = Index::new(self.commit.get().saturating_sub(SPARE_LAG));
-        let is_spare = |progress: &&Progress| {
+        let spares = self.live_learners(now, leader).filter(|learner| learner.matched >= floor);
+        let mut spares: Vec<Peer> = spares.map(|learner| learner.peer.clone()).collect();
+        let zones = current.zones();
+        spares.sort_by_key(|peer| {
+            (Reverse(peer.has_disk), zones.contains(&peer.zone), peer.host.clone())
+        });
+        spares
+    }
+
+    /// Returns the learners that may become voters and have just been heard.
+    fn live_learners<'a>(
+        &'a self,
+        now: Instant,
+        leader: &'a Leader,
+    ) -> impl Iterator<Item = &'a Progress> {
+        let current = self.membership();
+        leader.progress.values().filter(move |progress| {
             let peer = &progress.peer;
             !current.contains(peer.incarnation)
                 && (self.settings.is_open || self.settings.hosts.contains(&peer.host))
                 && !self.retiring.contains(&peer.host)
                 && progress.confirmed.is_some()
                 && now < progress.seen + self.settings.learner_beat * 2
-                && progress.matched >= floor
-        };
-        let mut spares: Vec<Peer> =
-            leader.progress.values().filter(is_spare).map(|p| p.peer.clone()).collect();
-        let zones = current.zones();
-        spares.sort_by_key(|peer| {
-            (Reverse(peer.has_disk), zones.contains(&peer.zone), peer.host.clone())
-        });
-        spares
+        })
     }
 
     /// Returns the voters that should be, of those that are live: disks first, zones spread.
--- a/crates/catkinlatch-log/src/settings.rs
+++ b/crates/catkinlatch-log/src/settings.rs
@@ -17,6 +17,9 @@
     ///
     /// Set where a node is told a few hosts only and learns of the others as they join.
     pub is_open: bool,
+    /// Whether all learners get entries; otherwise only those that are about to vote, so that a host
+    /// in reserve costs neither memory nor traffic.
+    pub feeds_learners: bool,
     /// The voters of the first configuration; empty on a node that only joins.
     pub initial_voters: Vec<HostId>,
     /// How often the leader speaks to each voter.
@@ -59,6 +62,7 @@
             group: Group::default(),
             hosts,
             is_open: false,
+            feeds_learners: true,
             initial_voters,
             beat: Duration::from_millis(200),
             learner_beat: Duration::from_secs(1),
--- a/crates/catkinlatch-log/tests/log/open.rs
+++ b/crates/catkinlatch-log/tests/log/open.rs
@@ -75,3 +75,61 @@
     assert_eq!(net.voters().len(), 3);
     net.commit(2);
 }
+
+/// Three voters, and two hosts in reserve that get no entries.
+fn net_with_reserve() -> Net {
+    let mut three = settings(5, 3);
+    three.max_voters = 3;
+    three.feeds_learners = false;
+    let mut net = Net::open(three, 3);
+    net.commit(1);
+    net.start(3);
+    net.start(4);
+    net.run_for(2_000);
+    net
+}
+
+#[test]
+fn a_host_in_reserve_gets_no_entries_until_it_is_to_vote() {
+    let mut net = net_with_reserve();
+    net.commit(2);
+    net.run_for(2_000);
+    assert_eq!((net.journal(3), net.journal(4)), (&[][..], &[][..]));
+    let leader = net.leader().unwrap();
+    let lost = net.voters().into_iter().find(|number| *number != leader).unwrap();
+    net.kill(lost);
+    net.run_for(8_000);
+    let voters = net.voters();
+    assert!(voters.len() == 3 && !voters.contains(&lost), "{voters:?}");
+    let (taken, left) = if voters.contains(&3) { (3, 4) } else { (4, 3) };
+    net.commit(3);
+    net.run_for(1_000);
+    assert_eq!((net.journal(taken), net.journal(left)), (&[1, 2, 3][..], &[][..]));
+}
+
+#[test]
+fn a_host_in_reserve_that_does_not_catch_up_keeps_no_other_from_it() {
+    let mut net = net_with_reserve();
+    let leader = net.leader().unwrap();
+    let lost = net.voters().into_iter().find(|number| *number != leader).unwrap();
+    net.fill_disk(3);
+    net.kill(lost);
+    net.run_for(20_000);
+    assert!(net.voters().contains(&4), "{:?}", net.voters());
+    net.commit(3);
+}
+
+#[test]
+fn a_voter_that_is_retired_is_followed_by_a_host_in_reserve() {
+    let mut net = net_with_reserve();
+    let leader = net.leader().unwrap();
+    let retired = net.voters().into_iter().find(|number| *number != leader).unwrap();
+    net.retire(retired);
+    net.run_for(8_000);
+    let voters = net.voters();
+    assert!(voters.len() == 3 && !voters.contains(&retired), "{voters:?}");
+    let before = net.journal(retired).len();
+    net.commit(2);
+    net.run_for(1_000);
+    assert_eq!(net.journal(retired).len(), before, "it still gets entries");
+}
--- a/crates/catkinlatch-log/tests/log/storm/check.rs
+++ b/crates/catkinlatch-log/tests/log/storm/check.rs
@@ -167,6 +167,10 @@
         assert!(core.in_force(commit, self.hosts[leader].local(now)), "{commit} is not in force");
         for (number, host) in self.hosts.iter().enumerate() {
             let core = host.core.as_ref().unwrap();
+            let is_voter = voters.contains(&host.peer);
+            if !self.settings.feeds_learners && !is_voter {
+                continue;
+            }
             assert_eq!(core.commit(), commit, "host {number} lags");
             let lease = core.configuration_lease(host.local(now));
             assert!(lease.is_some(), "host {number} has no lease:\n{}", self.describe());
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -205,6 +205,7 @@
         snapshot_keep: SNAPSHOT_KEEP,
         max_entries: MAX_ENTRIES,
         max_ahead: MAX_AHEAD,
+        feeds_learners: false,
         ..log_core::Settings::new(cluster, seeds, voters)
     }
 }
