Take a text as whole whose run broke off after its last event

Ruled out: engines without the version (the same ones ran other items), the registry (it had their versions). Change: a version is judged where one is named or an event comes. Test: tests/site.rs, a run that breaks off after its last event; without the change its results never come.

--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -174,12 +174,21 @@
                 }
                 self.memory().made += 1;
             }
+            if breaks {
+                // What was sent before is lost with the connection unless it has left by then.
+                time::sleep(pace).await;
+                sender.abort(io::Error::other("the engine breaks off at the end"));
+            }
         });
-        Response::builder()
+        let mut response = Response::builder();
+        if last < events {
+            // Who only asks whether there is more learns no version, since none makes anything.
+            response = response.header("weight-versions", version);
+        }
+        response
             .header("attempt-id", id.as_str())
             .header("server-seal", format!("seal-of-{id}"))
             .header("content-type", "text/event-stream")
-            .header("weight-versions", version)
             .body(body.map_err(Into::into).boxed_unsync())
             .expect("the answer is valid")
     }
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -163,10 +163,8 @@
         let mut events = Events::default();
         let mut last = None;
         loop {
-            if ended.version < self.job.min_version {
-                ended.end = End::Outdated(ended.version);
-                ended.reason = "the weights are too old".to_owned();
-                return;
+            if ended.version.is_some() && self.is_outdated(ended.version) {
+                return outdated(ended);
             }
             let limit = if last.is_some() { PAUSE_TIMEOUT } else { FIRST_TIMEOUT };
             let part = match time::timeout(limit, exchange.next()).await {
@@ -199,9 +197,13 @@
             if !whole.is_empty() {
                 self.note_pace(&mut last, whole.len() as u32, ended);
             }
-            if let Err(reason) = self.take(whole, ended) {
-                ended.reason = reason;
-                return;
+            match self.take(whole, ended) {
+                Ok(true) => {}
+                Ok(false) => return outdated(ended),
+                Err(reason) => {
+                    ended.reason = reason;
+                    return;
+                }
             }
         }
     }
@@ -219,20 +221,32 @@
         }
     }
 
-    /// Appends events, which must follow each other.
-    fn take(&self, whole: Vec<Event>, ended: &mut Ended) -> Result<(), String> {
+    /// Returns whether a version may not make events; an engine that names none may not.
+    fn is_outdated(&self, version: Option<Version>) -> bool {
+        version < self.job.min_version
+    }
+
+    /// Appends events, which must follow each other; returns false at one of weights too old.
+    ///
+    /// An answer without events may lack a version: the text was whole before.
+    fn take(&self, whole: Vec<Event>, ended: &mut Ended) -> Result<bool, String> {
         for event in whole {
             if event.id != ended.progress.last_event + 1 {
                 return Err(format!("event {} is out of order", event.id));
             }
             ended.version = event.version.or(ended.version);
-            if ended.version < self.job.min_version {
-                break;
+            if self.is_outdated(ended.version) {
+                return Ok(false);
             }
             let mut shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
             shown.push(event.id, event.data.clone(), ended.version);
             ended.progress.push(event.id, event.data, ended.version);
         }
-        Ok(())
+        Ok(true)
     }
 }
+
+fn outdated(ended: &mut Ended) {
+    ended.end = End::Outdated(ended.version);
+    ended.reason = "the weights are too old".to_owned();
+}
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -453,6 +453,23 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_run_that_breaks_after_its_last_event_is_whole() {
+    let setup = Setup::start().await;
+    for engine in &setup.engines {
+        engine.memory().events = 2;
+        engine.memory().breaks = 3;
+    }
+    setup.submit("job-1", 1, 4).await;
+    check_events(&setup.results(0, "job-1", 4).await, &[1], 2);
+    let runs = |engine: &Engine| -> Vec<u64> {
+        engine.memory().runs.values().flatten().copied().collect()
+    };
+    let runs: Vec<u64> = setup.engines.iter().flat_map(runs).collect();
+    assert!(runs.contains(&2), "no run broke off after its last event: {runs:?}");
+    assert!(runs.len() <= 10, "six runs broke off, and {} were begun", runs.len());
+}
+
 /// How long the random failures of the test go on; `soak --site` runs for longer.
 const FAILURES: Duration = Duration::from_secs(12);
 
