Run long items on the fastest engines, and move them on from somewhat slower ones

An idle slow engine was preferred to a fast one with one item, and items only left engines that took twice as long. Ruled out: waiting for slots or versions (these items had begun within 0.7 s). Change: items longer than the mean of their job go where they end soonest (an engine slows by about a fifth from idle to full); the others as before. After a second an item leaves an engine for one that is 1.2 times as fast and has room. Tests: schedule.rs, three.

--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    Outcome, Record,
+    Job, Outcome, Record,
     job::{self, Progress},
 };
 use catkinlatch_base::{GroupId, JobId, ModelId, RunId, TargetId, Version};
@@ -36,6 +36,18 @@
 /// How long an item stays at an engine at least, in milliseconds: about ten events.
 const SHORTEST_STAY_MS: u64 = 300;
 
+/// How long an item must have run to leave an engine that is only somewhat slower than another, in
+/// milliseconds: most items end sooner, and the few that do not are waited for.
+const LONG_STAY_MS: u64 = 1_000;
+
+/// How many times as long an engine must take as another for a long item to go on there: the
+/// deployments' slower engines take 1.3 times as long.
+const LONG_FACTOR: f64 = 1.2;
+
+/// How much longer a full engine takes for each event than an idle one, as a share; the
+/// deployments' engines take 0.1 to 0.3.
+const LOAD_EFFECT: f64 = 0.2;
+
 /// How often an item is moved at most.
 const MOST_MOVES: u32 = 3;
 
@@ -71,12 +83,14 @@
         if record.is_done() || !self.known.insert(job.id.clone()) {
             return;
         }
+        let mean = mean_tokens(job);
         let groups: BTreeSet<GroupId> =
             job.items.iter().filter_map(|item| item.group.clone()).collect();
         for position in record.open_items() {
             let item = &job.items[position];
             let is_carried = item.group.as_ref().is_some_and(|group| self.started.contains(group));
             let mut task = Task::new(job.clone(), position, is_carried);
+            task.is_long = item.expected_tokens > mean;
             if let Some(progress) = record.progress(position) {
                 task.resume(progress.clone());
             }
@@ -124,36 +138,35 @@
     }
 
     /// Returns the items that should go on at a faster engine which has a free slot: those whose
-    /// engine takes far longer than its fellows, longest expected first.
+    /// engine takes far longer than its fellows, and those that have run for long at one that takes
+    /// somewhat longer; longest expected first.
     ///
     /// Reading a prompt again takes an engine a few milliseconds, so that a move costs little.
     pub fn stragglers(&self, wall_ms: u64, engines: &[Engine]) -> Vec<(JobId, usize)> {
         let load = self.load();
         let running = |engine: &Engine| load.get(&engine.id).copied().unwrap_or_default();
-        let slow: Vec<&Engine> =
-            engines.iter().filter(|engine| engine.slowness >= SLOW_FACTOR).collect();
-        let mut free: usize = engines
+        let mut free: BTreeMap<&TargetId, u32> = engines
             .iter()
-            .filter(|engine| engine.slowness < FAST_FACTOR)
-            .map(|engine| engine.slots.saturating_sub(running(engine)) as usize)
-            .sum();
-        let is_slow = |task: &&Task| {
-            let engine = task.engine.as_ref();
-            let is_settled = wall_ms >= task.began_ms + SHORTEST_STAY_MS && task.moves < MOST_MOVES;
-            is_settled && !task.is_generated && slow.iter().any(|slow| Some(&slow.id) == engine)
-        };
-        let mut tasks: Vec<&Task> = self.tasks.values().filter(is_slow).collect();
-        tasks.sort_by_key(|task| Reverse(task.expected_tokens()));
+            .map(|engine| (&engine.id, engine.slots.saturating_sub(running(engine))))
+            .collect();
+        let slowness: BTreeMap<&TargetId, f64> =
+            engines.iter().map(|engine| (&engine.id, engine.slowness)).collect();
+        let mut tasks: Vec<(&Task, f64)> = self
+            .tasks
+            .values()
+            .filter_map(|task| Some((task, most_slowness(task, wall_ms, &slowness)?)))
+            .collect();
+        tasks.sort_by_key(|(task, _)| Reverse(task.expected_tokens()));
         let mut stragglers = Vec::new();
-        for task in tasks {
-            let can_move = engines.iter().any(|engine| {
-                engine.slowness < FAST_FACTOR
-                    && running(engine) < engine.slots
+        for (task, most) in tasks {
+            let faster = engines.iter().filter(|engine| {
+                engine.slowness <= most
+                    && free.get(&engine.id).is_some_and(|free| *free > 0)
                     && engine.service == task.job.service
                     && task.accepts(engine.version(task.job.model.as_ref()))
             });
-            if can_move && free > 0 {
-                free -= 1;
+            if let Some(engine) = faster.min_by(|a, b| a.slowness.total_cmp(&b.slowness)) {
+                *free.entry(&engine.id).or_default() -= 1;
                 stragglers.push((task.job.id.clone(), task.item));
             }
         }
@@ -238,7 +251,8 @@
     }
 
     /// Returns the engine on which the item should run: one with a free slot and fresh enough
-    /// weights, least loaded for its speed; the one that has read the group's prompt, if equal.
+    /// weights. Short items go where the load is least for the speed, and where the group's prompt
+    /// was read, if equal; long ones, which their step waits for, where they end soonest.
     fn place<'a>(
         &self,
         task: &Task,
@@ -262,7 +276,11 @@
             })
         };
         let cost = |engine: &Engine| {
-            let share = f64::from(running(engine) + 1) / f64::from(engine.slots) * engine.slowness;
+            let share = f64::from(running(engine) + 1) / f64::from(engine.slots);
+            if task.is_long() {
+                return ((engine.slowness * (1.0 + LOAD_EFFECT * share)) * 1e6) as i64;
+            }
+            let share = share * engine.slowness;
             // Another read of a shared prompt costs less than one more request at an engine.
             let saved = if has_group(engine) { 1.0 / f64::from(engine.slots) } else { 0.0 };
             ((share - saved) * 1e6) as i64
@@ -274,6 +292,26 @@
     }
 }
 
+/// Returns how slow another engine may be at most for an item to go on there, if it may leave its
+/// own.
+fn most_slowness(task: &Task, wall_ms: u64, slowness: &BTreeMap<&TargetId, f64>) -> Option<f64> {
+    let own = *slowness.get(task.engine.as_ref()?)?;
+    let stay = wall_ms.saturating_sub(task.began_ms);
+    if task.is_generated || task.moves >= MOST_MOVES || stay < SHORTEST_STAY_MS {
+        return None;
+    }
+    if own >= SLOW_FACTOR {
+        return Some(FAST_FACTOR);
+    }
+    (stay >= LONG_STAY_MS).then_some(own / LONG_FACTOR)
+}
+
+/// Returns the tokens that the items of a job are expected to take in the mean.
+fn mean_tokens(job: &Job) -> u64 {
+    let sum: u64 = job.items.iter().map(|item| item.expected_tokens).sum();
+    sum / job.items.len().max(1) as u64
+}
+
 /// Returns the order in which items are run.
 fn rank(task: &Task, wall_ms: u64) -> (bool, u64, u8, u64, bool, Reverse<u64>, usize) {
     let job = &task.job;
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -34,6 +34,8 @@
     pub run: Option<RunId>,
     /// Whether an earlier job began its group.
     pub is_carried: bool,
+    /// Whether it is expected to take longer than most of its job.
+    pub is_long: bool,
     /// What it has generated so far.
     pub progress: Progress,
     /// The last event of the progress that was recorded, to outlast this leader.
@@ -61,6 +63,7 @@
             engine: None,
             run: None,
             is_carried,
+            is_long: false,
             progress: Progress::default(),
             recorded_event: 0,
             is_generated: false,
@@ -97,6 +100,11 @@
         is_fresh(version, self.job.min_version)
     }
 
+    /// Returns whether it is expected to run for long, or was moved since it did.
+    pub fn is_long(&self) -> bool {
+        self.is_long || self.moves > 0
+    }
+
     /// Returns the tokens that it is expected to generate still.
     pub fn expected_tokens(&self) -> u64 {
         self.item().expected_tokens
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -100,6 +100,48 @@
     assert_eq!(schedule.stragglers(5_000, &one).len(), 1);
 }
 
+/// An engine of some slowness.
+fn paced(name: &str, slots: u32, slowness: f64) -> Engine {
+    Engine { slowness, ..engine(name, slots, 1) }
+}
+
+#[test]
+fn a_long_item_leaves_an_engine_that_is_somewhat_slower() {
+    let mut schedule = schedule(&[job("job", 1)]);
+    all(&mut schedule, &[paced("slow", 8, 1.3)]);
+    let fast = [paced("slow", 8, 1.3), paced("fast", 1, 1.0)];
+    assert!(schedule.stragglers(1_900, &fast).is_empty(), "it may end soon");
+    assert_eq!(schedule.stragglers(2_000, &fast).len(), 1);
+    let alike = [paced("slow", 8, 1.3), paced("other", 1, 1.15)];
+    assert!(schedule.stragglers(5_000, &alike).is_empty(), "a move would gain little");
+    let full = [paced("slow", 8, 1.3), paced("fast", 0, 1.0)];
+    assert!(schedule.stragglers(5_000, &full).is_empty());
+}
+
+#[test]
+fn no_more_items_are_moved_than_faster_engines_have_room_for() {
+    let mut schedule = schedule(&[job("job", 4)]);
+    all(&mut schedule, &[paced("slow", 8, 3.0)]);
+    let engines = [paced("slow", 8, 3.0), paced("fast", 2, 1.0), paced("other", 1, 1.3)];
+    assert_eq!(schedule.stragglers(5_000, &engines).len(), 3);
+}
+
+#[test]
+fn long_items_go_where_they_end_soonest_and_short_ones_where_there_is_most_room() {
+    let mut long = Job::clone(&job("job", 5));
+    long.items[0].expected_tokens = 900;
+    long.items[1].expected_tokens = 900;
+    let mut schedule = schedule(&[Arc::new(long)]);
+    let engines = [paced("fast", 8, 1.0), paced("slow", 8, 1.3)];
+    let assigned = all(&mut schedule, &engines);
+    let on = |item: usize| {
+        let assignment = assigned.iter().find(|assignment| assignment.item == item).unwrap();
+        assignment.engine.as_str()
+    };
+    assert_eq!([on(0), on(1)], ["fast", "fast"]);
+    assert!([on(2), on(3), on(4)].contains(&"slow"), "{assigned:?}");
+}
+
 #[test]
 fn an_item_may_be_given_up_only_after_its_time_and_not_while_it_runs() {
     let mut schedule = schedule(&[job("job", 2)]);
