Let a new leader change the voters as soon as it has heard them

Change: no wait; a voter still counts as silent only after its whole time, and a change of voters still needs fresh answers of all.

--- a/crates/catkinlatch-log/src/core/election.rs
+++ b/crates/catkinlatch-log/src/core/election.rs
@@ -158,7 +158,7 @@
             settled: Index::ZERO,
             reads: Vec::new(),
             configuration_until: now,
-            repair_at: now + self.settings.silence,
+            repair_at: now,
             reported: false,
             candidates: None,
             choose_at: now,
--- a/crates/catkinlatch-log/tests/log/open.rs
+++ b/crates/catkinlatch-log/tests/log/open.rs
@@ -133,3 +133,18 @@
     net.run_for(1_000);
     assert_eq!(net.journal(retired).len(), before, "it still gets entries");
 }
+
+#[test]
+fn a_leader_that_hands_over_is_no_voter_soon_after() {
+    let mut net = net();
+    net.start(3);
+    net.commit(1);
+    net.run_for(2_000);
+    let leader = net.leader().unwrap();
+    net.retire(leader);
+    // Four vote while the leader hands over, and halves of four cannot decide: until another is
+    // elected, which takes up to two timeouts of a second, and has heard all.
+    net.run_for(3_500);
+    let voters = net.voters();
+    assert!(voters.len() == 3 && !voters.contains(&leader), "{voters:?}");
+}
