--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -1,14 +1,17 @@
 //! A plain service.
 
 use super::Target;
-use catkinlatch_runtime::http::{Body, Server, collect, full, serve};
+use catkinlatch_runtime::http::{Body, Server, collect, full, parts, serve};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::{
     collections::BTreeMap,
     io,
     net::Ipv4Addr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 use tokio::{net::TcpListener, sync::watch, time};
@@ -29,6 +32,8 @@
     pub target: Target,
     /// The headers of each request that it ran, by id.
     pub ran: Arc<Mutex<BTreeMap<String, Vec<Headers>>>>,
+    /// How many answers are lost after their requests ran.
+    pub loses: Arc<AtomicU32>,
     _stop: watch::Sender<bool>,
 }
 
@@ -38,7 +43,12 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let target = Target::new(id, name, listener.local_addr()?, 6);
         let (keep, stop) = watch::channel(false);
-        let service = Self { target: target.clone(), ran: Arc::default(), _stop: keep };
+        let service = Self {
+            target: target.clone(),
+            ran: Arc::default(),
+            loses: Arc::default(),
+            _stop: keep,
+        };
         let answering = service.clone();
         let server = Server { idle_timeout: Duration::from_secs(10), stop };
         let handler = move |request| answering.clone().answer(request);
@@ -84,10 +94,24 @@
         let mut ran = self.ran.lock().unwrap_or_else(PoisonError::into_inner);
         ran.entry(id.clone()).or_default().push(headers);
         drop(ran);
+        let loses = |left: u32| left.checked_sub(1);
+        if self.loses.fetch_update(Ordering::Relaxed, Ordering::Relaxed, loses).is_ok() {
+            return broken(&id);
+        }
         respond(StatusCode::OK, &id, &format!("answer to {id}"))
     }
 }
 
+/// Returns an answer whose connection breaks before its body is there.
+fn broken(id: &str) -> Response<Body> {
+    let body = parts((), |()| async { Some((Err(io::Error::other("the answer is lost")), ())) });
+    Response::builder()
+        .header("attempt-id", id)
+        .header("server-seal", format!("seal-of-{id}"))
+        .body(body)
+        .expect("the answer is valid")
+}
+
 fn respond(status: StatusCode, id: &str, body: &str) -> Response<Body> {
     let response = Response::builder().status(status).header("attempt-id", id);
     let response = match status.is_success() {
--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -2,13 +2,16 @@
 
 use super::world::World;
 use crate::site::Site;
-use std::{io, time::Duration};
+use std::{io, sync::atomic::Ordering, time::Duration};
 use tokio::time::{self, Instant};
 
 /// How long all stores must have run undisturbed before one may lose its disk: until its
 /// forerunner votes again.
 const STEADY: Duration = Duration::from_secs(6);
 
+/// How many answers a service loses in a row: enough that some belong to requests that may run once.
+const LOST_ANSWERS: u32 = 25;
+
 /// Draws and performs failures.
 pub struct Faults {
     site: Site,
@@ -85,6 +88,11 @@
                 self.disturbed = Instant::now();
                 return Ok(format!("killed all for {down:?}"));
             }
+            10 => {
+                let service = self.random.usize(..world.services.len());
+                world.services[service].loses.fetch_add(LOST_ANSWERS, Ordering::Relaxed);
+                return Ok(format!("service {service} loses {LOST_ANSWERS} answers"));
+            }
             _ => {
                 let engine = self.random.usize(..world.engines.len());
                 world.engines[engine].memory().breaks += 3;
