--- a/crates/catkinlatch-store/src/soft.rs
+++ b/crates/catkinlatch-store/src/soft.rs
@@ -87,9 +87,14 @@
         changes
     }
 
-    /// Drops processes that are silent, and returns them.
+    /// Drops processes that are silent, and returns them; forgets what is known of starts of
+    /// engines that are over.
     pub fn expire(&mut self, now: Instant) -> Vec<HostId> {
         self.sources.retain(|_, source| now < source.at + COUNTS_KEPT);
+        let registry = &self.registry;
+        self.orders.retain(|(id, born_ms), _| {
+            registry.target(id).is_some_and(|target| target.born_ms == *born_ms)
+        });
         let silent = self.followers.extract_if(.., |_, follower| now >= follower.at + SILENCE);
         let silent: Vec<HostId> = silent.map(|(host, _)| host).collect();
         self.revision += u64::from(!silent.is_empty());
