Place all waiting items in one pass

Cause: each item that was placed sorted all waiting ones anew and looked through all items for each engine; at the sizes of two years (12,000 items, 600 engines) that does not end. Change: one pass over the waiting items, with the loads and the engines of each group kept beside it (schedule/placement.rs); the order and the choice are the same.

--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -5,6 +5,7 @@
 //! groups that an earlier job left unfinished, then the longest outputs, since they end last.
 
 mod engine;
+mod placement;
 mod run;
 mod task;
 
@@ -14,6 +15,7 @@
     task::Task,
 };
 
+use self::placement::Placement;
 use crate::{
     Job, Outcome, Record,
     job::{self, Progress},
@@ -44,10 +46,6 @@
 /// deployments' slower engines take 1.3 times as long.
 const LONG_FACTOR: f64 = 1.2;
 
-/// How much longer a full engine takes for each event than an idle one, as a share; the
-/// deployments' engines take 0.1 to 0.3.
-const LOAD_EFFECT: f64 = 0.2;
-
 /// How often an item is moved at most.
 const MOST_MOVES: u32 = 3;
 
@@ -118,23 +116,32 @@
 
     /// Returns the next item to run, and marks it as running.
     pub fn next(&mut self, wall_ms: u64, engines: &[Engine]) -> Option<Assignment> {
-        let load = self.load();
-        let waiting = self.tasks.values().filter(|task| task.is_waiting(wall_ms));
-        let mut waiting: Vec<&Task> = waiting.collect();
-        waiting.sort_by_key(|task| rank(task, wall_ms));
-        for task in waiting {
-            let Some(engine) = self.place(task, wall_ms, engines, &load) else { continue };
-            let key = (task.job.id.clone(), task.item);
-            self.last_run = self.last_run.next();
-            let (run, engine) = (self.last_run, engine.id.clone());
-            if let Some(task) = self.tasks.get_mut(&key) {
-                task.engine = Some(engine.clone());
-                task.run = Some(run);
-                task.began_ms = wall_ms;
+        self.assign(wall_ms, engines, 1).pop()
+    }
+
+    /// Returns the next items to run, no more than `most`, and marks them as running.
+    pub fn assign(&mut self, wall_ms: u64, engines: &[Engine], most: usize) -> Vec<Assignment> {
+        let mut placement = Placement::new(engines, self.tasks.values());
+        let waiting = self.tasks.iter().filter(|(_, task)| task.is_waiting(wall_ms));
+        let mut waiting: Vec<_> =
+            waiting.map(|(key, task)| (rank(task, wall_ms), key.clone())).collect();
+        waiting.sort();
+        let mut assignments = Vec::new();
+        for (_, key) in waiting {
+            if assignments.len() >= most || !placement.has_room() {
+                break;
             }
-            return Some(Assignment { job: key.0, item: key.1, engine, run });
+            let Some(task) = self.tasks.get_mut(&key) else { continue };
+            let Some(engine) = placement.best(task, wall_ms).map(|engine| engine.id.clone()) else {
+                continue;
+            };
+            placement.put(task, &engine);
+            self.last_run = self.last_run.next();
+            let run = self.last_run;
+            (task.engine, task.run, task.began_ms) = (Some(engine.clone()), Some(run), wall_ms);
+            assignments.push(Assignment { job: key.0, item: key.1, engine, run });
         }
-        None
+        assignments
     }
 
     /// Returns the items that should go on at a faster engine which has a free slot: those whose
@@ -249,47 +256,6 @@
         }
         load
     }
-
-    /// Returns the engine on which the item should run: one with a free slot and fresh enough
-    /// weights. Short items go where the load is least for the speed, and where the group's prompt
-    /// was read, if equal; long ones, which their step waits for, where they end soonest.
-    fn place<'a>(
-        &self,
-        task: &Task,
-        wall_ms: u64,
-        engines: &'a [Engine],
-        load: &BTreeMap<TargetId, u32>,
-    ) -> Option<&'a Engine> {
-        let running = |engine: &Engine| load.get(&engine.id).copied().unwrap_or_default();
-        let fits = |engine: &&Engine| {
-            engine.service == task.job.service
-                && running(engine) < engine.slots
-                && !task.avoids(&engine.id, wall_ms)
-                && task.accepts(engine.version(task.job.model.as_ref()))
-        };
-        let has_group = |engine: &Engine| {
-            let group = task.group();
-            self.tasks.values().any(|other| {
-                other.engine.as_ref() == Some(&engine.id)
-                    && group.is_some()
-                    && other.group() == group
-            })
-        };
-        let cost = |engine: &Engine| {
-            let share = f64::from(running(engine) + 1) / f64::from(engine.slots);
-            if task.is_long() {
-                return ((engine.slowness * (1.0 + LOAD_EFFECT * share)) * 1e6) as i64;
-            }
-            let share = share * engine.slowness;
-            // Another read of a shared prompt costs less than one more request at an engine.
-            let saved = if has_group(engine) { 1.0 / f64::from(engine.slots) } else { 0.0 };
-            ((share - saved) * 1e6) as i64
-        };
-        engines
-            .iter()
-            .filter(fits)
-            .min_by_key(|engine| (cost(engine), Reverse(engine.version(task.job.model.as_ref()))))
-    }
 }
 
 /// Returns how slow another engine may be at most for an item to go on there, if it may leave its
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -141,7 +141,7 @@
             return;
         }
         self.move_stragglers(&engines);
-        while let Some(assignment) = self.schedule.next(self.host.clock.wall_ms(), &engines) {
+        for assignment in self.schedule.assign(self.host.clock.wall_ms(), &engines, usize::MAX) {
             self.start(&assignment);
         }
         let waiting = self.schedule.waiting(self.host.clock.wall_ms());
