Move a long item once and only off slow engines, and rest engines without connections longer

Change: an item leaves for one that is 1.25 times as fast, once; an engine without connections counts as failed, which rests it longer each time.

--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -42,9 +42,9 @@
 /// milliseconds: most items end sooner, and the few that do not are waited for.
 const LONG_STAY_MS: u64 = 1_000;
 
-/// How many times as long an engine must take as another for a long item to go on there: the
-/// deployments' slower engines take 1.3 times as long.
-const LONG_FACTOR: f64 = 1.2;
+/// How many times as long an engine must take as another for a long item to go on there, once: the
+/// deployments' slower engines take 1.3 times as long, and full ones 1.2 times as long as idle ones.
+const LONG_FACTOR: f64 = 1.25;
 
 /// How often an item is moved at most.
 const MOST_MOVES: u32 = 3;
@@ -269,7 +269,7 @@
     if own >= SLOW_FACTOR {
         return Some(FAST_FACTOR);
     }
-    (stay >= LONG_STAY_MS).then_some(own / LONG_FACTOR)
+    (stay >= LONG_STAY_MS && task.moves == 0).then_some(own / LONG_FACTOR)
 }
 
 /// Returns the tokens that the items of a job are expected to take in the mean.
--- a/crates/catkinlatch-ledger/src/schedule/run.rs
+++ b/crates/catkinlatch-ledger/src/schedule/run.rs
@@ -16,6 +16,8 @@
     Impossible,
     /// The engine did not run it.
     Refused,
+    /// There is no connection to the engine, which did not run it.
+    Unreachable,
     /// The engine's weights are too old.
     Outdated(Option<Version>),
     /// Another target has the address.
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -171,7 +171,9 @@
                 if is_over { Next::Lose(Loss::Failures) } else { Next::Again }
             }
             End::Impossible => Next::Lose(Loss::Impossible),
-            End::Broken | End::Refused | End::Outdated(_) | End::OtherTarget => Next::Again,
+            End::Broken | End::Refused | End::Unreachable | End::Outdated(_) | End::OtherTarget => {
+                Next::Again
+            }
         }
     }
 
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -116,6 +116,11 @@
     assert!(schedule.stragglers(5_000, &alike).is_empty(), "a move would gain little");
     let full = [paced("slow", 8, 1.3), paced("fast", 0, 1.0)];
     assert!(schedule.stragglers(5_000, &full).is_empty());
+    let busy = [paced("slow", 8, 1.2), paced("idle", 1, 1.0)];
+    assert!(schedule.stragglers(5_000, &busy).is_empty(), "a full engine is no slow one");
+    schedule.task_mut(&job_id("job"), 0).unwrap().cut(events(20));
+    schedule.next(6_000, &[paced("slow", 8, 1.3)]).unwrap();
+    assert!(schedule.stragglers(9_000, &fast).is_empty(), "it was moved once");
 }
 
 #[test]
@@ -228,6 +233,7 @@
 
 #[test_case(End::Broken, 3; "goes on where it broke off")]
 #[test_case(End::Refused, 3; "goes on after a refusal")]
+#[test_case(End::Unreachable, 3; "goes on where there is a connection")]
 #[test_case(End::Failed, 0; "begins anew after a failure")]
 fn what_was_generated_is_kept_unless_the_engine_failed(end: End, kept: u64) {
     let mut schedule = schedule(&[job("job", 1)]);
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -71,7 +71,7 @@
         Ok(Ok(exchange)) => exchange,
         Ok(Err(failure)) => {
             let is_sent = matches!(failure, Failure::Unknown(_));
-            ended.end = if is_sent { End::Broken } else { End::Refused };
+            ended.end = if is_sent { End::Broken } else { End::Unreachable };
             ended.reason = failure.to_string();
             return ended;
         }
--- a/crates/catkinlatch-store/src/runner/end.rs
+++ b/crates/catkinlatch-store/src/runner/end.rs
@@ -59,7 +59,7 @@
         let verdict = match ended.end {
             End::Whole => Verdict::Answered(took / ended.progress.text.len().max(1) as u32),
             End::Refused => Verdict::Full,
-            End::Broken | End::OtherTarget => Verdict::Failed,
+            End::Broken | End::Unreachable | End::OtherTarget => Verdict::Failed,
             End::Failed | End::Impossible | End::Outdated(_) => Verdict::Unknown,
         };
         self.shared.choice().end(&engine.id, verdict, self.host.clock.now());
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use catkinlatch_runtime::http::{BodyError, Client, Exchange, full};
-use catkinlatch_standin::site::{Engine, Service, Site, Soak};
+use catkinlatch_standin::site::{Engine, Service, Site, Soak, Target};
 use http::{Request, Response, StatusCode};
 use serde_json::{Value, json};
 use std::{future::Future, path::PathBuf, sync::atomic::Ordering, time::Duration};
@@ -470,6 +470,25 @@
     assert!(runs.len() <= 10, "six runs broke off, and {} were begun", runs.len());
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_without_connections_is_left_alone_longer_each_time() {
+    let setup = Setup::start().await;
+    // A target that registers where nobody listens.
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let gone = Target::new("engine-gone", "drafts", nobody, 4);
+    let controls: Vec<String> =
+        setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect();
+    tokio::spawn(gone.announce(controls, || json!([{"name": "model", "version": 1}])));
+    for engine in &setup.engines {
+        engine.memory().event = Duration::from_millis(60);
+    }
+    setup.submit("job-1", 1, 60).await;
+    check(&setup.results(0, "job-1", 60).await, &[1]);
+    let logs: String = setup.site.stores().iter().map(|host| host.log()).collect();
+    let tries = logs.lines().filter(|line| line.contains("Unreachable")).count();
+    assert!((1..=24).contains(&tries), "it was tried {tries} times in about 3 s");
+}
+
 /// How long the random failures of the test go on; `soak --site` runs for longer.
 const FAILURES: Duration = Duration::from_secs(12);
 
