Name the ledger's random runs plainly, and tidy what the last read found

tests/storm.rs of the ledger becomes random.rs (the word was to go); the choice of the next load is one pass over the wanting models; a function of the proxy that nobody else calls is private again. No change of behaviour.

--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -186,7 +186,7 @@
 }
 
 /// Returns a target's answer as the caller gets it.
-pub fn passed_back(answer: Response<bytes::Bytes>) -> Response<Body> {
+fn passed_back(answer: Response<bytes::Bytes>) -> Response<Body> {
     let (head, body) = answer.into_parts();
     let mut response = Response::new(full(body));
     *response.status_mut() = head.status;
--- a/crates/catkinlatch-ledger/tests/storm.rs
+++ b/crates/catkinlatch-ledger/tests/random.rs
@@ -9,13 +9,13 @@
 #![allow(clippy::unwrap_used, reason = "a failed test may panic")]
 #![allow(clippy::print_stdout, reason = "a failed run tells its seed")]
 
-#[path = "storm/check.rs"]
+#[path = "random/check.rs"]
 mod check;
-#[path = "storm/leader.rs"]
+#[path = "random/leader.rs"]
 mod leader;
-#[path = "storm/model.rs"]
+#[path = "random/model.rs"]
 mod model;
-#[path = "storm/world.rs"]
+#[path = "random/world.rs"]
 mod world;
 
 use std::env;
--- a/crates/catkinlatch-rollout/src/weights/pace.rs
+++ b/crates/catkinlatch-rollout/src/weights/pace.rs
@@ -8,6 +8,9 @@
 /// The users' pages tell 2 of 9, 8 of 38 and 7 of 36.
 const LOADING_SHARE: f64 = 0.19;
 
+/// What no engine counts as where items are divided by engines: little beside one.
+const NO_ENGINE: f64 = 0.01;
+
 /// What is known of one model when the next load is chosen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Want {
@@ -35,9 +38,6 @@
     }
 }
 
-/// What no engine counts as where items are divided by engines: little beside one.
-const NO_ENGINE: f64 = 0.01;
-
 /// Returns how many of some engines load at one time.
 pub fn loads_at_once(engines: usize) -> usize {
     ((engines as f64 * LOADING_SHARE).ceil() as usize).max(1)
--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -111,10 +111,11 @@
             named.iter().map(|(model, version)| self.want(model, *version)).collect();
         wants.retain(|want| need == Need::Now || want.waiting == 0);
         wants.sort_by(Want::before);
-        let versions = wants.iter().filter_map(|want| named.get(&want.model));
-        let versions: Vec<Version> = versions.copied().collect();
-        let mut models = wants.iter().zip(versions);
-        models.any(|(want, version)| self.load(&want.model, version, engines, need))
+        let load = |want: &Want| {
+            let version = named.get(&want.model);
+            version.is_some_and(|version| self.load(&want.model, *version, engines, need))
+        };
+        wants.iter().any(load)
     }
 
     /// Returns what is known of a model.
