Give hosts and targets time to speak to a new leader

Ruled out: the hosts were not cut off (they held the new leader's configuration 10 ms after its first line). Change: a host that takes over counts all that it knows as heard now. Tests: tests/site.rs, fails without it; registry.rs.

--- a/crates/catkinlatch-ledger/src/registry.rs
+++ b/crates/catkinlatch-ledger/src/registry.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Counts all targets as heard now: a new leader cannot know when they last spoke.
+    pub fn refresh(&mut self, now: Instant) {
+        self.targets.values_mut().for_each(|known| known.at = now);
+    }
+
     /// Takes what a target says of itself.
     pub fn register(&mut self, target: Target, now: Instant) -> Change {
         if self.is_outdated(&target) {
--- a/crates/catkinlatch-ledger/tests/registry.rs
+++ b/crates/catkinlatch-ledger/tests/registry.rs
@@ -68,6 +68,16 @@
     assert_eq!(registry.register(late, Instant::ZERO), Change::Outdated);
 }
 
+#[test]
+fn a_new_leader_gives_targets_time_to_speak() {
+    let (silence, late) = (Duration::from_secs(10), Instant::from_millis(15_000));
+    let mut registry = Registry::default();
+    registry.register(target("t", 100, 1), Instant::ZERO);
+    registry.refresh(late);
+    assert!(registry.expire(silence, late).is_empty());
+    assert_eq!(registry.expire(silence, late + silence).len(), 1);
+}
+
 #[test]
 fn silent_targets_are_dropped_and_may_return() {
     let mut registry = Registry::default();
--- a/crates/catkinlatch-store/src/soft.rs
+++ b/crates/catkinlatch-store/src/soft.rs
@@ -87,6 +87,13 @@
         changes
     }
 
+    /// Counts all processes and targets as heard now: a new leader holds what the last one knew,
+    /// and none could speak to it before it led.
+    pub fn refresh(&mut self, now: Instant) {
+        self.followers.values_mut().for_each(|follower| follower.at = now);
+        self.registry.refresh(now);
+    }
+
     /// Drops processes that are silent, and returns them; forgets what is known of starts of
     /// engines that are over.
     pub fn expire(&mut self, now: Instant) -> Vec<HostId> {
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -489,6 +489,41 @@
     assert!((1..=24).contains(&tries), "it was tried {tries} times in about 3 s");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_leader_takes_no_live_host_for_silent() {
+    let mut setup = Setup::start().await;
+    let led = |log: &str| log.matches("took over the duties").count();
+    let leader = || {
+        setup.site.stores().iter().position(|host| {
+            let log = host.log();
+            led(&log) > log.matches("gave up the duties").count()
+        })
+    };
+    until("a host leads", || async { leader().is_some() }).await;
+    let leader = leader().unwrap();
+    // What the others were told of the entry hosts is then older than hosts may be silent.
+    time::sleep(Duration::from_secs(3)).await;
+    setup.site.hosts[leader].kill().unwrap();
+    let others: Vec<usize> = (0..setup.site.stores().len()).filter(|at| *at != leader).collect();
+    until("another host leads", || async {
+        others.iter().any(|other| led(&setup.site.hosts[*other].log()) > 0)
+    })
+    .await;
+    // Silent hosts are looked for twice a second.
+    time::sleep(Duration::from_secs(1)).await;
+    let entries = setup.site.entries().iter().map(|entry| entry.address(0).replace(":0", ""));
+    for entry in entries {
+        let is_silent = |line: &str| line.contains("a process is silent") && line.contains(&entry);
+        let logs = others.iter().map(|other| setup.site.hosts[*other].log());
+        assert!(
+            !logs
+                .flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>())
+                .any(|line| is_silent(&line)),
+            "{entry} was taken for silent"
+        );
+    }
+}
+
 /// How long the random failures of the test go on; `soak --site` runs for longer.
 const FAILURES: Duration = Duration::from_secs(12);
 
