--- a/crates/catkinlatch-log/tests/log/open.rs
+++ b/crates/catkinlatch-log/tests/log/open.rs
@@ -9,6 +9,17 @@
     Net::open(three, 3)
 }
 
+/// Three voters and a host that could vote; the leader, which is returned, is to hold no state.
+fn net_with_retired_leader() -> (Net, usize) {
+    let mut net = net();
+    net.start(3);
+    net.commit(1);
+    net.run_for(2_000);
+    let leader = net.leader().unwrap();
+    net.retire(leader);
+    (net, leader)
+}
+
 #[test]
 fn a_host_that_nobody_was_told_of_takes_the_place_of_a_lost_voter() {
     let mut net = net();
@@ -52,12 +63,7 @@
 
 #[test]
 fn a_leader_that_is_to_hold_no_state_hands_over() {
-    let mut net = net();
-    net.start(3);
-    net.commit(1);
-    net.run_for(2_000);
-    let leader = net.leader().unwrap();
-    net.retire(leader);
+    let (mut net, leader) = net_with_retired_leader();
     net.run_for(8_000);
     let voters = net.voters();
     assert!(voters.len() == 3 && !voters.contains(&leader), "{voters:?}");
@@ -136,12 +142,7 @@
 
 #[test]
 fn a_leader_that_hands_over_is_no_voter_soon_after() {
-    let mut net = net();
-    net.start(3);
-    net.commit(1);
-    net.run_for(2_000);
-    let leader = net.leader().unwrap();
-    net.retire(leader);
+    let (mut net, leader) = net_with_retired_leader();
     // Four vote while the leader hands over, and halves of four cannot decide: until another is
     // elected, which takes up to two timeouts of a second, and has heard all.
     net.run_for(3_500);
--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -1,6 +1,7 @@
 //! A whole deployment on loopback: hosts of the real program, and stand-ins that speak the
 //! platform's calls.
 
+mod configuration;
 mod engine;
 mod host;
 mod platform;
@@ -9,6 +10,7 @@
 mod target;
 
 pub use self::{
+    configuration::{HOST, configuration, request},
     engine::Engine,
     host::Host,
     platform::Platform,
--- a/crates/catkinlatch-standin/src/site/soak.rs
+++ b/crates/catkinlatch-standin/src/site/soak.rs
@@ -2,11 +2,11 @@
 //! operators were told with what its targets did.
 
 mod caller;
-mod configuration;
 mod fault;
 mod operator;
 mod record;
 mod report;
+mod route;
 mod trainer;
 mod world;
 
@@ -14,9 +14,9 @@
 
 use self::{
     caller::{call_services, read_streams},
-    configuration::configuration,
     fault::Faults,
     operator::change_configuration,
+    route::configuration,
     trainer::train,
     world::World,
 };
--- a/crates/catkinlatch-standin/src/site/soak/operator.rs
+++ b/crates/catkinlatch-standin/src/site/soak/operator.rs
@@ -1,6 +1,6 @@
 //! An operator who changes the configuration.
 
-use super::{configuration::configuration, world::World};
+use super::{route::configuration, world::World};
 use serde_json::Value;
 use std::{sync::Arc, time::Duration};
 use tokio::time;
--- /dev/null
+++ b/crates/catkinlatch-standin/src/site/soak/route.rs
@@ -0,0 +1,24 @@
+//! The routes of the runs.
+
+use crate::site::{HOST, configuration::configuration as with_routes};
+use serde_json::json;
+
+/// Returns the configuration of the runs in the platform's form.
+pub fn configuration(version: u64) -> String {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({"name": name, "host": HOST, "path_prefix": format!("/{name}/"),
+               "kind": kind, "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1,
+               "service": service, "max_attempts": attempts, "public": name == "score",
+               "resumable": true, "due_ms": 7500, "max_wait_s": 60})
+    };
+    with_routes(
+        version,
+        &[
+            route("survey", "idempotent", "survey", 4),
+            route("single", "non_idempotent", "survey", 2),
+            route("score", "idempotent", "survey", 4),
+            route("chat", "stream", "drafts", 3),
+            route("drafts", "rollout", "drafts", 50),
+        ],
+    )
+}
--- a/crates/catkinlatch-standin/src/site/soak/world.rs
+++ b/crates/catkinlatch-standin/src/site/soak/world.rs
@@ -1,7 +1,7 @@
 //! What callers, trainers and operators share.
 
-use super::{configuration::KEY, record::Record};
-use crate::site::{Engine, Service, Site};
+use super::record::Record;
+use crate::site::{self, Engine, Service, Site};
 use bytes::Bytes;
 use catkinlatch_runtime::http::{Client, Exchange, full};
 use http::{Request, Response};
@@ -74,14 +74,7 @@
         id: &str,
         body: &str,
     ) -> Option<Exchange> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "site.example")
-            .header("x-api-key", KEY)
-            .header("attempt-id", id)
-            .header("deadline-ms", PATIENCE.as_millis().to_string())
-            .header("wait-ms", "200");
+        let request = site::request(method, path, id, PATIENCE).header("wait-ms", "200");
         let request = request.body(full(body.to_owned())).ok()?;
         let address = &self.callers[random.usize(..self.callers.len())];
         time::timeout(PATIENCE, self.client.send_new(address, request)).await.ok()?.ok()
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -6,17 +6,18 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed test may panic")]
 
+#[path = "site/stream.rs"]
+mod stream;
+
 use bytes::Bytes;
-use catkinlatch_runtime::http::{BodyError, Client, Exchange, full};
-use catkinlatch_standin::site::{Engine, Service, Site, Soak, Target};
+use catkinlatch_standin::site::{self, Engine, Service, Site, Soak, Target};
 use http::{Request, Response, StatusCode};
 use serde_json::{Value, json};
 use std::{future::Future, path::PathBuf, sync::atomic::Ordering, time::Duration};
+use stream::Stream;
 use tempfile::TempDir;
 use tokio::time;
 
-const KEY: &str = "key-of-the-team";
-
 /// What a store host logs once it has started.
 const STARTED: &str = "\"event\":\"started\"";
 
@@ -60,14 +61,8 @@
         id: &str,
         body: &str,
     ) -> Option<Response<Bytes>> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "site.example")
-            .header("x-api-key", KEY)
-            .header("attempt-id", id)
-            .header("deadline-ms", "3000")
-            .header("wait-ms", "200");
+        let request = site::request(method, path, id, Duration::from_secs(3));
+        let request = request.header("wait-ms", "200");
         let address = self.site.entries()[entry].address(self.site.ports.callers);
         self.site.call(&address, request.body(body.as_bytes().to_vec()).unwrap()).await
     }
@@ -100,44 +95,6 @@
     }
 }
 
-/// A stream as its caller sees it.
-struct Stream {
-    exchange: Exchange,
-    text: String,
-}
-
-impl Stream {
-    /// Asks an entry host for a stream, and waits for its head.
-    async fn open(setup: &Setup, path: &str, id: &str) -> Self {
-        let address = setup.site.entries()[0].address(setup.site.ports.callers);
-        let request = Request::builder()
-            .method("POST")
-            .uri(path)
-            .header("host", "site.example")
-            .header("x-api-key", KEY)
-            .header("attempt-id", id)
-            .header("deadline-ms", "20000");
-        let request = request.body(full("ask")).unwrap();
-        let exchange = Client::new().send(&address, request).await.unwrap();
-        assert_eq!(exchange.response.status(), StatusCode::OK);
-        assert_eq!(exchange.response.headers()["server-seal"], format!("seal-of-{id}"));
-        Self { exchange, text: String::new() }
-    }
-
-    /// Reads on; returns whether more may follow, or that the stream broke off.
-    async fn read(&mut self) -> Result<bool, BodyError> {
-        let part = self.exchange.next().await?;
-        self.text.push_str(std::str::from_utf8(part.as_deref().unwrap_or_default()).unwrap());
-        Ok(part.is_some())
-    }
-
-    /// Returns the ids of the events that have come.
-    fn events(&self) -> Vec<u64> {
-        let ids = self.text.lines().filter_map(|line| line.strip_prefix("id: "));
-        ids.map(|id| id.parse().unwrap()).collect()
-    }
-}
-
 fn ok(answer: Response<Bytes>) -> bool {
     answer.status() == StatusCode::OK
 }
@@ -157,32 +114,24 @@
 }
 
 fn configuration(version: u64) -> String {
-    json!({
-        "version": version,
-        "routes": [
-            {"name": "survey", "host": "site.example", "path_prefix": "/survey/",
-             "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2,
-             "service": "survey", "max_attempts": 4, "public": false},
-            {"name": "score", "host": "site.example", "path_prefix": "/score/",
-             "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2,
-             "service": "survey", "max_attempts": 4, "public": true},
-            {"name": "chat", "host": "site.example", "path_prefix": "/chat/", "kind": "stream",
-             "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1, "service": "drafts",
-             "max_attempts": 3, "public": false, "resumable": true},
-            {"name": "once", "host": "site.example", "path_prefix": "/once/", "kind": "stream",
-             "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1, "service": "drafts",
-             "max_attempts": 3, "public": false},
-            {"name": "drafts", "host": "site.example", "path_prefix": "/drafts/",
-             "kind": "rollout", "target_latency_ms": 400, "priority": 1, "service": "drafts",
-             "max_attempts": 3, "public": false, "due_ms": 7500, "max_wait_s": 40},
-        ],
-        "services": [{"name": "survey", "health_path": "/health", "max_conns": 96},
-                     {"name": "drafts", "health_path": "/health", "max_conns": 96, "engine": {}}],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576,
-                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": [{"name": "team", "api_keys": [KEY], "priority": 1}],
-    })
-    .to_string()
+    let routes = json!([
+        {"name": "survey", "host": "site.example", "path_prefix": "/survey/",
+         "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2,
+         "service": "survey", "max_attempts": 4, "public": false},
+        {"name": "score", "host": "site.example", "path_prefix": "/score/",
+         "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2,
+         "service": "survey", "max_attempts": 4, "public": true},
+        {"name": "chat", "host": "site.example", "path_prefix": "/chat/", "kind": "stream",
+         "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1, "service": "drafts",
+         "max_attempts": 3, "public": false, "resumable": true},
+        {"name": "once", "host": "site.example", "path_prefix": "/once/", "kind": "stream",
+         "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1, "service": "drafts",
+         "max_attempts": 3, "public": false},
+        {"name": "drafts", "host": "site.example", "path_prefix": "/drafts/",
+         "kind": "rollout", "target_latency_ms": 400, "priority": 1, "service": "drafts",
+         "max_attempts": 3, "public": false, "due_ms": 7500, "max_wait_s": 40},
+    ]);
+    site::configuration(version, routes.as_array().unwrap())
 }
 
 fn job(id: &str, min_version: u64, items: usize) -> String {
