Record a batch as lost only when all of its holders say so

Cause: a batch was recorded as lost when no holder answered at that moment, and its groups opened again, although the trainer may have read it; its samples then came in a later batch. A coordinator that had been replaced dropped its own copy with the rest of its state, so it never answered with it.

Change: copies of batches are kept apart from the coordinator's state and answered by any host. Silence of a holder gives 503 not_known_yet at once. A loss is a change of its own that leaves the groups delivered; a trainer that has not read the batch may post them again. The older change stays for logs of earlier builds.

--- a/crates/catkinlatch-node/src/trainer/api.rs
+++ b/crates/catkinlatch-node/src/trainer/api.rs
@@ -169,7 +169,8 @@
                 return Err(conflict("wrong_number", &message));
             }
             batch::Outcome::Lost => {
-                let message = "the batch is lost; take the next one";
+                let message = "the batch is lost; take the next one, and post groups again that you \
+                    have not read";
                 return Err(refusal(ClientErrorStatusCode::GONE, "batch_lost", message));
             }
             batch::Outcome::Missing(groups) => {
@@ -177,6 +178,13 @@
                 let message = format!("post these groups again: {}", groups.join(", "));
                 return Err(conflict("groups_lost", &message));
             }
+            batch::Outcome::Unreachable => {
+                let message = format!(
+                    "it is not known yet whether batch {number} is lost, since a host that holds \
+                     it does not answer; ask again"
+                );
+                return Err(HttpError::for_unavail(Some("not_known_yet".to_owned()), message));
+            }
             batch::Outcome::Moved => pause(deadline).await?,
         }
     }
--- a/crates/catkinlatch-node/src/trainer/batch.rs
+++ b/crates/catkinlatch-node/src/trainer/batch.rs
@@ -1,9 +1,9 @@
 //! Assembly of batches: a batch is committed to the control log before it is returned.
 
-use super::{Batch, assignment, coordinator::Proposal, remote};
+use super::{Batch, assignment, coordinator::Proposal, remote, replica::Entry};
 use crate::Node;
 use catkinlatch_base::{BatchNumber, Epoch, GroupId, GroupNumber, TrainerId, derive_value, event};
-use catkinlatch_rollout::pool::Sample;
+use catkinlatch_rollout::{copies::Verdict, pool::Sample};
 use catkinlatch_state::{
     Command, Reply,
     batch::{self, Ledger},
@@ -32,6 +32,9 @@
     /// This node does not coordinate the trainer, or the control log does not answer; the caller
     /// must look up the coordinator again.
     Moved,
+    /// The batch was committed, but no host that answers has its contents, and a holder does not
+    /// answer; the trainer may ask again.
+    Unreachable,
 }
 }
 
@@ -59,7 +62,7 @@
 
 /// Returns the last committed batch, from a holder on another host if need be.
 ///
-/// Records the batch as lost if no holder returns the contents.
+/// Records the batch as lost only if all of its holders answer that they have no copy.
 async fn return_committed(
     node: &Node,
     trainer: &TrainerId,
@@ -69,18 +72,30 @@
     if last.lost {
         return Outcome::Lost;
     }
-    if let Some(contents) = contents(node, trainer, &last.batch) {
-        return Outcome::Ready(contents);
-    }
-    if let Some(contents) = remote::fetch_batch(node, trainer, &last.batch).await {
-        let manifest = last.batch.clone();
-        add_proposal(node, trainer, Proposal { manifest, contents: contents.clone() });
-        return Outcome::Ready(contents);
-    }
     let number = last.batch.number;
-    let change = batch::Change::Void { trainer: trainer.clone(), epoch, number };
+    match remote::fetch_batch(node, trainer, &last.batch).await.verdict() {
+        Verdict::Found(contents) => {
+            let manifest = last.batch.clone();
+            store_proposal(node, trainer, Proposal { manifest, contents: contents.clone() });
+            Outcome::Ready(contents)
+        }
+        Verdict::Unknown => {
+            warn!("rollout: batch {number} of trainer {trainer}: a holder does not answer");
+            Outcome::Unreachable
+        }
+        Verdict::Lost => record_loss(node, trainer, epoch, number).await,
+    }
+}
+
+async fn record_loss(
+    node: &Node,
+    trainer: &TrainerId,
+    epoch: Epoch,
+    number: BatchNumber,
+) -> Outcome {
+    let change = batch::Change::Lose { trainer: trainer.clone(), epoch, number };
     match node.control.propose(Command::Batch(change)).await {
-        Ok(Reply::Batch(batch::Reply::Voided)) => {
+        Ok(Reply::Batch(batch::Reply::Lost)) => {
             warn!("rollout: batch {number} of trainer {trainer} is lost; no holder has it");
             Outcome::Lost
         }
@@ -88,10 +103,6 @@
     }
 }
 
-fn contents(node: &Node, trainer: &TrainerId, committed: &batch::Batch) -> Option<Batch> {
-    node.trainers.lock().get(trainer)?.contents(committed).cloned()
-}
-
 /// Commits the next batch if enough groups are complete.
 async fn commit_next(node: &Node, trainer: &Trainer, epoch: Epoch, ledger: &Ledger) -> Outcome {
     let Some(samples) = complete_groups(node, &trainer.id) else {
@@ -102,11 +113,8 @@
     let Some(manifest) = remote::replicate_batch(node, &trainer.id, &contents).await else {
         return Outcome::Wait;
     };
-    add_proposal(
-        node,
-        &trainer.id,
-        Proposal { manifest: manifest.clone(), contents: contents.clone() },
-    );
+    let proposal = Proposal { manifest: manifest.clone(), contents: contents.clone() };
+    store_proposal(node, &trainer.id, proposal);
     let change = batch::Change::Commit {
         trainer: trainer.id.clone(),
         epoch,
@@ -138,10 +146,8 @@
     node.trainers.lock().get(trainer)?.pool.batch()
 }
 
-fn add_proposal(node: &Node, trainer: &TrainerId, proposal: Proposal) {
-    if let Some(coordinator) = node.trainers.lock().get_mut(trainer) {
-        coordinator.add_proposal(proposal);
-    }
+fn store_proposal(node: &Node, trainer: &TrainerId, proposal: Proposal) {
+    remote::store_copy(node, trainer, Entry::Batch(proposal));
 }
 
 /// Returns [`Outcome::Missing`] with the open groups whose contents this node does not have, or
--- a/crates/catkinlatch-node/src/trainer/coordinator.rs
+++ b/crates/catkinlatch-node/src/trainer/coordinator.rs
@@ -50,8 +50,6 @@
     pub pool: Pool,
     /// Abort handles of the runs in progress.
     pub runs: BTreeMap<SampleId, AbortHandle>,
-    /// Proposals of the last two batch numbers; at most one per number is committed.
-    pub proposals: Vec<Proposal>,
     /// Held while a batch is committed or returned, so that requests are handled one at a time.
     pub commit_lock: Arc<tokio::sync::Mutex<()>>,
 }
@@ -59,25 +57,7 @@
 impl Coordinator {
     /// Creates a coordinator with an empty pool.
     pub fn new(trainer: TrainerId, epoch: Epoch) -> Self {
-        Self {
-            pool: Pool::new(trainer, epoch),
-            runs: BTreeMap::new(),
-            proposals: Vec::new(),
-            commit_lock: Arc::default(),
-        }
-    }
-
-    /// Returns the contents of a committed batch, if this node proposed or fetched it.
-    pub fn contents(&self, committed: &batch::Batch) -> Option<&Batch> {
-        let of_batch = |proposal: &&Proposal| proposal.manifest == *committed;
-        self.proposals.iter().find(of_batch).map(|proposal| &proposal.contents)
-    }
-
-    /// Stores a proposal, and drops those more than one batch number older.
-    pub fn add_proposal(&mut self, proposal: Proposal) {
-        let number = proposal.contents.number;
-        self.proposals.retain(|earlier| earlier.contents.number.next() >= number);
-        self.proposals.push(proposal);
+        Self { pool: Pool::new(trainer, epoch), runs: BTreeMap::new(), commit_lock: Arc::default() }
     }
 
     /// Aborts the runs of these samples.
@@ -98,7 +78,8 @@
     }
 }
 
-/// The coordinators on this node, and the replicas that it stores for those on other hosts.
+/// The coordinators on this node, and the copies that it stores for them and for those on other
+/// hosts.
 #[derive(Debug, Default)]
 pub struct Coordinators {
     trainers: Mutex<BTreeMap<TrainerId, Coordinator>>,
@@ -108,7 +89,10 @@
 }
 
 impl Coordinators {
-    /// Locks the replicas that this node stores for coordinators on other hosts.
+    /// Locks the copies of groups and batches that this node stores.
+    ///
+    /// They outlast the coordinator: a host that no longer coordinates a trainer still holds the
+    /// batches that it committed.
     pub fn replicas(&self) -> MutexGuard<'_, BTreeMap<TrainerId, Replica>> {
         self.replicas.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/catkinlatch-node/src/trainer/remote.rs
+++ b/crates/catkinlatch-node/src/trainer/remote.rs
@@ -9,7 +9,10 @@
 };
 use crate::{Node, peer};
 use catkinlatch_base::{BatchNumber, GroupNumber, HostId, TrainerId, derive_value};
-use catkinlatch_rollout::pool::Group;
+use catkinlatch_rollout::{
+    copies::{Answer, Search},
+    pool::Group,
+};
 use catkinlatch_state::{batch as state, config::Trainer};
 use log::warn;
 use std::time::Duration;
@@ -88,14 +91,11 @@
             })
         }
         Message::Replicate { trainer, entry } => {
-            let state = node.control.state();
-            let ledger = state.ledgers().get(&trainer);
-            node.trainers.replicas().entry(trainer).or_default().store(entry, ledger);
+            store_copy(node, &trainer, entry);
             Reply::Replicated
         }
         Message::Contents { trainer, manifest } => {
-            let replicas = node.trainers.replicas();
-            Reply::Contents(replicas.get(&trainer).and_then(|replica| replica.contents(&manifest)))
+            Reply::Contents(stored_contents(node, &trainer, &manifest))
         }
         Message::Groups { trainer } => {
             let replicas = node.trainers.replicas();
@@ -212,22 +212,45 @@
     hosts.min_by_key(|host| (node.peers.zone(host) == Some(&node.settings.zone), *host)).cloned()
 }
 
-/// Returns the contents of a committed batch from this node's replica or another holder.
+/// Looks for the contents of a committed batch on this node, then on its other holders, then on
+/// the other connected hosts, which may have fetched a copy while they coordinated the trainer.
 pub async fn fetch_batch(
     node: &Node,
     trainer: &TrainerId,
     committed: &state::Batch,
-) -> Option<Batch> {
-    let own = node.trainers.replicas().get(trainer).and_then(|replica| replica.contents(committed));
-    if own.is_some() {
-        return own;
-    }
-    for host in committed.holders.iter().filter(|host| **host != node.settings.host) {
+) -> Search<Batch> {
+    let mut search = Search::new(stored_contents(node, trainer, committed));
+    let is_holder = |host: &HostId| committed.holders.contains(host);
+    let others = node.peers.hosts().filter(|host| !is_holder(host));
+    let others = others.filter(|host| node.peers.is_connected(host)).cloned();
+    let hosts: Vec<HostId> = committed.holders.iter().cloned().chain(others).collect();
+    for host in hosts.iter().filter(|host| **host != node.settings.host) {
+        if search.is_found() {
+            break;
+        }
         let manifest = committed.clone();
         let message = Message::Contents { trainer: trainer.clone(), manifest };
-        if let Some(Reply::Contents(Some(batch))) = call(node, host, message).await {
-            return Some(batch);
+        match call(node, host, message).await {
+            Some(Reply::Contents(contents)) => search.add(Answer::Holds(contents)),
+            Some(_) | None if is_holder(host) => search.add(Answer::Silent),
+            Some(_) | None => {}
         }
     }
-    None
+    search
+}
+
+/// Returns the contents of a committed batch if this node stores them.
+pub fn stored_contents(
+    node: &Node,
+    trainer: &TrainerId,
+    committed: &state::Batch,
+) -> Option<Batch> {
+    node.trainers.replicas().get(trainer)?.contents(committed)
+}
+
+/// Stores a copy of a group or batch on this node.
+pub fn store_copy(node: &Node, trainer: &TrainerId, entry: replica::Entry) {
+    let state = node.control.state();
+    let ledger = state.ledgers().get(trainer);
+    node.trainers.replicas().entry(trainer.clone()).or_default().store(entry, ledger);
 }
--- a/crates/catkinlatch-node/src/trainer/replica.rs
+++ b/crates/catkinlatch-node/src/trainer/replica.rs
@@ -1,4 +1,4 @@
-//! Replicas of coordinator state that a node stores for other hosts.
+//! Copies of coordinator state that a node stores for itself and for other hosts.
 
 use super::{Batch, coordinator::Proposal};
 use catkinlatch_base::{GroupNumber, derive_value};
--- a/crates/catkinlatch-rollout/src/lib.rs
+++ b/crates/catkinlatch-rollout/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! This crate performs no I/O and starts no threads: callers pass in the time.
 
+pub mod copies;
 pub mod evidence;
 pub mod lengths;
 pub mod pool;
--- a/crates/catkinlatch-state/src/batch.rs
+++ b/crates/catkinlatch-state/src/batch.rs
@@ -57,6 +57,7 @@
                 ledger.commit(*epoch, *max_age_versions, batch)
             }
             Change::Void { epoch, number, .. } => ledger.void(*epoch, *number),
+            Change::Lose { epoch, number, .. } => ledger.lose(*epoch, *number),
         }
     }
 }
--- a/crates/catkinlatch-state/src/batch/change.rs
+++ b/crates/catkinlatch-state/src/batch/change.rs
@@ -56,7 +56,11 @@
             /// Samples and holders of the batch.
             batch: Batch,
         },
-        /// Records that no holder has the contents of the last batch any more.
+        /// Records that no holder has the contents of the last batch any more, and opens its groups
+        /// again.
+        ///
+        /// Kept so that logs of earlier builds replay to the same state; [`Change::Lose`] replaces
+        /// it, since the trainer may have read the batch.
         Void {
             /// Trainer whose ledger is changed.
             trainer: TrainerId,
@@ -65,6 +69,18 @@
             /// Number of the last batch.
             number: BatchNumber,
         },
+        /// Records that no holder has the contents of the last batch any more.
+        ///
+        /// Its groups stay delivered, since the trainer may have read the batch; a trainer that has
+        /// not may post them again.
+        Lose {
+            /// Trainer whose ledger is changed.
+            trainer: TrainerId,
+            /// The epoch that the coordinator holds.
+            epoch: Epoch,
+            /// Number of the last batch.
+            number: BatchNumber,
+        },
     }
 }
 
@@ -76,7 +92,8 @@
             | Self::Admit { trainer, .. }
             | Self::Publish { trainer, .. }
             | Self::Commit { trainer, .. }
-            | Self::Void { trainer, .. } => trainer,
+            | Self::Void { trainer, .. }
+            | Self::Lose { trainer, .. } => trainer,
         }
     }
 }
@@ -110,10 +127,12 @@
         /// The change was rejected because of these samples; nothing was changed.
         ///
         /// For a commit, they belong to no open group or to an epoch or version out of range. For
-        /// [`Change::Void`], they were started in the current epoch, whose coordinator has the
-        /// contents.
+        /// [`Change::Void`] and [`Change::Lose`], they were started in the current epoch, whose
+        /// coordinator has the contents.
         Rejected(Vec<Sample>),
         /// These groups have missing or duplicate samples; nothing was committed.
         Torn(Vec<GroupNumber>),
+        /// The batch is recorded as lost.
+        Lost,
     }
 }
--- a/crates/catkinlatch-state/src/batch/ledger.rs
+++ b/crates/catkinlatch-state/src/batch/ledger.rs
@@ -201,26 +201,56 @@
 
     /// Marks the last batch as lost and reopens its groups for samples of `epoch` or later.
     pub(super) fn void(&mut self, epoch: Epoch, number: BatchNumber) -> Reply {
+        let last = match self.mark_lost(epoch, number) {
+            Ok(Some(last)) => last,
+            Ok(None) => return Reply::Voided,
+            Err(reply) => return reply,
+        };
+        for (number, group) in &last.groups {
+            self.closed.retain(|id| *id != group.id);
+            self.open.insert(*number, Group { floor: epoch, ..group.clone() });
+        }
+        Reply::Voided
+    }
+
+    /// Marks the last batch as lost, and forgets the ids of its groups so that a trainer which has
+    /// not read the batch may post them again, under new numbers.
+    pub(super) fn lose(&mut self, epoch: Epoch, number: BatchNumber) -> Reply {
+        match self.mark_lost(epoch, number) {
+            Ok(Some(last)) => {
+                let is_lost = |id: &GroupId| last.groups.values().any(|group| group.id == *id);
+                self.closed.retain(|id| !is_lost(id));
+                Reply::Lost
+            }
+            Ok(None) => Reply::Lost,
+            Err(reply) => reply,
+        }
+    }
+
+    /// Marks the last batch as lost and returns it, or `None` if it was lost already.
+    ///
+    /// Fails with the reply if the change is out of date or the coordinator has the contents.
+    fn mark_lost(
+        &mut self,
+        epoch: Epoch,
+        number: BatchNumber,
+    ) -> Result<Option<CommittedBatch>, Reply> {
         if !self.is_current(epoch) {
-            return Reply::Superseded;
+            return Err(Reply::Superseded);
         }
         let next = self.next_number();
         let last = self.last.as_mut().filter(|last| last.batch.number == number);
-        let Some(last) = last else { return Reply::WrongNumber { next } };
+        let Some(last) = last else { return Err(Reply::WrongNumber { next }) };
         if last.lost {
-            return Reply::Voided;
+            return Ok(None);
         }
         let current: Vec<Sample> =
             last.batch.samples.iter().filter(|s| s.epoch >= epoch).cloned().collect();
         if !current.is_empty() {
-            return Reply::Rejected(current);
+            return Err(Reply::Rejected(current));
         }
         last.lost = true;
-        for (number, group) in &last.groups {
-            self.closed.retain(|id| *id != group.id);
-            self.open.insert(*number, Group { floor: epoch, ..group.clone() });
-        }
-        Reply::Voided
+        Ok(Some(last.clone()))
     }
 
     fn is_current(&self, epoch: Epoch) -> bool {
--- a/crates/catkinlatch-state/tests/batch.rs
+++ b/crates/catkinlatch-state/tests/batch.rs
@@ -70,6 +70,13 @@
     }
 }
 
+impl Fixture {
+    fn lose(&mut self, number: u64) -> Reply {
+        let number = BatchNumber::new(number);
+        self.ledgers.apply(&Change::Lose { trainer: trainer(), epoch: self.epoch, number })
+    }
+}
+
 fn sample(group: u64, index: u32, epoch: u64, version: u64) -> Sample {
     let (oldest, newest) = (Version::new(version), Version::new(version));
     let (group, epoch) = (GroupNumber::new(group), Epoch::new(epoch));
@@ -152,6 +159,22 @@
     assert_eq!(fixture.commit(2, group(0, 2, 5)), Reply::Committed);
 }
 
+#[test]
+fn groups_of_a_lost_batch_run_again_only_if_they_are_posted_again() {
+    let mut fixture = Fixture::new(1);
+    fixture.commit(1, group(0, 1, 5));
+    assert_eq!(fixture.lose(1), Reply::Rejected(group(0, 1, 5)), "the holder has the contents");
+    fixture.assign();
+    assert_eq!(fixture.lose(2), Reply::WrongNumber { next: BatchNumber::new(2) });
+    assert_eq!(fixture.lose(1), Reply::Lost);
+    assert_eq!(fixture.lose(1), Reply::Lost, "a repeated change has no effect");
+    let ledger = fixture.ledgers.get(&trainer()).expect("the ledger exists");
+    assert!(ledger.open().is_empty() && ledger.last().is_some_and(|last| last.lost));
+    assert_eq!(fixture.commit(2, group(0, 2, 5)), Reply::Rejected(group(0, 2, 5)));
+    assert_eq!(fixture.admit(0), Reply::Admitted(vec![Some(GroupNumber::new(1))]));
+    assert_eq!(fixture.commit(2, group(1, 2, 5)), Reply::Committed);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Assign,
