Confirm no lease by a reply that echoes an earlier run's clock

Cause: a follower answered a late message of an older term with the time that the message named. If its sender had restarted and led the newer term, on a clock that had started anew, it took that time as the time of a confirmation, and held its lease beside another leader's.

Change: such a message is answered by a refused vote, which names the term alone; a leader also ignores times before its election or ahead of its clock, since hosts of earlier builds still send them.

--- a/crates/catkinlatch-log/src/core/follower.rs
+++ b/crates/catkinlatch-log/src/core/follower.rs
@@ -26,7 +26,7 @@
         append: Append<M::Command>,
     ) {
         if !self.accept_leader(now, term, &from) {
-            return self.reject_leader(now, term, &from, append.sent_at);
+            return self.reject_leader(term, &from);
         }
         let (matches, index) = self.append_entries(&append);
         if matches!(self.state, State::Failed) {
@@ -42,7 +42,7 @@
 
     pub(super) fn on_chunk(&mut self, now: Instant, term: Term, from: Peer, chunk: Chunk) {
         if !self.accept_leader(now, term, &from) {
-            return self.reject_leader(now, term, &from, chunk.sent_at);
+            return self.reject_leader(term, &from);
         }
         if chunk.index <= self.commit {
             let reply = self.append_reply(now, chunk.sent_at, true, self.commit);
@@ -74,10 +74,13 @@
     }
 
     /// Replies to a leader of an older term, so that it learns the current term and steps down.
-    fn reject_leader(&mut self, now: Instant, term: Term, from: &Peer, sent_at: Instant) {
+    ///
+    /// The reply does not name the message: if its sender has restarted and leads the current term,
+    /// it would take the reply as confirmation of a message that it sent at that time on its new
+    /// clock, and extend its lease.
+    fn reject_leader(&mut self, term: Term, from: &Peer) {
         if term < self.hard_state.term {
-            let reply = self.append_reply(now, sent_at, false, Index::ZERO);
-            self.send_synced(from, reply);
+            self.send_synced(from, Message::VoteReply { granted: false });
         }
     }
 
--- a/crates/catkinlatch-log/src/core/replication.rs
+++ b/crates/catkinlatch-log/src/core/replication.rs
@@ -109,7 +109,11 @@
         let State::Leader(leader) = &mut self.state else { return None };
         let progress = leader.progress.get_mut(&from.incarnation)?;
         progress.last_contact = now;
-        progress.confirmed = progress.confirmed.max(Some(sent_at));
+        // Hosts of earlier builds echo messages that an earlier run of this host sent in an older
+        // term, on another clock.
+        if (leader.since..=now).contains(&sent_at) {
+            progress.confirmed = progress.confirmed.max(Some(sent_at));
+        }
         Some(progress)
     }
 
--- a/crates/catkinlatch-log/src/message.rs
+++ b/crates/catkinlatch-log/src/message.rs
@@ -22,7 +22,7 @@
         },
         /// Requests a vote in the frame's term.
         Vote(Vote),
-        /// Replies to [`Message::Vote`].
+        /// Replies to [`Message::Vote`]; also, not granted, to a leader whose term is outdated.
         VoteReply {
             /// Whether the vote is granted.
             granted: bool,
@@ -30,7 +30,7 @@
         /// Entries, or a heartbeat without entries, from the leader.
         Append(Append<C>),
         /// Replies to [`Message::Append`]; also to [`Message::Chunk`] if the snapshot is installed
-        /// or not needed, or the sender's term is outdated.
+        /// or not needed.
         AppendReply(AppendReply),
         /// A chunk of a snapshot from the leader.
         Chunk(Chunk),
--- a/crates/catkinlatch-log/tests/log/lease.rs
+++ b/crates/catkinlatch-log/tests/log/lease.rs
@@ -1,7 +1,7 @@
 //! Leader leases, configuration leases, and when a change is in force.
 
 use crate::net::{Net, settings};
-use catkinlatch_log::{Input, Refusal, Role, Token};
+use catkinlatch_log::{Action, Frame, Input, Message, Refusal, Role, Token};
 
 #[test]
 fn an_isolated_leader_loses_its_lease_within_a_second() {
@@ -89,3 +89,32 @@
     net.run_for(2_000);
     assert_eq!((net.leader(), net.core(leader).term()), (Some(leader), term));
 }
+
+/// A leader that has restarted may lead again on a clock that started anew, so a reply that echoes
+/// the time of one of its earlier messages would extend its lease.
+#[test]
+fn a_reply_to_a_leader_of_an_older_term_confirms_no_message() {
+    let mut net = Net::with_leader(settings(3, 3), 3);
+    let old = net.leader().unwrap();
+    let late = net.sent_by_leader();
+    net.isolate(old);
+    net.run_for(5_000);
+    let new = net.leader().unwrap();
+    let follower = (0..3).find(|number| ![old, new].contains(number)).unwrap();
+    let mut core = net.core(follower).clone();
+    let own = core.identity().incarnation;
+    let late = late.into_iter().find(|frame| frame.to == Some(own)).unwrap();
+    let replies = core.step(net.now(), Input::Receive(late)).into_iter().filter_map(|action| {
+        let Action::Send { to, frame } = action else { return None };
+        (to == net.core(old).identity().host).then_some(frame)
+    });
+    let replies: Vec<Frame<u64>> = replies.collect();
+    assert!(
+        replies.iter().any(|frame| frame.term == core.term()),
+        "the old leader learns the term"
+    );
+    let echoes = |message: &Message<u64>| {
+        matches!(message, Message::AppendReply(_) | Message::ChunkReply(_))
+    };
+    assert!(!replies.iter().any(|frame| echoes(&frame.message)), "{replies:?}");
+}
