Let a store host return by itself once its failed disk works

Cause: after a failed write a host stayed out of the log until its process was started anew, so a group of three ran on two voters without an end.

Change: the core always names a next time. The driver tries the disk every 250 ms and joins again: after a write that did not fit with what was synced, after a failed sync or any other error under a new identity with an empty log. Control calls to such a host go on to the leader.

--- a/crates/catkinlatch-log/src/core.rs
+++ b/crates/catkinlatch-log/src/core.rs
@@ -204,10 +204,9 @@
             self.entries.record_write(number);
         }
         self.announce();
-        if !matches!(self.state, State::Failed) {
-            let at = self.next_wake(now);
-            self.outbox.push(Action::Wake { at });
-        }
+        // Also after a storage failure: a driver without a next time would wake at once, forever.
+        let at = self.next_wake(now);
+        self.outbox.push(Action::Wake { at });
         self.outbox.take()
     }
 
--- a/crates/catkinlatch-log/src/input.rs
+++ b/crates/catkinlatch-log/src/input.rs
@@ -1,6 +1,6 @@
 //! Inputs that a driver delivers to the core.
 
-use crate::Frame;
+use crate::{Frame, storage::Completion};
 use catkinlatch_base::HostId;
 use derive_more::Display;
 
@@ -22,6 +22,15 @@
     }
 }
 
+impl<C> From<Completion> for Input<C> {
+    fn from(completion: Completion) -> Self {
+        match completion {
+            Completion::Persisted { through } => Self::Persisted { through },
+            Completion::Failed(_) => Self::StorageFailed,
+        }
+    }
+}
+
 /// An input that a driver delivers to the core.
 #[derive(Clone, Debug)]
 pub enum Input<C> {
--- a/crates/catkinlatch-log/src/storage.rs
+++ b/crates/catkinlatch-log/src/storage.rs
@@ -2,6 +2,7 @@
 
 mod disk;
 mod error;
+mod failure;
 mod file;
 mod memory;
 mod record;
@@ -13,6 +14,7 @@
 pub use self::{
     disk::{Disk, Opened},
     error::OpenError,
+    failure::{Completion, Trust},
     memory::Memory,
     restored::Restored,
     writer::Writer,
--- a/crates/catkinlatch-log/src/storage/disk.rs
+++ b/crates/catkinlatch-log/src/storage/disk.rs
@@ -38,6 +38,7 @@
     is_dirty: bool,
     hard_state: HardState,
     has_failed: bool,
+    has_failed_sync: bool,
     /// Excludes other processes while it is open.
     _lock: File,
 }
@@ -98,6 +99,7 @@
             is_dirty: false,
             hard_state: restored.hard_state,
             has_failed: false,
+            has_failed_sync: false,
             _lock: lock,
         };
         Ok(Opened { disk, incarnation, restored })
@@ -128,12 +130,19 @@
             if !disk.is_dirty {
                 return Ok(());
             }
-            disk.log.sync_data()?;
+            let synced = disk.log.sync_data();
+            disk.has_failed_sync = synced.is_err();
+            synced?;
             disk.is_dirty = false;
             disk.mark_synced()
         })
     }
 
+    /// Returns whether the log could not be synced.
+    pub fn has_failed_sync(&self) -> bool {
+        self.has_failed_sync
+    }
+
     /// Appends a record of the synced length, which lets a restart distinguish damage from a torn
     /// tail.
     ///
--- a/crates/catkinlatch-log/src/storage/memory.rs
+++ b/crates/catkinlatch-log/src/storage/memory.rs
@@ -35,6 +35,11 @@
         self.writes_left = None;
     }
 
+    /// Returns whether writes fail now.
+    pub fn is_failing(&self) -> bool {
+        self.writes_left == Some(0)
+    }
+
     /// Returns the number of unsynced writes, which a crash would lose.
     pub fn unsynced(&self) -> usize {
         self.unsynced.len()
--- a/crates/catkinlatch-log/src/storage/writer.rs
+++ b/crates/catkinlatch-log/src/storage/writer.rs
@@ -1,7 +1,6 @@
 //! Storage thread, so that the node does not block on the disk.
 
-use super::{Disk, Write};
-use crate::Input;
+use super::{Completion, Disk, Trust, Write};
 use log::error;
 use serde::Serialize;
 use std::{
@@ -17,13 +16,13 @@
 }
 
 impl<C: Serialize + Send + Sync + 'static> Writer<C> {
-    /// Starts the storage thread. It calls `complete` with [`Input::Persisted`] or
-    /// [`Input::StorageFailed`] after each batch, and ends once `complete` returns `false`.
+    /// Starts the storage thread. It calls `complete` after each batch, and ends after a failure or
+    /// once `complete` returns `false`.
     ///
     /// # Panics
     ///
     /// Panics if the operating system cannot start a thread.
-    pub fn start(disk: Disk, complete: impl Fn(Input<C>) -> bool + Send + 'static) -> Self {
+    pub fn start(disk: Disk, complete: impl Fn(Completion) -> bool + Send + 'static) -> Self {
         let (writes, queue) = channel();
         thread::Builder::new()
             .name("log-storage".to_owned())
@@ -32,7 +31,7 @@
         Self { writes }
     }
 
-    /// Queues a write.
+    /// Queues a write; it is dropped if an earlier one failed.
     pub fn write(&self, write: Write<C>) {
         if self.writes.send(write).is_err() {
             error!("control: dropped a write because the storage thread has ended");
@@ -44,19 +43,24 @@
 fn run<C: Serialize>(
     mut disk: Disk,
     queue: &Receiver<Write<C>>,
-    complete: &impl Fn(Input<C>) -> bool,
+    complete: &impl Fn(Completion) -> bool,
 ) {
     while let Ok(first) = queue.recv() {
         let batch: Vec<_> = std::iter::once(first).chain(queue.try_iter()).collect();
-        let completion = match write_batch(&mut disk, &batch) {
-            Ok(through) => Input::Persisted { through },
+        match write_batch(&mut disk, &batch) {
+            Ok(through) => {
+                if !complete(Completion::Persisted { through }) {
+                    return;
+                }
+            }
             Err(error) => {
-                error!("control: storage write failed; this node leaves the control log: {error}");
-                Input::StorageFailed
+                let trust = Trust::after(&error, disk.has_failed_sync());
+                error!("control: a write failed; this node leaves the control log: {error}");
+                // Closed before the failure is known, so that the files can be opened again.
+                drop(disk);
+                complete(Completion::Failed(trust));
+                return;
             }
-        };
-        if !complete(completion) {
-            return;
         }
     }
 }
--- a/crates/catkinlatch-log/tests/log/simulation/check.rs
+++ b/crates/catkinlatch-log/tests/log/simulation/check.rs
@@ -76,6 +76,7 @@
         self.check_leader(number);
         self.check_leases();
         self.check_configuration(number);
+        self.check_rejoined();
     }
 
     fn check_commits(&mut self, number: usize) {
--- a/crates/catkinlatch-log/tests/log/simulation/fault.rs
+++ b/crates/catkinlatch-log/tests/log/simulation/fault.rs
@@ -7,7 +7,7 @@
     world::{Event, MILLISECOND, SECOND, World},
 };
 use catkinlatch_base::Incarnation;
-use catkinlatch_log::{Core, Peer, Role};
+use catkinlatch_log::{Core, Index, Peer, Role};
 
 impl World {
     pub fn fault(&mut self) {
@@ -26,6 +26,9 @@
             10 => {
                 let writes = self.random.u64(..5);
                 self.hosts[number].storage.fail_after(writes);
+                self.hosts[number].disk_works_since = None;
+                let at = self.now + self.random.u64(100 * MILLISECOND..10 * SECOND);
+                self.schedule(at, Event::RepairDisk { host: number });
             }
             _ => {
                 let now = self.now;
@@ -63,7 +66,10 @@
 
     /// Returns whether each configuration that may be in effect keeps a quorum of steady hosts
     /// without this one, and no other identity was lost within the last second.
-    fn may_lose(&self, number: usize) -> bool {
+    ///
+    /// Before a configuration is committed, a host that is down may be the only one that knows the
+    /// first voters, so none of them may be lost.
+    pub fn may_lose(&self, number: usize) -> bool {
         let cores: Vec<&Core<_>> = self.hosts.iter().filter_map(|h| h.core.as_ref()).collect();
         let newest = cores.iter().max_by_key(|core| (core.last_term(), core.last_index()));
         let committed = cores.iter().max_by_key(|core| core.commit());
@@ -76,7 +82,10 @@
             voters.is_empty() || left > voters.len() / 2
         };
         let is_alone = self.now > self.lost_at + SECOND;
-        is_alone && [newest, committed].into_iter().flatten().all(|core| keeps(core.voters()))
+        let has_formed = cores.iter().any(|core| core.commit() > Index::ZERO);
+        has_formed
+            && is_alone
+            && [newest, committed].into_iter().flatten().all(|core| keeps(core.voters()))
     }
 
     /// Returns whether a host has run without pauses and blocked links for more than a second.
@@ -148,12 +157,12 @@
         self.schedule(at, Event::Resume { host: number });
     }
 
-    /// Restarts processes that stopped because their storage failed.
+    /// Restarts processes without a disk whose storage failed; those with one return by themselves.
     fn restart_failed(&mut self) {
         for number in 0..self.hosts.len() {
             let host: &Host = &self.hosts[number];
             let failed = host.core.as_ref().is_some_and(|core| core.role() == Role::Failed);
-            if failed && (host.peer.has_disk || self.may_lose(number)) {
+            if failed && !host.peer.has_disk && self.may_lose(number) {
                 self.crash(number, false);
             }
         }
--- a/crates/catkinlatch-log/tests/log/simulation/host.rs
+++ b/crates/catkinlatch-log/tests/log/simulation/host.rs
@@ -39,6 +39,10 @@
     pub has_identity: bool,
     /// Highest applied position observed on this host while it held a configuration lease.
     pub observed: Index,
+    /// When the failed disk was repaired, in nanoseconds of true time, until the host is back.
+    pub disk_works_since: Option<u64>,
+    /// Number of steps in a row after which the next one was due at once.
+    pub idle_passes: u32,
     /// Last position whose commit was checked in this run.
     pub checked: Index,
 }
--- a/crates/catkinlatch-log/tests/log/simulation/world.rs
+++ b/crates/catkinlatch-log/tests/log/simulation/world.rs
@@ -7,7 +7,10 @@
 };
 use crate::net;
 use catkinlatch_base::{HostId, Incarnation};
-use catkinlatch_log::{Action, Core, Frame, Index, Input, Settings, Token, storage::Memory};
+use catkinlatch_log::{
+    Action, Core, Frame, Index, Input, Role, Settings, Token,
+    storage::{Memory, Trust},
+};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -19,18 +22,51 @@
 /// How long faults are injected.
 const FAULTS_NANOS: u64 = 60 * SECOND;
 
+/// Pause between two trials of a failed storage.
+const TRIAL_NANOS: u64 = 250 * MILLISECOND;
+
+/// How long after its disk works again a host may be out of the log.
+const REJOIN_NANOS: u64 = SECOND;
+
 /// How long the cluster may then take to recover.
 const RECOVERY_NANOS: u64 = 40 * SECOND;
 
 pub enum Event {
-    Input { host: usize, run: u64, input: Box<Input<u64>> },
-    Wake { host: usize, wake: u64 },
-    Sync { host: usize, run: u64, number: u64 },
-    Resume { host: usize },
-    Restart { host: usize },
+    Input {
+        host: usize,
+        run: u64,
+        input: Box<Input<u64>>,
+    },
+    Wake {
+        host: usize,
+        wake: u64,
+    },
+    Sync {
+        host: usize,
+        run: u64,
+        number: u64,
+    },
+    Resume {
+        host: usize,
+    },
+    Restart {
+        host: usize,
+    },
+    /// The disk of a host works again.
+    RepairDisk {
+        host: usize,
+    },
+    /// A host whose storage failed tries to open it again.
+    Reopen {
+        host: usize,
+        run: u64,
+        trust: Trust,
+    },
     Fault,
     Propose,
-    Heal { links: Vec<(usize, usize)> },
+    Heal {
+        links: Vec<(usize, usize)>,
+    },
 }
 
 pub struct World {
@@ -98,6 +134,8 @@
                 inbox: Vec::new(),
                 has_identity: false,
                 observed: Index::ZERO,
+                disk_works_since: None,
+                idle_passes: 0,
                 checked: Index::ZERO,
             };
             world.hosts.push(host);
@@ -155,6 +193,8 @@
             Event::Sync { host, run, number } => self.sync(host, run, number),
             Event::Resume { host } => self.resume(host),
             Event::Restart { host } => self.start(host),
+            Event::RepairDisk { host } => self.repair_disk(host),
+            Event::Reopen { host, run, trust } => self.reopen(host, run, trust),
             Event::Fault => self.fault(),
             Event::Propose => self.propose(),
             Event::Heal { links } => self.heal(&links),
@@ -181,6 +221,10 @@
         let Some(core) = &mut host.core else { return };
         let actions = core.step_batch(local, inputs);
         self.steps += 1;
+        let is_later = |action: &Action<_, _>| matches!(action, Action::Wake { at } if *at > local);
+        // A leader that steps down starts its next election at once; nothing may be due after that.
+        host.idle_passes = if actions.iter().any(is_later) { 0 } else { host.idle_passes + 1 };
+        assert!(host.idle_passes <= 1, "host {number} is not to be woken later");
         for action in actions {
             self.perform(number, action);
         }
@@ -190,14 +234,17 @@
     fn perform(&mut self, number: usize, action: Action<u64, u64>) {
         match action {
             Action::Persist(write) => {
-                let failed = self.hosts[number].storage.write(&write).is_err();
+                let written = self.hosts[number].storage.write(&write);
                 let run = self.hosts[number].run;
                 let slow = if self.random.u8(..50) == 0 { 500 } else { 10 };
                 let at = self.now + self.random.u64(..slow * MILLISECOND);
-                let event = if failed {
-                    Event::Input { host: number, run, input: Box::new(Input::StorageFailed) }
-                } else {
-                    Event::Sync { host: number, run, number: write.number }
+                let event = match written {
+                    Ok(()) => Event::Sync { host: number, run, number: write.number },
+                    Err(error) => {
+                        let trust = Trust::after(&error, false);
+                        self.schedule(at + TRIAL_NANOS, Event::Reopen { host: number, run, trust });
+                        Event::Input { host: number, run, input: Box::new(Input::StorageFailed) }
+                    }
                 };
                 self.schedule(at, event);
             }
@@ -226,7 +273,12 @@
         }
         let input = match host.storage.sync() {
             Ok(()) => Input::Persisted { through },
-            Err(_) => Input::StorageFailed,
+            Err(error) => {
+                let trust = Trust::after(&error, true);
+                let run = host.run;
+                self.schedule(self.now + TRIAL_NANOS, Event::Reopen { host: number, run, trust });
+                Input::StorageFailed
+            }
         };
         self.enqueue(number, input);
     }
@@ -289,6 +341,64 @@
         self.enqueue(number, Input::Tick);
     }
 
+    /// Ends the failure of a disk, after which its host must be back in the log in time.
+    fn repair_disk(&mut self, number: usize) {
+        let host = &mut self.hosts[number];
+        host.storage.recover();
+        host.disk_works_since = Some(self.now);
+    }
+
+    /// Opens the failed storage of a running process again, as the process does by itself.
+    fn reopen(&mut self, number: usize, run: u64, trust: Trust) {
+        let host = &self.hosts[number];
+        let failed = |core: &Core<Digest>| core.role() == Role::Failed;
+        if host.run != run || !host.core.as_ref().is_some_and(failed) || !host.peer.has_disk {
+            return;
+        }
+        if host.storage.is_failing() || host.paused {
+            self.schedule(self.now + TRIAL_NANOS, Event::Reopen { host: number, run, trust });
+            return;
+        }
+        // Losing what was synced is a lost disk, of which the hosts bear one at a time.
+        let keeps = trust == Trust::Synced || !self.may_lose(number);
+        if !keeps {
+            self.lost_at = self.now;
+            let incarnation = self.draw_incarnation();
+            self.hosts[number].peer.incarnation = Incarnation::new(incarnation);
+            self.hosts[number].storage = Memory::new();
+        }
+        let kept = self.random.usize(..=self.hosts[number].storage.unsynced());
+        let random = fastrand::Rng::with_seed(self.random.u64(..));
+        // With an emptied log, a host that forms a first configuration would form a second cluster.
+        let mut settings = self.settings.clone();
+        if !keeps {
+            settings.initial_voters = Vec::new();
+        }
+        let host = &mut self.hosts[number];
+        let restored = host.storage.crash(kept);
+        host.run += 1;
+        host.disturbed_at = self.now;
+        host.disk_works_since = None;
+        host.inbox.clear();
+        host.checked = Index::ZERO;
+        let local = host.clock.local(self.now);
+        host.core = Some(Core::new(settings, host.peer.clone(), Some(restored), random, local));
+        self.enqueue(number, Input::Tick);
+    }
+
+    /// Checks that no host is out of the log for long although its disk works.
+    pub fn check_rejoined(&self) {
+        for (number, host) in self.hosts.iter().enumerate() {
+            let failed = |core: &Core<Digest>| core.role() == Role::Failed;
+            let is_out = host.core.as_ref().is_some_and(failed) && !host.paused;
+            let since = host.disk_works_since.filter(|_| host.peer.has_disk && is_out);
+            assert!(
+                since.is_none_or(|since| self.now < since.max(host.disturbed_at) + REJOIN_NANOS),
+                "host {number} is out of the log although its disk works"
+            );
+        }
+    }
+
     fn propose(&mut self) {
         if self.injects_faults {
             let at = self.now + self.random.u64(10 * MILLISECOND..200 * MILLISECOND);
@@ -329,17 +439,18 @@
         }
     }
 
-    /// Ends all faults and restarts failed and stopped processes.
+    /// Ends all faults and restarts stopped processes, and failed ones without a disk.
     fn stop_faults(&mut self) {
         self.injects_faults = false;
         self.loss = 0.0;
         self.duplication = 0.0;
         self.blocked_links.clear();
         for number in 0..self.hosts.len() {
-            self.hosts[number].storage.recover();
+            self.repair_disk(number);
             self.resume(number);
-            let failed = |core: &Core<Digest>| core.role() == catkinlatch_log::Role::Failed;
-            if self.hosts[number].core.as_ref().is_some_and(failed) {
+            let failed = |core: &Core<Digest>| core.role() == Role::Failed;
+            let has_no_disk = !self.hosts[number].peer.has_disk;
+            if has_no_disk && self.hosts[number].core.as_ref().is_some_and(failed) {
                 self.hosts[number].core = None;
                 self.hosts[number].run += 1;
             }
--- a/crates/catkinlatch-node/src/control/storage.rs
+++ b/crates/catkinlatch-node/src/control/storage.rs
@@ -4,7 +4,7 @@
 use catkinlatch_base::Incarnation;
 use catkinlatch_log::{
     Group, Input, Restored, Write,
-    storage::{Disk, OpenError, Writer},
+    storage::{Completion, Disk, OpenError, Writer},
 };
 use catkinlatch_state::Command;
 use tokio::sync::mpsc;
@@ -56,7 +56,8 @@
     pub fn start(disk: Option<Disk>, completions: mpsc::UnboundedSender<Input<Command>>) -> Self {
         match disk {
             Some(disk) => {
-                let complete = move |completion| completions.send(completion).is_ok();
+                let complete =
+                    move |completion: Completion| completions.send(completion.into()).is_ok();
                 Self::Disk(Writer::start(disk, complete))
             }
             None => Self::Memory(Vec::new()),
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -1,13 +1,18 @@
 //! This host's replica of the replicated state; runs on hosts with a disk.
 
 mod driver;
+mod member;
+mod recovery;
 mod storage;
 
-use self::driver::{Driver, Request};
+use self::{
+    driver::{Driver, Request},
+    member::Member,
+};
 use crate::{Clock, Message, Peers, Settings};
 use catkinlatch_base::{HostId, Term};
 use catkinlatch_ledger::{Command, Reply, State};
-use catkinlatch_log::{self as log_core, Core, Frame, Peer, Role, storage::OpenError};
+use catkinlatch_log::{self as log_core, Core, Frame, Role, storage::OpenError};
 use derive_more::{Display, Error};
 use std::{
     path::Path,
@@ -94,7 +99,7 @@
 }
 
 /// The opened storage of the log.
-pub use self::storage::Opened;
+pub use self::storage::{Opened, reopen};
 
 /// Opens the log's storage in the data folder `folder`.
 ///
@@ -110,16 +115,9 @@
 impl Replica {
     /// Starts the replica of this host, which runs until all its handles are dropped.
     pub fn start(settings: &Settings, clock: Clock, peers: Arc<Peers>, opened: Opened) -> Self {
-        let identity = Peer {
-            host: settings.host.clone(),
-            incarnation: opened.identity,
-            zone: settings.zone.clone(),
-            has_disk: true,
-        };
-        let now = clock.now();
-        let random = fastrand::Rng::new();
-        let core: Core<State> =
-            Core::new(log_settings(settings), identity, Some(opened.restored), random, now);
+        let folder = settings.data_folder.clone().unwrap_or_default();
+        let mut member = Member::new(log_settings(settings), settings, folder);
+        let core = member.join(opened.identity, opened.restored, clock.now());
         let core = Arc::new(Mutex::new(core));
         let (requests, queued) = mpsc::channel(QUEUE_REQUESTS);
         let (applied, applied_receiver) = watch::channel(0);
@@ -128,6 +126,7 @@
             core.clone(),
             clock,
             peers,
+            member,
             opened.disk,
             queued,
             driver::Watches { applied, status },
@@ -160,6 +159,11 @@
         self.lock().fencing_token(self.clock.now())
     }
 
+    /// Returns whether this host is out of the log because its storage failed.
+    pub fn has_failed(&self) -> bool {
+        self.status.borrow().role == Some(Role::Failed)
+    }
+
     /// Returns the highest term that this host has seen.
     pub fn term(&self) -> Term {
         self.lock().term()
--- a/crates/catkinlatch-runtime/src/replica/driver.rs
+++ b/crates/catkinlatch-runtime/src/replica/driver.rs
@@ -1,12 +1,12 @@
 //! Passes inputs to the log's state machine and executes the resulting actions.
 
-use super::{ProposeError, Status, wrap};
+use super::{Member, ProposeError, Status, recovery, storage::Opened, wrap};
 use crate::{Clock, Peers};
 use catkinlatch_base::Instant;
 use catkinlatch_ledger::{Command, Reply, State};
 use catkinlatch_log::{
     Action, Core, Frame, Input, Refusal, Report, Token,
-    storage::{Disk, Writer},
+    storage::{Completion, Disk, Trust, Writer},
 };
 use log::{error, info, warn};
 use std::{
@@ -47,9 +47,12 @@
     core: Arc<Mutex<Core<State>>>,
     clock: Clock,
     peers: Arc<Peers>,
+    member: Member,
     writer: Writer<Command>,
     requests: mpsc::Receiver<Request>,
-    completions: mpsc::UnboundedReceiver<Input<Command>>,
+    completions: mpsc::UnboundedReceiver<Completion>,
+    /// Receives the storage once its disk works again; `None` unless it has failed.
+    recovery: Option<oneshot::Receiver<Opened>>,
     watches: Watches,
     /// Proposals without a reply yet.
     pending: BTreeMap<Token, oneshot::Sender<Result<Reply, ProposeError>>>,
@@ -64,20 +67,22 @@
         core: Arc<Mutex<Core<State>>>,
         clock: Clock,
         peers: Arc<Peers>,
+        member: Member,
         disk: Disk,
         requests: mpsc::Receiver<Request>,
         watches: Watches,
     ) -> Self {
-        let (completed, completions) = mpsc::unbounded_channel();
-        let complete = move |completion| completed.send(completion).is_ok();
+        let (writer, completions) = start_writer(disk);
         let wake = clock.now();
         Self {
             core,
             clock,
             peers,
-            writer: Writer::start(disk, complete),
+            member,
+            writer,
             requests,
             completions,
+            recovery: None,
             watches,
             pending: BTreeMap::new(),
             next_token: 0,
@@ -104,7 +109,8 @@
         let mut inputs = Vec::new();
         tokio::select! {
             biased;
-            completion = self.completions.recv() => inputs.extend(completion),
+            Some(completion) = self.completions.recv() => inputs.push(self.complete(completion)),
+            opened = reopened(&mut self.recovery) => self.rejoin(opened),
             request = self.requests.recv() => {
                 let input = self.accept(request?);
                 inputs.push(input);
@@ -112,7 +118,7 @@
             () = time::sleep_until(wake) => inputs.push(Input::Tick),
         }
         while let Ok(completion) = self.completions.try_recv() {
-            inputs.push(completion);
+            inputs.push(self.complete(completion));
         }
         while inputs.len() < MAX_BATCH
             && let Ok(request) = self.requests.try_recv()
@@ -123,6 +129,27 @@
         Some(inputs)
     }
 
+    /// Converts a completion to an input, and starts to try the disk if it failed.
+    fn complete(&mut self, completion: Completion) -> Input<Command> {
+        if let Completion::Failed(trust) = completion {
+            self.recover(trust);
+        }
+        completion.into()
+    }
+
+    fn recover(&mut self, trust: Trust) {
+        warn!(trust:? = trust; "control: the storage failed; this host is out of the control log");
+        self.recovery = Some(recovery::start(self.member.folder.clone(), trust));
+    }
+
+    /// Joins the log again from what the opened storage holds.
+    fn rejoin(&mut self, opened: Opened) {
+        self.recovery = None;
+        let core = self.member.join(opened.identity, opened.restored, self.clock.now());
+        *self.lock() = core;
+        (self.writer, self.completions) = start_writer(opened.disk);
+    }
+
     /// Converts a request to an input and registers the receiver of its reply.
     fn accept(&mut self, request: Request) -> Input<Command> {
         match request {
@@ -207,6 +234,24 @@
     }
 }
 
+/// Starts the thread that writes to the disk.
+fn start_writer(disk: Disk) -> (Writer<Command>, mpsc::UnboundedReceiver<Completion>) {
+    let (completed, completions) = mpsc::unbounded_channel();
+    let complete = move |completion| completed.send(completion).is_ok();
+    (Writer::start(disk, complete), completions)
+}
+
+/// Waits for the storage to be opened again; never returns if it has not failed.
+async fn reopened(recovery: &mut Option<oneshot::Receiver<Opened>>) -> Opened {
+    match recovery {
+        Some(opened) => match opened.await {
+            Ok(opened) => opened,
+            Err(_) => std::future::pending().await,
+        },
+        None => std::future::pending().await,
+    }
+}
+
 fn log_report(report: &Report) {
     match report {
         Report::Members { .. } => info!("control: {report}"),
--- a/crates/catkinlatch-runtime/src/replica/storage.rs
+++ b/crates/catkinlatch-runtime/src/replica/storage.rs
@@ -5,10 +5,14 @@
 use catkinlatch_ledger::Command;
 use catkinlatch_log::{
     Group, Restored,
-    storage::{Disk, OpenError},
+    storage::{Disk, OpenError, Trust},
 };
 use log::error;
-use std::{fs, path::Path};
+use std::{
+    fs::{self, File},
+    io::{self, Write as _},
+    path::Path,
+};
 
 /// Name of the log's folder within the data folder.
 const FOLDER: &str = "log";
@@ -16,6 +20,12 @@
 /// Name of the folder to which a damaged log is moved, within the data folder.
 const DAMAGED_FOLDER: &str = "log.damaged";
 
+/// Name of the file that is written to find out whether a failed disk works again.
+const TRIAL_FILE: &str = "trial";
+
+/// Size of the trial file in bytes: room for the writes that follow at once.
+const TRIAL_BYTES: usize = 1 << 20;
+
 /// The opened storage of the log.
 #[derive(Debug)]
 pub struct Opened {
@@ -42,6 +52,42 @@
     }
 }
 
+/// Opens the log's storage again after it failed, if the disk works.
+///
+/// The log is emptied, and the host gets a new identity, unless its synced content is on disk.
+///
+/// # Errors
+///
+/// Returns an error if the disk still fails; the attempt may be repeated.
+pub fn reopen(data_folder: &Path, trust: Trust) -> Result<Opened, OpenError> {
+    let trial = data_folder.join(TRIAL_FILE);
+    try_write(&trial).map_err(|error| OpenError::Io { path: trial, error })?;
+    match trust {
+        Trust::Synced => open(data_folder),
+        Trust::Nothing => {
+            // Renamed first, so that no restart finds a part of it.
+            move_aside(data_folder);
+            let _ = fs::remove_dir_all(data_folder.join(DAMAGED_FOLDER));
+            let folder = data_folder.join(FOLDER);
+            if folder.exists() {
+                let error = io::Error::other("the log that lost its content is still there");
+                return Err(OpenError::Io { path: folder, error });
+            }
+            open_folder(&folder)
+        }
+    }
+}
+
+/// Writes, syncs and removes a file.
+fn try_write(path: &Path) -> io::Result<()> {
+    let written = File::create(path).and_then(|mut file| {
+        file.write_all(&[0; TRIAL_BYTES])?;
+        file.sync_all()
+    });
+    let removed = fs::remove_file(path);
+    written.and(removed)
+}
+
 fn open_folder(folder: &Path) -> Result<Opened, OpenError> {
     let cluster = CLUSTER.parse().expect("the name is valid");
     let mut random = fastrand::Rng::new();
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -134,11 +134,15 @@
             if left.is_zero() {
                 return Answer::NotDone;
             }
-            let Some(leader) = self.other_leader() else {
-                time::sleep(RETRY_INTERVAL.min(left)).await;
-                continue;
-            };
-            self.leader_client.set_leader(Some(&leader));
+            match self.other_leader() {
+                Some(leader) => self.leader_client.set_leader(Some(&leader)),
+                // A host whose disk failed hears no leader, but the others may have one.
+                None if self.replica.has_failed() => {}
+                None => {
+                    time::sleep(RETRY_INTERVAL.min(left)).await;
+                    continue;
+                }
+            }
             match self.leader_client.call(&message, Duration::ZERO, left).await {
                 Answer::NotDone => {}
                 answer => return answer,
