Let a holder alone answer for the order of its calls

Cause (read, and shown by random runs): where the platform does not check the fencing number, a call that a deposed leader began could arrive after one of its successor: the lease was checked before a connection that may take a second was opened, a call that timed out could still be delivered by the system, and a new leader acted at once. The time of an action was that of its start. Leases were measured on a clock that stands still while the machine is suspended.

Change: the lease is checked once the connection is open; connections of stores are reset when closed; a new leader waits for the timeout of one call where fences are not checked (a setting); the end of a call counts as an action; clocks count suspensions (nix for the boot clock).

--- a/crates/catkinlatch-runtime/src/clock.rs
+++ b/crates/catkinlatch-runtime/src/clock.rs
@@ -1,28 +1,34 @@
 //! The clocks of a process: monotonic and wall clock.
 
 use catkinlatch_base::Instant;
-use std::time::{SystemTime, UNIX_EPOCH};
+use nix::time::{ClockId, clock_gettime};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Reads the monotonic clock and the wall clock.
+///
+/// The monotonic clock also counts the time for which the machine is suspended, which the system's
+/// steady clock leaves out: a lease must not outlast a suspension.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: tokio::time::Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// Creates a clock whose monotonic reading starts at zero now.
     pub fn new() -> Self {
-        Self { origin: tokio::time::Instant::now() }
+        Self { origin: since_boot() }
     }
 
-    /// Reads the monotonic clock, which follows Tokio's time and thus stops while a test pauses it.
+    /// Reads the monotonic clock.
     pub fn now(&self) -> Instant {
-        Instant::ZERO + self.origin.elapsed()
+        Instant::ZERO + since_boot().saturating_sub(self.origin)
     }
 
     /// Converts an instant of this clock to Tokio's, for use in timers.
+    ///
+    /// A timer that is set before a suspension fires late by its length.
     pub fn timer(&self, instant: Instant) -> tokio::time::Instant {
-        self.origin + instant.saturating_duration_since(Instant::ZERO)
+        tokio::time::Instant::now() + instant.saturating_duration_since(self.now())
     }
 
     /// Reads the wall clock, in milliseconds since the Unix epoch.
@@ -37,3 +43,8 @@
         Self::new()
     }
 }
+
+/// Returns the time since the machine was booted, with suspensions.
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the system has a boot clock").into()
+}
--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -53,6 +53,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Client {
     idle: Arc<Mutex<HashMap<String, Vec<Idle>>>>,
+    resets_on_close: bool,
 }
 
 /// An idle connection, which may be reused until its deadline.
@@ -91,6 +92,12 @@
         Self::default()
     }
 
+    /// Resets connections when they are closed, so that what a cut or slow link has not yet taken
+    /// is dropped instead of arriving later.
+    pub fn with_reset_on_close(self) -> Self {
+        Self { resets_on_close: true, ..self }
+    }
+
     /// Sends a request, over an idle connection if there is one, and waits for the response's head.
     ///
     /// Dropping the future closes the connection, so that the server can cancel its work.
@@ -99,10 +106,28 @@
     ///
     /// Returns an error that indicates whether the request may have been executed.
     pub async fn send(&self, address: &str, request: Request<Body>) -> Result<Exchange, Failure> {
+        self.send_if(address, request, || true).await
+    }
+
+    /// Like [`Self::send`], but sends the request only if it may still be sent once a connection is
+    /// open, which can take as long as the lease under which it is sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that indicates whether the request may have been executed.
+    pub async fn send_if(
+        &self,
+        address: &str,
+        request: Request<Body>,
+        may_send: impl FnOnce() -> bool,
+    ) -> Result<Exchange, Failure> {
         let mut connection = match self.take(address) {
             Some(connection) => connection,
-            None => connect(address).await?,
+            None => connect(address, self.resets_on_close).await?,
         };
+        if !may_send() {
+            return Err(Failure::NotSent("no longer permitted".to_owned()));
+        }
         let sent = connection.sender.send_request(request).await;
         let response = sent.map_err(|error| Failure::Unknown(error.to_string()))?;
         Ok(Exchange { response, connection, address: address.to_owned(), client: self.clone() })
@@ -225,7 +250,7 @@
     }
 }
 
-async fn connect(address: &str) -> Result<Connection, Failure> {
+async fn connect(address: &str, resets_on_close: bool) -> Result<Connection, Failure> {
     let opening = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let socket = match opening.await {
         Ok(Ok(socket)) => socket,
@@ -233,6 +258,9 @@
         Err(_) => return Err(Failure::NotSent("no connection in time".to_owned())),
     };
     let _ = socket.set_nodelay(true);
+    if resets_on_close {
+        let _ = socket.set_zero_linger();
+    }
     let (sender, connection) = http1::handshake(TokioIo::new(socket))
         .await
         .map_err(|error| Failure::NotSent(error.to_string()))?;
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -10,7 +10,7 @@
     member::Member,
 };
 use crate::{Clock, Message, Peers, Settings};
-use catkinlatch_base::{HostId, Term};
+use catkinlatch_base::{HostId, Instant, Term};
 use catkinlatch_ledger::{Command, Reply, State};
 use catkinlatch_log::{self as log_core, Core, Frame, Role, storage::OpenError};
 use derive_more::{Display, Error};
@@ -169,10 +169,14 @@
         self.lock().term()
     }
 
+    /// Returns when this host was elected, if it leads.
+    pub fn leading_since(&self) -> Option<Instant> {
+        self.lock().leading_since()
+    }
+
     /// Returns the time since this host was elected, if it leads.
     pub fn time_since_election(&self) -> Option<Duration> {
-        let since = self.lock().leading_since()?;
-        Some(self.clock.now() - since)
+        Some(self.clock.now() - self.leading_since()?)
     }
 
     /// Runs a query on the state as applied on this host.
--- a/crates/catkinlatch-runtime/src/settings/times.rs
+++ b/crates/catkinlatch-runtime/src/settings/times.rs
@@ -15,6 +15,9 @@
     pub grace_s: f64,
     /// Time within which two processes must not alternate as the holder of the same duty.
     pub lease_ms: u64,
+    /// Whether the platform and all engines refuse calls with an old fencing token.
+    #[serde(default)]
+    pub checks_fences: bool,
     /// Length of a usage window.
     pub report_window_s: f64,
     /// Time after the end of a usage window by which its report is due.
--- /dev/null
+++ b/crates/catkinlatch-runtime/tests/client.rs
@@ -0,0 +1,71 @@
+//! Calls that must not be sent, or not arrive, after their permission has ended.
+
+use catkinlatch_runtime::http::{Client, empty, full};
+use http::Request;
+use std::{
+    net::Ipv4Addr,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
+use tokio::{
+    io::AsyncReadExt,
+    net::{TcpListener, TcpSocket, TcpStream},
+    time,
+};
+
+fn request(body: Vec<u8>) -> Request<catkinlatch_runtime::http::Body> {
+    let body = if body.is_empty() { empty() } else { full(body) };
+    let mut request = Request::new(body);
+    *request.method_mut() = http::Method::POST;
+    request.headers_mut().insert("host", "platform".parse().expect("the name is valid"));
+    request
+}
+
+/// Reads until the connection ends, and returns the number of bytes, or `None` if it was reset.
+async fn read_all(mut stream: TcpStream) -> Option<usize> {
+    let (mut buffer, mut total) = (vec![0; 1 << 16], 0);
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) => return Some(total),
+            Ok(bytes) => total += bytes,
+            Err(_) => return None,
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_call_whose_permission_ends_while_it_connects_is_not_sent() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("the port is bound").to_string();
+    let accepted = AtomicBool::new(false);
+    let client = Client::new();
+    // Permitted until the connection is open, as a lease that ends meanwhile.
+    let call =
+        client.send_if(&address, request(b"order".to_vec()), || !accepted.load(Ordering::SeqCst));
+    let server = async {
+        let (stream, _) = listener.accept().await.expect("a connection comes");
+        read_all(stream).await
+    };
+    accepted.store(true, Ordering::SeqCst);
+    let (sent, received) = tokio::join!(call, server);
+    assert!(sent.is_err());
+    assert_eq!(received, Some(0), "no byte of the call is sent");
+}
+
+#[tokio::test]
+async fn the_rest_of_a_call_that_timed_out_does_not_arrive_later() {
+    let socket = TcpSocket::new_v4().expect("a socket opens");
+    socket.set_recv_buffer_size(4_096).expect("the size is valid");
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).expect("a port is free");
+    let listener = socket.listen(8).expect("the socket listens");
+    let address = listener.local_addr().expect("the port is bound").to_string();
+    let client = Client::new().with_reset_on_close();
+    // Far more than both sides buffer, so that the end is still to be sent at the timeout.
+    let call = client.send(&address, request(vec![7; 64 << 20]));
+    let (sent, accepted) =
+        tokio::join!(time::timeout(Duration::from_millis(300), call), listener.accept());
+    assert!(sent.is_err(), "the call times out");
+    time::sleep(Duration::from_millis(100)).await;
+    let (stream, _) = accepted.expect("a connection comes");
+    assert_eq!(read_all(stream).await, None, "the connection is reset");
+}
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -57,7 +57,7 @@
             "losses": 1,
             "platform_address": layout.platform,
             "times": {
-                "heartbeat_ms": 300, "drain_ms": 2000, "grace_s": 3, "lease_ms": 1000,
+                "heartbeat_ms": 300, "drain_ms": 2000, "grace_s": 3, "lease_ms": 1000, "checks_fences": true,
                 "report_window_s": 1, "report_due_s": 5, "results_kept_s": 120,
                 "cancel_ms": 3000, "apply_ms": 2000, "address_ttl_s": 5
             }
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -1,12 +1,13 @@
 //! The state and connections that all tasks of this host's process share.
 
 use crate::{
+    duty::{Rule, Turn},
     handler,
     soft_state::SoftState,
     view::{self, EncodedView},
 };
 use bytes::Bytes;
-use catkinlatch_base::{self as base, HostId, Term};
+use catkinlatch_base::HostId;
 use catkinlatch_runtime::{
     Answer, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
 };
@@ -25,18 +26,6 @@
 /// How long changes of the soft state are gathered before they are published.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
-/// Added to the duty lease when this host waits before it acts again.
-const COOLDOWN_MARGIN: Duration = Duration::from_millis(300);
-
-/// The last time this host acted as the holder of the duties.
-#[derive(Clone, Copy, Debug)]
-struct LastAction {
-    /// The term in which this host acted; `None` if an earlier process may have acted.
-    term: Option<Term>,
-    /// The time on the monotonic clock of this process.
-    at: base::Instant,
-}
-
 /// This host: the settings, state and connections that all tasks share.
 pub struct Host {
     /// The settings of this process.
@@ -51,8 +40,8 @@
     pub leader_client: LeaderClient,
     /// HTTP connections to targets and the platform.
     pub client: Client,
-    /// The last time this host may have acted; `None` if it never has.
-    last_action: Mutex<Option<LastAction>>,
+    /// The last time this host may have acted as the holder of the duties; `None` if it never has.
+    last_turn: Mutex<Option<Turn>>,
     soft_state: Mutex<SoftState>,
     revision: watch::Sender<u64>,
     /// Version of the configuration as applied on this host.
@@ -73,8 +62,8 @@
         client: Client,
     ) -> Self {
         // An earlier process on this host may have acted until just now.
-        let earlier = LastAction { term: None, at: clock.now() };
-        let last_action = Mutex::new((!settings.is_first_start).then_some(earlier));
+        let earlier = Turn { term: None, at: clock.now() };
+        let last_turn = Mutex::new((!settings.is_first_start).then_some(earlier));
         let soft_state = Mutex::new(SoftState::default());
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
@@ -86,7 +75,7 @@
             replica,
             leader_client,
             client,
-            last_action,
+            last_turn,
             soft_state,
             revision,
             configuration_version,
@@ -95,22 +84,23 @@
         }
     }
 
-    /// Records that this host acts now, under its current term.
+    /// Records that this host acts now, under its current term: when a call begins, and when it
+    /// ends.
     pub fn record_action(&self) {
-        let last_action = LastAction { term: Some(self.replica.term()), at: self.clock.now() };
-        *self.last_action.lock().unwrap_or_else(PoisonError::into_inner) = Some(last_action);
+        let turn = Turn { term: Some(self.replica.term()), at: self.clock.now() };
+        *self.last_turn.lock().unwrap_or_else(PoisonError::into_inner) = Some(turn);
     }
 
-    /// Waits until this host may act under its current term.
-    ///
-    /// If it last acted under another term, another host may have acted since. Two hosts must not
-    /// alternate within one duty lease, so this host waits for a lease after its last action.
-    pub async fn await_cooldown(&self) {
-        let last_action = *self.last_action.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(last_action) = last_action else { return };
-        if last_action.term != Some(self.replica.term()) {
-            let allowed_at = last_action.at + self.settings.times.lease() + COOLDOWN_MARGIN;
-            time::sleep_until(self.clock.timer(allowed_at)).await;
+    /// Waits until this host may act under its current term, by calls with this timeout.
+    pub async fn await_turn(&self, call_timeout: Duration) {
+        let times = &self.settings.times;
+        let rule = Rule { lease: times.lease(), checks_fences: times.checks_fences, call_timeout };
+        let last = *self.last_turn.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.clock.now();
+        let elected_at = self.replica.leading_since().unwrap_or(now);
+        let at = rule.may_act_at(last, self.replica.term(), elected_at);
+        if at > now {
+            time::sleep_until(self.clock.timer(at)).await;
         }
     }
 
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod cleanup;
 mod control;
+pub mod duty;
 mod follow;
 mod handler;
 mod host;
@@ -63,8 +64,9 @@
     let clock = Clock::new();
     let peers = Arc::new(Peers::new(&settings));
     let replica = Replica::start(&settings, clock, peers.clone(), opened);
+    let client = Client::new().with_reset_on_close();
     let leader_client = LeaderClient::new(peers.clone(), settings.seed_hosts());
-    let host = Arc::new(Host::new(settings, clock, peers, replica, leader_client, Client::new()));
+    let host = Arc::new(Host::new(settings, clock, peers, replica, leader_client, client));
 
     let peer_address = SocketAddr::new(control.ip(), host.settings.peer_port);
     tokio::spawn(handler::serve(host.clone(), TcpListener::bind(peer_address).await?));
--- a/crates/catkinlatch-store/src/usage.rs
+++ b/crates/catkinlatch-store/src/usage.rs
@@ -41,7 +41,7 @@
     loop {
         commit_counts(&host).await;
         close_windows(&host, first, length).await;
-        host.await_cooldown().await;
+        host.await_turn(ANSWER_TIMEOUT).await;
         for (window, counts) in unreported(&host) {
             match report(&host, term, window, &counts).await {
                 Delivery::Accepted => {
@@ -95,17 +95,19 @@
 
 async fn report(host: &Host, term: Term, window: WindowId, counts: &[Count]) -> Delivery {
     let Some(platform) = host.settings.platform_address else { return Delivery::Accepted };
-    if host.replica.fencing_token() != Some(term) {
-        return Delivery::Unconfirmed;
-    }
     let sender = Sender { holder: &host.settings.name, fence: term };
     let address = platform.to_string();
     let mut request = encode_usage(&sender, window, counts).map(full);
     if let Ok(authority) = http::HeaderValue::from_str(&address) {
         request.headers_mut().insert(http::header::HOST, authority);
     }
+    let may_send = || {
+        host.record_action();
+        host.replica.fencing_token() == Some(term)
+    };
+    let sent = host.client.send_if(&address, request, may_send);
+    let sent = time::timeout(ANSWER_TIMEOUT, sent).await;
     host.record_action();
-    let sent = time::timeout(ANSWER_TIMEOUT, host.client.send(&address, request)).await;
     let status = match sent {
         Ok(Ok(exchange)) => exchange.response.status(),
         Ok(Err(failure)) => {
--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -2,7 +2,7 @@
 
 mod order;
 
-use self::order::{LOAD_TIMEOUT, TYPICAL_LOAD_TIME, run_load};
+use self::order::{LOAD_TIMEOUT, ORDER_TIMEOUT, TYPICAL_LOAD_TIME, run_load};
 use crate::host::Host;
 use catkinlatch_base::{ModelId, Ratio, TargetId, Term, Version, ZoneId};
 use catkinlatch_ledger::Target;
@@ -36,7 +36,7 @@
 
 /// Orders loads until it is cancelled, when this host stops leading in `term`.
 pub async fn run(host: Arc<Host>, term: Term) {
-    host.await_cooldown().await;
+    host.await_turn(ORDER_TIMEOUT).await;
     let mut loader = Loader::new(host, term);
     loop {
         time::sleep(POLL_INTERVAL).await;
--- a/crates/catkinlatch-store/src/weights/order.rs
+++ b/crates/catkinlatch-store/src/weights/order.rs
@@ -14,7 +14,7 @@
 use tokio::time;
 
 /// Timeout for an engine's answer to an order or a report request.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Interval at which a loading engine is polled for a report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(350);
@@ -54,9 +54,6 @@
             _ => return Outcome::Failed,
         },
     };
-    if host.replica.fencing_token() != Some(term) {
-        return Outcome::Failed;
-    }
     host.soft_state().begin_load(&target.id, model, host.clock.now() + LOAD_TIMEOUT);
     let order = WeightOrder {
         model,
@@ -66,8 +63,8 @@
         fence: term,
         expected_orders: Some(accepted),
     };
+    let answer = post(host, term, target, order.encode()).await;
     host.record_action();
-    let answer = post(host, target, order.encode()).await;
     info!(
         target_id:% = target.id, model:% = model, version = version.get(), term = term.get(),
         accepted = accepted, answer:? = answer;
@@ -143,12 +140,20 @@
     decode_report(answer.body()).ok()
 }
 
-async fn post(host: &Host, target: &Target, order: Vec<u8>) -> Option<OrderAnswer> {
+/// Sends an order while this host leads `term`, and returns the engine's answer.
+async fn post(host: &Host, term: Term, target: &Target, order: Vec<u8>) -> Option<OrderAnswer> {
     let mut request = request(target, Method::POST, ORDER_PATH, full(order));
     let json = HeaderValue::from_static("application/json");
     request.headers_mut().insert(http::header::CONTENT_TYPE, json);
-    let answer =
-        host.client.fetch(&target.address, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await?;
+    let may_send = || {
+        host.record_action();
+        host.replica.fencing_token() == Some(term)
+    };
+    let answer = async {
+        let exchange = host.client.send_if(&target.address, request, may_send).await.ok()?;
+        exchange.read_body(MAX_ANSWER_BYTES).await.ok()
+    };
+    let answer = time::timeout(ORDER_TIMEOUT, answer).await.ok().flatten()?;
     Some(OrderAnswer::new(answer.status()))
 }
 
