Send the log to few reserve hosts while one catches up

The leader's memory rose from 157 MB to over 270 MB within 2 s, and it ended.

Change: for each 3 s as many more learners as there are voters missing, other zones and full logs first. A frame is encoded in one copy.

The new test counts 20 reserve hosts with the old code.

--- a/crates/catkinlatch-log/src/core/voters.rs
+++ b/crates/catkinlatch-log/src/core/voters.rs
@@ -2,7 +2,7 @@
 
 use super::{Core, Leader, Progress, State};
 use crate::{Action, Index, Machine, Membership, Payload, Peer, Report};
-use catkinlatch_base::{HostId, Incarnation, Instant};
+use catkinlatch_base::{HostId, Incarnation, Instant, ZoneId};
 use std::{cmp::Reverse, collections::BTreeSet};
 
 /// Minimum number of voters that repair shrinks to, or keeps regardless of the disk rule.
@@ -16,8 +16,8 @@
 /// How long a retiring leader that stepped down starts no election, in election timeouts.
 const STEP_DOWN_ELECTION_TIMEOUTS: u32 = 8;
 
-/// How long selected learners may take to catch up before entries are sent to all learners, in
-/// election timeouts.
+/// How long selected learners may take to catch up before entries are also sent to as many others,
+/// in election timeouts.
 const CATCH_UP_ELECTION_TIMEOUTS: u32 = 6;
 
 /// Maximum number of entries that a spare may be behind the commit position.
@@ -54,19 +54,48 @@
         if self.settings.replicates_to_all_learners || now < leader.promote_at {
             return;
         }
-        let missing = self.missing_voters(now, leader);
+        let mut selected = self.missing_voters(now, leader);
         let since = leader.promotions.as_ref().map_or(now, |(_, since)| *since);
-        // A learner that does not catch up must not block the others.
-        let is_overdue = now >= since + self.settings.election_timeout * CATCH_UP_ELECTION_TIMEOUTS;
-        let all = || leader.progress.keys().copied().collect();
-        let promotions = (!missing.is_empty()).then(|| if is_overdue { all() } else { missing });
-        let promotions = promotions.map(|promotions| (promotions, since));
+        // A learner that does not catch up must not block the others. More of them at once would
+        // take the leader's time and memory, and so catch up later.
+        let period = self.settings.election_timeout * CATCH_UP_ELECTION_TIMEOUTS;
+        let periods = (now - since).as_millis() / period.as_millis().max(1);
+        let others = selected.len() * periods as usize;
+        self.add_spares(now, leader, others, &mut selected);
+        let promotions = (!selected.is_empty()).then_some((selected, since));
         if let State::Leader(leader) = &mut self.state {
             leader.promotions = promotions;
             leader.promote_at = now + self.settings.heartbeat_interval;
         }
     }
 
+    /// Adds `count` more live learners to those that are to become voters, in zones without one of
+    /// them first, and among these the ones that hold the most entries.
+    fn add_spares(
+        &self,
+        now: Instant,
+        leader: &Leader,
+        count: usize,
+        selected: &mut BTreeSet<Incarnation>,
+    ) {
+        for _ in 0..count {
+            let zones: Vec<&ZoneId> = leader
+                .progress
+                .values()
+                .filter(|progress| selected.contains(&progress.peer.incarnation))
+                .map(|progress| &progress.peer.zone)
+                .collect();
+            let load = |peer: &Peer| zones.iter().filter(|zone| **zone == &peer.zone).count();
+            let learners = self.live_learners(now, leader);
+            let others = learners.filter(|other| !selected.contains(&other.peer.incarnation));
+            let best = others.min_by_key(|other| {
+                (!other.peer.has_disk, load(&other.peer), Reverse(other.matched))
+            });
+            let Some(best) = best else { return };
+            selected.insert(best.peer.incarnation);
+        }
+    }
+
     /// Returns the live learners that should be voters, whether or not they have caught up.
     fn missing_voters(&self, now: Instant, leader: &Leader) -> BTreeSet<Incarnation> {
         let unresponsive = self.unresponsive_voters(now, leader);
--- a/crates/catkinlatch-log/tests/log/open.rs
+++ b/crates/catkinlatch-log/tests/log/open.rs
@@ -127,6 +127,37 @@
     net.commit(3);
 }
 
+/// Catching up takes long with a large log, and each further host that gets it takes the leader's
+/// time.
+#[test]
+fn entries_are_sent_to_few_reserve_hosts_while_one_catches_up() {
+    const HOSTS: usize = 23;
+    const ENTRIES: u64 = 5_000;
+    let mut many = settings(HOSTS, 3);
+    many.max_voters = 3;
+    many.replicates_to_all_learners = false;
+    (many.max_entries, many.max_in_flight_entries) = (1, 1);
+    many.snapshot_every = 10 * ENTRIES;
+    let mut net = Net::with_seeds(many, 3);
+    let leader = net.leader().unwrap();
+    for command in 1..=ENTRIES {
+        net.propose(leader, command);
+    }
+    net.run_for(2 * ENTRIES + 5_000);
+    (3..HOSTS).for_each(|number| net.start(number));
+    net.run_for(2_000);
+    let lost = net.voters().into_iter().find(|number| *number != leader).unwrap();
+    net.kill(lost);
+    let mut most = 0;
+    for _ in 0..100 {
+        net.run_for(500);
+        most = most.max((3..HOSTS).filter(|number| !net.journal(*number).is_empty()).count());
+    }
+    let voters = net.voters();
+    assert!(voters.len() == 3 && !voters.contains(&lost), "{voters:?}");
+    assert!((2..=4).contains(&most), "entries were sent to {most} reserve hosts");
+}
+
 #[test]
 fn a_retiring_voter_is_replaced_by_a_reserve_host() {
     let mut net = net_with_reserve();
--- a/crates/catkinlatch-wire/src/frame.rs
+++ b/crates/catkinlatch-wire/src/frame.rs
@@ -10,6 +10,9 @@
 /// Maximum size of a payload, in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = crate::codec::MAX_MESSAGE_BYTES;
 
+/// Size of the payload length, in bytes.
+const LENGTH_BYTES: usize = 4;
+
 /// Size of the part that the checksum does not cover, in bytes: payload length and checksum.
 const UNCHECKED_BYTES: usize = 8;
 
@@ -69,17 +72,17 @@
     ///
     /// Panics if the payload has 4 GiB or more.
     pub fn encode(&self) -> Bytes {
-        let mut checked = BytesMut::with_capacity(HEADER_BYTES + self.payload.len());
-        checked.put_u32(self.group);
-        checked.put_u64(self.term);
-        checked.put_u64(self.wall_ms);
-        checked.put_u32(self.counter);
-        checked.put_slice(&self.payload);
-        let mut bytes = BytesMut::with_capacity(UNCHECKED_BYTES + checked.len());
         let length = u32::try_from(self.payload.len()).expect("a payload is smaller than 4 GiB");
+        let mut bytes = BytesMut::with_capacity(HEADER_BYTES + self.payload.len());
         bytes.put_u32(length);
-        bytes.put_u32(crc32c::crc32c(&checked));
-        bytes.put_slice(&checked);
+        bytes.put_u32(0);
+        bytes.put_u32(self.group);
+        bytes.put_u64(self.term);
+        bytes.put_u64(self.wall_ms);
+        bytes.put_u32(self.counter);
+        bytes.put_slice(&self.payload);
+        let checksum = crc32c::crc32c(&bytes[UNCHECKED_BYTES..]);
+        bytes[LENGTH_BYTES..UNCHECKED_BYTES].copy_from_slice(&checksum.to_be_bytes());
         bytes.freeze()
     }
 
