Record an action of a holder under the term in which it acted

Cause (found when reading the change): the end of a call was recorded under the term that the host had seen last. A call that ends while its host already stands for another term would count as an action in that term, and the host would not wait when it leads it.

Change: the caller names the term under which it holds the duty.

--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -7,7 +7,7 @@
     view::{self, EncodedView},
 };
 use bytes::Bytes;
-use catkinlatch_base::HostId;
+use catkinlatch_base::{HostId, Term};
 use catkinlatch_runtime::{
     Answer, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
 };
@@ -84,10 +84,10 @@
         }
     }
 
-    /// Records that this host acts now, under its current term: when a call begins, and when it
-    /// ends.
-    pub fn record_action(&self) {
-        let turn = Turn { term: Some(self.replica.term()), at: self.clock.now() };
+    /// Records that this host acts now as the leader of `term`: when a call begins, and when it
+    /// ends, by which time another term may have begun.
+    pub fn record_action(&self, term: Term) {
+        let turn = Turn { term: Some(term), at: self.clock.now() };
         *self.last_turn.lock().unwrap_or_else(PoisonError::into_inner) = Some(turn);
     }
 
--- a/crates/catkinlatch-store/src/usage.rs
+++ b/crates/catkinlatch-store/src/usage.rs
@@ -102,12 +102,12 @@
         request.headers_mut().insert(http::header::HOST, authority);
     }
     let may_send = || {
-        host.record_action();
+        host.record_action(term);
         host.replica.fencing_token() == Some(term)
     };
     let sent = host.client.send_if(&address, request, may_send);
     let sent = time::timeout(ANSWER_TIMEOUT, sent).await;
-    host.record_action();
+    host.record_action(term);
     let status = match sent {
         Ok(Ok(exchange)) => exchange.response.status(),
         Ok(Err(failure)) => {
--- a/crates/catkinlatch-store/src/weights/order.rs
+++ b/crates/catkinlatch-store/src/weights/order.rs
@@ -64,7 +64,7 @@
         expected_orders: Some(accepted),
     };
     let answer = post(host, term, target, order.encode()).await;
-    host.record_action();
+    host.record_action(term);
     info!(
         target_id:% = target.id, model:% = model, version = version.get(), term = term.get(),
         accepted = accepted, answer:? = answer;
@@ -146,7 +146,7 @@
     let json = HeaderValue::from_static("application/json");
     request.headers_mut().insert(http::header::CONTENT_TYPE, json);
     let may_send = || {
-        host.record_action();
+        host.record_action(term);
         host.replica.fencing_token() == Some(term)
     };
     let answer = async {
