--- a/crates/catkinlatch-log/tests/log/simulation.rs
+++ b/crates/catkinlatch-log/tests/log/simulation.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod clock;
+mod disk;
 mod fault;
 mod host;
 mod world;
