--- a/crates/catkinlatch-runtime/tests/client.rs
+++ b/crates/catkinlatch-runtime/tests/client.rs
@@ -47,7 +47,9 @@
         read_all(stream).await
     };
     accepted.store(true, Ordering::SeqCst);
-    let (sent, received) = tokio::join!(call, server);
+    let both = async { tokio::join!(call, server) };
+    let both = time::timeout(Duration::from_secs(5), both).await;
+    let (sent, received) = both.expect("a call that is not sent ends at once");
     assert!(sent.is_err());
     assert_eq!(received, Some(0), "no byte of the call is sent");
 }
