Log the fingerprint of requests under which a connection to a target breaks

Attempts that end with a broken connection are an outcome of their own now and get a line with the fingerprint (team, route, method, path, body) and the target's start; registrations name the start. What is sent, retried and answered is unchanged.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -5,19 +5,26 @@
 use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::{Target, balancer::Verdict};
 use catkinlatch_platform::header;
-use catkinlatch_runtime::http::{Body, Exchange, Failure, full};
+use catkinlatch_runtime::http::{Body, BodyError, Exchange, Failure, full};
+use derive_more::Display;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use log::info;
 use std::{sync::Arc, time::Duration};
 use tokio::time;
 
 /// Outcome of an attempt.
+#[derive(Display)]
 pub enum Outcome {
     /// The target's complete response.
+    #[display("answered")]
     Answer(Response<Bytes>),
     /// The target did not run the request; holds the reason for the log.
     NotRun(&'static str),
     /// The target may have run the request; holds the reason for the log.
     MayHaveRun(String),
+    /// The connection broke while the target may have run the request, as it does when the target
+    /// crashes; holds the reason for the log.
+    Broken(String),
 }
 
 /// Counts an attempt as in flight until dropped, including when the caller disconnects.
@@ -105,7 +112,7 @@
         }
         Ok(Err(Failure::Unknown(reason))) => {
             guard.verdict = Verdict::Failed;
-            return Err(Outcome::MayHaveRun(reason));
+            return Err(Outcome::Broken(reason));
         }
         Err(_) => {
             guard.verdict = Verdict::Failed;
@@ -126,16 +133,27 @@
 /// Reads the response body to its end.
 pub async fn read_answer(host: &Host, call: Call, limit: Duration, max_bytes: usize) -> Outcome {
     let Call { exchange, mut guard } = call;
-    let reason = match time::timeout(limit, exchange.read_body(max_bytes)).await {
+    let outcome = match time::timeout(limit, exchange.read_body(max_bytes)).await {
         Ok(Ok(answer)) => {
             guard.record_answer(host.clock.now() - guard.started);
             return Outcome::Answer(answer);
         }
-        Ok(Err(error)) => error.to_string(),
-        Err(_) => "the response did not end in time".to_owned(),
+        Ok(Err(error @ BodyError::Broken(_))) => Outcome::Broken(error.to_string()),
+        Ok(Err(error @ BodyError::TooLong)) => Outcome::MayHaveRun(error.to_string()),
+        Err(_) => Outcome::MayHaveRun("the response did not end in time".to_owned()),
     };
     guard.record_failure();
-    Outcome::MayHaveRun(reason)
+    outcome
+}
+
+/// Logs that the connection to a target broke under a request.
+pub fn log_break(inbound: &InboundRequest, target: &Target) {
+    metrics::counter!("catkinlatch_entry_broken_connections").increment(1);
+    info!(
+        request = inbound.id().unwrap_or_default(), fingerprint:% = inbound.fingerprint(),
+        target_id:% = target.id, born_ms = target.born_ms;
+        "entry: the connection broke under a request"
+    );
 }
 
 /// Returns the outcome of an attempt whose response cannot be used, or `None` if it can.
--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -8,10 +8,16 @@
     header,
 };
 use catkinlatch_runtime::http::{Body, BodyError, collect};
+use catkinlatch_state::suspect::Fingerprint;
 use http::{Method, Response, StatusCode, request::Parts};
 use hyper::{Request, body::Incoming};
 use log::info;
-use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    pin::Pin,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 /// Delay after which a caller should retry while this host has no configuration: about the time
 /// in which a starting host finds the leader.
@@ -34,6 +40,8 @@
     pub team: Option<TeamId>,
     /// The priority; 0 is the highest.
     pub priority: u8,
+    /// The fingerprint, once it was asked for.
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 impl InboundRequest {
@@ -41,6 +49,16 @@
     pub fn id(&self) -> Option<&str> {
         header::text(&self.head.headers, &header::REQUEST_ID)
     }
+
+    /// Returns the fingerprint, which is the same for each attempt of a caller at this request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let team = self.team.as_ref().map_or("", TeamId::as_str);
+            let path = self.head.uri.path_and_query().map_or("", |path| path.as_str());
+            let head = [team, &self.route.name, self.head.method.as_str(), path];
+            Fingerprint::of_request(head, &self.body)
+        })
+    }
 }
 
 /// Returns the handler of the HTTP server for callers.
@@ -74,6 +92,7 @@
             return answer::status(code);
         }
     };
+    let fingerprint = OnceLock::new();
     let body = match collect(body, configuration.limits.body_bytes).await {
         Ok(body) => body,
         Err(BodyError::TooLong) => {
@@ -100,11 +119,13 @@
                 return answer::status(StatusCode::METHOD_NOT_ALLOWED);
             }
             let priority = configuration.priority(&route, team.as_ref());
-            batch::submit(&host, &InboundRequest { head, body, route, team, priority }).await
+            let inbound = InboundRequest { head, body, route, team, priority, fingerprint };
+            batch::submit(&host, &inbound).await
         }
         (EntryCall::Request, Some(route)) => {
             let priority = configuration.priority(&route, team.as_ref());
-            proxy::serve(&host, InboundRequest { head, body, route, team, priority }, arrived).await
+            let inbound = InboundRequest { head, body, route, team, priority, fingerprint };
+            proxy::serve(&host, inbound, arrived).await
         }
         (EntryCall::Request, None) => answer::status(StatusCode::NOT_FOUND),
     }
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -147,8 +147,11 @@
                 may_have_run = true;
             }
             Outcome::NotRun(reason) => attempt_log.push(format!("{} not run: {reason}", target.id)),
-            Outcome::MayHaveRun(reason) => {
-                attempt_log.push(format!("{} unknown: {reason}", target.id));
+            outcome @ (Outcome::MayHaveRun(_) | Outcome::Broken(_)) => {
+                if matches!(outcome, Outcome::Broken(_)) {
+                    attempt::log_break(inbound, &target);
+                }
+                attempt_log.push(format!("{} unknown: {outcome}", target.id));
                 may_have_run = true;
                 if !is_idempotent {
                     let is_over = host.clock.now() >= deadline;
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -41,7 +41,7 @@
     host: Arc<Host>,
     inbound: Arc<InboundRequest>,
     attempts: Attempts,
-    target: TargetId,
+    target: Target,
     call: Option<Call>,
     parser: EventParser,
     /// Complete blocks of events that have not been forwarded yet.
@@ -59,8 +59,23 @@
     Blocks,
     /// The stream ended between two events.
     End,
-    /// The stream failed; holds the reason.
-    Broken(String),
+    /// The stream failed.
+    Failed {
+        /// The reason for the log.
+        reason: String,
+        /// Whether the connection broke, as it does when the target crashes.
+        is_break: bool,
+    },
+}
+
+impl Read {
+    fn failed(reason: impl ToString) -> Self {
+        Self::Failed { reason: reason.to_string(), is_break: false }
+    }
+
+    fn broken(reason: impl ToString) -> Self {
+        Self::Failed { reason: reason.to_string(), is_break: true }
+    }
 }
 
 /// Sends a request whose response is a stream; returns once the response head has arrived.
@@ -87,7 +102,7 @@
         host: host.clone(),
         inbound: inbound.clone(),
         attempts,
-        target: target.id.clone(),
+        target: target.clone(),
         call: Some(call),
         parser: EventParser::default(),
         ready: VecDeque::new(),
@@ -124,7 +139,10 @@
                     }
                     return None;
                 }
-                Read::Broken(reason) => {
+                Read::Failed { reason, is_break } => {
+                    if is_break {
+                        attempt::log_break(&self.inbound, &self.target);
+                    }
                     if let Some(call) = &mut self.call {
                         call.guard.record_failure();
                     }
@@ -146,20 +164,20 @@
         let part = match time::timeout(limit, call.exchange.next()).await {
             Ok(Ok(Some(part))) => part,
             Ok(Ok(None)) if self.parser.is_partial() => {
-                return Read::Broken("the stream ended within an event".to_owned());
+                return Read::broken("the stream ended within an event");
             }
             Ok(Ok(None)) => return Read::End,
-            Ok(Err(error)) => return Read::Broken(error.to_string()),
-            Err(_) => return Read::Broken("timed out waiting for the next event".to_owned()),
+            Ok(Err(error)) => return Read::broken(error),
+            Err(_) => return Read::failed("timed out waiting for the next event"),
         };
         let blocks = match self.parser.parse_raw(&part) {
             Ok(blocks) => blocks,
-            Err(reason) => return Read::Broken(reason),
+            Err(reason) => return Read::failed(reason),
         };
         for (id, block) in blocks {
             if let Some(id) = id {
                 if let Some(last) = self.last_event.filter(|last| id <= *last) {
-                    return Read::Broken(format!("event {id} comes after {last}"));
+                    return Read::failed(format!("event {id} comes after {last}"));
                 }
                 if !self.has_begun {
                     let elapsed = self.host.clock.now() - call.guard.started();
@@ -199,14 +217,14 @@
             if left < proxy::MIN_ATTEMPT_TIME {
                 return false;
             }
-            self.attempts.tried.insert(self.target.clone());
+            self.attempts.tried.insert(self.target.id.clone());
             let Some(target) =
                 proxy::pick_target(&self.host, &self.inbound, &self.attempts.tried, now)
             else {
                 return false;
             };
             self.attempts.sends += 1;
-            self.target = target.id.clone();
+            self.target = target.clone();
             let mut request = attempt::build_request(&self.inbound, &target, left);
             if let Some(last) = self.last_event {
                 request.headers_mut().insert(header::LAST_EVENT, HeaderValue::from(last));
@@ -219,7 +237,7 @@
                 }
                 Ok(_) => self.log("the next target did not return a stream"),
                 Err(Outcome::NotRun(reason)) => self.log(reason),
-                Err(Outcome::MayHaveRun(reason)) => self.log(&reason),
+                Err(Outcome::MayHaveRun(reason) | Outcome::Broken(reason)) => self.log(&reason),
                 Err(Outcome::Answer(_)) => {}
             }
         }
@@ -229,7 +247,7 @@
     /// Logs how the stream ended at the current target.
     fn log(&self, outcome: &str) {
         info!(
-            request = self.inbound.id().unwrap_or_default(), target_id:% = self.target,
+            request = self.inbound.id().unwrap_or_default(), target_id:% = self.target.id,
             last_event = self.last_event.unwrap_or_default(), sends = self.attempts.sends,
             outcome = outcome;
             "entry: stream"
--- a/crates/catkinlatch-state/src/suspect.rs
+++ b/crates/catkinlatch-state/src/suspect.rs
@@ -11,6 +11,8 @@
 };
 
 use catkinlatch_base::{BootId, Incarnation, TargetId, derive_key, derive_value};
+use sha2::{Digest, Sha256};
+use std::fmt;
 
 /// Number of crashes after which a request is refused on every node.
 pub const MAX_CRASHES: usize = 2;
@@ -33,6 +35,26 @@
     pub const fn new(bytes: [u8; 16]) -> Self {
         Self(bytes)
     }
+
+    /// Returns the head of a SHA-256 digest of a request's team, route, method and path, which are
+    /// `head`, and its body.
+    pub fn of_request(head: [&str; 4], body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in head {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        hash.update(body);
+        let digest: [u8; 32] = hash.finalize().into();
+        let (head, _) = digest.split_first_chunk().expect("a digest has 32 bytes");
+        Self(*head)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
 }
 
 derive_value! {
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -186,7 +186,7 @@
 
 async fn register(host: &Arc<Host>, term: Term, target: Target) -> Reply {
     let (id, is_ready) = (target.id.clone(), target.is_ready());
-    let sequence = target.sequence;
+    let (sequence, born_ms) = (target.sequence, target.born_ms);
     let change = {
         let mut soft = host.soft_state();
         let change = soft.registry.register(target, host.clock.now());
@@ -200,7 +200,10 @@
             } else {
                 host.publish_revision();
             }
-            info!(target_id:% = id, ready = is_ready, sequence = sequence; "targets: registered");
+            info!(
+                target_id:% = id, ready = is_ready, born_ms = born_ms, sequence = sequence;
+                "targets: registered"
+            );
         }
         Change::Outdated => {
             info!(
