Reproduce the incident of requests that crash their targets

Callers: each time that such a request comes, on any entry host, it is sent on to up to max_attempts targets, and requests beside it get 502. The stand-in service crashes under a request and starts anew 800 ms later.

--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -14,7 +14,7 @@
     engine::Engine,
     host::Host,
     platform::Platform,
-    service::Service,
+    service::{CRASHING_BODY, Service},
     soak::{Report, Soak},
     target::Target,
 };
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -4,21 +4,33 @@
 use catkinlatch_runtime::http::{Body, Server, collect, full, serve, streamed};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use serde_json::json;
 use std::{
     collections::BTreeMap,
     io,
-    net::Ipv4Addr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
-use tokio::{net::TcpListener, sync::watch, time};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::AbortHandle,
+    time::{self, Instant},
+};
 
 /// How long the service takes to run a request.
 const RUN_TIME: Duration = Duration::from_millis(5);
 
+/// The first bytes of the body of a request that crashes each target which runs it.
+pub const CRASHING_BODY: &str = "crash";
+
+/// How long a target that crashed is down.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(800);
+
 /// The key under which a request's path is recorded among its headers.
 const PATH_KEY: &str = ":path";
 
@@ -26,15 +38,26 @@
 pub type Headers = BTreeMap<String, String>;
 
 /// A running stand-in service.
+///
+/// A request whose body begins with [`CRASHING_BODY`] ends it: all connections break, and a new
+/// start of the target with another id listens at the same address [`CRASH_DOWNTIME`] later.
 #[derive(Clone, Debug)]
 pub struct Service {
     /// What the service announces about itself.
     pub target: Target,
+    /// The times at which starts of the target crashed.
+    pub crashes: Arc<Mutex<Vec<Instant>>>,
+    /// How long the service takes to run a request.
+    pub run_time: Arc<Mutex<Duration>>,
     /// The headers of each run of a request, by the request's id.
     pub headers_of_runs: Arc<Mutex<BTreeMap<String, Vec<Headers>>>>,
     /// Number of coming requests that are run, but whose response is then lost.
     pub answers_to_lose: Arc<AtomicU32>,
-    _stop: watch::Sender<bool>,
+    controls: Arc<Vec<String>>,
+    /// The tasks of the current start, which a crash aborts.
+    tasks: Arc<Mutex<Vec<AbortHandle>>>,
+    stop: watch::Receiver<bool>,
+    _stop: Arc<watch::Sender<bool>>,
 }
 
 impl Service {
@@ -48,19 +71,56 @@
         let target = Target::new(id, name, listener.local_addr()?, 6);
         let (stop_sender, stop) = watch::channel(false);
         let service = Self {
-            target: target.clone(),
+            target,
+            crashes: Arc::default(),
+            run_time: Arc::new(Mutex::new(RUN_TIME)),
             headers_of_runs: Arc::default(),
             answers_to_lose: Arc::default(),
-            _stop: stop_sender,
+            controls: Arc::new(controls),
+            tasks: Arc::default(),
+            stop,
+            _stop: Arc::new(stop_sender),
         };
-        let serving = service.clone();
-        let server = Server { idle_timeout: Duration::from_secs(10), stop };
-        let handler = move |request| serving.clone().handle(request);
-        tokio::spawn(serve(server, listener, handler));
-        tokio::spawn(target.announce(controls, || serde_json::json!([])));
+        service.run(listener);
         Ok(service)
     }
 
+    /// Serves and announces a start of the target.
+    fn run(&self, listener: TcpListener) {
+        let serving = self.clone();
+        let server = Server { idle_timeout: Duration::from_secs(10), stop: self.stop.clone() };
+        let handler = move |request| serving.clone().handle(request);
+        let serving = tokio::spawn(serve(server, listener, handler)).abort_handle();
+        let announcing = self.target.clone().announce(self.controls.to_vec(), || json!([]));
+        let announcing = tokio::spawn(announcing).abort_handle();
+        *lock(&self.tasks) = vec![serving, announcing];
+    }
+
+    /// Ends the current start at once, and starts the target anew after [`CRASH_DOWNTIME`].
+    fn crash(&self) {
+        let tasks = std::mem::take(&mut *lock(&self.tasks));
+        if tasks.is_empty() {
+            // Another request has crashed this start already.
+            return;
+        }
+        lock(&self.crashes).push(Instant::now());
+        let number = lock(&self.crashes).len();
+        let mut next = self.clone();
+        let first = self.target.id.split('.').next().unwrap_or_default();
+        next.target.id = format!("{first}.{number}");
+        tokio::spawn(async move {
+            // The request's own task ends with its connection.
+            tasks.iter().for_each(AbortHandle::abort);
+            time::sleep(CRASH_DOWNTIME).await;
+            next.run(bind_again(next.target.address).await);
+        });
+    }
+
+    /// Returns how many starts of the target crashed.
+    pub fn crashed(&self) -> usize {
+        lock(&self.crashes).len()
+    }
+
     /// Returns the ids of all requests that the service ran.
     pub fn request_ids(&self) -> Vec<String> {
         self.headers_of_runs
@@ -73,14 +133,14 @@
 
     /// Returns whether the service ran a request, and the first run had this path.
     pub fn ran_at_path(&self, id: &str, path: &str) -> bool {
-        let headers_of_runs = self.headers_of_runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let headers_of_runs = lock(&self.headers_of_runs);
         let headers = headers_of_runs.get(id).and_then(|runs| runs.first());
         headers.and_then(|headers| headers.get(PATH_KEY)).is_some_and(|first| first == path)
     }
 
     /// Returns how many times a request ran.
     pub fn runs(&self, id: &str) -> usize {
-        let headers_of_runs = self.headers_of_runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let headers_of_runs = lock(&self.headers_of_runs);
         headers_of_runs.get(id).map_or(0, Vec::len)
     }
 
@@ -96,12 +156,16 @@
         if headers.get("expect-instance").is_some_and(|expected| *expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, &id, "");
         }
-        if collect(body, 1 << 20).await.is_err() {
+        let Ok(body) = collect(body, 1 << 20).await else {
             return respond(StatusCode::BAD_REQUEST, &id, "");
+        };
+        if body.starts_with(CRASHING_BODY.as_bytes()) {
+            self.crash();
+            std::future::pending::<()>().await;
         }
-        time::sleep(RUN_TIME).await;
-        let mut headers_of_runs =
-            self.headers_of_runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let run_time = *lock(&self.run_time);
+        time::sleep(run_time).await;
+        let mut headers_of_runs = lock(&self.headers_of_runs);
         headers_of_runs.entry(id.clone()).or_default().push(headers);
         drop(headers_of_runs);
         let decrement = |left: u32| left.checked_sub(1);
@@ -116,6 +180,20 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Listens at the address of an earlier start, once the system has freed it.
+async fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
 /// Returns a response whose connection breaks before any of the body is sent.
 fn broken(id: &str) -> Response<Body> {
     let body = streamed((), |()| async {
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -8,6 +8,8 @@
 
 #[path = "site/stream.rs"]
 mod stream;
+#[path = "site/suspect.rs"]
+mod suspect;
 
 use bytes::Bytes;
 use catkinlatch_standin::site::{self, Engine, Service, Site, Soak, Target};
--- /dev/null
+++ b/tests/site/suspect.rs
@@ -0,0 +1,110 @@
+//! Requests that crash the targets which run them.
+
+use super::{Setup, ok, wait_until};
+use catkinlatch_standin::site::{CRASHING_BODY, Service};
+use http::{StatusCode, header};
+use std::time::Duration;
+use tokio::{task::JoinSet, time};
+
+/// The number of targets that a request may crash before it is refused, as the platform has it.
+const MAX_CRASHES: usize = 3;
+
+/// Pause between two calls, in which the entry hosts learn what the other has seen.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Starts further targets beside that of the setup, and waits until all of them serve.
+async fn start_services(setup: &Setup) -> Vec<Service> {
+    let controls = || -> Vec<String> {
+        setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect()
+    };
+    let mut services = vec![setup.service.clone()];
+    for id in ["survey-2", "survey-3"] {
+        services.push(Service::start(id, "survey", controls()).await.unwrap());
+    }
+    wait_until("all targets serve", || async {
+        setup.request(0, "POST", "/survey/1", "warm-up", "").await;
+        setup.request(1, "POST", "/survey/1", "warm-up", "").await;
+        services.iter().all(|service| service.runs("warm-up") > 0)
+    })
+    .await;
+    services
+}
+
+fn crashes(services: &[Service]) -> usize {
+    services.iter().map(Service::crashed).sum()
+}
+
+/// Sends a crashing request `count` times to the entry hosts in turn; returns the last answer.
+async fn send_crashing(
+    setup: &Setup,
+    count: usize,
+    body: &str,
+) -> Option<http::Response<bytes::Bytes>> {
+    let mut last = None;
+    for number in 0..count {
+        let id = format!("{body}-{number}");
+        last = setup.request(number % 2, "POST", "/survey/1", &id, body).await;
+        time::sleep(PAUSE).await;
+    }
+    last
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_crashed_its_targets_is_refused_on_all_hosts() {
+    let setup = Setup::start().await;
+    let services = start_services(&setup).await;
+    let last = send_crashing(&setup, 30, CRASHING_BODY).await.unwrap();
+    assert!(crashes(&services) <= MAX_CRASHES, "{} targets crashed", crashes(&services));
+    assert_eq!(last.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(last.headers().contains_key(header::RETRY_AFTER));
+    for entry in 0..2 {
+        wait_until("other requests are served", || async {
+            setup.request(entry, "POST", "/survey/1", "other", "other").await.is_some_and(ok)
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_crashed_its_targets_stays_refused_after_all_stores_are_killed() {
+    let mut setup = Setup::start().await;
+    let services = start_services(&setup).await;
+    send_crashing(&setup, 6, CRASHING_BODY).await;
+    let stores = setup.site.stores().len();
+    setup.site.hosts[..stores].iter_mut().for_each(|host| host.kill().unwrap());
+    setup.site.hosts[..stores].iter_mut().for_each(|host| host.start().unwrap());
+    setup.site.hosts[stores].kill().unwrap();
+    setup.site.hosts[stores].start().unwrap();
+    for entry in 0..2 {
+        wait_until("requests are served again", || async {
+            setup.request(entry, "POST", "/survey/1", "again", "").await.is_some_and(ok)
+        })
+        .await;
+    }
+    send_crashing(&setup, 12, CRASHING_BODY).await;
+    assert!(crashes(&services) <= MAX_CRASHES, "{} targets crashed", crashes(&services));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_beside_one_that_crashes_targets_are_served() {
+    let setup = Setup::start().await;
+    let services = start_services(&setup).await;
+    for service in &services {
+        *service.run_time.lock().unwrap() = Duration::from_millis(120);
+    }
+    let setup = std::sync::Arc::new(setup);
+    let mut callers = JoinSet::new();
+    for number in 0..12 {
+        let setup = setup.clone();
+        callers.spawn(async move {
+            let (id, body) = (format!("beside-{number}"), format!("body {number}"));
+            setup.request(number % 2, "POST", "/survey/1", &id, &body).await
+        });
+    }
+    time::sleep(Duration::from_millis(40)).await;
+    send_crashing(&setup, 1, CRASHING_BODY).await;
+    while let Some(answer) = callers.join_next().await {
+        assert_eq!(answer.unwrap().map(|answer| answer.status()), Some(StatusCode::OK));
+    }
+    assert!(crashes(&services) > 0);
+}
