Refuse requests that crash targets on the platform's hosts too

Callers saw requests beside a bad one fail with 502, and targets of a service ended one after the other: a request under which targets end was sent on each time that it came, on each entry host.

Cause: the guard against such requests (suspects) stood in the product's own hosts alone; the roles on the platform serve requests by another implementation that remembered nothing beyond an attempt.

The decision is one module for both ways now. Entry hosts report connections that break under a request, the leader decides on runs alone, and all hosts hold the list.

--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of an entry host share.
 
-use crate::{usage::Usage, view::View};
+use crate::{suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
 use catkinlatch_ledger::Balancer;
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
@@ -22,6 +22,7 @@
     view: Mutex<View>,
     balancer: Mutex<Balancer>,
     usage: Mutex<Usage>,
+    suspects: Mutex<suspect::Table>,
     draining: watch::Sender<bool>,
 }
 
@@ -43,6 +44,7 @@
             view: Mutex::default(),
             balancer: Mutex::default(),
             usage: Mutex::default(),
+            suspects: Mutex::default(),
             draining: watch::channel(false).0,
         }
     }
@@ -67,6 +69,11 @@
         lock(&self.usage)
     }
 
+    /// Locks the suspects. The guard must not be held across an `await`.
+    pub fn suspects(&self) -> MutexGuard<'_, suspect::Table> {
+        lock(&self.suspects)
+    }
+
     /// Counts a request of a team in the usage window of `wall_ms`, in milliseconds since the Unix
     /// epoch.
     pub fn count_request(&self, team: &TeamId, wall_ms: u64) {
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod proxy;
 mod ready;
 mod stream;
+pub mod suspect;
 mod usage;
 mod view;
 
@@ -72,6 +73,7 @@
         tokio::spawn(serve(server, listener, directory::handler(host.clone())));
     }
     tokio::spawn(follow::run(host.clone()));
+    tokio::spawn(suspect::follow(host.clone()));
     info!(name = host.settings.name.as_str(), callers:% = callers; "entry: started");
 
     let _ = stop.wait_for(|stop| *stop).await;
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -6,8 +6,9 @@
     front::InboundRequest,
     host::Host,
     stream::{self, Attempts},
+    suspect::{self, Permit},
 };
-use catkinlatch_base::Instant;
+use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::{Target, config::Kind};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::http::{Body, full};
@@ -40,6 +41,9 @@
 /// failed target.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Share of a request's time in which a suspect waits for a run of its own.
+const TRIAL_WAIT_SHARE: f64 = 0.5;
+
 /// Largest response that is buffered before it is forwarded, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 << 20;
 
@@ -94,6 +98,7 @@
 ) -> End {
     let deadline = arrived + time_limit(inbound);
     let full_retry_deadline = arrived + full_retry_limit(inbound);
+    let trial_deadline = arrived + time_limit(inbound).mul_f64(TRIAL_WAIT_SHARE);
     let is_stream = inbound.route.kind == Kind::Stream;
     let is_idempotent = inbound.route.may_repeat();
     let mut tried = BTreeSet::new();
@@ -120,11 +125,27 @@
             let after = if sends == 0 { NO_TARGET_RETRY_AFTER } else { FULL_RETRY_AFTER };
             return if may_have_run { End::MayHaveRun } else { End::NotRun(after) };
         };
+        let permit = suspect::admit(host, inbound, &target, left).await;
+        match permit {
+            Permit::Plain | Permit::Trial => {}
+            Permit::Busy if host.clock.now() < trial_deadline => {
+                time::sleep(suspect::TRIAL_PAUSE).await;
+                continue;
+            }
+            Permit::Busy | Permit::Refused => {
+                attempt_log.push(format!("{} not sent: {permit}", target.id));
+                metrics::counter!("catkinlatch_entry_suspects_not_sent").increment(1);
+                let after =
+                    if permit == Permit::Busy { FULL_RETRY_AFTER } else { retraction_time(host) };
+                return if may_have_run { End::MayHaveRun } else { End::NotRun(after) };
+            }
+        }
         sends += 1;
         let is_last = sends >= inbound.route.max_attempts || !is_idempotent;
         let limit = if is_last { left } else { left.min(attempt_limit(inbound, left)) };
         let outcome = if is_stream {
-            let attempts = Attempts { sends, tried: tried.clone(), arrived, deadline };
+            let is_trial = permit == Permit::Trial;
+            let attempts = Attempts { sends, tried: tried.clone(), arrived, deadline, is_trial };
             match stream::open(host, inbound, &target, attempts, limit).await {
                 Ok(response) => {
                     attempt_log.push(format!("{} streams", target.id));
@@ -135,6 +156,7 @@
         } else {
             attempt::send(host, inbound, &target, left, limit, MAX_ANSWER_BYTES).await
         };
+        record(host, inbound, &target, permit, &outcome).await;
         match outcome {
             Outcome::Answer(answer) => {
                 attempt_log.push(format!("{} answered", target.id));
@@ -148,9 +170,6 @@
             }
             Outcome::NotRun(reason) => attempt_log.push(format!("{} not run: {reason}", target.id)),
             outcome @ (Outcome::MayHaveRun(_) | Outcome::Broken(_)) => {
-                if matches!(outcome, Outcome::Broken(_)) {
-                    attempt::log_break(inbound, &target);
-                }
                 attempt_log.push(format!("{} unknown: {outcome}", target.id));
                 may_have_run = true;
                 if !is_idempotent {
@@ -163,6 +182,32 @@
     }
 }
 
+/// Records what an attempt tells about whether the request crashes targets.
+async fn record(
+    host: &Host,
+    inbound: &InboundRequest,
+    target: &Target,
+    permit: Permit,
+    outcome: &Outcome,
+) {
+    match outcome {
+        Outcome::Broken(_) => suspect::record_break(host, inbound, target).await,
+        Outcome::Answer(_) if permit == Permit::Trial => {
+            suspect::record_answer(host, inbound).await;
+        }
+        Outcome::NotRun(_) | Outcome::MayHaveRun(_) if permit == Permit::Trial => {
+            suspect::end_trial(host, inbound).await;
+        }
+        Outcome::Answer(_) | Outcome::NotRun(_) | Outcome::MayHaveRun(_) => {}
+    }
+}
+
+/// Returns the time in which a target that still runs announces itself again, so that a request
+/// that is refused by mistake runs then.
+fn retraction_time(host: &Host) -> Duration {
+    Duration::from_millis(host.settings.times.heartbeat_ms) * 2
+}
+
 /// Returns the time from arrival within which the caller must get its response.
 fn time_limit(inbound: &InboundRequest) -> Duration {
     let caller =
@@ -188,13 +233,20 @@
 pub fn pick_target(
     host: &Host,
     inbound: &InboundRequest,
-    tried: &BTreeSet<catkinlatch_base::TargetId>,
+    tried: &BTreeSet<TargetId>,
     now: Instant,
 ) -> Option<Target> {
     // Targets may start draining between attempts, so each attempt uses the latest view.
     let view = host.view();
     let service = inbound.route.service(fastrand::f64())?;
-    host.balancer().pick(view.targets(service), &host.settings.zone, tried, now).cloned()
+    let pick = |left_out: &BTreeSet<TargetId>| {
+        host.balancer().pick(view.targets(service), &host.settings.zone, left_out, now).cloned()
+    };
+    let trial_targets = host.suspects().trial_targets(host.clock.wall_ms());
+    if trial_targets.is_empty() {
+        return pick(tried);
+    }
+    pick(&(tried | &trial_targets)).or_else(|| pick(tried))
 }
 
 /// Converts a target's response into the response for the caller.
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -5,6 +5,7 @@
     front::InboundRequest,
     host::Host,
     proxy,
+    suspect::{self, Permit},
 };
 use bytes::Bytes;
 use catkinlatch_base::{Instant, TargetId};
@@ -15,6 +16,7 @@
 use log::info;
 use std::{
     collections::{BTreeSet, VecDeque},
+    mem,
     sync::Arc,
     time::Duration,
 };
@@ -34,6 +36,8 @@
     pub arrived: Instant,
     /// Deadline for the first event; later events are bound by the caller's deadline alone.
     pub deadline: Instant,
+    /// Whether the current attempt is the run of a request that may crash targets.
+    pub is_trial: bool,
 }
 
 /// A stream that is being forwarded to the caller.
@@ -137,11 +141,16 @@
                         call.exchange.release();
                         self.log("whole");
                     }
+                    if mem::take(&mut self.attempts.is_trial) {
+                        suspect::record_answer(&self.host, &self.inbound).await;
+                    }
                     return None;
                 }
                 Read::Failed { reason, is_break } => {
                     if is_break {
-                        attempt::log_break(&self.inbound, &self.target);
+                        suspect::record_break(&self.host, &self.inbound, &self.target).await;
+                    } else if self.attempts.is_trial {
+                        suspect::end_trial(&self.host, &self.inbound).await;
                     }
                     if let Some(call) = &mut self.call {
                         call.guard.record_failure();
@@ -209,6 +218,7 @@
     /// whether that succeeded.
     async fn resume(&mut self) -> bool {
         self.parser = EventParser::default();
+        let give_up_at = self.host.clock.now() + EVENT_TIMEOUT;
         while self.inbound.route.may_repeat()
             && self.attempts.sends < self.inbound.route.max_attempts
         {
@@ -223,6 +233,16 @@
             else {
                 return false;
             };
+            match suspect::admit(&self.host, &self.inbound, &target, left).await {
+                permit @ (Permit::Plain | Permit::Trial) => {
+                    self.attempts.is_trial = permit == Permit::Trial;
+                }
+                Permit::Busy if now < give_up_at => {
+                    time::sleep(suspect::TRIAL_PAUSE).await;
+                    continue;
+                }
+                Permit::Busy | Permit::Refused => return false,
+            }
             self.attempts.sends += 1;
             self.target = target.clone();
             let mut request = attempt::build_request(&self.inbound, &target, left);
@@ -237,7 +257,11 @@
                 }
                 Ok(_) => self.log("the next target did not return a stream"),
                 Err(Outcome::NotRun(reason)) => self.log(reason),
-                Err(Outcome::MayHaveRun(reason) | Outcome::Broken(reason)) => self.log(&reason),
+                Err(Outcome::MayHaveRun(reason)) => self.log(&reason),
+                Err(Outcome::Broken(reason)) => {
+                    self.log(&reason);
+                    suspect::record_break(&self.host, &self.inbound, &target).await;
+                }
                 Err(Outcome::Answer(_)) => {}
             }
         }
--- /dev/null
+++ b/crates/catkinlatch-entry/src/suspect.rs
@@ -0,0 +1,143 @@
+//! This host's part in keeping requests that crash targets away from further targets.
+//!
+//! The leader decides which suspect runs where. A host that hears no leader decides alone, from its
+//! copy of the list, and reports later what it has seen.
+
+mod table;
+
+pub use self::table::{State, Table};
+
+use crate::{attempt, front::InboundRequest, host::Host};
+use catkinlatch_ledger::Target;
+use catkinlatch_runtime::{Answer, Message, Reply, message::ViewVersion};
+use catkinlatch_state::suspect::{Change, Reply as Verdict, Trial};
+use derive_more::Display;
+use log::info;
+use std::{sync::Arc, time::Duration};
+use tokio::time;
+
+/// Timeout of a call to the leader for which a caller's request waits.
+const CALL_TIMEOUT: Duration = Duration::from_millis(80);
+
+/// Pause before a suspect asks for a run again.
+pub const TRIAL_PAUSE: Duration = Duration::from_millis(25);
+
+/// How long the leader may hold a long poll open.
+const POLL_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Timeout for one long poll, including retries with other hosts.
+const POLL_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// Pause after a failed poll.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// How a request may be sent to a target.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Permit {
+    /// The request is no suspect.
+    #[display("no suspect")]
+    Plain,
+    /// The request is a suspect, which may run alone on this target now.
+    #[display("runs alone")]
+    Trial,
+    /// The suspect or the target is busy with another trial.
+    #[display("a suspect waits for a run of its own")]
+    Busy,
+    /// The request crashed too many targets.
+    #[display("it crashed too many targets")]
+    Refused,
+}
+
+/// Asks whether a request may be sent to a target; `left` is the time until its deadline.
+pub async fn admit(
+    host: &Host,
+    inbound: &InboundRequest,
+    target: &Target,
+    left: Duration,
+) -> Permit {
+    if host.suspects().is_empty() {
+        return Permit::Plain;
+    }
+    let fingerprint = inbound.fingerprint();
+    match host.suspects().state(&fingerprint) {
+        State::Unknown => return Permit::Plain,
+        State::Refused => return Permit::Refused,
+        State::Suspect => {}
+    }
+    let now_ms = host.clock.wall_ms();
+    let trial = Trial {
+        target: target.id.clone(),
+        node: host.peers.local().incarnation,
+        until_ms: now_ms + u64::try_from(left.as_millis()).unwrap_or(u64::MAX / 2),
+    };
+    match change(host, Change::StartTrial { fingerprint, trial, now_ms }).await {
+        Verdict::Granted => Permit::Trial,
+        Verdict::NotSuspect => Permit::Plain,
+        Verdict::Busy | Verdict::Done => Permit::Busy,
+        Verdict::Refused => Permit::Refused,
+    }
+}
+
+/// Records that the connection to a target broke under a request.
+pub async fn record_break(host: &Host, inbound: &InboundRequest, target: &Target) {
+    attempt::log_break(inbound, target);
+    let (fingerprints, at_ms) = (vec![inbound.fingerprint()], host.clock.wall_ms());
+    change(host, Change::Crashed { fingerprints, boot: target.boot(), at_ms }).await;
+}
+
+/// Records that a target answered a suspect, so that it is none any more.
+pub async fn record_answer(host: &Host, inbound: &InboundRequest) {
+    change(host, Change::Clear { fingerprint: inbound.fingerprint() }).await;
+}
+
+/// Records that the run of a suspect ended in a way that tells nothing about it.
+pub async fn end_trial(host: &Host, inbound: &InboundRequest) {
+    let (fingerprint, node) = (inbound.fingerprint(), host.peers.local().incarnation);
+    change(host, Change::EndTrial { fingerprint, node }).await;
+}
+
+/// Applies a change to this host's copy, and has the leader apply it.
+///
+/// Returns the leader's verdict, or that of this host's copy if no leader answers.
+async fn change(host: &Host, change: Change) -> Verdict {
+    let own = host.suspects().apply(&change, host.clock.wall_ms());
+    let message = Message::Suspect(change.clone());
+    match host.leader_client.call(&message, Duration::ZERO, CALL_TIMEOUT).await {
+        Answer::Reply(Reply::Suspect(verdict)) => {
+            host.suspects().set_reported(&change);
+            verdict
+        }
+        Answer::Reply(_) | Answer::NotDone | Answer::Unknown => own,
+    }
+}
+
+/// Polls the leader for the list of suspects, and reports what it lacks, until the process stops.
+pub async fn follow(host: Arc<Host>) {
+    let mut known = ViewVersion::default();
+    loop {
+        let message = Message::FollowSuspects { known, wait_ms: POLL_WAIT.as_millis() as u64 };
+        match host.leader_client.call(&message, POLL_WAIT, POLL_TIMEOUT).await {
+            Answer::Reply(Reply::Suspects { version, suspects }) => {
+                host.suspects().adopt(version, *suspects);
+                known = version;
+            }
+            Answer::Reply(Reply::Nothing) => {}
+            Answer::Reply(_) | Answer::NotDone | Answer::Unknown => time::sleep(RETRY_PAUSE).await,
+        }
+        report(&host).await;
+    }
+}
+
+/// Reports the crashes that no leader has confirmed, until one is not confirmed again.
+async fn report(host: &Host) {
+    loop {
+        let Some(change) = host.suspects().unreported() else { return };
+        let message = Message::Suspect(change.clone());
+        match host.leader_client.call(&message, Duration::ZERO, CALL_TIMEOUT).await {
+            Answer::Reply(Reply::Suspect(_)) => host.suspects().set_reported(&change),
+            Answer::Reply(_) | Answer::NotDone | Answer::Unknown => {
+                return info!("suspects: no leader took a report; it is sent again");
+            }
+        }
+    }
+}
--- a/crates/catkinlatch-ledger/src/registry.rs
+++ b/crates/catkinlatch-ledger/src/registry.rs
@@ -7,7 +7,7 @@
 
 pub use self::target::{Phase, Target};
 
-use catkinlatch_base::{Instant, TargetId, derive_value};
+use catkinlatch_base::{BootId, Instant, TargetId, derive_value};
 use std::{collections::BTreeMap, time::Duration};
 
 /// How long the tombstone of a withdrawn target is kept, so that no delayed registration restores
@@ -146,6 +146,12 @@
         self.registrations.get(id).map(|registration| &registration.target)
     }
 
+    /// Returns the starts of registered targets, and when each last sent a registration.
+    pub fn starts(&self) -> impl Iterator<Item = (BootId, Instant)> + '_ {
+        let registrations = self.registrations.values();
+        registrations.map(|registration| (registration.target.boot(), registration.received_at))
+    }
+
     /// Returns the tombstones of recently withdrawn targets.
     pub fn tombstones(&self) -> impl Iterator<Item = Tombstone> + '_ {
         self.tombstones
--- a/crates/catkinlatch-ledger/src/registry/target.rs
+++ b/crates/catkinlatch-ledger/src/registry/target.rs
@@ -1,8 +1,11 @@
 //! The registration of a target.
 
-use catkinlatch_base::{ModelId, ServiceId, TargetId, Version, ZoneId, derive_value};
+use catkinlatch_base::{BootId, ModelId, ServiceId, TargetId, Version, ZoneId, derive_value};
 use std::collections::BTreeMap;
 
+/// Largest part of a target's id in the id of a start, so that both fit in an id.
+const MAX_BOOT_NAME_BYTES: usize = 100;
+
 derive_value! {
     /// Whether a target accepts new requests.
     #[derive(Copy, Eq)]
@@ -54,6 +57,13 @@
         key(self) == key(other)
     }
 
+    /// Returns the id of this start of the target; the end of the target's id and the start time.
+    pub fn boot(&self) -> BootId {
+        let id = self.id.as_str();
+        let tail = &id[id.len().saturating_sub(MAX_BOOT_NAME_BYTES)..];
+        format!("{tail}@{}", self.born_ms).parse().expect("both parts are valid in an id")
+    }
+
     /// Returns whether the target accepts new requests.
     pub fn is_ready(&self) -> bool {
         self.phase == Phase::Ready
--- a/crates/catkinlatch-node/src/entry/admission.rs
+++ b/crates/catkinlatch-node/src/entry/admission.rs
@@ -11,7 +11,7 @@
     admission::{Class, Decision, Denial, Outcome, Permit, Rates, Request, Waiter},
     retry::{Budget, Effect, Plan, Step},
 };
-use catkinlatch_state::config::Team;
+use catkinlatch_state::{config::Team, suspect::Disconnect};
 use slotmap::SecondaryMap;
 use std::{
     collections::BTreeMap,
@@ -88,7 +88,7 @@
 
     /// Watches a target whose connection broke with a request in flight.
     pub fn watch_target(&self, target: TargetId, boot: BootId, since: Instant) {
-        self.with_watch(|watch| watch.add(target, boot, since));
+        self.with_watch(|watch| watch.add(Disconnect { start: (target, boot), since }));
     }
 
     /// Runs `work` on the targets that may have crashed, while admission is locked.
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -12,6 +12,7 @@
 use catkinlatch_base::{HostId, JobId, ModelId, TargetId, TeamId, Version, derive_value};
 use catkinlatch_ledger::{Command, Job, Target, config::Document};
 use catkinlatch_log::Frame;
+use catkinlatch_state::suspect::{self, Suspects};
 use std::sync::Arc;
 
 derive_value! {
@@ -71,6 +72,16 @@
         Retire(String),
         /// Asks whether the host whose machine has this name is retired completely.
         Retirement(String),
+        /// Reports what a request did to a target, or asks for a run of a request that may crash
+        /// targets; the leader replaces the times by its own.
+        Suspect(suspect::Change),
+        /// Waits for a newer version of the requests that crashed targets.
+        FollowSuspects {
+            /// Version that the process holds.
+            known: ViewVersion,
+            /// Maximum time to wait for a newer version, in milliseconds.
+            wait_ms: u64,
+        },
     }
 }
 
@@ -100,5 +111,14 @@
         Configuration(Option<Bytes>),
         /// Whether the host no longer holds replicated state.
         Retired(bool),
+        /// The effect of a change of the suspects.
+        Suspect(suspect::Reply),
+        /// The requests that may crash targets.
+        Suspects {
+            /// Version of the list.
+            version: ViewVersion,
+            /// The list.
+            suspects: Box<Suspects>,
+        },
     }
 }
--- a/crates/catkinlatch-state/src/suspect.rs
+++ b/crates/catkinlatch-state/src/suspect.rs
@@ -4,10 +4,12 @@
 
 mod change;
 mod table;
+mod watch;
 
 pub use self::{
     change::{Change, Reply},
     table::Suspects,
+    watch::{Disconnect, Watch},
 };
 
 use catkinlatch_base::{BootId, Incarnation, TargetId, derive_key, derive_value};
--- a/crates/catkinlatch-state/src/suspect/table.rs
+++ b/crates/catkinlatch-state/src/suspect/table.rs
@@ -39,6 +39,17 @@
         self.get(fingerprint).is_some_and(|suspect| suspect.crashes.len() >= MAX_CRASHES)
     }
 
+    /// Returns the requests that are refused on every node, with their crashes.
+    pub fn refused(&self) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
+        self.suspects.iter().filter(|(_, suspect)| suspect.crashes.len() >= MAX_CRASHES)
+    }
+
+    /// Returns the targets that are running a suspect.
+    pub fn trial_targets(&self, now_ms: u64) -> impl Iterator<Item = &TargetId> {
+        let trials = self.suspects.values().filter_map(|suspect| suspect.trial.as_ref());
+        trials.filter(move |trial| trial.until_ms > now_ms).map(|trial| &trial.target)
+    }
+
     /// Returns all suspects by fingerprint.
     pub fn list(&self) -> &BTreeMap<Fingerprint, Suspect> {
         &self.suspects
@@ -46,7 +57,7 @@
 
     /// Returns whether a suspect is running on the target.
     pub fn is_trial_target(&self, target: &TargetId, now_ms: u64) -> bool {
-        self.suspects.values().any(|suspect| suspect.is_trial_target(target, now_ms))
+        self.trial_targets(now_ms).any(|other| other == target)
     }
 
     /// Returns whether [`Change::Expire`] would change anything.
@@ -142,10 +153,3 @@
         Reply::Done
     }
 }
-
-impl Suspect {
-    fn is_trial_target(&self, target: &TargetId, now_ms: u64) -> bool {
-        let holds = |trial: &Trial| trial.target == *target && trial.until_ms > now_ms;
-        self.trial.as_ref().is_some_and(holds)
-    }
-}
--- a/crates/catkinlatch-store/src/cleanup.rs
+++ b/crates/catkinlatch-store/src/cleanup.rs
@@ -33,6 +33,9 @@
             host.soft_state().forgive(late);
         }
         drop_unresponsive(&host, timeout);
+        for boot in host.update_suspects() {
+            info!(boot:% = boot; "suspects: the target is still running");
+        }
         drop_expired_jobs(&host).await;
         host.client.prune();
         host.peers.prune();
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -129,6 +129,8 @@
         | Reply::Unknown
         | Reply::Followed(_)
         | Reply::Results(_)
-        | Reply::Body(_) => status(StatusCode::SERVICE_UNAVAILABLE),
+        | Reply::Body(_)
+        | Reply::Suspect(_)
+        | Reply::Suspects { .. } => status(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/crates/catkinlatch-store/src/follow.rs
+++ b/crates/catkinlatch-store/src/follow.rs
@@ -17,6 +17,15 @@
 /// Delay before the next attempt while no other host leads, or after a failed poll.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long the leader may hold a long poll for the suspects open.
+const SUSPECTS_POLL_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Timeout for one long poll for the suspects, including all attempts to find the leader.
+const SUSPECTS_REQUEST_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// Delay after a failed poll for the suspects.
+const SUSPECTS_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Polls the leader for changes of its view; never returns.
 pub async fn run(host: Arc<Host>) {
     let mut view_version = ViewVersion::default();
@@ -52,6 +61,34 @@
     }
 }
 
+/// Polls the leader for changes of the suspects; never returns.
+pub async fn run_suspects(host: Arc<Host>) {
+    let mut known = ViewVersion::default();
+    loop {
+        let Some(leader) = host.other_leader() else {
+            time::sleep(RETRY_INTERVAL).await;
+            continue;
+        };
+        host.leader_client.set_leader(Some(&leader));
+        let wait_ms = SUSPECTS_POLL_TIMEOUT.as_millis() as u64;
+        let message = Message::FollowSuspects { known, wait_ms };
+        let answer =
+            host.leader_client.call(&message, SUSPECTS_POLL_TIMEOUT, SUSPECTS_REQUEST_TIMEOUT);
+        match answer.await {
+            Answer::Reply(Reply::Suspects { version, suspects }) => {
+                if host.other_leader().is_some() {
+                    host.suspects().adopt(*suspects);
+                }
+                known = version;
+            }
+            Answer::Reply(Reply::Nothing) => {}
+            Answer::Reply(_) | Answer::NotDone | Answer::Unknown => {
+                time::sleep(SUSPECTS_RETRY_INTERVAL).await;
+            }
+        }
+    }
+}
+
 fn follow_request(host: &Host, view_version: ViewVersion) -> Follow {
     Follow {
         host: host.settings.host.clone(),
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -8,6 +8,7 @@
     Message, ProposeError, Reply,
     message::{Follow, Results, ViewVersion},
 };
+use catkinlatch_state::suspect;
 use catkinlatch_wire::{Frame, Hello, codec};
 use log::{info, warn};
 use std::{sync::Arc, time::Duration};
@@ -36,6 +37,9 @@
 async fn receive(host: Arc<Host>, remote: Hello, frame: Frame) -> Option<Frame> {
     match codec::decode(&frame.payload) {
         Ok(Message::Follow(follow)) => Some(Frame::new(answer_follow(&host, &follow).await)),
+        Ok(Message::FollowSuspects { known, wait_ms }) => {
+            Some(Frame::new(answer_follow_suspects(&host, known, wait_ms).await))
+        }
         Ok(message) => Some(Frame::new(codec::encode(&handle(&host, message).await))),
         Err(error) => {
             warn!(host:% = remote.host, error:% = error; "peer: cannot decode a message");
@@ -62,7 +66,11 @@
     };
     match message {
         // Only other processes follow, and get their answers encoded.
-        Message::Greeting | Message::Log(_) | Message::Follow(_) => Reply::Nothing,
+        Message::Greeting
+        | Message::Log(_)
+        | Message::Follow(_)
+        | Message::FollowSuspects { .. } => Reply::Nothing,
+        Message::Suspect(change) => change_suspects(host, change),
         Message::Submit(job) => {
             let (id, items) = (job.id.clone(), job.items.len());
             let reply = propose(host, Command::Submit(job)).await;
@@ -170,6 +178,53 @@
     }
 }
 
+/// Applies a change of the suspects that an entry host reports or asks for.
+fn change_suspects(host: &Host, change: suspect::Change) -> Reply {
+    let reply = host.change_suspects(change.clone());
+    match change {
+        suspect::Change::Crashed { fingerprints, boot, .. } => {
+            for fingerprint in fingerprints {
+                let is_refused = host.suspects().suspects().is_refused(&fingerprint);
+                info!(
+                    fingerprint:% = fingerprint, boot:% = boot, refused = is_refused;
+                    "suspects: a connection broke under a request"
+                );
+            }
+        }
+        suspect::Change::StartTrial { fingerprint, trial, .. } => info!(
+            fingerprint:% = fingerprint, target_id:% = trial.target, reply:? = reply;
+            "suspects: asked to run a suspect"
+        ),
+        suspect::Change::Clear { fingerprint } => {
+            info!(fingerprint:% = fingerprint; "suspects: a suspect was answered");
+        }
+        suspect::Change::Survived { .. }
+        | suspect::Change::EndTrial { .. }
+        | suspect::Change::Expire { .. } => {}
+    }
+    Reply::Suspect(reply)
+}
+
+/// Returns the encoded suspects once the process's version of them is out of date, or
+/// [`Reply::Nothing`] when its wait has elapsed.
+async fn answer_follow_suspects(host: &Host, known: ViewVersion, wait_ms: u64) -> Bytes {
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    let mut revision = host.suspects_revision();
+    loop {
+        let Some(term) = host.replica.fencing_token() else {
+            return codec::encode(&Reply::NotLeader(host.other_leader()));
+        };
+        let version = ViewVersion { term, revision: *revision.borrow_and_update() };
+        if version != known {
+            return host.encoded_suspects(version);
+        }
+        tokio::select! {
+            _ = revision.changed() => {}
+            () = time::sleep_until(until) => return codec::encode(&Reply::Nothing),
+        }
+    }
+}
+
 /// Waits until all live entry hosts have received the current view; returns false on timeout.
 async fn await_propagation(host: &Arc<Host>, term: Term, version: Option<u64>) -> bool {
     let until = Instant::now() + PROPAGATION_TIMEOUT;
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -4,14 +4,19 @@
     duty::{Rule, Turn},
     handler,
     soft_state::SoftState,
+    suspect::{self, Urgency},
     view::{self, EncodedView},
 };
 use bytes::Bytes;
-use catkinlatch_base::{HostId, Term};
+use catkinlatch_base::{BootId, HostId, Term};
 use catkinlatch_runtime::{
     Answer, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
+    message::ViewVersion,
 };
+use catkinlatch_state::suspect::{Change, Reply as SuspectReply};
+use catkinlatch_wire::codec;
 use std::{
+    collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -26,6 +31,12 @@
 /// How long changes of the soft state are gathered before they are published.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
+/// Longest delay of the publication of suspects by which no request is refused.
+const LATER: Duration = Duration::from_secs(2);
+
+/// Shortest time between two publications of suspects, each of which reaches all hosts.
+const SUSPECTS_INTERVAL: Duration = Duration::from_millis(200);
+
 /// This host: the settings, state and connections that all tasks share.
 pub struct Host {
     /// The settings of this process.
@@ -49,6 +60,13 @@
     /// Notified when a change of the soft state may be published a little later.
     gathered: Notify,
     encoded_view: Mutex<EncodedView>,
+    suspects: Mutex<suspect::Table>,
+    suspects_revision: watch::Sender<u64>,
+    /// Notified when the suspects have changed.
+    suspects_changed: Notify,
+    /// Notified when a change of the suspects must be published at once.
+    suspects_urgent: Notify,
+    encoded_suspects: Mutex<Option<(ViewVersion, Bytes)>>,
 }
 
 impl Host {
@@ -81,6 +99,72 @@
             configuration_version,
             gathered,
             encoded_view,
+            suspects: Mutex::default(),
+            suspects_revision: watch::channel(0).0,
+            suspects_changed: Notify::new(),
+            suspects_urgent: Notify::new(),
+            encoded_suspects: Mutex::default(),
+        }
+    }
+
+    /// Locks the suspects; the guard must not be held across an await.
+    pub fn suspects(&self) -> MutexGuard<'_, suspect::Table> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies a change of the suspects, and publishes it as soon as it is of use to other hosts.
+    pub fn change_suspects(&self, change: Change) -> SuspectReply {
+        let now = self.clock.now();
+        let (reply, urgency) = self.suspects().apply(change, now, self.clock.wall_ms());
+        self.publish_suspects(urgency);
+        reply
+    }
+
+    /// Retracts the crashes of targets that are still announced; returns their starts.
+    pub fn update_suspects(&self) -> Vec<BootId> {
+        let starts = || -> BTreeMap<BootId, _> { self.soft_state().registry.starts().collect() };
+        let (now, wall_ms) = (self.clock.now(), self.clock.wall_ms());
+        let (survivors, urgency) = self.suspects().update(now, wall_ms, starts);
+        self.publish_suspects(urgency);
+        survivors
+    }
+
+    fn publish_suspects(&self, urgency: Urgency) {
+        match urgency {
+            Urgency::None => return,
+            Urgency::Later => {}
+            Urgency::Now => self.suspects_urgent.notify_one(),
+        }
+        self.suspects_changed.notify_one();
+    }
+
+    /// Publishes changes of the suspects; never returns.
+    pub async fn publish_changed_suspects(&self) {
+        loop {
+            self.suspects_changed.notified().await;
+            let _ = time::timeout(LATER, self.suspects_urgent.notified()).await;
+            time::sleep(GATHER_TIME).await;
+            self.suspects_revision.send_modify(|revision| *revision += 1);
+            time::sleep(SUSPECTS_INTERVAL).await;
+        }
+    }
+
+    /// Returns a receiver of the revision of the suspects.
+    pub fn suspects_revision(&self) -> watch::Receiver<u64> {
+        self.suspects_revision.subscribe()
+    }
+
+    /// Returns the encoded answer with the suspects, encoded once for all hosts that follow them.
+    pub fn encoded_suspects(&self, version: ViewVersion) -> Bytes {
+        let mut encoded = self.encoded_suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        match &*encoded {
+            Some((held, bytes)) if *held == version => bytes.clone(),
+            _ => {
+                let suspects = Box::new(self.suspects().suspects().clone());
+                let bytes = codec::encode(&Reply::Suspects { version, suspects });
+                *encoded = Some((version, bytes.clone()));
+                bytes
+            }
         }
     }
 
