Hold back items under which engines crash

Trainers saw none of a job's results: an item whose body crashes each engine that runs it was run again at once, with no bound, and took the other items of the job down each time.

An item under which engines crashed twice runs alone among such items, after pauses of 1 to 4 s, five times in all; then it waits for the end of its job or its time. A crash is retracted when the engine announces itself again; an end of any other kind clears the item. The count is kept by content, so that an item that comes again in another job is not run anew, and the next leader takes over two.

Without the guard the new test of real processes (two jobs of eight items, one crashing) doesn't get the other seven results in 60 s; with it, both jobs are complete and at most six engines end. Two tests of the schedule cover pauses, retraction and the runs alone; both ends of the stand-in can crash now.

--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -5,18 +5,20 @@
 //! can still get the results in time, then the jobs that are due first, then groups that an earlier
 //! job left unfinished, then the longest outputs, since they end last.
 
+mod crash;
 mod engine;
 mod placement;
 mod run;
 mod task;
 
 pub use self::{
+    crash::Crashes,
     engine::Engine,
     run::{End, Loss, Next},
     task::Task,
 };
 
-use self::placement::Placement;
+use self::{crash::Permit, placement::Placement};
 use crate::{
     Job, Outcome, Record,
     job::{self, Progress},
@@ -76,6 +78,8 @@
     known_jobs: BTreeSet<JobId>,
     started_groups: BTreeSet<GroupId>,
     last_run: RunId,
+    /// The items under which engines crashed.
+    pub crashes: Crashes,
 }
 
 impl Schedule {
@@ -128,15 +132,23 @@
     pub fn assign(&mut self, wall_ms: u64, engines: &[Engine], limit: usize) -> Vec<Assignment> {
         let mut placement = Placement::new(engines, self.tasks.values());
         let waiting = self.tasks.iter().filter(|(_, task)| task.is_waiting(wall_ms));
-        let mut waiting: Vec<_> =
-            waiting.map(|(key, task)| (sort_key(task, wall_ms), key.clone())).collect();
+        let waiting = waiting.filter_map(|(key, task)| {
+            let runs_alone = match self.crashes.permit(task, wall_ms) {
+                Permit::Any => false,
+                Permit::Alone => true,
+                Permit::Wait => return None,
+            };
+            Some((sort_key(task, wall_ms), key.clone(), runs_alone))
+        });
+        let mut waiting: Vec<_> = waiting.collect();
         waiting.sort();
         let mut assignments = Vec::new();
-        for (_, key) in waiting {
+        for (_, key, runs_alone) in waiting {
             if assignments.len() >= limit || !placement.has_free_slot() {
                 break;
             }
             let Some(task) = self.tasks.get_mut(&key) else { continue };
+            task.runs_alone = runs_alone;
             let Some(engine) = placement.best_engine(task, wall_ms).map(|engine| engine.id.clone())
             else {
                 continue;
--- a/crates/catkinlatch-ledger/src/schedule/placement.rs
+++ b/crates/catkinlatch-ledger/src/schedule/placement.rs
@@ -17,12 +17,15 @@
     load: BTreeMap<TargetId, u32>,
     /// The engines that run items of a group, and have therefore processed its prompt.
     groups: BTreeMap<GroupId, BTreeSet<TargetId>>,
+    /// The engines that run an item under which engines crashed.
+    crash_trials: BTreeSet<TargetId>,
 }
 
 impl<'a> Placement<'a> {
     /// Creates the placement of the items that are already running.
     pub fn new<'b>(engines: &'a [Engine], tasks: impl Iterator<Item = &'b Task>) -> Self {
-        let mut placement = Self { engines, load: BTreeMap::new(), groups: BTreeMap::new() };
+        let (load, groups, crash_trials) = Default::default();
+        let mut placement = Self { engines, load, groups, crash_trials };
         for task in tasks {
             if let Some(engine) = &task.engine {
                 placement.add(task, engine);
@@ -34,6 +37,9 @@
     /// Records that an item runs on an engine.
     pub fn add(&mut self, task: &Task, engine: &TargetId) {
         *self.load.entry(engine.clone()).or_default() += 1;
+        if task.runs_alone {
+            self.crash_trials.insert(engine.clone());
+        }
         if let Some(group) = task.group() {
             self.groups.entry(group.clone()).or_default().insert(engine.clone());
         }
@@ -56,6 +62,7 @@
             engine.service == task.job.service
                 && self.running(engine) < engine.slots
                 && !task.avoids(&engine.id, wall_ms)
+                && !(task.runs_alone && self.crash_trials.contains(&engine.id))
                 && task.accepts(engine.version(model))
         };
         let group = task.group().and_then(|group| self.groups.get(group));
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -43,6 +43,9 @@
     /// The id of the last event whose progress was proposed for the replicated state, where the
     /// next leader finds it.
     pub recorded_event: u64,
+    /// Whether the item runs on no engine with another item of which this is true, since engines
+    /// crashed under it.
+    pub runs_alone: bool,
     /// Whether the output is complete, so that only the score is missing.
     pub is_generated: bool,
     /// The number of failed runs.
@@ -69,6 +72,7 @@
             is_long: false,
             progress: Progress::default(),
             recorded_event: 0,
+            runs_alone: false,
             is_generated: false,
             failures: 0,
             left_engines: BTreeSet::new(),
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -8,7 +8,7 @@
 use catkinlatch_ledger::{
     Job, Record, Schedule,
     job::{Advance, Progress},
-    schedule::{Assignment, End, Engine, Loss, Next},
+    schedule::{Assignment, Crashes, End, Engine, Loss, Next},
 };
 use common::{job, job_id};
 use std::{collections::BTreeMap, sync::Arc};
@@ -280,3 +280,65 @@
     assert!(assign_all(&mut schedule, &[engine("a", 4, 1)]).is_empty());
     assert!(schedule.sync_jobs(&BTreeMap::new()).is_empty());
 }
+
+/// Runs the first item of a job until `runs` connections broke under it, and returns when each run
+/// began, in milliseconds.
+fn break_runs(schedule: &mut Schedule, engines: &[Engine], runs: usize) -> Vec<u64> {
+    let mut began = Vec::new();
+    for wall_ms in (1_000..40_000).step_by(50) {
+        let Some(run) = schedule.next(wall_ms, engines) else { continue };
+        began.push(wall_ms);
+        let progress = Progress::default();
+        schedule.end(&run.job, run.item, run.run, End::Broken, progress, wall_ms);
+        let fingerprint = Crashes::fingerprint(schedule.task(&run.job, run.item).unwrap());
+        let start = format!("{}@{wall_ms}", run.engine).parse().unwrap();
+        schedule.crashes.record(fingerprint, start, wall_ms);
+        if began.len() == runs {
+            break;
+        }
+    }
+    began
+}
+
+#[test]
+fn an_item_under_which_engines_crash_is_run_five_times_with_pauses_under_5_s() {
+    let mut schedule = schedule(&[job("job", 1)]);
+    let began = break_runs(&mut schedule, &[engine("a", 8, 1), engine("b", 8, 1)], usize::MAX);
+    assert_eq!(began.len(), 5);
+    assert!(began.windows(2).all(|pair| pair[1] - pair[0] < 5_000), "{began:?}");
+    schedule.add(&Record::new(job("next", 1)));
+    assert!(schedule.next(60_000, &[engine("a", 8, 1)]).is_none(), "it came again in another job");
+}
+
+#[test]
+fn an_item_whose_engines_are_still_running_is_not_held_back() {
+    let mut schedule = schedule(&[job("job", 1)]);
+    let engines = [engine("a", 8, 1)];
+    let began = break_runs(&mut schedule, &engines, 2);
+    assert!(schedule.next(began[1] + 50, &engines).is_none());
+    for began_ms in began {
+        schedule.crashes.retract(&format!("a@{began_ms}").parse().unwrap());
+    }
+    assert!(schedule.next(40_000, &engines).is_some());
+}
+
+#[test]
+fn items_under_which_engines_crashed_never_share_an_engine() {
+    let mut bodies = (*job("job", 3)).clone();
+    for (number, item) in bodies.items.iter_mut().enumerate() {
+        item.body = vec![number as u8].into();
+    }
+    let mut schedule = schedule(&[Arc::new(bodies)]);
+    for item in 0..2 {
+        let fingerprint = Crashes::fingerprint(schedule.task(&job_id("job"), item).unwrap());
+        for start in ["a@1", "b@1"] {
+            schedule.crashes.record(fingerprint, start.parse().unwrap(), 0);
+        }
+    }
+    let assigned: Vec<usize> = {
+        let engines = [engine("a", 8, 1)];
+        std::iter::from_fn(|| schedule.next(5_000, &engines)).map(|run| run.item).collect()
+    };
+    assert_eq!(assigned.len(), 2, "one of the two suspects, and the other item: {assigned:?}");
+    assert!(assigned.contains(&2));
+}
--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod engine;
 mod host;
+mod lifecycle;
 mod platform;
 mod service;
 mod soak;
@@ -13,8 +14,9 @@
     configuration::{HOST, configuration, request},
     engine::Engine,
     host::Host,
+    lifecycle::{CRASHING_BODY, Lifecycle},
     platform::Platform,
-    service::{CRASHING_BODY, Service},
+    service::Service,
     soak::{Report, Soak},
     target::Target,
 };
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -1,8 +1,8 @@
 //! A stand-in model engine of a site.
 
-use super::Target;
+use super::{CRASHING_BODY, Lifecycle, Target};
 use bytes::Bytes;
-use catkinlatch_runtime::http::{Body, Server, collect, full, serve};
+use catkinlatch_runtime::http::{Body, collect, full, serve};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Channel};
 use hyper::body::Incoming;
@@ -14,7 +14,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::{net::TcpListener, sync::watch, time};
+use tokio::{net::TcpListener, time};
 
 /// The name of the only model.
 pub const MODEL: &str = "model";
@@ -76,12 +76,14 @@
 }
 
 /// A running stand-in engine.
+///
+/// A request whose body begins with [`CRASHING_BODY`] crashes it.
 #[derive(Clone, Debug)]
 pub struct Engine {
     /// What the engine announces about itself.
     pub target: Target,
     state: Arc<Mutex<State>>,
-    _stop: watch::Sender<bool>,
+    lifecycle: Lifecycle,
 }
 
 impl Engine {
@@ -94,17 +96,26 @@
     pub async fn start(id: &str, service: &'static str, controls: Vec<String>) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let target = Target::new(id, service, listener.local_addr()?, 4);
-        let (stop_sender, stop) = watch::channel(false);
         let state = Arc::new(Mutex::new(State::default()));
-        let engine = Self { target: target.clone(), state, _stop: stop_sender };
-        let (serving, announced) = (engine.clone(), engine.clone());
-        let server = Server { idle_timeout: Duration::from_secs(10), stop };
-        let handler = move |request| serving.clone().handle(request);
-        tokio::spawn(serve(server, listener, handler));
-        tokio::spawn(target.announce(controls, move || announced.state().models()));
+        let engine = Self { target, state, lifecycle: Lifecycle::new(controls) };
+        engine.run(listener);
         Ok(engine)
     }
 
+    /// Serves and announces a start of the engine.
+    fn run(&self, listener: TcpListener) {
+        let (serving, announced, lifecycle) = (self.clone(), self.clone(), &self.lifecycle);
+        let handler = move |request| serving.clone().handle(request);
+        let models = move || announced.state().models();
+        let announcing = self.target.clone().announce(lifecycle.controls.clone(), models);
+        lifecycle.run(serve(lifecycle.server(), listener, handler), announcing);
+    }
+
+    /// Returns how many starts of the engine crashed.
+    pub fn crashes(&self) -> usize {
+        self.lifecycle.crashes()
+    }
+
     /// Locks the engine's state.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -123,6 +134,17 @@
         match head.uri.path() {
             "/report" => respond(StatusCode::OK, &self.state().report().to_string()),
             "/order" => self.order(&body),
+            _ if body.starts_with(CRASHING_BODY.as_bytes()) => {
+                let mut next = self.clone();
+                self.lifecycle.crash(self.target.clone(), move |target, listener| {
+                    next.target = target;
+                    let mut state = next.state();
+                    (state.accepted, state.fence, state.is_busy) = (0, 0, false);
+                    drop(state);
+                    next.run(listener);
+                });
+                std::future::pending().await
+            }
             _ => {
                 let last = text("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
                 self.generate(id, last)
--- /dev/null
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -0,0 +1,104 @@
+//! Starts and crashes of stand-in targets.
+
+use super::Target;
+use catkinlatch_runtime::http::Server;
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use tokio::{net::TcpListener, sync::watch, task::AbortHandle, time};
+
+/// The first bytes of the body of a request that crashes each target which runs it.
+pub const CRASHING_BODY: &str = "crash";
+
+/// How long a target that crashed is down.
+const DOWNTIME: Duration = Duration::from_millis(800);
+
+/// How long connections to a target may be idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The starts of one target: a crash breaks all its connections, and its next start, with another
+/// id, listens at the same address [`DOWNTIME`] later.
+#[derive(Clone, Debug)]
+pub struct Lifecycle {
+    /// The addresses of the control hosts.
+    pub controls: Vec<String>,
+    state: Arc<Mutex<State>>,
+    stop: watch::Receiver<bool>,
+    _stop: Arc<watch::Sender<bool>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// The tasks of the current start; empty while the target is down.
+    tasks: Vec<AbortHandle>,
+    crashes: usize,
+}
+
+impl Lifecycle {
+    /// Creates the lifecycle of a target that announces itself to `controls`.
+    pub fn new(controls: Vec<String>) -> Self {
+        let (sender, stop) = watch::channel(false);
+        Self { controls, state: Arc::default(), stop, _stop: Arc::new(sender) }
+    }
+
+    /// Returns the options of the target's server.
+    pub fn server(&self) -> Server {
+        Server { idle_timeout: IDLE_TIMEOUT, stop: self.stop.clone() }
+    }
+
+    /// Runs the tasks of a start until the target crashes.
+    pub fn run<S, A>(&self, serving: S, announcing: A)
+    where
+        S: Future<Output = ()> + Send + 'static,
+        A: Future<Output = ()> + Send + 'static,
+    {
+        let tasks = vec![tokio::spawn(serving), tokio::spawn(announcing)];
+        self.lock().tasks = tasks.iter().map(|task| task.abort_handle()).collect();
+    }
+
+    /// Ends the current start at once; `restart` runs the next one from its target and listener.
+    pub fn crash(
+        &self,
+        mut target: Target,
+        restart: impl FnOnce(Target, TcpListener) + Send + 'static,
+    ) {
+        let mut state = self.lock();
+        let tasks = std::mem::take(&mut state.tasks);
+        if tasks.is_empty() {
+            // Another request has crashed this start already.
+            return;
+        }
+        state.crashes += 1;
+        let first = target.id.split('.').next().unwrap_or_default();
+        target.id = format!("{first}.{}", state.crashes);
+        tokio::spawn(async move {
+            // The request's own task ends with its connection.
+            tasks.iter().for_each(AbortHandle::abort);
+            time::sleep(DOWNTIME).await;
+            let listener = bind_again(target.address).await;
+            restart(target, listener);
+        });
+    }
+
+    /// Returns how many starts of the target crashed.
+    pub fn crashes(&self) -> usize {
+        self.lock().crashes
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Listens at the address of an earlier start, once the system has freed it.
+async fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -1,36 +1,25 @@
 //! A stand-in plain service of a site.
 
-use super::Target;
-use catkinlatch_runtime::http::{Body, Server, collect, full, serve, streamed};
+use super::{CRASHING_BODY, Lifecycle, Target};
+use catkinlatch_runtime::http::{Body, collect, full, serve, streamed};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
 use std::{
     collections::BTreeMap,
     io,
-    net::{Ipv4Addr, SocketAddr},
+    net::Ipv4Addr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
-use tokio::{
-    net::TcpListener,
-    sync::watch,
-    task::AbortHandle,
-    time::{self, Instant},
-};
+use tokio::{net::TcpListener, time};
 
 /// How long the service takes to run a request.
 const RUN_TIME: Duration = Duration::from_millis(5);
 
-/// The first bytes of the body of a request that crashes each target which runs it.
-pub const CRASHING_BODY: &str = "crash";
-
-/// How long a target that crashed is down.
-const CRASH_DOWNTIME: Duration = Duration::from_millis(800);
-
 /// The key under which a request's path is recorded among its headers.
 const PATH_KEY: &str = ":path";
 
@@ -39,25 +28,18 @@
 
 /// A running stand-in service.
 ///
-/// A request whose body begins with [`CRASHING_BODY`] ends it: all connections break, and a new
-/// start of the target with another id listens at the same address [`CRASH_DOWNTIME`] later.
+/// A request whose body begins with [`CRASHING_BODY`] crashes it.
 #[derive(Clone, Debug)]
 pub struct Service {
     /// What the service announces about itself.
     pub target: Target,
-    /// The times at which starts of the target crashed.
-    pub crashes: Arc<Mutex<Vec<Instant>>>,
     /// How long the service takes to run a request.
     pub run_time: Arc<Mutex<Duration>>,
     /// The headers of each run of a request, by the request's id.
     pub headers_of_runs: Arc<Mutex<BTreeMap<String, Vec<Headers>>>>,
     /// Number of coming requests that are run, but whose response is then lost.
     pub answers_to_lose: Arc<AtomicU32>,
-    controls: Arc<Vec<String>>,
-    /// The tasks of the current start, which a crash aborts.
-    tasks: Arc<Mutex<Vec<AbortHandle>>>,
-    stop: watch::Receiver<bool>,
-    _stop: Arc<watch::Sender<bool>>,
+    lifecycle: Lifecycle,
 }
 
 impl Service {
@@ -69,17 +51,12 @@
     pub async fn start(id: &str, name: &'static str, controls: Vec<String>) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let target = Target::new(id, name, listener.local_addr()?, 6);
-        let (stop_sender, stop) = watch::channel(false);
         let service = Self {
             target,
-            crashes: Arc::default(),
             run_time: Arc::new(Mutex::new(RUN_TIME)),
             headers_of_runs: Arc::default(),
             answers_to_lose: Arc::default(),
-            controls: Arc::new(controls),
-            tasks: Arc::default(),
-            stop,
-            _stop: Arc::new(stop_sender),
+            lifecycle: Lifecycle::new(controls),
         };
         service.run(listener);
         Ok(service)
@@ -87,38 +64,15 @@
 
     /// Serves and announces a start of the target.
     fn run(&self, listener: TcpListener) {
-        let serving = self.clone();
-        let server = Server { idle_timeout: Duration::from_secs(10), stop: self.stop.clone() };
-        let handler = move |request| serving.clone().handle(request);
-        let serving = tokio::spawn(serve(server, listener, handler)).abort_handle();
-        let announcing = self.target.clone().announce(self.controls.to_vec(), || json!([]));
-        let announcing = tokio::spawn(announcing).abort_handle();
-        *lock(&self.tasks) = vec![serving, announcing];
-    }
-
-    /// Ends the current start at once, and starts the target anew after [`CRASH_DOWNTIME`].
-    fn crash(&self) {
-        let tasks = std::mem::take(&mut *lock(&self.tasks));
-        if tasks.is_empty() {
-            // Another request has crashed this start already.
-            return;
-        }
-        lock(&self.crashes).push(Instant::now());
-        let number = lock(&self.crashes).len();
-        let mut next = self.clone();
-        let first = self.target.id.split('.').next().unwrap_or_default();
-        next.target.id = format!("{first}.{number}");
-        tokio::spawn(async move {
-            // The request's own task ends with its connection.
-            tasks.iter().for_each(AbortHandle::abort);
-            time::sleep(CRASH_DOWNTIME).await;
-            next.run(bind_again(next.target.address).await);
-        });
+        let (service, lifecycle) = (self.clone(), &self.lifecycle);
+        let handler = move |request| service.clone().handle(request);
+        let announcing = self.target.clone().announce(lifecycle.controls.clone(), || json!([]));
+        lifecycle.run(serve(lifecycle.server(), listener, handler), announcing);
     }
 
     /// Returns how many starts of the target crashed.
-    pub fn crashed(&self) -> usize {
-        lock(&self.crashes).len()
+    pub fn crashes(&self) -> usize {
+        self.lifecycle.crashes()
     }
 
     /// Returns the ids of all requests that the service ran.
@@ -160,7 +114,11 @@
             return respond(StatusCode::BAD_REQUEST, &id, "");
         };
         if body.starts_with(CRASHING_BODY.as_bytes()) {
-            self.crash();
+            let mut next = self.clone();
+            self.lifecycle.crash(self.target.clone(), move |target, listener| {
+                next.target = target;
+                next.run(listener);
+            });
             std::future::pending::<()>().await;
         }
         let run_time = *lock(&self.run_time);
@@ -184,16 +142,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Listens at the address of an earlier start, once the system has freed it.
-async fn bind_again(address: SocketAddr) -> TcpListener {
-    loop {
-        match TcpListener::bind(address).await {
-            Ok(listener) => return listener,
-            Err(_) => time::sleep(Duration::from_millis(20)).await,
-        }
-    }
-}
-
 /// Returns a response whose connection breaks before any of the body is sent.
 fn broken(id: &str) -> Response<Body> {
     let body = streamed((), |()| async {
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -39,6 +39,8 @@
     pub first_event: Duration,
     /// The longest time between two reads that completed events.
     pub longest_gap: Duration,
+    /// Whether the connection broke, as it does when the engine crashes.
+    pub is_disconnect: bool,
 }
 
 impl Summary {
@@ -51,6 +53,7 @@
             reason: String::new(),
             first_event: Duration::ZERO,
             longest_gap: Duration::ZERO,
+            is_disconnect: false,
         }
     }
 }
@@ -74,6 +77,7 @@
         Ok(Err(failure)) => {
             let may_have_run = matches!(failure, Failure::Unknown(_));
             summary.end = if may_have_run { End::Broken } else { End::Unreachable };
+            summary.is_disconnect = may_have_run;
             summary.reason = failure.to_string();
             return summary;
         }
@@ -182,6 +186,7 @@
                 }
                 Ok(Err(error)) => {
                     summary.reason = error.to_string();
+                    summary.is_disconnect = true;
                     return;
                 }
                 Err(_) => {
--- a/crates/catkinlatch-store/src/runner/end.rs
+++ b/crates/catkinlatch-store/src/runner/end.rs
@@ -10,8 +10,9 @@
     Command, Job, Outcome, Target,
     balancer::Verdict,
     job,
-    schedule::{End, Loss, Next},
+    schedule::{Crashes, End, Loss, Next},
 };
+use catkinlatch_state::suspect::Change;
 use log::{info, warn};
 use std::{sync::Arc, time::Duration};
 
@@ -66,6 +67,7 @@
         self.shared.balancer().end(&engine.id, verdict, self.host.clock.now());
         self.record_version(&job, engine, &summary);
         self.handles.remove(&(job.clone(), item));
+        self.record_crash(&job, item, engine, &summary);
         let Summary { end, progress, .. } = summary;
         match self.schedule.end(&job, item, run, end, progress, self.host.clock.wall_ms()) {
             Next::Nothing | Next::Again => {}
@@ -74,6 +76,37 @@
         }
     }
 
+    /// Records whether the engine may have crashed under the item, or that it ran the item to an
+    /// end.
+    fn record_crash(&mut self, job: &JobId, item: usize, engine: &Target, summary: &Summary) {
+        if !summary.is_disconnect && self.schedule.crashes.is_empty() {
+            return;
+        }
+        let Some(task) = self.schedule.task(job, item) else { return };
+        let (id, fingerprint) = (task.item().id.clone(), Crashes::fingerprint(task));
+        let boot = engine.boot();
+        if summary.is_disconnect {
+            let at_ms = self.host.clock.wall_ms();
+            let crashes = self.schedule.crashes.record(fingerprint, boot.clone(), at_ms);
+            info!(
+                request:% = id, fingerprint:% = fingerprint, boot:% = boot, crashes = crashes;
+                "jobs: the connection broke under an item"
+            );
+            let fingerprints = vec![fingerprint];
+            self.host.change_suspects(Change::Crashed { fingerprints, boot, at_ms });
+            return;
+        }
+        let has_run = match summary.end {
+            End::Whole | End::Failed | End::Impossible => true,
+            End::Broken | End::Refused | End::Unreachable | End::Outdated(_) | End::OtherTarget => {
+                false
+            }
+        };
+        if has_run && self.schedule.crashes.clear(&fingerprint) {
+            self.host.change_suspects(Change::Clear { fingerprint });
+        }
+    }
+
     /// Records the version that an engine used in a run.
     fn record_version(&self, job: &JobId, engine: &Target, summary: &Summary) {
         let model = self
--- a/crates/catkinlatch-store/src/suspect.rs
+++ b/crates/catkinlatch-store/src/suspect.rs
@@ -2,7 +2,7 @@
 
 use catkinlatch_base::{BootId, Instant};
 use catkinlatch_state::suspect::{Change, Disconnect, Reply, Suspects, Watch};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, mem};
 
 /// How soon the other hosts must learn of a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -21,6 +21,8 @@
 pub struct Table {
     suspects: Suspects,
     watch: Watch<BootId>,
+    /// The starts whose crash was retracted since they were last taken.
+    survivors: Vec<BootId>,
 }
 
 impl Table {
@@ -86,8 +88,14 @@
             let change = Change::Survived { boot: boot.clone() };
             urgency = urgency.max(self.apply(change, now, wall_ms).1);
         }
+        self.survivors.extend(survivors.iter().cloned());
         (survivors, urgency)
     }
+
+    /// Returns the starts whose crash was retracted since the last call.
+    pub fn take_survivors(&mut self) -> Vec<BootId> {
+        mem::take(&mut self.survivors)
+    }
 }
 
 fn with_times(change: Change, wall_ms: u64) -> Change {
--- a/tests/site/suspect.rs
+++ b/tests/site/suspect.rs
@@ -1,14 +1,18 @@
 //! Requests that crash the targets which run them.
 
-use super::{Setup, ok, wait_until};
-use catkinlatch_standin::site::{CRASHING_BODY, Service};
+use super::{Setup, check, job, ok, wait_until};
+use catkinlatch_standin::site::{CRASHING_BODY, Engine, Service};
 use http::{StatusCode, header};
+use serde_json::{Value, json};
 use std::time::Duration;
 use tokio::{task::JoinSet, time};
 
 /// The number of targets that a request may crash before it is refused, as the platform has it.
 const MAX_CRASHES: usize = 3;
 
+/// The number of engines that an item may crash, in any number of jobs: three, and three more tries.
+const MAX_ITEM_CRASHES: usize = 6;
+
 /// Pause between two calls, in which the entry hosts learn what the other has seen.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -31,7 +35,7 @@
 }
 
 fn crashes(services: &[Service]) -> usize {
-    services.iter().map(Service::crashed).sum()
+    services.iter().map(Service::crashes).sum()
 }
 
 /// Sends a crashing request `count` times to the entry hosts in turn; returns the last answer.
@@ -108,3 +112,30 @@
     }
     assert!(crashes(&services) > 0);
 }
+
+/// Returns a job of eight items, the third of which crashes the engines that run it: its body is
+/// [`CRASHING_BODY`] in base64.
+fn job_with_crashing_item(id: &str) -> String {
+    let mut job: Value = serde_json::from_str(&job(id, 1, 8)).unwrap();
+    job["items"][2]["body"] = json!("Y3Jhc2g=");
+    job["items"][2]["path"] = json!("/drafts/crash");
+    job.to_string()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_item_that_crashes_engines_is_held_back_and_the_others_complete() {
+    let setup = Setup::start().await;
+    for id in ["job-1", "job-2"] {
+        let body = job_with_crashing_item(id);
+        wait_until("the job is accepted", || async {
+            let answer = setup.request(0, "POST", &format!("/drafts/{id}"), id, &body).await;
+            answer.is_some_and(|answer| answer.status() == StatusCode::ACCEPTED)
+        })
+        .await;
+        check(&setup.results(1, id, 7).await, &[1]);
+    }
+    // Longer than all pauses between the runs of an item.
+    time::sleep(Duration::from_secs(12)).await;
+    let crashes: usize = setup.engines.iter().map(Engine::crashes).sum();
+    assert!((2..=MAX_ITEM_CRASHES).contains(&crashes), "{crashes} engines crashed");
+}
