Hold back scoring calls under which services crash

The leader treats such a call as entry hosts treat requests: a run alone after the first crash, none after the second, and the sample is given up when the time of its job is over, not before.

--- a/crates/catkinlatch-ledger/src/schedule/run.rs
+++ b/crates/catkinlatch-ledger/src/schedule/run.rs
@@ -52,4 +52,7 @@
     /// The output could not be scored.
     #[display("scoring failed")]
     Score,
+    /// The scoring call crashed targets, and the time limit of the job was exceeded.
+    #[display("the scoring call crashed targets")]
+    Suspect,
 }
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -48,7 +48,7 @@
     /// The text of an item was scored, or its job requires no score.
     Scored { job: JobId, item: usize, score: Option<String> },
     /// Scoring the text of an item failed.
-    NotScored { job: JobId, item: usize },
+    NotScored { job: JobId, item: usize, loss: Loss },
 }
 
 /// A spawned task that runs or scores an item.
--- a/crates/catkinlatch-store/src/runner/end.rs
+++ b/crates/catkinlatch-store/src/runner/end.rs
@@ -30,7 +30,7 @@
                         self.commit_result(job, outcome);
                     }
                 }
-                Completion::NotScored { job, item } => self.give_up(&job, item, Loss::Score),
+                Completion::NotScored { job, item, loss } => self.give_up(&job, item, loss),
             }
             next = self.completions.try_recv().ok();
         }
@@ -126,7 +126,7 @@
         let key = (id, item);
         let handle = self.runs.spawn(async move {
             let scored = match &job.items[item].scorer {
-                Some(scorer) => Some(score::score(&host, &shared, scorer, job.max_attempts).await),
+                Some(scorer) => Some(score::score(&host, &shared, &job, scorer).await),
                 None => None,
             };
             let job = job.id.clone();
@@ -134,7 +134,8 @@
                 Some(Score::Signed(signature)) => {
                     Completion::Scored { job, item, score: Some(signature) }
                 }
-                Some(Score::Failed) => Completion::NotScored { job, item },
+                Some(Score::Failed) => Completion::NotScored { job, item, loss: Loss::Score },
+                Some(Score::Refused) => Completion::NotScored { job, item, loss: Loss::Suspect },
                 None => Completion::Scored { job, item, score: None },
             };
             let _ = sender.send(completion).await;
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -2,9 +2,10 @@
 
 use crate::{host::Host, shared::Shared};
 use catkinlatch_base::TargetId;
-use catkinlatch_ledger::{Configuration, Target, balancer::Verdict, job::Scorer};
+use catkinlatch_ledger::{Configuration, Job, Target, balancer, job::Scorer};
 use catkinlatch_platform::header;
-use catkinlatch_runtime::http::{Body, full};
+use catkinlatch_runtime::http::{Body, BodyError, Failure, full};
+use catkinlatch_state::suspect::{Change, Fingerprint, Reply as Verdict, Trial};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use log::info;
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
@@ -20,6 +21,9 @@
 /// Delay before a call is retried, and the longest wait for a free slot.
 const RETRY_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Interval at which a refused call checks whether it was cleared, or its job is over.
+const REFUSED_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The largest accepted answer of a scoring service.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
@@ -30,6 +34,8 @@
     Signed(String),
     /// The service failed as often as allowed.
     Failed,
+    /// The call crashed too many targets, and the time of the job is over.
+    Refused,
 }
 
 /// The outcome of one scoring call.
@@ -39,16 +45,28 @@
     Failed,
     /// There was no answer, or an invalid one.
     Unanswered,
+    /// The connection broke, as it does when the target crashes.
+    Broken,
     /// The target had no free slot and did not run the call.
     Full,
 }
 
-/// Calls the scoring service until it answers, or has failed as often as both the job and the
-/// route allow.
-pub async fn score(host: &Host, shared: &Shared, scorer: &Scorer, max_failures: u32) -> Score {
+/// Calls the scoring service for an item until it answers, or has failed as often as both the job
+/// and the route allow.
+pub async fn score(host: &Host, shared: &Shared, job: &Job, scorer: &Scorer) -> Score {
+    let max_failures = job.max_attempts;
+    let fingerprint =
+        Fingerprint::of_request(["", &scorer.host, "POST", &scorer.path], &scorer.body);
     let mut failures = 0;
     let mut tried = BTreeSet::new();
     loop {
+        if host.suspects().suspects().is_refused(&fingerprint) {
+            if job.give_up_ms.is_some_and(|give_up| host.clock.wall_ms() > give_up) {
+                return Score::Refused;
+            }
+            time::sleep(REFUSED_INTERVAL).await;
+            continue;
+        }
         let configuration = host
             .replica
             .read(|state| state.document.as_ref().map(|document| document.configuration.clone()));
@@ -60,8 +78,27 @@
             continue;
         };
         let id = scorer.id.as_str();
-        match call(host, shared, scorer, &target).await {
+        let is_suspect = host.suspects().suspects().get(&fingerprint).is_some();
+        if is_suspect && !start_trial(host, fingerprint, &target) {
+            time::sleep(RETRY_INTERVAL).await;
+            continue;
+        }
+        let attempt = call(host, shared, scorer, &target).await;
+        if is_suspect {
+            host.change_suspects(end_of_trial(host, fingerprint, &attempt));
+        }
+        match attempt {
             Attempt::Signed(signature) => return Score::Signed(signature),
+            Attempt::Broken => {
+                info!(
+                    request = id, target_id:% = target.id, fingerprint:% = fingerprint;
+                    "score: the connection broke under a call"
+                );
+                let (fingerprints, at_ms) = (vec![fingerprint], host.clock.wall_ms());
+                let boot = target.boot();
+                host.change_suspects(Change::Crashed { fingerprints, boot, at_ms });
+                tried.insert(target.id);
+            }
             Attempt::Failed => {
                 failures += 1;
                 info!(
@@ -85,6 +122,30 @@
     }
 }
 
+/// Asks to run a call that may crash targets alone on a target; returns whether it may run.
+fn start_trial(host: &Host, fingerprint: Fingerprint, target: &Target) -> bool {
+    let now_ms = host.clock.wall_ms();
+    let trial = Trial {
+        target: target.id.clone(),
+        node: host.peers.local().incarnation,
+        until_ms: now_ms + CALL_TIMEOUT.as_millis() as u64,
+    };
+    match host.change_suspects(Change::StartTrial { fingerprint, trial, now_ms }) {
+        Verdict::Granted | Verdict::NotSuspect => true,
+        Verdict::Busy | Verdict::Refused | Verdict::Done => false,
+    }
+}
+
+/// Returns the change of the suspects that follows a call which ran alone.
+fn end_of_trial(host: &Host, fingerprint: Fingerprint, attempt: &Attempt) -> Change {
+    match attempt {
+        Attempt::Signed(_) | Attempt::Failed => Change::Clear { fingerprint },
+        Attempt::Unanswered | Attempt::Broken | Attempt::Full => {
+            Change::EndTrial { fingerprint, node: host.peers.local().incarnation }
+        }
+    }
+}
+
 /// Returns the target to call, and how many failures its route allows. Returns `None` if no target
 /// is available.
 fn target(
@@ -114,13 +175,19 @@
     shared.balancer().begin(&target.id);
     let began = host.clock.now();
     let request = request(scorer, target);
-    let answer = host.client.fetch(&target.address, request, CALL_TIMEOUT, MAX_ANSWER_BYTES).await;
-    let attempt = classify(scorer, answer.as_ref());
+    let answer = time::timeout(CALL_TIMEOUT, exchange(host, target, request)).await;
+    let (answer, attempt) = match answer.unwrap_or(Err(Attempt::Unanswered)) {
+        Ok(answer) => {
+            let attempt = classify(scorer, &answer);
+            (Some(answer), attempt)
+        }
+        Err(attempt) => (None, attempt),
+    };
     let now = host.clock.now();
     let verdict = match attempt {
-        Attempt::Signed(_) | Attempt::Failed => Verdict::Answered(now - began),
-        Attempt::Full => Verdict::Full,
-        Attempt::Unanswered => Verdict::Failed,
+        Attempt::Signed(_) | Attempt::Failed => balancer::Verdict::Answered(now - began),
+        Attempt::Full => balancer::Verdict::Full,
+        Attempt::Unanswered | Attempt::Broken => balancer::Verdict::Failed,
     };
     shared.slot_freed().notify_one();
     let mut balancer = shared.balancer();
@@ -132,6 +199,28 @@
     attempt
 }
 
+/// Sends a call and reads the complete answer.
+///
+/// # Errors
+///
+/// Returns how the call ended if there is no answer.
+async fn exchange(
+    host: &Host,
+    target: &Target,
+    request: Request<Body>,
+) -> Result<Response<bytes::Bytes>, Attempt> {
+    let sent = host.client.send(&target.address, request).await;
+    let exchange = sent.map_err(|failure| match failure {
+        Failure::NotSent(_) => Attempt::Unanswered,
+        Failure::Unknown(_) => Attempt::Broken,
+    })?;
+    let read = exchange.read_body(MAX_ANSWER_BYTES).await;
+    read.map_err(|error| match error {
+        BodyError::TooLong => Attempt::Unanswered,
+        BodyError::Broken(_) => Attempt::Broken,
+    })
+}
+
 fn request(scorer: &Scorer, target: &Target) -> Request<Body> {
     let mut request = Request::new(full(scorer.body.clone()));
     *request.method_mut() = http::Method::POST;
@@ -153,8 +242,7 @@
     request
 }
 
-fn classify(scorer: &Scorer, answer: Option<&Response<bytes::Bytes>>) -> Attempt {
-    let Some(answer) = answer else { return Attempt::Unanswered };
+fn classify(scorer: &Scorer, answer: &Response<bytes::Bytes>) -> Attempt {
     let headers = answer.headers();
     let echo = header::text(headers, &header::REQUEST_ID);
     if echo.is_some_and(|echo| echo != scorer.id.as_str()) {
--- a/tests/site/suspect.rs
+++ b/tests/site/suspect.rs
@@ -13,6 +13,9 @@
 /// The number of engines that an item may crash, in any number of jobs: three, and three more tries.
 const MAX_ITEM_CRASHES: usize = 6;
 
+/// [`CRASHING_BODY`] in base64.
+const ENCODED_CRASHING_BODY: &str = "Y3Jhc2g=";
+
 /// Pause between two calls, in which the entry hosts learn what the other has seen.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -113,25 +116,24 @@
     assert!(crashes(&services) > 0);
 }
 
-/// Returns a job of eight items, the third of which crashes the engines that run it: its body is
-/// [`CRASHING_BODY`] in base64.
-fn job_with_crashing_item(id: &str) -> String {
-    let mut job: Value = serde_json::from_str(&job(id, 1, 8)).unwrap();
-    job["items"][2]["body"] = json!("Y3Jhc2g=");
-    job["items"][2]["path"] = json!("/drafts/crash");
-    job.to_string()
+/// Submits a job until it is accepted.
+async fn submit(setup: &Setup, id: &str, job: &Value) {
+    wait_until("the job is accepted", || async {
+        let path = format!("/drafts/{id}");
+        let answer = setup.request(0, "POST", &path, id, &job.to_string()).await;
+        answer.is_some_and(|answer| answer.status() == StatusCode::ACCEPTED)
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_item_that_crashes_engines_is_held_back_and_the_others_complete() {
     let setup = Setup::start().await;
     for id in ["job-1", "job-2"] {
-        let body = job_with_crashing_item(id);
-        wait_until("the job is accepted", || async {
-            let answer = setup.request(0, "POST", &format!("/drafts/{id}"), id, &body).await;
-            answer.is_some_and(|answer| answer.status() == StatusCode::ACCEPTED)
-        })
-        .await;
+        let mut job: Value = serde_json::from_str(&job(id, 1, 8)).unwrap();
+        job["items"][2]["body"] = json!(ENCODED_CRASHING_BODY);
+        job["items"][2]["path"] = json!("/drafts/crash");
+        submit(&setup, id, &job).await;
         check(&setup.results(1, id, 7).await, &[1]);
     }
     // Longer than all pauses between the runs of an item.
@@ -139,3 +141,16 @@
     let crashes: usize = setup.engines.iter().map(Engine::crashes).sum();
     assert!((2..=MAX_ITEM_CRASHES).contains(&crashes), "{crashes} engines crashed");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_scoring_call_that_crashes_services_is_held_back_and_the_others_complete() {
+    let setup = Setup::start().await;
+    let services = start_services(&setup).await;
+    let mut job: Value = serde_json::from_str(&job("job-1", 1, 8)).unwrap();
+    job["items"][2]["scorer"]["body"] = json!(ENCODED_CRASHING_BODY);
+    submit(&setup, "job-1", &job).await;
+    check(&setup.results(1, "job-1", 7).await, &[1]);
+    time::sleep(Duration::from_secs(5)).await;
+    let crashes = crashes(&services);
+    assert!((1..=MAX_CRASHES).contains(&crashes), "{crashes} services crashed");
+}
