Refuse a request for crashes under runs alone only, and let the soak draw crashing requests

Found by reading for the soak: a request that many callers send with the same content ran beside a crashing one on two targets, counted two crashes, and was refused for an hour on all hosts. A lost answer of a target that lives on counted for two heartbeats as well.

Only a crash under a run alone counts beyond the first now, and a target that answers a request which was sent after the break is held to be alive at once. What hosts tell each other is a type of its own; the leader's clock alone counts.

The soak sends a request that crashes its targets twelve times, to services and engines, beside its other faults: at most six targets may end under it (three, and three more tries).

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -1,6 +1,6 @@
 //! A single attempt to run a request on a target.
 
-use crate::{front::InboundRequest, host::Host};
+use crate::{front::InboundRequest, host::Host, suspect};
 use bytes::Bytes;
 use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::{Target, balancer::Verdict};
@@ -119,6 +119,7 @@
             return Err(Outcome::MayHaveRun("no answer in time".to_owned()));
         }
     };
+    suspect::record_response(host, target, started);
     if let Some((running, waiting)) = header::target_load(exchange.response.headers()) {
         host.balancer().report(&target.id, running, waiting, host.clock.now());
     }
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -191,7 +191,9 @@
     outcome: &Outcome,
 ) {
     match outcome {
-        Outcome::Broken(_) => suspect::record_break(host, inbound, target).await,
+        Outcome::Broken(_) => {
+            suspect::record_break(host, inbound, target, permit == Permit::Trial).await;
+        }
         Outcome::Answer(_) if permit == Permit::Trial => {
             suspect::record_answer(host, inbound).await;
         }
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -148,7 +148,7 @@
                 }
                 Read::Failed { reason, is_break } => {
                     if is_break {
-                        suspect::record_break(&self.host, &self.inbound, &self.target).await;
+                        self.record_break().await;
                     } else if self.attempts.is_trial {
                         suspect::end_trial(&self.host, &self.inbound).await;
                     }
@@ -260,7 +260,7 @@
                 Err(Outcome::MayHaveRun(reason)) => self.log(&reason),
                 Err(Outcome::Broken(reason)) => {
                     self.log(&reason);
-                    suspect::record_break(&self.host, &self.inbound, &target).await;
+                    self.record_break().await;
                 }
                 Err(Outcome::Answer(_)) => {}
             }
@@ -268,6 +268,11 @@
         false
     }
 
+    async fn record_break(&self) {
+        let ran_alone = self.attempts.is_trial;
+        suspect::record_break(&self.host, &self.inbound, &self.target, ran_alone).await;
+    }
+
     /// Logs how the stream ended at the current target.
     fn log(&self, outcome: &str) {
         info!(
--- a/crates/catkinlatch-entry/src/suspect.rs
+++ b/crates/catkinlatch-entry/src/suspect.rs
@@ -8,9 +8,10 @@
 pub use self::table::{State, Table};
 
 use crate::{attempt, front::InboundRequest, host::Host};
-use catkinlatch_ledger::Target;
+use catkinlatch_base::Instant;
+use catkinlatch_ledger::{Target, suspect::Change};
 use catkinlatch_runtime::{Answer, Message, Reply, message::ViewVersion};
-use catkinlatch_state::suspect::{Change, Reply as Verdict, Trial};
+use catkinlatch_state::suspect::Reply as Verdict;
 use derive_more::Display;
 use log::info;
 use std::{sync::Arc, time::Duration};
@@ -64,13 +65,13 @@
         State::Refused => return Permit::Refused,
         State::Suspect => {}
     }
-    let now_ms = host.clock.wall_ms();
-    let trial = Trial {
+    let start = Change::StartTrial {
+        fingerprint,
         target: target.id.clone(),
-        node: host.peers.local().incarnation,
-        until_ms: now_ms + u64::try_from(left.as_millis()).unwrap_or(u64::MAX / 2),
+        process: host.peers.local().incarnation,
+        for_ms: left.as_millis() as u64,
     };
-    match change(host, Change::StartTrial { fingerprint, trial, now_ms }).await {
+    match change(host, start).await {
         Verdict::Granted => Permit::Trial,
         Verdict::NotSuspect => Permit::Plain,
         Verdict::Busy | Verdict::Done => Permit::Busy,
@@ -78,11 +79,21 @@
     }
 }
 
-/// Records that the connection to a target broke under a request.
-pub async fn record_break(host: &Host, inbound: &InboundRequest, target: &Target) {
+/// Records that the connection to a target broke under a request; `ran_alone` if it was a trial.
+pub async fn record_break(host: &Host, inbound: &InboundRequest, target: &Target, ran_alone: bool) {
     attempt::log_break(inbound, target);
-    let (fingerprints, at_ms) = (vec![inbound.fingerprint()], host.clock.wall_ms());
-    change(host, Change::Crashed { fingerprints, boot: target.boot(), at_ms }).await;
+    host.suspects().record_break(target, host.clock.now());
+    let (fingerprint, boot) = (inbound.fingerprint(), target.boot());
+    change(host, Change::Crashed { fingerprint, boot, ran_alone }).await;
+}
+
+/// Records that a target answered a request that was sent at `sent_at`; if a connection to it had
+/// broken before, it has not crashed.
+pub fn record_response(host: &Arc<Host>, target: &Target, sent_at: Instant) {
+    let now = host.clock.now();
+    let Some(boot) = host.suspects().take_survivor(&target.id, sent_at, now) else { return };
+    let host = host.clone();
+    tokio::spawn(async move { change(&host, Change::Survived { boot }).await });
 }
 
 /// Records that a target answered a suspect, so that it is none any more.
@@ -92,8 +103,8 @@
 
 /// Records that the run of a suspect ended in a way that tells nothing about it.
 pub async fn end_trial(host: &Host, inbound: &InboundRequest) {
-    let (fingerprint, node) = (inbound.fingerprint(), host.peers.local().incarnation);
-    change(host, Change::EndTrial { fingerprint, node }).await;
+    let (fingerprint, process) = (inbound.fingerprint(), host.peers.local().incarnation);
+    change(host, Change::EndTrial { fingerprint, process }).await;
 }
 
 /// Applies a change to this host's copy, and has the leader apply it.
@@ -118,7 +129,7 @@
         let message = Message::FollowSuspects { known, wait_ms: POLL_WAIT.as_millis() as u64 };
         match host.leader_client.call(&message, POLL_WAIT, POLL_TIMEOUT).await {
             Answer::Reply(Reply::Suspects { version, suspects }) => {
-                host.suspects().adopt(version, *suspects);
+                host.suspects().adopt(version, *suspects, host.clock.wall_ms());
                 known = version;
             }
             Answer::Reply(Reply::Nothing) => {}
--- a/crates/catkinlatch-entry/src/suspect/table.rs
+++ b/crates/catkinlatch-entry/src/suspect/table.rs
@@ -1,9 +1,13 @@
 //! A host's copy of the requests that may crash targets.
 
-use catkinlatch_base::TargetId;
+use catkinlatch_base::{BootId, Instant, TargetId};
+use catkinlatch_ledger::{Target, suspect::Change};
 use catkinlatch_runtime::message::ViewVersion;
-use catkinlatch_state::suspect::{Change, Fingerprint, Reply, Suspects};
-use std::collections::{BTreeSet, VecDeque};
+use catkinlatch_state::suspect::{self, Fingerprint, Reply, Suspects};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 /// Largest number of crashes that wait to be reported; the oldest is dropped for a new one.
 const MAX_UNREPORTED: usize = 256;
@@ -11,6 +15,10 @@
 /// Largest number of refused requests that one host reports again to a leader that lacks them.
 const MAX_REPORTED_AGAIN: usize = 32;
 
+/// Within this time after a crash, no target is up again, so that an answer comes from the start
+/// whose connection broke.
+const RESTART_TIME: Duration = Duration::from_millis(500);
+
 /// What is known about a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -28,6 +36,16 @@
     suspects: Suspects,
     version: ViewVersion,
     unreported: VecDeque<Change>,
+    /// The targets whose connections broke within [`RESTART_TIME`].
+    breaks: Vec<Break>,
+}
+
+/// A connection that broke under a request.
+#[derive(Clone, Debug)]
+struct Break {
+    target: TargetId,
+    boot: BootId,
+    at: Instant,
 }
 
 impl Table {
@@ -53,12 +71,35 @@
     /// Applies a change, and keeps a crash until a leader has confirmed it.
     pub fn apply(&mut self, change: &Change, wall_ms: u64) -> Reply {
         if self.suspects.has_due(wall_ms) {
-            self.suspects.apply(&Change::Expire { now_ms: wall_ms });
+            self.suspects.apply(&suspect::Change::Expire { now_ms: wall_ms });
         }
         if matches!(change, Change::Crashed { .. }) {
             self.keep(change.clone());
         }
-        self.suspects.apply(change)
+        change.apply(&mut self.suspects, wall_ms)
+    }
+
+    /// Records that the connection to a target broke.
+    pub fn record_break(&mut self, target: &Target, now: Instant) {
+        self.breaks.retain(|other| other.target != target.id && now < other.at + RESTART_TIME);
+        self.breaks.push(Break { target: target.id.clone(), boot: target.boot(), at: now });
+    }
+
+    /// Returns the start of a target that is shown to be running by its answer to a request that
+    /// was sent at `sent_at`, if a connection to it had broken before.
+    pub fn take_survivor(
+        &mut self,
+        target: &TargetId,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<BootId> {
+        if self.breaks.is_empty() {
+            return None;
+        }
+        self.breaks.retain(|other| now < other.at + RESTART_TIME);
+        let shows = |other: &Break| other.target == *target && sent_at > other.at;
+        let position = self.breaks.iter().position(shows)?;
+        Some(self.breaks.swap_remove(position).boot)
     }
 
     /// Returns the oldest crash that no leader has confirmed.
@@ -75,16 +116,16 @@
     ///
     /// A new leader may have lost what all hosts know, for example if all stores were killed, so
     /// the refused requests that it lacks are reported to it again.
-    pub fn adopt(&mut self, version: ViewVersion, suspects: Suspects) {
+    pub fn adopt(&mut self, version: ViewVersion, suspects: Suspects, wall_ms: u64) {
         if version.term != self.version.term {
             let missing = self.suspects.refused().filter(|(id, _)| suspects.get(id).is_none());
             let missing: Vec<Change> = missing
                 .take(MAX_REPORTED_AGAIN)
                 .flat_map(|(id, suspect)| {
                     suspect.crashes.iter().map(|boot| Change::Crashed {
-                        fingerprints: vec![*id],
+                        fingerprint: *id,
                         boot: boot.clone(),
-                        at_ms: suspect.last_ms,
+                        ran_alone: true,
                     })
                 })
                 .collect();
@@ -93,11 +134,14 @@
         self.version = version;
         self.suspects = suspects;
         for change in &self.unreported {
-            self.suspects.apply(change);
+            change.apply(&mut self.suspects, wall_ms);
         }
     }
 
     fn keep(&mut self, change: Change) {
+        if self.unreported.iter().any(|other| other.is_same_crash(&change)) {
+            return;
+        }
         if self.unreported.len() == MAX_UNREPORTED {
             self.unreported.pop_front();
         }
--- a/crates/catkinlatch-ledger/src/lib.rs
+++ b/crates/catkinlatch-ledger/src/lib.rs
@@ -14,6 +14,7 @@
 mod reply;
 pub mod schedule;
 mod state;
+pub mod suspect;
 mod usage;
 
 pub use self::{
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, ModelId, TargetId, TeamId, Version, derive_value};
-use catkinlatch_ledger::{Command, Job, Target, config::Document};
+use catkinlatch_ledger::{Command, Job, Target, config::Document, suspect::Change};
 use catkinlatch_log::Frame;
 use catkinlatch_state::suspect::{self, Suspects};
 use std::sync::Arc;
@@ -73,8 +73,8 @@
         /// Asks whether the host whose machine has this name is retired completely.
         Retirement(String),
         /// Reports what a request did to a target, or asks for a run of a request that may crash
-        /// targets; the leader replaces the times by its own.
-        Suspect(suspect::Change),
+        /// targets.
+        Suspect(Change),
         /// Waits for a newer version of the requests that crashed targets.
         FollowSuspects {
             /// Version that the process holds.
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -111,8 +111,8 @@
         lifecycle.run(serve(lifecycle.server(), listener, handler), announcing);
     }
 
-    /// Returns how many starts of the engine crashed.
-    pub fn crashes(&self) -> usize {
+    /// Returns the bodies of the requests under which a start of the engine crashed.
+    pub fn crashes(&self) -> Vec<String> {
         self.lifecycle.crashes()
     }
 
@@ -136,7 +136,7 @@
             "/order" => self.order(&body),
             _ if body.starts_with(CRASHING_BODY.as_bytes()) => {
                 let mut next = self.clone();
-                self.lifecycle.crash(self.target.clone(), move |target, listener| {
+                self.lifecycle.crash(&body, self.target.clone(), move |target, listener| {
                     next.target = target;
                     let mut state = next.state();
                     (state.accepted, state.fence, state.is_busy) = (0, 0, false);
--- a/crates/catkinlatch-standin/src/site/lifecycle.rs
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -34,7 +34,8 @@
 struct State {
     /// The tasks of the current start; empty while the target is down.
     tasks: Vec<AbortHandle>,
-    crashes: usize,
+    /// The bodies of the requests that crashed a start.
+    crashes: Vec<String>,
 }
 
 impl Lifecycle {
@@ -59,9 +60,10 @@
         self.lock().tasks = tasks.iter().map(|task| task.abort_handle()).collect();
     }
 
-    /// Ends the current start at once; `restart` runs the next one from its target and listener.
+    /// Ends the current start at once, under a request with this body; `restart` runs the next one from its target and listener.
     pub fn crash(
         &self,
+        body: &[u8],
         mut target: Target,
         restart: impl FnOnce(Target, TcpListener) + Send + 'static,
     ) {
@@ -71,9 +73,9 @@
             // Another request has crashed this start already.
             return;
         }
-        state.crashes += 1;
+        state.crashes.push(String::from_utf8_lossy(body).into_owned());
         let first = target.id.split('.').next().unwrap_or_default();
-        target.id = format!("{first}.{}", state.crashes);
+        target.id = format!("{first}.{}", state.crashes.len());
         tokio::spawn(async move {
             // The request's own task ends with its connection.
             tasks.iter().for_each(AbortHandle::abort);
@@ -83,9 +85,9 @@
         });
     }
 
-    /// Returns how many starts of the target crashed.
-    pub fn crashes(&self) -> usize {
-        self.lock().crashes
+    /// Returns the bodies of the requests under which a start of the target crashed.
+    pub fn crashes(&self) -> Vec<String> {
+        self.lock().crashes.clone()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -70,8 +70,8 @@
         lifecycle.run(serve(lifecycle.server(), listener, handler), announcing);
     }
 
-    /// Returns how many starts of the target crashed.
-    pub fn crashes(&self) -> usize {
+    /// Returns the bodies of the requests under which a start of the target crashed.
+    pub fn crashes(&self) -> Vec<String> {
         self.lifecycle.crashes()
     }
 
@@ -115,7 +115,7 @@
         };
         if body.starts_with(CRASHING_BODY.as_bytes()) {
             let mut next = self.clone();
-            self.lifecycle.crash(self.target.clone(), move |target, listener| {
+            self.lifecycle.crash(&body, self.target.clone(), move |target, listener| {
                 next.target = target;
                 next.run(listener);
             });
--- a/crates/catkinlatch-standin/src/site/soak/caller.rs
+++ b/crates/catkinlatch-standin/src/site/soak/caller.rs
@@ -1,6 +1,7 @@
 //! Callers that send live requests and read streams.
 
 use super::context::Context;
+use crate::site::CRASHING_BODY;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use std::{sync::Arc, time::Duration};
@@ -46,6 +47,34 @@
     }
 }
 
+/// How often a request that crashes its targets comes, by each time with another id.
+const CRASHING_CALLS: usize = 12;
+
+/// Pause between two such calls.
+const CRASHING_PAUSE: Duration = Duration::from_millis(250);
+
+/// Returns the body of a request that crashes its targets; `number` tells it from others.
+pub fn crashing_body(number: u32) -> String {
+    format!("{CRASHING_BODY}-{number}")
+}
+
+/// Sends a request that crashes its targets several times.
+pub async fn send_crashing(
+    context: Arc<Context>,
+    path: &'static str,
+    body: String,
+    mut random: fastrand::Rng,
+) {
+    for number in 0..CRASHING_CALLS {
+        if context.is_stopping() {
+            return;
+        }
+        let id = format!("{body}-{number}");
+        let _ = context.fetch(&mut random, ("POST", path), &id, &body).await;
+        time::sleep(CRASHING_PAUSE).await;
+    }
+}
+
 /// Reads streams, one at a time, until the test stops.
 pub async fn read_streams(context: Arc<Context>, mut random: fastrand::Rng) {
     for number in 0_u64.. {
--- a/crates/catkinlatch-standin/src/site/soak/report.rs
+++ b/crates/catkinlatch-standin/src/site/soak/report.rs
@@ -1,12 +1,15 @@
 //! The report of a soak test.
 
 use super::context::Context;
-use crate::site::Site;
+use crate::site::{Engine, Service, Site};
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
 };
 
+/// The number of targets that a request may crash: three, and three more tries, by the platform.
+const MAX_CRASHES: u64 = 6;
+
 /// The report of a soak test.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -57,7 +60,14 @@
                 format!("{holders:?} sent orders with the same fencing token {fence}")
             });
         }
+        let crashes = crashes(context);
+        for (body, crashes) in &crashes {
+            record.check(*crashes <= MAX_CRASHES, || {
+                format!("{body} crashed {crashes} targets, more than {MAX_CRASHES}")
+            });
+        }
         let counts = BTreeMap::from([
+            ("crashed targets", crashes.values().sum()),
             ("requests", record.requests),
             ("served", record.served),
             ("refused", record.refused.len() as u64),
@@ -72,6 +82,16 @@
     }
 }
 
+/// Returns how many targets crashed under each request, by its body.
+fn crashes(context: &Context) -> BTreeMap<String, u64> {
+    let mut crashes = BTreeMap::new();
+    let services = context.services.iter().flat_map(Service::crashes);
+    for body in services.chain(context.engines.iter().flat_map(Engine::crashes)) {
+        *crashes.entry(body).or_default() += 1;
+    }
+    crashes
+}
+
 /// Returns how many times each request ran, summed over all services.
 fn total_runs(context: &Context) -> BTreeMap<String, usize> {
     let mut runs = BTreeMap::new();
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -3,12 +3,11 @@
 use crate::{host::Host, view};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
-use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry::Change};
+use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry, suspect::Change};
 use catkinlatch_runtime::{
     Message, ProposeError, Reply,
     message::{Follow, Results, ViewVersion},
 };
-use catkinlatch_state::suspect;
 use catkinlatch_wire::{Frame, Hello, codec};
 use log::{info, warn};
 use std::{sync::Arc, time::Duration};
@@ -70,7 +69,7 @@
         | Message::Log(_)
         | Message::Follow(_)
         | Message::FollowSuspects { .. } => Reply::Nothing,
-        Message::Suspect(change) => change_suspects(host, change),
+        Message::Suspect(change) => change_suspects(host, &change),
         Message::Submit(job) => {
             let (id, items) = (job.id.clone(), job.items.len());
             let reply = propose(host, Command::Submit(job)).await;
@@ -179,28 +178,26 @@
 }
 
 /// Applies a change of the suspects that an entry host reports or asks for.
-fn change_suspects(host: &Host, change: suspect::Change) -> Reply {
-    let reply = host.change_suspects(change.clone());
+fn change_suspects(host: &Host, change: &Change) -> Reply {
+    let reply = host.change_suspects(change);
     match change {
-        suspect::Change::Crashed { fingerprints, boot, .. } => {
-            for fingerprint in fingerprints {
-                let is_refused = host.suspects().suspects().is_refused(&fingerprint);
-                info!(
-                    fingerprint:% = fingerprint, boot:% = boot, refused = is_refused;
-                    "suspects: a connection broke under a request"
-                );
-            }
+        Change::Crashed { fingerprint, boot, ran_alone } => {
+            let is_refused = host.suspects().suspects().is_refused(fingerprint);
+            info!(
+                fingerprint:% = fingerprint, boot:% = boot, alone = ran_alone,
+                refused = is_refused;
+                "suspects: a connection broke under a request"
+            );
         }
-        suspect::Change::StartTrial { fingerprint, trial, .. } => info!(
-            fingerprint:% = fingerprint, target_id:% = trial.target, reply:? = reply;
+        Change::StartTrial { fingerprint, target, .. } => info!(
+            fingerprint:% = fingerprint, target_id:% = target, reply:? = reply;
             "suspects: asked to run a suspect"
         ),
-        suspect::Change::Clear { fingerprint } => {
+        Change::Clear { fingerprint } => {
             info!(fingerprint:% = fingerprint; "suspects: a suspect was answered");
         }
-        suspect::Change::Survived { .. }
-        | suspect::Change::EndTrial { .. }
-        | suspect::Change::Expire { .. } => {}
+        Change::Survived { boot } => info!(boot:% = boot; "suspects: the target is still running"),
+        Change::EndTrial { .. } => {}
     }
     Reply::Suspect(reply)
 }
@@ -245,11 +242,11 @@
     let change = {
         let mut soft = host.soft_state();
         let change = soft.registry.register(target, host.clock.now());
-        soft.revision += u64::from(change == Change::Changed);
+        soft.revision += u64::from(change == registry::Change::Changed);
         change
     };
     match change {
-        Change::Changed => {
+        registry::Change::Changed => {
             if is_ready {
                 host.publish_soon();
             } else {
@@ -260,17 +257,17 @@
                 "targets: registered"
             );
         }
-        Change::Outdated => {
+        registry::Change::Outdated => {
             info!(
                 target_id:% = id, sequence = sequence;
                 "targets: ignored an outdated registration"
             );
         }
-        Change::Renewed => {}
+        registry::Change::Renewed => {}
     }
     if !is_ready {
         let is_propagated = await_propagation(host, term, None).await;
-        if change == Change::Changed {
+        if change == registry::Change::Changed {
             info!(target_id:% = id, held_by_all = is_propagated; "targets: no longer ready");
         }
     }
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -9,11 +9,12 @@
 };
 use bytes::Bytes;
 use catkinlatch_base::{BootId, HostId, Term};
+use catkinlatch_ledger::suspect::Change;
 use catkinlatch_runtime::{
     Answer, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
     message::ViewVersion,
 };
-use catkinlatch_state::suspect::{Change, Reply as SuspectReply};
+use catkinlatch_state::suspect::Reply as SuspectReply;
 use catkinlatch_wire::codec;
 use std::{
     collections::BTreeMap,
@@ -32,7 +33,7 @@
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
 /// Longest delay of the publication of suspects by which no request is refused.
-const LATER: Duration = Duration::from_secs(2);
+const LATER: Duration = Duration::from_secs(1);
 
 /// Shortest time between two publications of suspects, each of which reaches all hosts.
 const SUSPECTS_INTERVAL: Duration = Duration::from_millis(200);
@@ -113,7 +114,7 @@
     }
 
     /// Applies a change of the suspects, and publishes it as soon as it is of use to other hosts.
-    pub fn change_suspects(&self, change: Change) -> SuspectReply {
+    pub fn change_suspects(&self, change: &Change) -> SuspectReply {
         let now = self.clock.now();
         let (reply, urgency) = self.suspects().apply(change, now, self.clock.wall_ms());
         self.publish_suspects(urgency);
--- a/crates/catkinlatch-store/src/runner/end.rs
+++ b/crates/catkinlatch-store/src/runner/end.rs
@@ -11,8 +11,8 @@
     balancer::Verdict,
     job,
     schedule::{Crashes, End, Loss, Next},
+    suspect::Change,
 };
-use catkinlatch_state::suspect::Change;
 use log::{info, warn};
 use std::{sync::Arc, time::Duration};
 
@@ -84,6 +84,7 @@
         }
         let Some(task) = self.schedule.task(job, item) else { return };
         let (id, fingerprint) = (task.item().id.clone(), Crashes::fingerprint(task));
+        let ran_alone = task.runs_alone;
         let boot = engine.boot();
         if summary.is_disconnect {
             let at_ms = self.host.clock.wall_ms();
@@ -92,8 +93,7 @@
                 request:% = id, fingerprint:% = fingerprint, boot:% = boot, crashes = crashes;
                 "jobs: the connection broke under an item"
             );
-            let fingerprints = vec![fingerprint];
-            self.host.change_suspects(Change::Crashed { fingerprints, boot, at_ms });
+            self.host.change_suspects(&Change::Crashed { fingerprint, boot, ran_alone });
             return;
         }
         let has_run = match summary.end {
@@ -103,7 +103,7 @@
             }
         };
         if has_run && self.schedule.crashes.clear(&fingerprint) {
-            self.host.change_suspects(Change::Clear { fingerprint });
+            self.host.change_suspects(&Change::Clear { fingerprint });
         }
     }
 
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -2,10 +2,10 @@
 
 use crate::{host::Host, shared::Shared};
 use catkinlatch_base::TargetId;
-use catkinlatch_ledger::{Configuration, Job, Target, balancer, job::Scorer};
+use catkinlatch_ledger::{Configuration, Job, Target, balancer, job::Scorer, suspect::Change};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::http::{Body, BodyError, Failure, full};
-use catkinlatch_state::suspect::{Change, Fingerprint, Reply as Verdict, Trial};
+use catkinlatch_state::suspect::{Fingerprint, Reply as Verdict};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use log::info;
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
@@ -85,7 +85,7 @@
         }
         let attempt = call(host, shared, scorer, &target).await;
         if is_suspect {
-            host.change_suspects(end_of_trial(host, fingerprint, &attempt));
+            host.change_suspects(&end_of_trial(host, fingerprint, &attempt));
         }
         match attempt {
             Attempt::Signed(signature) => return Score::Signed(signature),
@@ -94,9 +94,8 @@
                     request = id, target_id:% = target.id, fingerprint:% = fingerprint;
                     "score: the connection broke under a call"
                 );
-                let (fingerprints, at_ms) = (vec![fingerprint], host.clock.wall_ms());
-                let boot = target.boot();
-                host.change_suspects(Change::Crashed { fingerprints, boot, at_ms });
+                let (boot, ran_alone) = (target.boot(), is_suspect);
+                host.change_suspects(&Change::Crashed { fingerprint, boot, ran_alone });
                 tried.insert(target.id);
             }
             Attempt::Failed => {
@@ -124,13 +123,13 @@
 
 /// Asks to run a call that may crash targets alone on a target; returns whether it may run.
 fn start_trial(host: &Host, fingerprint: Fingerprint, target: &Target) -> bool {
-    let now_ms = host.clock.wall_ms();
-    let trial = Trial {
+    let start = Change::StartTrial {
+        fingerprint,
         target: target.id.clone(),
-        node: host.peers.local().incarnation,
-        until_ms: now_ms + CALL_TIMEOUT.as_millis() as u64,
+        process: host.peers.local().incarnation,
+        for_ms: CALL_TIMEOUT.as_millis() as u64,
     };
-    match host.change_suspects(Change::StartTrial { fingerprint, trial, now_ms }) {
+    match host.change_suspects(&start) {
         Verdict::Granted | Verdict::NotSuspect => true,
         Verdict::Busy | Verdict::Refused | Verdict::Done => false,
     }
@@ -141,7 +140,7 @@
     match attempt {
         Attempt::Signed(_) | Attempt::Failed => Change::Clear { fingerprint },
         Attempt::Unanswered | Attempt::Broken | Attempt::Full => {
-            Change::EndTrial { fingerprint, node: host.peers.local().incarnation }
+            Change::EndTrial { fingerprint, process: host.peers.local().incarnation }
         }
     }
 }
--- a/crates/catkinlatch-store/src/suspect.rs
+++ b/crates/catkinlatch-store/src/suspect.rs
@@ -1,7 +1,8 @@
 //! The leader's list of requests that may crash targets, which all hosts share.
 
 use catkinlatch_base::{BootId, Instant};
-use catkinlatch_state::suspect::{Change, Disconnect, Reply, Suspects, Watch};
+use catkinlatch_ledger::suspect::Change;
+use catkinlatch_state::suspect::{self, Disconnect, Reply, Suspects, Watch};
 use std::{collections::BTreeMap, mem};
 
 /// How soon the other hosts must learn of a change.
@@ -44,24 +45,33 @@
         self.suspects = suspects;
     }
 
-    /// Applies a change that a host sent; the times in it are replaced, since clocks differ.
-    pub fn apply(&mut self, change: Change, now: Instant, wall_ms: u64) -> (Reply, Urgency) {
-        let change = with_times(change, wall_ms);
-        let refused = |suspects: &Suspects| suspects.refused().count();
-        let refused_before = refused(&self.suspects);
-        if let Change::Crashed { boot, .. } = &change {
+    /// Applies a change that a host reports or asks for.
+    pub fn apply(&mut self, change: &Change, now: Instant, wall_ms: u64) -> (Reply, Urgency) {
+        if let Change::Crashed { boot, .. } = change {
             self.watch.add(Disconnect { start: boot.clone(), since: now });
         }
-        let reply = self.suspects.apply(&change);
-        let urgency = match &change {
-            _ if refused(&self.suspects) != refused_before => Urgency::Now,
+        if let Change::Survived { boot } = change {
+            self.survivors.push(boot.clone());
+        }
+        let urgency = match change {
+            Change::Crashed { .. } | Change::Survived { .. } | Change::Clear { .. } => {
+                Urgency::Later
+            }
             Change::StartTrial { .. } | Change::EndTrial { .. } => Urgency::None,
-            Change::Crashed { .. }
-            | Change::Survived { .. }
-            | Change::Clear { .. }
-            | Change::Expire { .. } => Urgency::Later,
         };
-        (reply, urgency)
+        self.change(urgency, |suspects| change.apply(suspects, wall_ms))
+    }
+
+    /// Changes the suspects; the result is urgent if another set of requests is refused after it.
+    fn change(
+        &mut self,
+        urgency: Urgency,
+        change: impl FnOnce(&mut Suspects) -> Reply,
+    ) -> (Reply, Urgency) {
+        let refused_before = self.suspects.refused().count();
+        let reply = change(&mut self.suspects);
+        let is_urgent = self.suspects.refused().count() != refused_before;
+        (reply, if is_urgent { Urgency::Now } else { urgency })
     }
 
     /// Retracts the crashes of starts that are still announced, and drops suspects whose last
@@ -76,7 +86,8 @@
     ) -> (Vec<BootId>, Urgency) {
         let mut urgency = Urgency::None;
         if self.suspects.has_due(wall_ms) {
-            urgency = self.apply(Change::Expire { now_ms: wall_ms }, now, wall_ms).1;
+            let expire = suspect::Change::Expire { now_ms: wall_ms };
+            urgency = self.change(Urgency::Later, |suspects| suspects.apply(&expire)).1;
         }
         if self.watch.is_empty() {
             return (Vec::new(), urgency);
@@ -85,8 +96,9 @@
         let survivors = self.watch.take_survivors(now, |boot| starts.get(boot).copied());
         let survivors: Vec<BootId> = survivors.into_iter().map(|survivor| survivor.start).collect();
         for boot in &survivors {
-            let change = Change::Survived { boot: boot.clone() };
-            urgency = urgency.max(self.apply(change, now, wall_ms).1);
+            let survived = suspect::Change::Survived { boot: boot.clone() };
+            let changed = self.change(Urgency::Later, |suspects| suspects.apply(&survived));
+            urgency = urgency.max(changed.1);
         }
         self.survivors.extend(survivors.iter().cloned());
         (survivors, urgency)
@@ -97,19 +109,3 @@
         mem::take(&mut self.survivors)
     }
 }
-
-fn with_times(change: Change, wall_ms: u64) -> Change {
-    match change {
-        Change::Crashed { fingerprints, boot, at_ms: _ } => {
-            Change::Crashed { fingerprints, boot, at_ms: wall_ms }
-        }
-        Change::StartTrial { fingerprint, mut trial, now_ms } => {
-            trial.until_ms = wall_ms + trial.until_ms.saturating_sub(now_ms);
-            Change::StartTrial { fingerprint, trial, now_ms: wall_ms }
-        }
-        Change::Survived { .. }
-        | Change::EndTrial { .. }
-        | Change::Clear { .. }
-        | Change::Expire { .. } => change,
-    }
-}
