Send nothing more to a target that says in an answer that it leaves

Hosts heeded heartbeats alone, and a host without a leader kept its old view: callers would meet targets that end.

Each host acts on what it heard itself, for that start; the leader counts the start as draining for all, which outlives later heartbeats, another leader and other views. platform/ has the header's name.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -1,6 +1,6 @@
 //! A single attempt to run a request on a target.
 
-use crate::{front::InboundRequest, host::Host, suspect};
+use crate::{front::InboundRequest, host::Host, leaving, suspect};
 use bytes::Bytes;
 use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::{Target, balancer::Verdict};
@@ -120,6 +120,7 @@
         }
     };
     suspect::record_response(host, target, started);
+    leaving::record_response(host, target, &exchange.response);
     if let Some((running, waiting)) = header::target_load(exchange.response.headers()) {
         host.balancer().report(&target.id, running, waiting, host.clock.now());
     }
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -2,7 +2,7 @@
 
 use crate::{suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
-use catkinlatch_ledger::Balancer;
+use catkinlatch_ledger::{Balancer, registry::Leaving};
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
@@ -23,6 +23,7 @@
     balancer: Mutex<Balancer>,
     usage: Mutex<Usage>,
     suspects: Mutex<suspect::Table>,
+    leaving: Mutex<Leaving>,
     draining: watch::Sender<bool>,
 }
 
@@ -45,6 +46,7 @@
             balancer: Mutex::default(),
             usage: Mutex::default(),
             suspects: Mutex::default(),
+            leaving: Mutex::default(),
             draining: watch::channel(false).0,
         }
     }
@@ -74,6 +76,11 @@
         lock(&self.suspects)
     }
 
+    /// Locks the targets that said that they leave. The guard must not be held across an `await`.
+    pub fn leaving(&self) -> MutexGuard<'_, Leaving> {
+        lock(&self.leaving)
+    }
+
     /// Counts a request of a team in the usage window of `wall_ms`, in milliseconds since the Unix
     /// epoch.
     pub fn count_request(&self, team: &TeamId, wall_ms: u64) {
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod front;
 mod host;
+mod leaving;
 mod proxy;
 mod ready;
 mod stream;
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -241,8 +241,10 @@
     // Targets may start draining between attempts, so each attempt uses the latest view.
     let view = host.view();
     let service = inbound.route.service(fastrand::f64())?;
+    let leaving = host.leaving();
     let pick = |left_out: &BTreeSet<TargetId>| {
-        host.balancer().pick(view.targets(service), &host.settings.zone, left_out, now).cloned()
+        let staying = view.targets(service).filter(|target| !leaving.contains(target));
+        host.balancer().pick(staying, &host.settings.zone, left_out, now).cloned()
     };
     let trial_targets = host.suspects().trial_targets(host.clock.wall_ms());
     if trial_targets.is_empty() {
--- a/crates/catkinlatch-ledger/src/registry.rs
+++ b/crates/catkinlatch-ledger/src/registry.rs
@@ -3,9 +3,13 @@
 //! Registrations may arrive late or out of order, so they are ordered by the start time of the
 //! target and by their sequence number.
 
+mod leaving;
 mod target;
 
-pub use self::target::{Phase, Target};
+pub use self::{
+    leaving::Leaving,
+    target::{Phase, Target},
+};
 
 use catkinlatch_base::{BootId, Instant, TargetId, derive_value};
 use std::{collections::BTreeMap, time::Duration};
@@ -49,20 +53,44 @@
 pub struct Registry {
     registrations: BTreeMap<TargetId, Registration>,
     tombstones: BTreeMap<TargetId, (u64, Instant)>,
+    leaving: Leaving,
 }
 
 impl Registry {
-    /// Creates a registry with the targets and tombstones of another one.
-    pub fn new(targets: Vec<Target>, tombstones: Vec<Tombstone>, now: Instant) -> Self {
-        let registration =
-            |target: Target| (target.id.clone(), Registration { target, received_at: now });
-        Self {
-            registrations: targets.into_iter().map(registration).collect(),
-            tombstones: tombstones
-                .into_iter()
-                .map(|tombstone| (tombstone.id, (tombstone.born_ms, now)))
-                .collect(),
+    /// Replaces the targets and tombstones by those of another registry.
+    ///
+    /// What this host has seen itself of targets that leave stays.
+    pub fn adopt(&mut self, targets: Vec<Target>, tombstones: Vec<Tombstone>, now: Instant) {
+        let registration = |target: Target| {
+            let target = self.with_own_phase(target);
+            (target.id.clone(), Registration { target, received_at: now })
+        };
+        self.registrations = targets.into_iter().map(registration).collect();
+        let tombstone = |tombstone: Tombstone| (tombstone.id, (tombstone.born_ms, now));
+        self.tombstones = tombstones.into_iter().map(tombstone).collect();
+    }
+
+    /// Records that a start of a target said that it leaves, so that it counts as draining whatever
+    /// its registrations say; returns whether that changes what followers must know.
+    pub fn record_leaving(&mut self, id: &TargetId, born_ms: u64, now: Instant) -> bool {
+        self.leaving.insert(id, born_ms, now);
+        let target = self.registrations.get_mut(id).map(|registration| &mut registration.target);
+        let Some(target) = target.filter(|target| target.born_ms == born_ms) else { return false };
+        let was_ready = target.is_ready();
+        target.phase = Phase::Draining;
+        was_ready
+    }
+
+    /// Returns the target as draining if its start is known to leave.
+    fn with_own_phase(&self, target: Target) -> Target {
+        let previous = self.registrations.get(&target.id).map(|registration| &registration.target);
+        let is_draining = |previous: &Target| {
+            previous.born_ms == target.born_ms && previous.phase == Phase::Draining
+        };
+        if self.leaving.contains(&target) || previous.is_some_and(is_draining) {
+            return Target { phase: Phase::Draining, ..target };
         }
+        target
     }
 
     /// Restarts the timeouts of all targets, since a new leader does not know when they last sent a
@@ -86,6 +114,7 @@
         if self.is_outdated(&target) {
             return Change::Outdated;
         }
+        let target = self.with_own_phase(target);
         self.registrations.retain(|id, other| {
             other.target.address != target.address
                 || *id == target.id
@@ -130,6 +159,8 @@
     /// drops expired tombstones.
     pub fn expire(&mut self, timeout: Duration, now: Instant) -> Vec<Target> {
         self.tombstones.retain(|_, (_, withdrawn_at)| now < *withdrawn_at + TOMBSTONE_TTL);
+        let registered = self.registrations.values().map(|registration| &registration.target);
+        self.leaving.retain(registered, now);
         let expired = self
             .registrations
             .extract_if(.., |_, registration| now >= registration.received_at + timeout);
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -82,6 +82,13 @@
             /// Maximum time to wait for a newer version, in milliseconds.
             wait_ms: u64,
         },
+        /// Reports that a target said in an answer that it leaves.
+        Leaving {
+            /// The target.
+            target: TargetId,
+            /// The start of the target, in milliseconds since the Unix epoch.
+            born_ms: u64,
+        },
     }
 }
 
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -108,7 +108,12 @@
         let handler = move |request| serving.clone().handle(request);
         let models = move || announced.state().models();
         let announcing = self.target.clone().announce(lifecycle.controls.clone(), models);
-        lifecycle.run(serve(lifecycle.server(), listener, handler), announcing);
+        lifecycle.run(&self.target, serve(lifecycle.server(), listener, handler), announcing);
+    }
+
+    /// Returns the current start; `None` while the target is down.
+    pub fn current(&self) -> Option<Target> {
+        self.lifecycle.current()
     }
 
     /// Returns the bodies of the requests under which a start of the engine crashed.
@@ -121,7 +126,33 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns how many runs of items and streams there were in all.
+    pub fn total_runs(&self) -> usize {
+        self.state().runs.values().map(Vec::len).sum()
+    }
+
+    /// Ends the current start at once; the next one is another target at the same address.
+    pub fn restart(&self) {
+        self.crash(b"");
+    }
+
+    fn crash(&self, body: &[u8]) {
+        let mut next = self.clone();
+        self.lifecycle.crash(body, self.target.clone(), move |target, listener| {
+            next.target = target;
+            let mut state = next.state();
+            (state.accepted, state.fence, state.is_busy) = (0, 0, false);
+            drop(state);
+            next.run(listener);
+        });
+    }
+
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let target = self.target.clone();
+        target.finish(self.answer(request).await)
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         let id = text("attempt-id").unwrap_or_default().to_owned();
@@ -135,14 +166,7 @@
             "/report" => respond(StatusCode::OK, &self.state().report().to_string()),
             "/order" => self.order(&body),
             _ if body.starts_with(CRASHING_BODY.as_bytes()) => {
-                let mut next = self.clone();
-                self.lifecycle.crash(&body, self.target.clone(), move |target, listener| {
-                    next.target = target;
-                    let mut state = next.state();
-                    (state.accepted, state.fence, state.is_busy) = (0, 0, false);
-                    drop(state);
-                    next.run(listener);
-                });
+                self.crash(&body);
                 std::future::pending().await
             }
             _ => {
--- a/crates/catkinlatch-standin/src/site/lifecycle.rs
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -34,6 +34,8 @@
 struct State {
     /// The tasks of the current start; empty while the target is down.
     tasks: Vec<AbortHandle>,
+    /// The current or else the last start.
+    target: Option<Target>,
     /// The bodies of the requests that crashed a start.
     crashes: Vec<String>,
 }
@@ -50,14 +52,16 @@
         Server { idle_timeout: IDLE_TIMEOUT, stop: self.stop.clone() }
     }
 
-    /// Runs the tasks of a start until the target crashes.
-    pub fn run<S, A>(&self, serving: S, announcing: A)
+    /// Runs the tasks of a start of the target until the target crashes.
+    pub fn run<S, A>(&self, target: &Target, serving: S, announcing: A)
     where
         S: Future<Output = ()> + Send + 'static,
         A: Future<Output = ()> + Send + 'static,
     {
         let tasks = vec![tokio::spawn(serving), tokio::spawn(announcing)];
-        self.lock().tasks = tasks.iter().map(|task| task.abort_handle()).collect();
+        let mut state = self.lock();
+        state.target = Some(target.clone());
+        state.tasks = tasks.iter().map(|task| task.abort_handle()).collect();
     }
 
     /// Ends the current start at once, under a request with this body; `restart` runs the next one from its target and listener.
@@ -75,6 +79,7 @@
         }
         state.crashes.push(String::from_utf8_lossy(body).into_owned());
         let first = target.id.split('.').next().unwrap_or_default();
+        (target.says_leaving, target.is_draining) = Default::default();
         target.id = format!("{first}.{}", state.crashes.len());
         tokio::spawn(async move {
             // The request's own task ends with its connection.
@@ -85,6 +90,12 @@
         });
     }
 
+    /// Returns the current start of the target; `None` while it is down.
+    pub fn current(&self) -> Option<Target> {
+        let state = self.lock();
+        state.target.clone().filter(|_| !state.tasks.is_empty())
+    }
+
     /// Returns the bodies of the requests under which a start of the target crashed.
     pub fn crashes(&self) -> Vec<String> {
         self.lock().crashes.clone()
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -11,7 +11,7 @@
     net::Ipv4Addr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -39,6 +39,10 @@
     pub headers_of_runs: Arc<Mutex<BTreeMap<String, Vec<Headers>>>>,
     /// Number of coming requests that are run, but whose response is then lost.
     pub answers_to_lose: Arc<AtomicU32>,
+    /// Whether the service refuses all requests because it is full.
+    pub is_full: Arc<AtomicBool>,
+    /// Number of requests that the service refused because it was full.
+    pub refusals: Arc<AtomicU32>,
     lifecycle: Lifecycle,
 }
 
@@ -56,6 +60,8 @@
             run_time: Arc::new(Mutex::new(RUN_TIME)),
             headers_of_runs: Arc::default(),
             answers_to_lose: Arc::default(),
+            is_full: Arc::default(),
+            refusals: Arc::default(),
             lifecycle: Lifecycle::new(controls),
         };
         service.run(listener);
@@ -67,7 +73,25 @@
         let (service, lifecycle) = (self.clone(), &self.lifecycle);
         let handler = move |request| service.clone().handle(request);
         let announcing = self.target.clone().announce(lifecycle.controls.clone(), || json!([]));
-        lifecycle.run(serve(lifecycle.server(), listener, handler), announcing);
+        lifecycle.run(&self.target, serve(lifecycle.server(), listener, handler), announcing);
+    }
+
+    fn crash(&self, body: &[u8]) {
+        let mut next = self.clone();
+        self.lifecycle.crash(body, self.target.clone(), move |target, listener| {
+            next.target = target;
+            next.run(listener);
+        });
+    }
+
+    /// Ends the current start at once; the next one is another target at the same address.
+    pub fn restart(&self) {
+        self.crash(b"");
+    }
+
+    /// Returns the current start; `None` while the target is down.
+    pub fn current(&self) -> Option<Target> {
+        self.lifecycle.current()
     }
 
     /// Returns the bodies of the requests under which a start of the target crashed.
@@ -98,7 +122,17 @@
         headers_of_runs.get(id).map_or(0, Vec::len)
     }
 
+    /// Returns how many requests ran in all.
+    pub fn total_runs(&self) -> usize {
+        lock(&self.headers_of_runs).values().map(Vec::len).sum()
+    }
+
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let target = self.target.clone();
+        target.finish(self.answer(request).await)
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let mut headers: BTreeMap<String, String> = head
             .headers
@@ -110,15 +144,15 @@
         if headers.get("expect-instance").is_some_and(|expected| *expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, &id, "");
         }
+        if self.is_full.load(Ordering::Relaxed) {
+            self.refusals.fetch_add(1, Ordering::Relaxed);
+            return respond(StatusCode::SERVICE_UNAVAILABLE, &id, "");
+        }
         let Ok(body) = collect(body, 1 << 20).await else {
             return respond(StatusCode::BAD_REQUEST, &id, "");
         };
         if body.starts_with(CRASHING_BODY.as_bytes()) {
-            let mut next = self.clone();
-            self.lifecycle.crash(&body, self.target.clone(), move |target, listener| {
-                next.target = target;
-                next.run(listener);
-            });
+            self.crash(&body);
             std::future::pending::<()>().await;
         }
         let run_time = *lock(&self.run_time);
--- a/crates/catkinlatch-standin/src/site/target.rs
+++ b/crates/catkinlatch-standin/src/site/target.rs
@@ -1,7 +1,7 @@
 //! Registration, heartbeats and draining, which all stand-in targets share.
 
 use catkinlatch_runtime::http::{Client, full};
-use http::Request;
+use http::{HeaderValue, Request, Response};
 use serde_json::{Value, json};
 use std::{
     net::SocketAddr,
@@ -29,6 +29,8 @@
     pub slots: u32,
     /// Whether the target is draining.
     pub is_draining: Arc<AtomicBool>,
+    /// Whether the target says in its answers that it leaves, whatever its heartbeats say.
+    pub says_leaving: Arc<AtomicBool>,
     /// Number of heartbeats that were acknowledged while the target was draining.
     pub acknowledged: Arc<AtomicU64>,
 }
@@ -36,8 +38,17 @@
 impl Target {
     /// Creates a target that accepts requests.
     pub fn new(id: &str, service: &'static str, address: SocketAddr, slots: u32) -> Self {
-        let (is_draining, acknowledged) = (Arc::default(), Arc::default());
-        Self { id: id.to_owned(), service, address, slots, is_draining, acknowledged }
+        let (is_draining, says_leaving, acknowledged) = Default::default();
+        let id = id.to_owned();
+        Self { id, service, address, slots, is_draining, says_leaving, acknowledged }
+    }
+
+    /// Adds the header that says that the target leaves, if it does.
+    pub fn finish<B>(&self, mut response: Response<B>) -> Response<B> {
+        if self.says_leaving.load(Ordering::Relaxed) {
+            response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
+        }
+        response
     }
 
     /// Sends heartbeats to the control hosts in turn until the task is dropped.
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -70,6 +70,10 @@
         | Message::Follow(_)
         | Message::FollowSuspects { .. } => Reply::Nothing,
         Message::Suspect(change) => change_suspects(host, &change),
+        Message::Leaving { target, born_ms } => {
+            host.record_leaving(&target, born_ms);
+            Reply::Done
+        }
         Message::Submit(job) => {
             let (id, items) = (job.id.clone(), job.items.len());
             let reply = propose(host, Command::Submit(job)).await;
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -8,14 +8,17 @@
     view::{self, EncodedView},
 };
 use bytes::Bytes;
-use catkinlatch_base::{BootId, HostId, Term};
-use catkinlatch_ledger::suspect::Change;
+use catkinlatch_base::{BootId, HostId, TargetId, Term};
+use catkinlatch_ledger::{Target, suspect::Change};
+use catkinlatch_platform::header;
 use catkinlatch_runtime::{
     Answer, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
     message::ViewVersion,
 };
 use catkinlatch_state::suspect::Reply as SuspectReply;
 use catkinlatch_wire::codec;
+use http::{Response, StatusCode};
+use log::info;
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -194,6 +197,30 @@
         self.soft_state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records what a target's response says about whether it leaves.
+    ///
+    /// A misdirected request was answered by another target, whose start is not known.
+    pub fn record_response<B>(&self, target: &Target, response: &Response<B>) {
+        let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if !is_other && header::is_leaving(response.headers()) {
+            self.record_leaving(&target.id, target.born_ms);
+        }
+    }
+
+    /// Records that a target said that it leaves, so that it gets nothing new from any host.
+    pub fn record_leaving(&self, id: &TargetId, born_ms: u64) {
+        let is_new = {
+            let mut soft = self.soft_state();
+            let is_new = soft.registry.record_leaving(id, born_ms, self.clock.now());
+            soft.revision += u64::from(is_new);
+            is_new
+        };
+        if is_new {
+            info!(target_id:% = id, born_ms = born_ms; "targets: says that it leaves");
+            self.publish_revision();
+        }
+    }
+
     /// Wakes the tasks that wait for a new revision of the soft state.
     pub fn publish_revision(&self) {
         let revision = self.soft_state().revision;
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -86,6 +86,7 @@
             return summary;
         }
     };
+    host.record_response(engine, &exchange.response);
     let id = job.items[item].id.as_str();
     match end_from_head(&exchange, id) {
         Some(end) => {
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -213,6 +213,7 @@
         Failure::NotSent(_) => Attempt::Unanswered,
         Failure::Unknown(_) => Attempt::Broken,
     })?;
+    host.record_response(target, &exchange.response);
     let read = exchange.read_body(MAX_ANSWER_BYTES).await;
     read.map_err(|error| match error {
         BodyError::TooLong => Attempt::Unanswered,
--- a/crates/catkinlatch-store/src/soft_state.rs
+++ b/crates/catkinlatch-store/src/soft_state.rs
@@ -165,7 +165,7 @@
     /// Replaces targets and entry hosts by the view of the current leader, so that this host can
     /// take over.
     pub fn adopt(&mut self, view: &View, now: Instant) {
-        self.registry = Registry::new(view.targets.clone(), view.tombstones.clone(), now);
+        self.registry.adopt(view.targets.clone(), view.tombstones.clone(), now);
         for entry in &view.entries {
             let follower = Follower {
                 name: entry.host.to_string(),
--- a/crates/catkinlatch-store/src/weights/order.rs
+++ b/crates/catkinlatch-store/src/weights/order.rs
@@ -88,14 +88,16 @@
     }
 }
 
-/// Waits until an engine reports the version, and fails on timeout or if the engine restarts.
+/// Waits until an engine reports the version, and fails on timeout or if the engine restarts or
+/// leaves.
 async fn await_load(host: &Host, target: &Target, model: &ModelId, version: Version) -> Outcome {
     let until = host.clock.now() + LOAD_TIMEOUT;
     while host.clock.now() < until {
         let seen = {
             let soft = host.soft_state();
             let known = soft.registry.target(&target.id);
-            known.filter(|known| known.born_ms == target.born_ms).map(|known| known.models.clone())
+            let is_same = |known: &&Target| known.born_ms == target.born_ms && known.is_ready();
+            known.filter(is_same).map(|known| known.models.clone())
         };
         let Some(seen) = seen else { return Outcome::Failed };
         if seen.get(model).is_some_and(|held| *held >= version) {
@@ -134,6 +136,7 @@
     let request = request(target, Method::GET, REPORT_PATH, empty());
     let answer =
         host.client.fetch(&target.address, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await?;
+    host.record_response(target, &answer);
     if !answer.status().is_success() {
         return None;
     }
@@ -151,6 +154,7 @@
     };
     let answer = async {
         let exchange = host.client.send_if(&target.address, request, may_send).await.ok()?;
+        host.record_response(target, &exchange.response);
         exchange.read_body(MAX_ANSWER_BYTES).await.ok()
     };
     let answer = time::timeout(ORDER_TIMEOUT, answer).await.ok().flatten()?;
