Heed a leaving target's answers on the product's own hosts

The new test of six processes is refused with "not run" by all hosts while the target still announces itself.

--- a/crates/catkinlatch-node/src/entry/dispatch.rs
+++ b/crates/catkinlatch-node/src/entry/dispatch.rs
@@ -9,7 +9,7 @@
     retry::{Failure, Retrier},
 };
 use crate::{
-    Node,
+    Node, targets,
     upstream::{self, CallError},
 };
 use bytes::Bytes;
@@ -116,6 +116,7 @@
         Ok(Err(error)) => return Err(call_failure(authorized, attempt, &error)),
         Err(_) => return Err(attempt::timed_out(authorized, attempt)),
     };
+    targets::record_response(node, &attempt.target, &attempt.boot, &response);
     if !echoes_id(response.headers(), &authorized.request) {
         let message = "the target answered another request; retry if that does no harm";
         return Err(may_have_run(authorized, attempt, message));
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -26,4 +26,5 @@
     node::{Node, Server},
     operator::{cluster, health, status},
     settings::Settings,
+    targets::LEAVING,
 };
--- a/crates/catkinlatch-node/src/order/receiver.rs
+++ b/crates/catkinlatch-node/src/order/receiver.rs
@@ -1,7 +1,7 @@
 //! HTTP requests for each kind of order, and the interpretation of their responses.
 
 use super::send::{Fault, MAX_RESPONSE_BYTES, send};
-use crate::{Node, upstream, usage};
+use crate::{Node, targets, upstream, usage};
 use bytes::Bytes;
 use catkinlatch_base::{ModelId, OrderId, TargetId, Term, Version, ZoneId, derive_schema};
 use catkinlatch_fleet::order::{InquiryOutcome, Outcome, Permit};
@@ -108,12 +108,27 @@
         move || guard_permit.check(guard_node.control.lease(), guard_node.clock.now()).is_ok();
     let deadline = node.clock.timer(permit.deadline);
     match send(&message.address, request, deadline, may_write).await {
-        Ok(response) => parse_outcome(&permit.action, &response),
+        Ok(response) => {
+            record_response(node, &permit.action, &response);
+            parse_outcome(&permit.action, &response)
+        }
         Err(Fault::NotSent) => Outcome::NotSent,
         Err(Fault::NoAnswer) => Outcome::NoAnswer,
     }
 }
 
+/// Records whether an engine says in its response to an order that it leaves.
+fn record_response(node: &Node, action: &Action, response: &Response<Bytes>) {
+    let Action::LoadVersion { target, .. } = action else { return };
+    let boot = node.table().entries().find_map(|(_, entry)| {
+        let announcement = &entry.announcement;
+        (announcement.id == *target).then(|| announcement.boot.clone())
+    });
+    if let Some(boot) = boot {
+        targets::record_response(node, target, &boot, response);
+    }
+}
+
 /// Queries the receiver for the outcome of an order.
 ///
 /// Only start and stop orders can be queried; the other kinds are idempotent.
--- a/crates/catkinlatch-node/src/targets.rs
+++ b/crates/catkinlatch-node/src/targets.rs
@@ -11,9 +11,13 @@
     ApiDescription, ApiDescriptionRegisterError, HttpError, HttpResponseUpdatedNoContent,
     RequestContext, TypedBody, endpoint,
 };
+use http::Response;
 use log::info;
 use std::sync::Arc;
 
+/// Header of each response of a target that leaves.
+pub const LEAVING: &str = "catkinlatch-leaving";
+
 /// Registers the endpoints for targets.
 pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
     api.register(announce)?;
@@ -50,12 +54,28 @@
     context: RequestContext<Arc<Node>>,
     body: TypedBody<Withdrawal>,
 ) -> Result<HttpResponseUpdatedNoContent, HttpError> {
-    let (node, withdrawal) = (context.context(), body.into_inner());
-    node.peers.broadcast(&Message::Withdraw(withdrawal.clone()));
-    remove(node, &withdrawal);
+    remove_everywhere(context.context(), &body.into_inner());
     Ok(HttpResponseUpdatedNoContent())
 }
 
+/// Withdraws a target if its response says that it leaves, whatever it announces later.
+pub(crate) fn record_response<B>(
+    node: &Node,
+    target: &TargetId,
+    boot: &BootId,
+    response: &Response<B>,
+) {
+    if response.headers().contains_key(LEAVING) {
+        remove_everywhere(node, &Withdrawal { id: target.clone(), boot: boot.clone() });
+    }
+}
+
+/// Removes a target here, at once, and at all other nodes.
+fn remove_everywhere(node: &Node, withdrawal: &Withdrawal) {
+    remove(node, withdrawal);
+    node.peers.broadcast(&Message::Withdraw(withdrawal.clone()));
+}
+
 /// Records an announcement received from a target or from another node.
 ///
 /// Withdraws the target instead if it is draining.
--- a/crates/catkinlatch-standin/src/service.rs
+++ b/crates/catkinlatch-standin/src/service.rs
@@ -2,7 +2,7 @@
 
 use crate::{announce, server};
 use catkinlatch_base::{BootId, RequestId, RouteId, TargetId, ZoneId};
-use catkinlatch_node::entry::REQUEST_ID;
+use catkinlatch_node::{LEAVING, entry::REQUEST_ID};
 use catkinlatch_route::{Announcement, target::Role};
 use dropshot::{
     ApiDescription, Body, HttpError, HttpResponseOk, HttpServer, Path, RequestContext, UntypedBody,
@@ -29,6 +29,7 @@
 struct Shared {
     runs: Mutex<Vec<RequestId>>,
     saw_caller_key: AtomicBool,
+    says_leaving: AtomicBool,
 }
 
 /// A running stand-in service.
@@ -86,6 +87,11 @@
         self.shared.saw_caller_key.load(Ordering::Relaxed)
     }
 
+    /// Lets the service say in its answers that it leaves; it announces itself as before.
+    pub fn set_leaving(&self, says_leaving: bool) {
+        self.shared.says_leaving.store(says_leaving, Ordering::Relaxed);
+    }
+
     /// Stops the service and its announcements.
     ///
     /// # Errors
@@ -135,6 +141,9 @@
         context.context().runs.lock().unwrap_or_else(PoisonError::into_inner).extend(parsed);
         response = response.header(REQUEST_ID, id);
     }
+    if context.context().says_leaving.load(Ordering::Relaxed) {
+        response = response.header(LEAVING, "1");
+    }
     let options: RunOptions = serde_json::from_slice(body.as_bytes()).unwrap_or_default();
     tokio::time::sleep(Duration::from_millis(options.delay_ms)).await;
     let body = Body::from(body.as_bytes().to_vec());
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -125,6 +125,27 @@
     setup.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_says_it_leaves_gets_nothing_more_though_it_announces_itself() {
+    let setup = Setup::start().await;
+    setup.service.set_leaving(true);
+    let mut caller = setup.caller("leaving");
+    let mut outcomes = Outcomes::default();
+    caller.send_request(0, &mut outcomes).await;
+    assert_eq!(outcomes.answered.len(), 1);
+    setup.service.set_leaving(false);
+    caller.send_request(0, &mut outcomes).await;
+    assert_eq!(outcomes.not_run.len(), 1, "at once on the host that heard it");
+    // Longer than two announcements.
+    tokio::time::sleep(std::time::Duration::from_millis(2_500)).await;
+    for host in 0..HOSTS {
+        caller.send_request(host, &mut outcomes).await;
+    }
+    assert_eq!((outcomes.answered.len(), outcomes.not_run.len()), (1, 1 + HOSTS));
+    assert_eq!(outcomes.violations(&setup.service.runs()), no_violations());
+    setup.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_leader_is_replaced_and_rejoins_after_a_restart() {
     let mut setup = Setup::start().await;
