Show how many voters may be lost, since when, and which are silent

While a store was out (full disk, killed, cut), nothing told an operator that the group could bear no further loss; a line came only where no spare could take its place. The leader counts the voters that confirm beyond a majority, twice a second; two checks that agree are reported, with a gauge (catkinlatch_control_bearable_losses). Tests: the count in the log's cluster of three, the report alone.

--- a/crates/catkinlatch-log/src/core.rs
+++ b/crates/catkinlatch-log/src/core.rs
@@ -8,10 +8,13 @@
 mod leader;
 mod lease;
 mod outbox;
+mod redundancy;
 mod replication;
 mod view;
 mod voters;
 
+pub use self::redundancy::Redundancy;
+
 use self::{
     entries::Entries,
     formation::Discovery,
--- a/crates/catkinlatch-log/src/core/voters.rs
+++ b/crates/catkinlatch-log/src/core/voters.rs
@@ -217,14 +217,16 @@
 
     /// Counts the voters with a recent confirmation, including this node.
     fn responsive_voters(&self, now: Instant, leader: &Leader, membership: &Membership) -> usize {
+        membership.voters().iter().filter(|voter| self.is_responsive(now, leader, voter)).count()
+    }
+
+    /// Returns whether a voter has confirmed recently, or is this node.
+    pub(super) fn is_responsive(&self, now: Instant, leader: &Leader, voter: &Peer) -> bool {
         let window = self.settings.heartbeat_interval * RESPONSIVE_HEARTBEATS;
-        let is_responsive = |voter: &&Peer| {
-            let progress = leader.progress.get(&voter.incarnation);
-            let confirmed = progress.and_then(|progress| progress.confirmed);
-            voter.incarnation == self.identity.incarnation
-                || confirmed.is_some_and(|confirmed| now < confirmed + window)
-        };
-        membership.voters().iter().filter(is_responsive).count()
+        let progress = leader.progress.get(&voter.incarnation);
+        let confirmed = progress.and_then(|progress| progress.confirmed);
+        voter.incarnation == self.identity.incarnation
+            || confirmed.is_some_and(|confirmed| now < confirmed + window)
     }
 
     /// Returns the voters that have been unresponsive for too long, or whose host runs another
--- a/crates/catkinlatch-log/src/lib.rs
+++ b/crates/catkinlatch-log/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use self::{
     action::{Action, Refusal, Report, Role},
-    core::Core,
+    core::{Core, Redundancy},
     entry::{Entry, Index, Payload},
     fault::Fault,
     frame::{Frame, FrameError, Group},
--- a/crates/catkinlatch-log/tests/log/repair.rs
+++ b/crates/catkinlatch-log/tests/log/repair.rs
@@ -200,3 +200,24 @@
     net.run_for(10_000);
     net.commit(1);
 }
+
+#[test]
+fn a_leader_knows_how_many_voters_may_be_lost() {
+    let mut three = settings(3, 3);
+    three.max_voters = 3;
+    let mut net = Net::with_leader(three, 3);
+    net.commit(1);
+    net.run_for(1_000);
+    let leader = net.leader().unwrap();
+    let redundancy = |net: &Net| net.core(leader).redundancy(net.now()).unwrap();
+    assert_eq!((redundancy(&net).losses, redundancy(&net).silent.len()), (1, 0));
+    let lost = follower(&net, &[]);
+    let host = net.core(lost).identity().host.clone();
+    net.kill(lost);
+    net.run_for(1_000);
+    assert_eq!((redundancy(&net).losses, redundancy(&net).silent), (0, vec![host]));
+    net.start(lost);
+    net.run_for(3_000);
+    assert_eq!(redundancy(&net).losses, 1);
+    assert!(net.core(lost).redundancy(net.now()).is_none(), "only the leader knows");
+}
--- a/crates/catkinlatch-runtime/src/replica.rs
+++ b/crates/catkinlatch-runtime/src/replica.rs
@@ -12,7 +12,7 @@
 use crate::{Clock, Message, Peers, Settings};
 use catkinlatch_base::{HostId, Instant, Term};
 use catkinlatch_ledger::{Command, Reply, State};
-use catkinlatch_log::{self as log_core, Core, Frame, Role, storage::OpenError};
+use catkinlatch_log::{self as log_core, Core, Frame, Redundancy, Role, storage::OpenError};
 use derive_more::{Display, Error};
 use std::{
     path::Path,
@@ -179,6 +179,11 @@
         Some(self.clock.now() - self.leading_since()?)
     }
 
+    /// Returns how many more voters may be lost, if this host leads.
+    pub fn redundancy(&self) -> Option<Redundancy> {
+        self.lock().redundancy(self.clock.now())
+    }
+
     /// Runs a query on the state as applied on this host.
     ///
     /// The state is locked meanwhile, so the query must not block.
--- a/crates/catkinlatch-store/src/cleanup.rs
+++ b/crates/catkinlatch-store/src/cleanup.rs
@@ -1,6 +1,6 @@
 //! Drops unresponsive targets and processes, and jobs whose retention has expired.
 
-use crate::host::Host;
+use crate::{host::Host, redundancy};
 use catkinlatch_ledger::Command;
 use log::{info, warn};
 use std::{sync::Arc, time::Duration};
@@ -24,6 +24,7 @@
 /// Cleans up until it is cancelled, when this host stops leading.
 pub async fn run(host: Arc<Host>) {
     let timeout = Duration::from_millis(host.settings.times.heartbeat_ms) * MAX_MISSED_HEARTBEATS;
+    let mut monitor = redundancy::Monitor::default();
     loop {
         let due = time::Instant::now() + INTERVAL;
         time::sleep_until(due).await;
@@ -37,6 +38,7 @@
             info!(boot:% = boot; "suspects: the target is still running");
         }
         drop_expired_jobs(&host).await;
+        redundancy::report(&host, &mut monitor);
         host.client.prune();
         host.peers.prune();
     }
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -9,6 +9,7 @@
 mod host;
 mod lead;
 pub mod pace;
+pub mod redundancy;
 mod run;
 mod runner;
 mod score;
