Count crashes under runs alone only on the product's own hosts too

Whether a crash counts is decided in catkinlatch-state/src/suspect for both ways now; the node asks before it proposes, so that the replicated state machine stays the same between builds. A unit test covers the rule; no test of real processes plays the race.

--- a/crates/catkinlatch-ledger/src/suspect.rs
+++ b/crates/catkinlatch-ledger/src/suspect.rs
@@ -1,9 +1,6 @@
 //! What hosts tell each other of requests that may crash targets.
 //!
-//! Designed for requests that come again by any host while others run beside them: a crash under a
-//! request that ran among others makes it a suspect, and only a crash under a suspect that ran alone
-//! adds to that. Otherwise a request that many callers send would be refused for the crashes of
-//! another.
+//! Designed for requests that come again by any host while others run beside them.
 
 use catkinlatch_base::{BootId, Incarnation, TargetId, derive_value};
 use catkinlatch_state::suspect::{self, Fingerprint, Reply, Suspects, Trial};
@@ -69,9 +66,7 @@
     pub fn apply(&self, suspects: &mut Suspects, wall_ms: u64) -> Reply {
         let change = match self.clone() {
             Self::Crashed { fingerprint, boot, ran_alone } => {
-                let is_suspect =
-                    suspects.get(&fingerprint).is_some_and(|suspect| !suspect.crashes.is_empty());
-                if is_suspect && !ran_alone {
+                if !suspects.counts_crash(&fingerprint, ran_alone) {
                     return Reply::Done;
                 }
                 suspect::Change::Crashed { fingerprints: vec![fingerprint], boot, at_ms: wall_ms }
--- a/crates/catkinlatch-node/src/entry/retry.rs
+++ b/crates/catkinlatch-node/src/entry/retry.rs
@@ -120,6 +120,9 @@
                 "entry: connection to target {} broke with a request in flight",
                 attempt.target
             );
+            if !node.control.state().suspects().counts_crash(&fingerprint, attempt.is_suspect) {
+                return true;
+            }
             let boot = attempt.boot.clone();
             node.admission.watch_target(attempt.target.clone(), boot.clone(), node.clock.now());
             let (fingerprints, at_ms) = (vec![fingerprint], node.clock.wall_ms());
--- a/crates/catkinlatch-state/src/suspect/table.rs
+++ b/crates/catkinlatch-state/src/suspect/table.rs
@@ -39,6 +39,15 @@
         self.get(fingerprint).is_some_and(|suspect| suspect.crashes.len() >= MAX_CRASHES)
     }
 
+    /// Returns whether a crash under a request is to be recorded; `ran_alone` if the request ran as
+    /// a suspect.
+    ///
+    /// A crash under a request that ran among others makes it a suspect, and adds nothing to that:
+    /// a request that many callers send would be refused for the crashes of another.
+    pub fn counts_crash(&self, fingerprint: &Fingerprint, ran_alone: bool) -> bool {
+        ran_alone || self.get(fingerprint).is_none_or(|suspect| suspect.crashes.is_empty())
+    }
+
     /// Returns the requests that are refused on every node, with their crashes.
     pub fn refused(&self) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
         self.suspects.iter().filter(|(_, suspect)| suspect.crashes.len() >= MAX_CRASHES)
--- a/crates/catkinlatch-state/tests/suspects.rs
+++ b/crates/catkinlatch-state/tests/suspects.rs
@@ -147,3 +147,15 @@
     suspects.apply(&crashed);
     assert_eq!(suspects.apply(&start), Reply::Granted);
 }
+
+#[test]
+fn only_a_crash_under_a_run_alone_counts_beyond_the_first() {
+    let mut suspects = Suspects::default();
+    assert!(suspects.counts_crash(&fingerprint(1), false));
+    let fingerprints = vec![fingerprint(1)];
+    suspects.apply(&Change::Crashed { fingerprints, boot: boot(1), at_ms: 0 });
+    assert!(!suspects.counts_crash(&fingerprint(1), false));
+    assert!(suspects.counts_crash(&fingerprint(1), true));
+    suspects.apply(&Change::Survived { boot: boot(1) });
+    assert!(suspects.counts_crash(&fingerprint(1), false));
+}
