--- a/crates/catkinlatch-standin/src/site/lifecycle.rs
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -20,7 +20,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The starts of one target: a crash breaks all its connections, and its next start, with another
-/// id, listens at the same address [`DOWNTIME`] later.
+/// id, listens at the same address a little later.
 #[derive(Clone, Debug)]
 pub struct Lifecycle {
     /// The addresses of the control hosts.
@@ -58,7 +58,7 @@
         S: Future<Output = ()> + Send + 'static,
         A: Future<Output = ()> + Send + 'static,
     {
-        let tasks = vec![tokio::spawn(serving), tokio::spawn(announcing)];
+        let tasks = [tokio::spawn(serving), tokio::spawn(announcing)];
         let mut state = self.lock();
         state.target = Some(target.clone());
         state.tasks = tasks.iter().map(|task| task.abort_handle()).collect();
--- a/crates/catkinlatch-store/src/follow.rs
+++ b/crates/catkinlatch-store/src/follow.rs
@@ -77,7 +77,7 @@
         match answer.await {
             Answer::Reply(Reply::Suspects { version, suspects }) => {
                 if host.other_leader().is_some() {
-                    host.suspects().adopt(*suspects);
+                    host.suspects.lock().adopt(*suspects);
                 }
                 known = version;
             }
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -1,9 +1,11 @@
 //! Handles messages from other processes.
 
+mod suspect;
+
 use crate::{host::Host, view};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
-use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry, suspect::Change};
+use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry};
 use catkinlatch_runtime::{
     Message, ProposeError, Reply,
     message::{Follow, Results, ViewVersion},
@@ -37,7 +39,7 @@
     match codec::decode(&frame.payload) {
         Ok(Message::Follow(follow)) => Some(Frame::new(answer_follow(&host, &follow).await)),
         Ok(Message::FollowSuspects { known, wait_ms }) => {
-            Some(Frame::new(answer_follow_suspects(&host, known, wait_ms).await))
+            Some(Frame::new(suspect::answer_follow(&host, known, wait_ms).await))
         }
         Ok(message) => Some(Frame::new(codec::encode(&handle(&host, message).await))),
         Err(error) => {
@@ -69,7 +71,7 @@
         | Message::Log(_)
         | Message::Follow(_)
         | Message::FollowSuspects { .. } => Reply::Nothing,
-        Message::Suspect(change) => change_suspects(host, &change),
+        Message::Suspect(change) => suspect::change(host, &change),
         Message::Leaving { target, born_ms } => {
             host.record_leaving(&target, born_ms);
             Reply::Done
@@ -181,51 +183,6 @@
     }
 }
 
-/// Applies a change of the suspects that an entry host reports or asks for.
-fn change_suspects(host: &Host, change: &Change) -> Reply {
-    let reply = host.change_suspects(change);
-    match change {
-        Change::Crashed { fingerprint, boot, ran_alone } => {
-            let is_refused = host.suspects().suspects().is_refused(fingerprint);
-            info!(
-                fingerprint:% = fingerprint, boot:% = boot, alone = ran_alone,
-                refused = is_refused;
-                "suspects: a connection broke under a request"
-            );
-        }
-        Change::StartTrial { fingerprint, target, .. } => info!(
-            fingerprint:% = fingerprint, target_id:% = target, reply:? = reply;
-            "suspects: asked to run a suspect"
-        ),
-        Change::Clear { fingerprint } => {
-            info!(fingerprint:% = fingerprint; "suspects: a suspect was answered");
-        }
-        Change::Survived { boot } => info!(boot:% = boot; "suspects: the target is still running"),
-        Change::EndTrial { .. } => {}
-    }
-    Reply::Suspect(reply)
-}
-
-/// Returns the encoded suspects once the process's version of them is out of date, or
-/// [`Reply::Nothing`] when its wait has elapsed.
-async fn answer_follow_suspects(host: &Host, known: ViewVersion, wait_ms: u64) -> Bytes {
-    let until = Instant::now() + Duration::from_millis(wait_ms);
-    let mut revision = host.suspects_revision();
-    loop {
-        let Some(term) = host.replica.fencing_token() else {
-            return codec::encode(&Reply::NotLeader(host.other_leader()));
-        };
-        let version = ViewVersion { term, revision: *revision.borrow_and_update() };
-        if version != known {
-            return host.encoded_suspects(version);
-        }
-        tokio::select! {
-            _ = revision.changed() => {}
-            () = time::sleep_until(until) => return codec::encode(&Reply::Nothing),
-        }
-    }
-}
-
 /// Waits until all live entry hosts have received the current view; returns false on timeout.
 async fn await_propagation(host: &Arc<Host>, term: Term, version: Option<u64>) -> bool {
     let until = Instant::now() + PROPAGATION_TIMEOUT;
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -4,7 +4,7 @@
     duty::{Rule, Turn},
     handler,
     soft_state::SoftState,
-    suspect::{self, Urgency},
+    suspect,
     view::{self, EncodedView},
 };
 use bytes::Bytes;
@@ -13,10 +13,8 @@
 use catkinlatch_platform::header;
 use catkinlatch_runtime::{
     Answer, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
-    message::ViewVersion,
 };
 use catkinlatch_state::suspect::Reply as SuspectReply;
-use catkinlatch_wire::codec;
 use http::{Response, StatusCode};
 use log::info;
 use std::{
@@ -35,12 +33,6 @@
 /// How long changes of the soft state are gathered before they are published.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
-/// Longest delay of the publication of suspects by which no request is refused.
-const LATER: Duration = Duration::from_secs(1);
-
-/// Shortest time between two publications of suspects, each of which reaches all hosts.
-const SUSPECTS_INTERVAL: Duration = Duration::from_millis(200);
-
 /// This host: the settings, state and connections that all tasks share.
 pub struct Host {
     /// The settings of this process.
@@ -55,6 +47,8 @@
     pub leader_client: LeaderClient,
     /// HTTP connections to targets and the platform.
     pub client: Client,
+    /// The requests that may crash targets.
+    pub suspects: suspect::Shared,
     /// The last time this host may have acted as the holder of the duties; `None` if it never has.
     last_turn: Mutex<Option<Turn>>,
     soft_state: Mutex<SoftState>,
@@ -64,13 +58,6 @@
     /// Notified when a change of the soft state may be published a little later.
     gathered: Notify,
     encoded_view: Mutex<EncodedView>,
-    suspects: Mutex<suspect::Table>,
-    suspects_revision: watch::Sender<u64>,
-    /// Notified when the suspects have changed.
-    suspects_changed: Notify,
-    /// Notified when a change of the suspects must be published at once.
-    suspects_urgent: Notify,
-    encoded_suspects: Mutex<Option<(ViewVersion, Bytes)>>,
 }
 
 impl Host {
@@ -97,30 +84,21 @@
             replica,
             leader_client,
             client,
+            suspects: suspect::Shared::default(),
             last_turn,
             soft_state,
             revision,
             configuration_version,
             gathered,
             encoded_view,
-            suspects: Mutex::default(),
-            suspects_revision: watch::channel(0).0,
-            suspects_changed: Notify::new(),
-            suspects_urgent: Notify::new(),
-            encoded_suspects: Mutex::default(),
         }
     }
 
-    /// Locks the suspects; the guard must not be held across an await.
-    pub fn suspects(&self) -> MutexGuard<'_, suspect::Table> {
-        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Applies a change of the suspects, and publishes it as soon as it is of use to other hosts.
     pub fn change_suspects(&self, change: &Change) -> SuspectReply {
         let now = self.clock.now();
-        let (reply, urgency) = self.suspects().apply(change, now, self.clock.wall_ms());
-        self.publish_suspects(urgency);
+        let (reply, urgency) = self.suspects.lock().apply(change, now, self.clock.wall_ms());
+        self.suspects.publish(urgency);
         reply
     }
 
@@ -128,50 +106,11 @@
     pub fn update_suspects(&self) -> Vec<BootId> {
         let starts = || -> BTreeMap<BootId, _> { self.soft_state().registry.starts().collect() };
         let (now, wall_ms) = (self.clock.now(), self.clock.wall_ms());
-        let (survivors, urgency) = self.suspects().update(now, wall_ms, starts);
-        self.publish_suspects(urgency);
+        let (survivors, urgency) = self.suspects.lock().update(now, wall_ms, starts);
+        self.suspects.publish(urgency);
         survivors
     }
 
-    fn publish_suspects(&self, urgency: Urgency) {
-        match urgency {
-            Urgency::None => return,
-            Urgency::Later => {}
-            Urgency::Now => self.suspects_urgent.notify_one(),
-        }
-        self.suspects_changed.notify_one();
-    }
-
-    /// Publishes changes of the suspects; never returns.
-    pub async fn publish_changed_suspects(&self) {
-        loop {
-            self.suspects_changed.notified().await;
-            let _ = time::timeout(LATER, self.suspects_urgent.notified()).await;
-            time::sleep(GATHER_TIME).await;
-            self.suspects_revision.send_modify(|revision| *revision += 1);
-            time::sleep(SUSPECTS_INTERVAL).await;
-        }
-    }
-
-    /// Returns a receiver of the revision of the suspects.
-    pub fn suspects_revision(&self) -> watch::Receiver<u64> {
-        self.suspects_revision.subscribe()
-    }
-
-    /// Returns the encoded answer with the suspects, encoded once for all hosts that follow them.
-    pub fn encoded_suspects(&self, version: ViewVersion) -> Bytes {
-        let mut encoded = self.encoded_suspects.lock().unwrap_or_else(PoisonError::into_inner);
-        match &*encoded {
-            Some((held, bytes)) if *held == version => bytes.clone(),
-            _ => {
-                let suspects = Box::new(self.suspects().suspects().clone());
-                let bytes = codec::encode(&Reply::Suspects { version, suspects });
-                *encoded = Some((version, bytes.clone()));
-                bytes
-            }
-        }
-    }
-
     /// Records that this host acts now as the leader of `term`: when a call begins, and when it
     /// ends, by which time another term may have begun.
     pub fn record_action(&self, term: Term) {
--- a/crates/catkinlatch-store/src/lead.rs
+++ b/crates/catkinlatch-store/src/lead.rs
@@ -16,7 +16,7 @@
         let term = await_term(&host).await;
         info!(term = term.get(); "lead: took over the duties");
         host.soft_state().reset_timeouts(host.clock.now());
-        host.suspects().watch_all(host.clock.now());
+        host.suspects.lock().watch_all(host.clock.now());
         let mut duties = JoinSet::new();
         duties.spawn(Runner::new(host.clone()).run());
         duties.spawn(weights::run(host.clone(), term));
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -80,7 +80,7 @@
     let publisher = host.clone();
     tokio::spawn(async move { publisher.publish_gathered().await });
     let publisher = host.clone();
-    tokio::spawn(async move { publisher.publish_changed_suspects().await });
+    tokio::spawn(async move { publisher.suspects.run_publisher().await });
     tokio::spawn(view::watch_configuration(host.clone()));
     let lead = tokio::spawn(lead::run(host.clone()));
     info!(name = host.settings.name.as_str(), control:% = control; "store: started");
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -89,13 +89,13 @@
 
     /// Runs items until the future is dropped, which aborts all runs.
     pub async fn run(mut self) {
-        self.schedule.crashes.adopt(self.host.suspects().suspects());
+        self.schedule.crashes.adopt(self.host.suspects.lock().suspects());
         let mut applied = self.host.replica.applied();
         let mut revision = self.host.revision();
         loop {
             let began = time::Instant::now();
             self.sync_jobs();
-            for start in self.host.suspects().take_survivors() {
+            for start in self.host.suspects.lock().take_survivors() {
                 self.schedule.crashes.retract(&start);
             }
             self.give_up_overdue();
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -60,7 +60,7 @@
     let mut failures = 0;
     let mut tried = BTreeSet::new();
     loop {
-        if host.suspects().suspects().is_refused(&fingerprint) {
+        if host.suspects.lock().suspects().is_refused(&fingerprint) {
             if job.give_up_ms.is_some_and(|give_up| host.clock.wall_ms() > give_up) {
                 return Score::Refused;
             }
@@ -78,7 +78,7 @@
             continue;
         };
         let id = scorer.id.as_str();
-        let is_suspect = host.suspects().suspects().get(&fingerprint).is_some();
+        let is_suspect = host.suspects.lock().suspects().get(&fingerprint).is_some();
         if is_suspect && !start_trial(host, fingerprint, &target) {
             time::sleep(RETRY_INTERVAL).await;
             continue;
--- a/crates/catkinlatch-store/src/suspect.rs
+++ b/crates/catkinlatch-store/src/suspect.rs
@@ -1,5 +1,9 @@
 //! The leader's list of requests that may crash targets, which all hosts share.
 
+mod shared;
+
+pub use self::shared::Shared;
+
 use catkinlatch_base::{BootId, Instant};
 use catkinlatch_ledger::suspect::Change;
 use catkinlatch_state::suspect::{self, Disconnect, Reply, Suspects, Watch};
