Give the caller a target's own failure where no other target answers

Callers got 502 from an entry host although a target had answered with its own 500: the answer was dropped for a retry on another target, and none was left, or the time was over. What a target answers is to be returned unchanged, its status and signature included.

Found by a new test of answers that are not the request's own whole one (id of another request, no signature, cut short, anonymous, own failure); its case of the own failure got 502 before and gets 500 now, the other four passed before.

--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -90,11 +90,29 @@
     response
 }
 
+/// Tries targets; a target's own failure is the answer if no other target gives a better one.
 async fn try_targets(
     host: &Arc<Host>,
     inbound: &Arc<InboundRequest>,
     arrived: Instant,
     attempt_log: &mut Vec<String>,
+) -> End {
+    let mut failure = None;
+    let end = try_until_answered(host, inbound, arrived, attempt_log, &mut failure).await;
+    match (end, failure) {
+        (End::MayHaveRun | End::TimedOut, Some(failure)) => End::Answered(failure),
+        (end, _) => end,
+    }
+}
+
+/// Tries targets until one answers; keeps the last failure that a target answered with in
+/// `failure`.
+async fn try_until_answered(
+    host: &Arc<Host>,
+    inbound: &Arc<InboundRequest>,
+    arrived: Instant,
+    attempt_log: &mut Vec<String>,
+    failure: &mut Option<Response<Body>>,
 ) -> End {
     let deadline = arrived + time_limit(inbound);
     let full_retry_deadline = arrived + full_retry_limit(inbound);
@@ -166,6 +184,7 @@
                 if !is_retried {
                     return End::Answered(caller_response(answer));
                 }
+                *failure = Some(caller_response(answer));
                 may_have_run = true;
             }
             Outcome::NotRun(reason) => attempt_log.push(format!("{} not run: {reason}", target.id)),
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -26,6 +26,21 @@
 /// The headers of a request by name, with the path under [`PATH_KEY`].
 pub type Headers = BTreeMap<String, String>;
 
+/// What is wrong with an answer of the service, which has run the request.
+#[derive(Clone, Copy, Debug)]
+pub enum Flaw {
+    /// It bears the id of another request.
+    OfAnotherRequest,
+    /// It is a success without a signature.
+    Unsigned,
+    /// The connection ends before the announced length.
+    CutShort,
+    /// It has neither id nor signature, under a status that means nothing.
+    Anonymous,
+    /// It is the service's own failure.
+    Failure,
+}
+
 /// A running stand-in service.
 ///
 /// A request whose body begins with [`CRASHING_BODY`] crashes it.
@@ -39,6 +54,8 @@
     pub headers_of_runs: Arc<Mutex<BTreeMap<String, Vec<Headers>>>>,
     /// Number of coming requests that are run, but whose response is then lost.
     pub answers_to_lose: Arc<AtomicU32>,
+    /// The flaw of coming answers, and how many of them have it.
+    spoiled: Arc<Mutex<Option<(Flaw, u32)>>>,
     /// Whether the service refuses all requests because it is full.
     pub is_full: Arc<AtomicBool>,
     /// Number of requests that the service refused because it was full.
@@ -60,6 +77,7 @@
             run_time: Arc::new(Mutex::new(RUN_TIME)),
             headers_of_runs: Arc::default(),
             answers_to_lose: Arc::default(),
+            spoiled: Arc::default(),
             is_full: Arc::default(),
             refusals: Arc::default(),
             lifecycle: Lifecycle::new(controls),
@@ -89,6 +107,18 @@
         self.crash(b"");
     }
 
+    /// Spoils the next `count` answers.
+    pub fn spoil(&self, flaw: Flaw, count: u32) {
+        *lock(&self.spoiled) = Some((flaw, count));
+    }
+
+    fn take_flaw(&self) -> Option<Flaw> {
+        let mut spoiled = lock(&self.spoiled);
+        let (flaw, left) = spoiled.as_mut().filter(|(_, left)| *left > 0)?;
+        *left -= 1;
+        Some(*flaw)
+    }
+
     /// Returns the current start; `None` while the target is down.
     pub fn current(&self) -> Option<Target> {
         self.lifecycle.current()
@@ -168,7 +198,32 @@
         {
             return broken(&id);
         }
-        respond(StatusCode::OK, &id, &format!("answer to {id}"))
+        let text = format!("answer to {id}");
+        match self.take_flaw() {
+            None => respond(StatusCode::OK, &id, &text),
+            Some(flaw) => spoiled(flaw, &id, &text),
+        }
+    }
+}
+
+/// Returns an answer with a flaw.
+fn spoiled(flaw: Flaw, id: &str, text: &str) -> Response<Body> {
+    match flaw {
+        Flaw::OfAnotherRequest => respond(StatusCode::OK, "another", "answer to another"),
+        Flaw::Unsigned => {
+            let response = Response::builder().header("attempt-id", id);
+            response.body(full(text.to_owned())).expect("the response is valid")
+        }
+        Flaw::CutShort => broken(id),
+        Flaw::Anonymous => {
+            let response = Response::builder().status(299);
+            response.body(full("noise")).expect("the response is valid")
+        }
+        Flaw::Failure => {
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            let response = Response::builder().status(status).header("attempt-id", id);
+            response.body(full("failed")).expect("the response is valid")
+        }
     }
 }
 
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -6,6 +6,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed test may panic")]
 
+#[path = "site/answer.rs"]
+mod answer;
 #[path = "site/leaving.rs"]
 mod leaving;
 #[path = "site/stream.rs"]
