--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -16,7 +16,7 @@
     host::Host,
     lifecycle::{CRASHING_BODY, Lifecycle},
     platform::Platform,
-    service::{Flaw, Service},
+    service::{Flaw, Headers, Service},
     soak::{Report, Soak},
     target::Target,
 };
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -26,6 +26,18 @@
 /// The headers of a request by name, with the path under [`PATH_KEY`].
 pub type Headers = BTreeMap<String, String>;
 
+/// Counts a request as abandoned if it is dropped before it has run.
+struct Run {
+    abandoned: Arc<AtomicU32>,
+    has_ended: bool,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.abandoned.fetch_add(u32::from(!self.has_ended), Ordering::Relaxed);
+    }
+}
+
 /// What is wrong with an answer of the service, which has run the request.
 #[derive(Clone, Copy, Debug)]
 pub enum Flaw {
@@ -54,6 +66,8 @@
     pub headers_of_runs: Arc<Mutex<BTreeMap<String, Vec<Headers>>>>,
     /// Number of coming requests that are run, but whose response is then lost.
     pub answers_to_lose: Arc<AtomicU32>,
+    /// Number of requests whose caller left before they had run.
+    pub abandoned: Arc<AtomicU32>,
     /// The flaw of coming answers, and how many of them have it.
     spoiled: Arc<Mutex<Option<(Flaw, u32)>>>,
     /// Whether the service refuses all requests because it is full.
@@ -77,6 +91,7 @@
             run_time: Arc::new(Mutex::new(RUN_TIME)),
             headers_of_runs: Arc::default(),
             answers_to_lose: Arc::default(),
+            abandoned: Arc::default(),
             spoiled: Arc::default(),
             is_full: Arc::default(),
             refusals: Arc::default(),
@@ -186,7 +201,9 @@
             std::future::pending::<()>().await;
         }
         let run_time = *lock(&self.run_time);
+        let mut run = Run { abandoned: self.abandoned.clone(), has_ended: false };
         time::sleep(run_time).await;
+        run.has_ended = true;
         let mut headers_of_runs = lock(&self.headers_of_runs);
         headers_of_runs.entry(id.clone()).or_default().push(headers);
         drop(headers_of_runs);
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -8,6 +8,8 @@
 
 #[path = "site/answer.rs"]
 mod answer;
+#[path = "site/attempt.rs"]
+mod attempt;
 #[path = "site/leaving.rs"]
 mod leaving;
 #[path = "site/stream.rs"]
