Count targets that fall silent under a request and end as crashes

A target that answers nothing and is replaced by another start some seconds later, as when its machine crashes without closing connections, was no evidence against the request, which went on without end.

The rule of runs alone keeps a request that met a dark rack from being refused. The new test of real processes (14 calls of one request, then 10 more that end no target) fails with the report removed; three unit cases cover the rack.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -22,6 +22,9 @@
     NotRun(&'static str),
     /// The target may have run the request; holds the reason for the log.
     MayHaveRun(String),
+    /// The target did not answer in time, and may have run the request; holds the reason for the
+    /// log.
+    Silent(&'static str),
     /// The connection broke while the target may have run the request, as it does when the target
     /// crashes; holds the reason for the log.
     Broken(String),
@@ -116,7 +119,7 @@
         }
         Err(_) => {
             guard.verdict = Verdict::Failed;
-            return Err(Outcome::MayHaveRun("no answer in time".to_owned()));
+            return Err(Outcome::Silent("no answer in time"));
         }
     };
     suspect::record_response(host, target, started);
@@ -142,7 +145,7 @@
         }
         Ok(Err(error @ BodyError::Broken(_))) => Outcome::Broken(error.to_string()),
         Ok(Err(error @ BodyError::TooLong)) => Outcome::MayHaveRun(error.to_string()),
-        Err(_) => Outcome::MayHaveRun("the response did not end in time".to_owned()),
+        Err(_) => Outcome::Silent("the response did not end in time"),
     };
     guard.record_failure();
     outcome
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -188,7 +188,7 @@
                 may_have_run = true;
             }
             Outcome::NotRun(reason) => attempt_log.push(format!("{} not run: {reason}", target.id)),
-            outcome @ (Outcome::MayHaveRun(_) | Outcome::Broken(_)) => {
+            outcome @ (Outcome::MayHaveRun(_) | Outcome::Silent(_) | Outcome::Broken(_)) => {
                 attempt_log.push(format!("{} unknown: {outcome}", target.id));
                 may_have_run = true;
                 if !is_idempotent {
@@ -213,6 +213,7 @@
         Outcome::Broken(_) => {
             suspect::record_break(host, inbound, target, permit == Permit::Trial).await;
         }
+        Outcome::Silent(_) => suspect::record_silence(host, inbound, target, permit).await,
         Outcome::Answer(_) if permit == Permit::Trial => {
             suspect::record_answer(host, inbound).await;
         }
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -258,6 +258,7 @@
                 Ok(_) => self.log("the next target did not return a stream"),
                 Err(Outcome::NotRun(reason)) => self.log(reason),
                 Err(Outcome::MayHaveRun(reason)) => self.log(&reason),
+                Err(Outcome::Silent(reason)) => self.log(reason),
                 Err(Outcome::Broken(reason)) => {
                     self.log(&reason);
                     self.record_break().await;
--- a/crates/catkinlatch-entry/src/suspect.rs
+++ b/crates/catkinlatch-entry/src/suspect.rs
@@ -91,6 +91,22 @@
     change(host, Change::Crashed { fingerprint, boot, ran_alone }).await;
 }
 
+/// Records that a target did not answer a request in time, which the leader weighs once it knows
+/// whether the target ended.
+pub async fn record_silence(
+    host: &Host,
+    inbound: &InboundRequest,
+    target: &Target,
+    permit: Permit,
+) {
+    let (fingerprint, boot) = (inbound.fingerprint(), target.boot());
+    let ran_alone = permit == Permit::Trial;
+    change(host, Change::Silent { fingerprint, boot, ran_alone }).await;
+    if ran_alone {
+        end_trial(host, inbound).await;
+    }
+}
+
 /// Records that a target answered a request that was sent at `sent_at`; if a connection to it had
 /// broken before, it has not crashed.
 pub fn record_response(host: &Arc<Host>, target: &Target, sent_at: Instant) {
--- a/crates/catkinlatch-ledger/src/suspect.rs
+++ b/crates/catkinlatch-ledger/src/suspect.rs
@@ -18,6 +18,16 @@
             /// Whether the request ran as a suspect, alone among suspects.
             ran_alone: bool,
         },
+        /// A target did not answer a request in time. It has crashed if another start takes its
+        /// place; until then, this tells nothing.
+        Silent {
+            /// Fingerprint of the request.
+            fingerprint: Fingerprint,
+            /// The start of the target.
+            boot: BootId,
+            /// Whether the request ran as a suspect, alone among suspects.
+            ran_alone: bool,
+        },
         /// Asks to run a suspect alone on a target.
         StartTrial {
             /// Fingerprint of the request.
@@ -71,6 +81,7 @@
                 }
                 suspect::Change::Crashed { fingerprints: vec![fingerprint], boot, at_ms: wall_ms }
             }
+            Self::Silent { .. } => return Reply::Done,
             Self::StartTrial { fingerprint, target, process, for_ms } => {
                 let trial = Trial { target, node: process, until_ms: wall_ms + for_ms };
                 suspect::Change::StartTrial { fingerprint, trial, now_ms: wall_ms }
--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -14,7 +14,7 @@
     configuration::{HOST, configuration, request},
     engine::Engine,
     host::Host,
-    lifecycle::{CRASHING_BODY, Lifecycle},
+    lifecycle::{CRASHING_BODY, Lifecycle, SILENCING_BODY},
     platform::Platform,
     service::{Flaw, Headers, Service},
     soak::{Report, Soak},
--- a/crates/catkinlatch-standin/src/site/lifecycle.rs
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -13,6 +13,12 @@
 /// The first bytes of the body of a request that crashes each target which runs it.
 pub const CRASHING_BODY: &str = "crash";
 
+/// The first bytes of the body of a request under which a target falls silent before it crashes.
+pub const SILENCING_BODY: &str = "silence";
+
+/// How long a target is silent before it crashes: longer than an attempt at a request lasts.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
 /// How long a target that crashed is down.
 const DOWNTIME: Duration = Duration::from_millis(800);
 
@@ -34,6 +40,7 @@
 struct State {
     /// The tasks of the current start; empty while the target is down.
     tasks: Vec<AbortHandle>,
+    is_silent: bool,
     /// The current or else the last start.
     target: Option<Target>,
     /// The bodies of the requests that crashed a start.
@@ -64,6 +71,31 @@
         state.tasks = tasks.iter().map(|task| task.abort_handle()).collect();
     }
 
+    /// Lets the target answer and announce nothing, and crash a little later.
+    pub fn fall_silent(
+        &self,
+        body: &[u8],
+        target: Target,
+        restart: impl FnOnce(Target, TcpListener) + Send + 'static,
+    ) {
+        let mut state = self.lock();
+        if std::mem::replace(&mut state.is_silent, true) {
+            return;
+        }
+        state.tasks.last().into_iter().for_each(AbortHandle::abort);
+        let (lifecycle, body) = (self.clone(), body.to_vec());
+        tokio::spawn(async move {
+            time::sleep(SILENCE).await;
+            lifecycle.lock().is_silent = false;
+            lifecycle.crash(&body, target, restart);
+        });
+    }
+
+    /// Returns whether the target answers nothing.
+    pub fn is_silent(&self) -> bool {
+        self.lock().is_silent
+    }
+
     /// Ends the current start at once, under a request with this body; `restart` runs the next one from its target and listener.
     pub fn crash(
         &self,
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -1,6 +1,6 @@
 //! A stand-in plain service of a site.
 
-use super::{CRASHING_BODY, Lifecycle, Target};
+use super::{CRASHING_BODY, Lifecycle, SILENCING_BODY, Target};
 use catkinlatch_runtime::http::{Body, collect, full, serve, streamed};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -196,6 +196,16 @@
         let Ok(body) = collect(body, 1 << 20).await else {
             return respond(StatusCode::BAD_REQUEST, &id, "");
         };
+        if body.starts_with(SILENCING_BODY.as_bytes()) {
+            let mut next = self.clone();
+            self.lifecycle.fall_silent(&body, self.target.clone(), move |target, listener| {
+                next.target = target;
+                next.run(listener);
+            });
+        }
+        if self.lifecycle.is_silent() {
+            std::future::pending::<()>().await;
+        }
         if body.starts_with(CRASHING_BODY.as_bytes()) {
             self.crash(&body);
             std::future::pending::<()>().await;
--- a/crates/catkinlatch-store/src/handler/suspect.rs
+++ b/crates/catkinlatch-store/src/handler/suspect.rs
@@ -29,7 +29,7 @@
             info!(fingerprint:% = fingerprint; "suspects: a suspect was answered");
         }
         Change::Survived { boot } => info!(boot:% = boot; "suspects: the target is still running"),
-        Change::EndTrial { .. } => {}
+        Change::Silent { .. } | Change::EndTrial { .. } => {}
     }
     Reply::Suspect(reply)
 }
--- a/crates/catkinlatch-store/tests/suspect.rs
+++ b/crates/catkinlatch-store/tests/suspect.rs
@@ -77,6 +77,34 @@
     assert_eq!(ask(WALL_MS + 400), Reply::Granted);
 }
 
+fn silent(number: usize, ran_alone: bool) -> Change {
+    Change::Silent { fingerprint: ID, boot: boot(number), ran_alone }
+}
+
+/// Targets of a dark rack end together under requests that ran among others; a request that ran
+/// alone has ended its target.
+#[test_case(false, true, false; "among others, and all ended")]
+#[test_case(true, true, true; "alone, and all ended")]
+#[test_case(true, false, false; "alone, and all live on")]
+fn a_silent_target_counts_once_another_start_takes_its_place(
+    ran_alone: bool,
+    has_ended: bool,
+    refused_after: bool,
+) {
+    let mut table = Table::default();
+    table.apply(&silent(1, false), at(1_000), WALL_MS);
+    table.apply(&silent(2, ran_alone), at(1_500), WALL_MS);
+    let heard = |ms| BTreeMap::from([(boot(1), at(ms)), (boot(2), at(ms))]);
+    table.update(at(2_500), WALL_MS, || heard(900));
+    assert!(table.suspects().list().is_empty(), "nothing is known yet");
+    let later = if has_ended { BTreeMap::new() } else { heard(3_000) };
+    table.update(at(3_500), WALL_MS, || later.clone());
+    assert!(!is_refused(&table), "a registration may still come");
+    table.update(at(5_000), WALL_MS, || later);
+    assert_eq!(is_refused(&table), refused_after);
+    assert_eq!(table.suspects().list().is_empty(), !has_ended);
+}
+
 /// A request that many callers send meets another's crashes on several targets.
 #[test]
 fn crashes_beside_which_a_request_ran_among_others_do_not_get_it_refused() {
--- a/tests/site/suspect.rs
+++ b/tests/site/suspect.rs
@@ -1,7 +1,7 @@
 //! Requests that crash the targets which run them.
 
 use super::{Setup, check, job, ok, wait_until};
-use catkinlatch_standin::site::{CRASHING_BODY, Service};
+use catkinlatch_standin::site::{CRASHING_BODY, SILENCING_BODY, Service};
 use http::{StatusCode, header};
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -154,3 +154,15 @@
     let crashes = crashes(&services);
     assert!((1..=MAX_CRASHES).contains(&crashes), "{crashes} services crashed");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_under_which_targets_fall_silent_and_end_is_refused_at_last() {
+    let setup = Setup::start().await;
+    let services = start_services(&setup).await;
+    let last = send_crashing(&setup, 14, SILENCING_BODY).await.unwrap();
+    assert_eq!(last.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let before = crashes(&services);
+    let last = send_crashing(&setup, 10, SILENCING_BODY).await.unwrap();
+    assert_eq!(last.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(crashes(&services), before);
+}
