Let the silent stand-in leave its connections open, so that its test needs the report

The stand-in closed its connections when its silence ended, and the broken connections were evidence enough. A silent start leaves them open now, and the next start listens elsewhere.

--- a/crates/catkinlatch-standin/src/site/lifecycle.rs
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -5,7 +5,7 @@
 use std::{
     future::Future,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
     time::Duration,
 };
 use tokio::{net::TcpListener, sync::watch, task::AbortHandle, time};
@@ -13,10 +13,10 @@
 /// The first bytes of the body of a request that crashes each target which runs it.
 pub const CRASHING_BODY: &str = "crash";
 
-/// The first bytes of the body of a request under which a target falls silent before it crashes.
+/// The first bytes of the body of a request under which a target falls silent and ends.
 pub const SILENCING_BODY: &str = "silence";
 
-/// How long a target is silent before it crashes: longer than an attempt at a request lasts.
+/// How long after a target fell silent its next start runs.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
 /// How long a target that crashed is down.
@@ -40,7 +40,6 @@
 struct State {
     /// The tasks of the current start; empty while the target is down.
     tasks: Vec<AbortHandle>,
-    is_silent: bool,
     /// The current or else the last start.
     target: Option<Target>,
     /// The bodies of the requests that crashed a start.
@@ -71,31 +70,29 @@
         state.tasks = tasks.iter().map(|task| task.abort_handle()).collect();
     }
 
-    /// Lets the target answer and announce nothing, and crash a little later.
+    /// Lets the target answer and announce nothing from now on, without closing a connection; the
+    /// next start listens at another address a little later.
     pub fn fall_silent(
         &self,
         body: &[u8],
-        target: Target,
+        mut target: Target,
         restart: impl FnOnce(Target, TcpListener) + Send + 'static,
     ) {
-        let mut state = self.lock();
-        if std::mem::replace(&mut state.is_silent, true) {
+        if target.is_silent.swap(true, Ordering::Relaxed) {
             return;
         }
+        let mut state = self.lock();
         state.tasks.last().into_iter().for_each(AbortHandle::abort);
-        let (lifecycle, body) = (self.clone(), body.to_vec());
+        state.next_start(body, &mut target);
         tokio::spawn(async move {
             time::sleep(SILENCE).await;
-            lifecycle.lock().is_silent = false;
-            lifecycle.crash(&body, target, restart);
+            let any_port = (target.address.ip(), 0);
+            let listener = TcpListener::bind(any_port).await.expect("a port is free");
+            target.address = listener.local_addr().expect("the listener has an address");
+            restart(target, listener);
         });
     }
 
-    /// Returns whether the target answers nothing.
-    pub fn is_silent(&self) -> bool {
-        self.lock().is_silent
-    }
-
     /// Ends the current start at once, under a request with this body; `restart` runs the next one from its target and listener.
     pub fn crash(
         &self,
@@ -109,10 +106,7 @@
             // Another request has crashed this start already.
             return;
         }
-        state.crashes.push(String::from_utf8_lossy(body).into_owned());
-        let first = target.id.split('.').next().unwrap_or_default();
-        (target.says_leaving, target.is_draining) = Default::default();
-        target.id = format!("{first}.{}", state.crashes.len());
+        state.next_start(body, &mut target);
         tokio::spawn(async move {
             // The request's own task ends with its connection.
             tasks.iter().for_each(AbortHandle::abort);
@@ -138,6 +132,17 @@
     }
 }
 
+impl State {
+    /// Records that a start ended under a request with this body, and turns its target into the
+    /// next start.
+    fn next_start(&mut self, body: &[u8], target: &mut Target) {
+        self.crashes.push(String::from_utf8_lossy(body).into_owned());
+        let first = target.id.split('.').next().unwrap_or_default().to_owned();
+        target.id = format!("{first}.{}", self.crashes.len());
+        (target.says_leaving, target.is_draining, target.is_silent) = Default::default();
+    }
+}
+
 /// Listens at the address of an earlier start, once the system has freed it.
 async fn bind_again(address: SocketAddr) -> TcpListener {
     loop {
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -203,7 +203,7 @@
                 next.run(listener);
             });
         }
-        if self.lifecycle.is_silent() {
+        if self.target.is_silent.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
         if body.starts_with(CRASHING_BODY.as_bytes()) {
--- a/crates/catkinlatch-standin/src/site/target.rs
+++ b/crates/catkinlatch-standin/src/site/target.rs
@@ -31,6 +31,8 @@
     pub is_draining: Arc<AtomicBool>,
     /// Whether the target says in its answers that it leaves, whatever its heartbeats say.
     pub says_leaving: Arc<AtomicBool>,
+    /// Whether the target answers nothing, and leaves its connections open.
+    pub is_silent: Arc<AtomicBool>,
     /// Number of heartbeats that were acknowledged while the target was draining.
     pub acknowledged: Arc<AtomicU64>,
 }
@@ -38,9 +40,9 @@
 impl Target {
     /// Creates a target that accepts requests.
     pub fn new(id: &str, service: &'static str, address: SocketAddr, slots: u32) -> Self {
-        let (is_draining, says_leaving, acknowledged) = Default::default();
+        let (is_draining, says_leaving, is_silent, acknowledged) = Default::default();
         let id = id.to_owned();
-        Self { id, service, address, slots, is_draining, says_leaving, acknowledged }
+        Self { id, service, address, slots, is_draining, says_leaving, is_silent, acknowledged }
     }
 
     /// Adds the header that says that the target leaves, if it does.
