--- a/tests/site.rs
+++ b/tests/site.rs
@@ -10,12 +10,16 @@
 mod answer;
 #[path = "site/attempt.rs"]
 mod attempt;
+#[path = "site/key.rs"]
+mod key;
 #[path = "site/leaving.rs"]
 mod leaving;
 #[path = "site/stream.rs"]
 mod stream;
 #[path = "site/suspect.rs"]
 mod suspect;
+#[path = "site/wire.rs"]
+mod wire;
 
 use bytes::Bytes;
 use catkinlatch_standin::site::{self, Engine, Service, Site, Soak, Target};
