Answer callers without waiting for the leader's word on suspects

A caller whose suspect had been answered, or whose target had fallen silent, waited for the report to the leader: a round trip, and up to 80 ms where no leader answers (by reading). Only a crash is waited for now, since the next attempt must not run beside another. The time that a target is given is read after the wait for a run alone.

--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -158,6 +158,8 @@
                 return if may_have_run { End::MayHaveRun } else { End::NotRun(after) };
             }
         }
+        // A suspect may have waited for the leader's word.
+        let left = deadline - host.clock.now();
         sends += 1;
         let is_last = sends >= inbound.route.max_attempts || !is_idempotent;
         let limit = if is_last { left } else { left.min(attempt_limit(inbound, left)) };
@@ -201,9 +203,10 @@
     }
 }
 
-/// Records what an attempt tells about whether the request crashes targets.
+/// Records what an attempt tells about whether the request crashes targets. Only a crash is waited
+/// for, since the next attempt must not run beside another.
 async fn record(
-    host: &Host,
+    host: &Arc<Host>,
     inbound: &InboundRequest,
     target: &Target,
     permit: Permit,
@@ -213,12 +216,12 @@
         Outcome::Broken(_) => {
             suspect::record_break(host, inbound, target, permit == Permit::Trial).await;
         }
-        Outcome::Silent(_) => suspect::record_silence(host, inbound, target, permit).await,
+        Outcome::Silent(_) => suspect::record_silence(host, inbound, target, permit),
         Outcome::Answer(_) if permit == Permit::Trial => {
-            suspect::record_answer(host, inbound).await;
+            suspect::record_answer(host, inbound);
         }
         Outcome::NotRun(_) | Outcome::MayHaveRun(_) if permit == Permit::Trial => {
-            suspect::end_trial(host, inbound).await;
+            suspect::end_trial(host, inbound);
         }
         Outcome::Answer(_) | Outcome::NotRun(_) | Outcome::MayHaveRun(_) => {}
     }
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -142,7 +142,7 @@
                         self.log("whole");
                     }
                     if mem::take(&mut self.attempts.is_trial) {
-                        suspect::record_answer(&self.host, &self.inbound).await;
+                        suspect::record_answer(&self.host, &self.inbound);
                     }
                     return None;
                 }
@@ -150,7 +150,7 @@
                     if is_break {
                         self.record_break().await;
                     } else if self.attempts.is_trial {
-                        suspect::end_trial(&self.host, &self.inbound).await;
+                        suspect::end_trial(&self.host, &self.inbound);
                     }
                     if let Some(call) = &mut self.call {
                         call.guard.record_failure();
--- a/crates/catkinlatch-entry/src/suspect.rs
+++ b/crates/catkinlatch-entry/src/suspect.rs
@@ -93,17 +93,12 @@
 
 /// Records that a target did not answer a request in time, which the leader weighs once it knows
 /// whether the target ended.
-pub async fn record_silence(
-    host: &Host,
-    inbound: &InboundRequest,
-    target: &Target,
-    permit: Permit,
-) {
+pub fn record_silence(host: &Arc<Host>, inbound: &InboundRequest, target: &Target, permit: Permit) {
     let (fingerprint, boot) = (inbound.fingerprint(), target.boot());
     let ran_alone = permit == Permit::Trial;
-    change(host, Change::Silent { fingerprint, boot, ran_alone }).await;
+    change_later(host, Change::Silent { fingerprint, boot, ran_alone });
     if ran_alone {
-        end_trial(host, inbound).await;
+        end_trial(host, inbound);
     }
 }
 
@@ -112,19 +107,24 @@
 pub fn record_response(host: &Arc<Host>, target: &Target, sent_at: Instant) {
     let now = host.clock.now();
     let Some(boot) = host.suspects().take_survivor(&target.id, sent_at, now) else { return };
-    let host = host.clone();
-    tokio::spawn(async move { change(&host, Change::Survived { boot }).await });
+    change_later(host, Change::Survived { boot });
 }
 
 /// Records that a target answered a suspect, so that it is none any more.
-pub async fn record_answer(host: &Host, inbound: &InboundRequest) {
-    change(host, Change::Clear { fingerprint: inbound.fingerprint() }).await;
+pub fn record_answer(host: &Arc<Host>, inbound: &InboundRequest) {
+    change_later(host, Change::Clear { fingerprint: inbound.fingerprint() });
 }
 
 /// Records that the run of a suspect ended in a way that tells nothing about it.
-pub async fn end_trial(host: &Host, inbound: &InboundRequest) {
+pub fn end_trial(host: &Arc<Host>, inbound: &InboundRequest) {
     let (fingerprint, process) = (inbound.fingerprint(), host.peers.local().incarnation);
-    change(host, Change::EndTrial { fingerprint, process }).await;
+    change_later(host, Change::EndTrial { fingerprint, process });
+}
+
+/// Applies a change that no caller waits for.
+fn change_later(host: &Arc<Host>, later: Change) {
+    let host = host.clone();
+    tokio::spawn(async move { change(&host, later).await });
 }
 
 /// Applies a change to this host's copy, and has the leader apply it.
