Take a crash back only after two announcements that are half a second apart

Cause: an announcement that comes after the crash, as one that was delayed does, counted as a sign of life and retracted the crashes on all hosts; the request then ran again. Trace: the refusals of the sample end half a second after the crash, without an answer that cleared it. The same module decides on the platform's way, where a heartbeat may arrive seconds late.

Two announcements after the break, half a second apart, are asked for now; refused callers are told to come back after three heartbeats.

--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -227,10 +227,10 @@
     }
 }
 
-/// Returns the time in which a target that still runs announces itself again, so that a request
-/// that is refused by mistake runs then.
+/// Returns the time in which a target that still runs announces itself twice more, so that a
+/// request that is refused by mistake runs then.
 fn retraction_time(host: &Host) -> Duration {
-    Duration::from_millis(host.settings.times.heartbeat_ms) * 2
+    Duration::from_millis(host.settings.times.heartbeat_ms) * 3
 }
 
 /// Returns the time from arrival within which the caller must get its response.
--- a/crates/catkinlatch-node/src/entry/admission.rs
+++ b/crates/catkinlatch-node/src/entry/admission.rs
@@ -88,7 +88,7 @@
 
     /// Watches a target whose connection broke with a request in flight.
     pub fn watch_target(&self, target: TargetId, boot: BootId, since: Instant) {
-        self.with_watch(|watch| watch.add(Disconnect { start: (target, boot), since }));
+        self.with_watch(|watch| watch.add(Disconnect::new((target, boot), since)));
     }
 
     /// Runs `work` on the targets that may have crashed, while admission is locked.
--- a/crates/catkinlatch-standin/tests/rollout.rs
+++ b/crates/catkinlatch-standin/tests/rollout.rs
@@ -9,7 +9,7 @@
 };
 use catkinlatch_standin::{
     client::Client,
-    engine::{Engine, Options, Swap},
+    engine::{Engine, Fault, Options, Swap},
 };
 use catkinlatch_state::config::{Change, Edit, Key, Kind, Model, Route, Secret, Team, Trainer};
 use http::{Method, StatusCode};
@@ -78,7 +78,10 @@
     }
 
     async fn post(&self, name: &str, max_tokens: u32) -> StatusCode {
-        let prompts = vec!["describe the crack".to_owned(); 2];
+        self.post_prompts(name, vec!["describe the crack".to_owned(); 2], max_tokens).await
+    }
+
+    async fn post_prompts(&self, name: &str, prompts: Vec<String>, max_tokens: u32) -> StatusCode {
         let group = Group { id: id(name), prompts, max_tokens };
         let answer = self.trainer.post("/v1/trainers/defects/groups", &group).await;
         answer.expect("an answer comes").status()
@@ -206,3 +209,20 @@
         assert!(correct.iter().any(|r| r.request.as_str() == sample.task.sample.as_str()));
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sample_that_crashes_engines_ends_two_of_them_and_other_groups_are_delivered() {
+    let faults = vec![("bad".to_owned(), Fault::Crash)];
+    let options = Options { faults, ..Options::default() };
+    let fixture = Fixture::start(vec![options; 5]).await;
+    assert!(fixture.post_prompts("group-bad", vec!["bad".to_owned()], 16).await.is_success());
+    for number in 1..=3 {
+        assert!(fixture.post(&format!("group-{number}"), 4).await.is_success());
+        let samples = fixture.samples(number).await;
+        assert!(samples.iter().all(|sample| sample.task.group.as_str() != "group-bad"));
+    }
+    // Longer than the backoff between the runs of a sample.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let crashed = fixture.engines.iter().filter(|engine| engine.has_crashed()).count();
+    assert_eq!(crashed, 2);
+}
--- a/crates/catkinlatch-state/src/suspect/watch.rs
+++ b/crates/catkinlatch-state/src/suspect/watch.rs
@@ -1,13 +1,14 @@
 //! Targets that may have crashed, until they announce themselves again.
 
 use catkinlatch_base::Instant;
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, mem, time::Duration};
 
 /// Largest number of starts watched at one time; the oldest is dropped for a new one.
 const MAX_WATCHED: usize = 256;
 
 /// An announcement shows that the target is still running only if it arrives more than this long
-/// after the connection broke.
+/// after another one that arrived more than this long after the connection broke. A single one may
+/// have been sent before the crash and delayed.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// Longest time that a start is watched.
@@ -18,8 +19,24 @@
 pub struct Disconnect<K> {
     /// Identifies the start of the target.
     pub start: K,
-    /// When the connection broke.
-    pub since: Instant,
+    since: Instant,
+    /// When the start announced itself for the first time after that.
+    first_heard: Option<Instant>,
+}
+
+impl<K> Disconnect<K> {
+    /// Creates the record of a connection that broke at `since`.
+    pub fn new(start: K, since: Instant) -> Self {
+        Self { start, since, first_heard: None }
+    }
+
+    /// Records when the start was last heard; returns whether that shows that it still runs.
+    fn survives(&mut self, heard: Instant) -> bool {
+        if heard <= self.since + SETTLE_TIME {
+            return false;
+        }
+        heard > *self.first_heard.get_or_insert(heard) + SETTLE_TIME
+    }
 }
 
 /// The starts of targets whose connections broke recently.
@@ -59,15 +76,15 @@
         now: Instant,
         last_heard: impl Fn(&K) -> Option<Instant>,
     ) -> Vec<Disconnect<K>> {
-        let has_announced = |disconnect: &Disconnect<K>| {
-            last_heard(&disconnect.start)
-                .is_some_and(|heard| heard > disconnect.since + SETTLE_TIME)
-        };
-        let (survivors, others): (VecDeque<_>, VecDeque<_>) =
-            self.disconnects.drain(..).partition(has_announced);
-        let is_watched =
-            |watched: &Disconnect<K>| now.saturating_duration_since(watched.since) < WATCH_TIME;
-        self.disconnects = others.into_iter().filter(is_watched).collect();
-        survivors.into()
+        let mut survivors = Vec::new();
+        for mut disconnect in mem::take(&mut self.disconnects) {
+            let heard = last_heard(&disconnect.start);
+            if heard.is_some_and(|heard| disconnect.survives(heard)) {
+                survivors.push(disconnect);
+            } else if now.saturating_duration_since(disconnect.since) < WATCH_TIME {
+                self.disconnects.push_back(disconnect);
+            }
+        }
+        survivors
     }
 }
--- a/crates/catkinlatch-store/src/suspect.rs
+++ b/crates/catkinlatch-store/src/suspect.rs
@@ -65,7 +65,7 @@
     pub fn watch_all(&mut self, now: Instant) {
         let boots = self.suspects.list().values().flat_map(|suspect| &suspect.crashes);
         for boot in boots.cloned().collect::<Vec<_>>() {
-            self.watch.add(Disconnect { start: boot, since: now });
+            self.watch.add(Disconnect::new(boot, now));
         }
     }
 
@@ -77,7 +77,7 @@
     /// Applies a change that a host reports or asks for.
     pub fn apply(&mut self, change: &Change, now: Instant, wall_ms: u64) -> (Reply, Urgency) {
         if let Change::Crashed { boot, .. } = change {
-            self.watch.add(Disconnect { start: boot.clone(), since: now });
+            self.watch.add(Disconnect::new(boot.clone(), now));
         }
         if let Change::Survived { boot } = change {
             self.survivors.push(boot.clone());
--- a/crates/catkinlatch-store/tests/suspect.rs
+++ b/crates/catkinlatch-store/tests/suspect.rs
@@ -37,17 +37,19 @@
     table.suspects().is_refused(&ID)
 }
 
-#[test_case(Some(2_400), true; "announced just after the connection broke")]
-#[test_case(Some(2_600), false; "announced later")]
-#[test_case(None, true; "replaced by another start")]
-fn only_targets_that_are_announced_later_have_not_crashed(
-    heard_ms: Option<u64>,
+#[test_case(&[2_400], true; "just after the connection broke")]
+#[test_case(&[2_600], true; "once, which may have been delayed")]
+#[test_case(&[2_600, 2_650], true; "twice, delayed together")]
+#[test_case(&[2_600, 3_200], false; "twice")]
+#[test_case(&[], true; "never, since another start took its place")]
+fn only_targets_that_announce_themselves_again_have_not_crashed(
+    heard_ms: &[u64],
     refused_after: bool,
 ) {
     let mut table = refused();
-    let starts = || heard_ms.map(|ms| (boot(2), at(ms))).into_iter().collect();
-    let (survivors, _) = table.update(at(3_000), WALL_MS, starts);
-    assert_eq!(survivors.is_empty(), refused_after);
+    for ms in heard_ms {
+        table.update(at(ms + 50), WALL_MS, || BTreeMap::from([(boot(2), at(*ms))]));
+    }
     assert_eq!(is_refused(&table), refused_after);
 }
 
@@ -56,8 +58,9 @@
     let mut table = Table::default();
     table.adopt(refused().suspects().clone());
     table.watch_all(at(10_000));
-    let starts = || BTreeMap::from([(boot(1), at(11_000))]);
-    assert_eq!(table.update(at(11_000), WALL_MS, starts).0, [boot(1)]);
+    let heard = |ms| BTreeMap::from([(boot(1), at(ms))]);
+    assert!(table.update(at(11_000), WALL_MS, || heard(11_000)).0.is_empty());
+    assert_eq!(table.update(at(12_000), WALL_MS, || heard(12_000)).0, [boot(1)]);
     assert!(!is_refused(&table));
 }
 
