Let a refused request run alone once more after 10 s and after 60 s

Trace: two answers of living targets were lost under runs alone; both targets were replaced before they had announced themselves again, so that nothing retracted the crashes, and the refusal held for an hour. The same would hit any request that callers repeat.

A run once more tells a mistake from a crash; a request that crashes its targets ends two more so. The unit test plays both pauses and the end of them.

--- a/crates/catkinlatch-entry/src/suspect.rs
+++ b/crates/catkinlatch-entry/src/suspect.rs
@@ -64,9 +64,13 @@
         return Permit::Plain;
     }
     let fingerprint = inbound.fingerprint();
-    match host.suspects().state(&fingerprint) {
+    let state = host.suspects().state(&fingerprint);
+    match state {
         State::Unknown => return Permit::Plain,
-        State::Refused => return Permit::Refused,
+        State::Refused if !host.suspects().may_be_paroled(&fingerprint, host.clock.wall_ms()) => {
+            return Permit::Refused;
+        }
+        State::Refused => {}
         State::Suspect => {}
     }
     let start = Change::StartTrial {
--- a/crates/catkinlatch-entry/src/suspect/table.rs
+++ b/crates/catkinlatch-entry/src/suspect/table.rs
@@ -1,7 +1,10 @@
 //! A host's copy of the requests that may crash targets.
 
 use catkinlatch_base::{BootId, Instant, TargetId};
-use catkinlatch_ledger::{Target, suspect::Change};
+use catkinlatch_ledger::{
+    Target,
+    suspect::{Change, Paroles},
+};
 use catkinlatch_runtime::message::ViewVersion;
 use catkinlatch_state::suspect::{self, Fingerprint, Reply, Suspects};
 use std::{
@@ -63,6 +66,11 @@
         }
     }
 
+    /// Returns whether the leader may let a refused request run once more.
+    pub fn may_be_paroled(&self, fingerprint: &Fingerprint, wall_ms: u64) -> bool {
+        Paroles::may_be_due(&self.suspects, fingerprint, wall_ms)
+    }
+
     /// Returns the targets on which suspects run, as far as this host knows.
     pub fn trial_targets(&self, wall_ms: u64) -> BTreeSet<TargetId> {
         self.suspects.trial_targets(wall_ms).cloned().collect()
--- a/crates/catkinlatch-ledger/src/suspect.rs
+++ b/crates/catkinlatch-ledger/src/suspect.rs
@@ -4,6 +4,36 @@
 
 use catkinlatch_base::{BootId, Incarnation, TargetId, derive_value};
 use catkinlatch_state::suspect::{self, Fingerprint, Reply, Suspects, Trial};
+use std::collections::BTreeMap;
+
+/// Times after its last crash at which a refused request may run alone once more, in milliseconds;
+/// each counts once. A request whose targets ended for another reason comes back so, and one that
+/// crashes them ends two more.
+const PAROLES_MS: [u64; 2] = [10_000, 60_000];
+
+/// The runs that refused requests were given once more.
+#[derive(Clone, Debug, Default)]
+pub struct Paroles {
+    granted: BTreeMap<Fingerprint, usize>,
+}
+
+impl Paroles {
+    /// Returns whether a refused request may run alone once more, and counts that.
+    pub fn grant(&mut self, suspects: &Suspects, fingerprint: &Fingerprint, wall_ms: u64) -> bool {
+        self.granted.retain(|fingerprint, _| suspects.get(fingerprint).is_some());
+        let Some(suspect) = suspects.get(fingerprint) else { return false };
+        let granted = self.granted.entry(*fingerprint).or_default();
+        let pause_ms = PAROLES_MS.get(*granted);
+        let is_due = pause_ms.is_some_and(|pause_ms| wall_ms >= suspect.last_ms + pause_ms);
+        *granted += usize::from(is_due);
+        is_due
+    }
+
+    /// Returns whether a parole may be due, so that it is worth to ask for one.
+    pub fn may_be_due(suspects: &Suspects, fingerprint: &Fingerprint, wall_ms: u64) -> bool {
+        suspects.get(fingerprint).is_some_and(|suspect| wall_ms >= suspect.last_ms + PAROLES_MS[0])
+    }
+}
 
 derive_value! {
     /// A change of the suspects that a host reports or asks for.
--- a/crates/catkinlatch-state/src/suspect/table.rs
+++ b/crates/catkinlatch-state/src/suspect/table.rs
@@ -74,6 +74,16 @@
         self.suspects.values().any(|suspect| suspect.last_ms + RETENTION_MS <= now_ms)
     }
 
+    /// Drops all crashes of a refused request but the last, so that it may run alone once more.
+    ///
+    /// Only for lists that are not replicated by the log.
+    pub fn parole(&mut self, fingerprint: &Fingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(fingerprint) {
+            let surplus = suspect.crashes.len().saturating_sub(1);
+            suspect.crashes.drain(..surplus);
+        }
+    }
+
     /// Applies a change and returns its result.
     pub fn apply(&mut self, change: &Change) -> Reply {
         match change {
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -60,13 +60,6 @@
     let mut failures = 0;
     let mut tried = BTreeSet::new();
     loop {
-        if host.suspects.lock().suspects().is_refused(&fingerprint) {
-            if job.give_up_ms.is_some_and(|give_up| host.clock.wall_ms() > give_up) {
-                return Score::Refused;
-            }
-            time::sleep(REFUSED_INTERVAL).await;
-            continue;
-        }
         let configuration = host
             .replica
             .read(|state| state.document.as_ref().map(|document| document.configuration.clone()));
@@ -80,7 +73,13 @@
         let id = scorer.id.as_str();
         let is_suspect = host.suspects.lock().suspects().get(&fingerprint).is_some();
         if is_suspect && !start_trial(host, fingerprint, &target) {
-            time::sleep(RETRY_INTERVAL).await;
+            if !host.suspects.lock().suspects().is_refused(&fingerprint) {
+                time::sleep(RETRY_INTERVAL).await;
+            } else if job.give_up_ms.is_some_and(|give_up| host.clock.wall_ms() > give_up) {
+                return Score::Refused;
+            } else {
+                time::sleep(REFUSED_INTERVAL).await;
+            }
             continue;
         }
         let attempt = call(host, shared, scorer, &target).await;
--- a/crates/catkinlatch-store/src/suspect.rs
+++ b/crates/catkinlatch-store/src/suspect.rs
@@ -5,7 +5,7 @@
 pub use self::shared::Shared;
 
 use catkinlatch_base::{BootId, Instant};
-use catkinlatch_ledger::suspect::Change;
+use catkinlatch_ledger::suspect::{Change, Paroles};
 use catkinlatch_state::suspect::{self, Disconnect, Fingerprint, Reply, Suspects, Watch};
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -49,6 +49,7 @@
 pub struct Table {
     suspects: Suspects,
     watch: Watch<BootId>,
+    paroles: Paroles,
     /// Requests that were not answered in time, which count as crashes if the target has ended.
     silent: VecDeque<Silent>,
     /// The starts whose crash was retracted since they were last taken.
@@ -89,6 +90,12 @@
             let (fingerprint, boot, ran_alone) = (*fingerprint, boot.clone(), *ran_alone);
             self.silent.push_back(Silent { fingerprint, boot, ran_alone, since: now });
         }
+        if let Change::StartTrial { fingerprint, .. } = change
+            && self.suspects.is_refused(fingerprint)
+            && self.paroles.grant(&self.suspects, fingerprint, wall_ms)
+        {
+            self.suspects.parole(fingerprint);
+        }
         let urgency = match change {
             Change::Crashed { .. } | Change::Survived { .. } | Change::Clear { .. } => {
                 Urgency::Later
--- a/crates/catkinlatch-store/tests/suspect.rs
+++ b/crates/catkinlatch-store/tests/suspect.rs
@@ -108,6 +108,30 @@
     assert_eq!(table.suspects().list().is_empty(), !has_ended);
 }
 
+/// A request that was refused since its targets ended for another reason must come back.
+#[test]
+fn a_refused_request_runs_alone_twice_more_after_10_s_and_60_s() {
+    let mut table = refused();
+    let ask = |table: &mut Table, wall_ms| {
+        let start = Change::StartTrial {
+            fingerprint: ID,
+            target: "target-9".parse().unwrap(),
+            process: Incarnation::new(1),
+            for_ms: 400,
+        };
+        table.apply(&start, at(0), wall_ms).0
+    };
+    let mut now_ms = WALL_MS;
+    for (number, pause_ms) in [(3, 10_000), (4, 60_000)] {
+        assert_eq!(ask(&mut table, now_ms + pause_ms - 1), Reply::Refused);
+        assert_eq!(ask(&mut table, now_ms + pause_ms), Reply::Granted);
+        now_ms += pause_ms;
+        table.apply(&crashed(number), at(0), now_ms);
+        assert!(is_refused(&table));
+    }
+    assert_eq!(ask(&mut table, now_ms + 3_000_000), Reply::Refused);
+}
+
 /// A request that many callers send meets another's crashes on several targets.
 #[test]
 fn crashes_beside_which_a_request_ran_among_others_do_not_get_it_refused() {
