--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -23,7 +23,7 @@
 /// The key under which a request's path is recorded among its headers.
 const PATH_KEY: &str = ":path";
 
-/// The headers of a request by name, with the path under [`PATH_KEY`].
+/// The headers of a request by name, with the path under the key `:path`.
 pub type Headers = BTreeMap<String, String>;
 
 /// Counts a request as abandoned if it is dropped before it has run.
