--- a/tests/site.rs
+++ b/tests/site.rs
@@ -25,7 +25,7 @@
 use catkinlatch_standin::site::{self, Engine, Service, Site, Soak, Target};
 use http::{Request, Response, StatusCode};
 use serde_json::{Value, json};
-use std::{future::Future, path::PathBuf, sync::atomic::Ordering, time::Duration};
+use std::{future::Future, path::PathBuf, time::Duration};
 use stream::Stream;
 use tempfile::TempDir;
 use tokio::time;
@@ -393,34 +393,6 @@
     assert_eq!((stream.events(), runs("once")), (vec![1, 2], vec![0]));
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_draining_target_gets_no_requests_once_its_draining_is_acknowledged() {
-    let setup = Setup::start().await;
-    let second = Service::start(
-        "survey-2",
-        "survey",
-        setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect(),
-    )
-    .await
-    .unwrap();
-    wait_until("the second target serves", || async {
-        setup.request(0, "POST", "/survey/1", "again", "").await;
-        second.runs("again") > 0
-    })
-    .await;
-    second.target.is_draining.store(true, Ordering::Relaxed);
-    wait_until("its draining is acknowledged", || async {
-        second.target.acknowledged.load(Ordering::Relaxed) > 0
-    })
-    .await;
-    for number in 0..20 {
-        let id = format!("late-{number}");
-        let answer = setup.request(number % 2, "POST", "/survey/1", &id, "").await;
-        assert!(answer.is_some_and(ok));
-        assert_eq!(second.runs(&id), 0);
-    }
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_run_interrupted_after_its_last_event_is_complete() {
     let setup = Setup::start().await;
--- a/tests/site/leaving.rs
+++ b/tests/site/leaving.rs
@@ -1,4 +1,5 @@
-//! Targets that say in an answer that they leave, while their heartbeats say that they are ready.
+//! Targets that leave: those that say so in their heartbeats, and those that say so in an answer
+//! while their heartbeats say that they are ready.
 
 use super::{Setup, ok, stream::Stream, wait_until};
 use catkinlatch_standin::site::Service;
@@ -172,3 +173,31 @@
     setup.results(0, "job-2", 20).await;
     assert_eq!(runs(0), before);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_target_gets_no_requests_once_its_draining_is_acknowledged() {
+    let setup = Setup::start().await;
+    let second = Service::start(
+        "survey-2",
+        "survey",
+        setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect(),
+    )
+    .await
+    .unwrap();
+    wait_until("the second target serves", || async {
+        setup.request(0, "POST", "/survey/1", "again", "").await;
+        second.runs("again") > 0
+    })
+    .await;
+    second.target.is_draining.store(true, Ordering::Relaxed);
+    wait_until("its draining is acknowledged", || async {
+        second.target.acknowledged.load(Ordering::Relaxed) > 0
+    })
+    .await;
+    for number in 0..20 {
+        let id = format!("late-{number}");
+        let answer = setup.request(number % 2, "POST", "/survey/1", &id, "").await;
+        assert!(answer.is_some_and(ok));
+        assert_eq!(second.runs(&id), 0);
+    }
+}
