Add the exchange between entry hosts and the leader, and the settings that its parts need

Cause: evacuations, cold targets, shared slots and shared observations all need a message each way between entry hosts and the leader. Adding fields to Follow and View would break clusters of two builds. Result: no part uses it yet.

--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod batch;
 mod directory;
+mod exchange;
 mod follow;
 mod front;
 mod host;
@@ -74,6 +75,7 @@
         tokio::spawn(serve(server, listener, directory::handler(host.clone())));
     }
     tokio::spawn(follow::run(host.clone()));
+    tokio::spawn(exchange::run(host.clone()));
     tokio::spawn(suspect::follow(host.clone()));
     info!(name = host.settings.name.as_str(), callers:% = callers; "entry: started");
 
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -1,15 +1,19 @@
 //! Messages between processes.
 
+mod exchange;
 mod follow;
 mod results;
 
 pub use self::{
+    exchange::{ColdShare, Demand, Guidance, Observation, Places, Report},
     follow::{Entry, Follow, Role, View, ViewVersion},
     results::Results,
 };
 
 use bytes::Bytes;
-use catkinlatch_base::{HostId, JobId, ModelId, TargetId, TeamId, Version, derive_value};
+use catkinlatch_base::{
+    HostId, JobId, ModelId, ServiceId, TargetId, TeamId, Version, ZoneId, derive_value,
+};
 use catkinlatch_ledger::{Command, Job, Target, config::Document, suspect::Change};
 use catkinlatch_log::Frame;
 use catkinlatch_state::suspect::{self, Suspects};
@@ -89,6 +93,19 @@
             /// The start of the target, in milliseconds since the Unix epoch.
             born_ms: u64,
         },
+        /// Reports load and observations of an entry host, and requests guidance.
+        Exchange(Box<Report>),
+        /// Asks that nothing more is sent to the targets of a zone.
+        Evacuate(ZoneId),
+        /// Ends the evacuation of a zone.
+        Restore(ZoneId),
+        /// Requests one place of a service for a host whose share has none left.
+        RequestPlace {
+            /// The host.
+            host: HostId,
+            /// The service.
+            service: ServiceId,
+        },
     }
 }
 
@@ -127,5 +144,9 @@
             /// The list.
             suspects: Box<Suspects>,
         },
+        /// The answer to a report.
+        Exchanged(Box<Guidance>),
+        /// Whether the host may use one more place of the service until its next guidance.
+        Place(bool),
     }
 }
--- /dev/null
+++ b/crates/catkinlatch-runtime/src/message/exchange.rs
@@ -0,0 +1,112 @@
+//! Messages with which entry hosts and the leader share what they know about load and targets.
+
+use catkinlatch_base::{HostId, Incarnation, ServiceId, TargetId, Term, ZoneId, derive_value};
+
+derive_value! {
+    /// What an entry host tells the leader about itself and the targets that it calls.
+    pub struct Report {
+        /// The host.
+        pub host: HostId,
+        /// Identifies this start of the process.
+        pub incarnation: Incarnation,
+        /// The host's availability zone.
+        pub zone: ZoneId,
+        /// The host's requests that run or wait, by service.
+        pub demands: Vec<Demand>,
+        /// What the host has seen of targets since its last report.
+        pub observations: Vec<Observation>,
+    }
+}
+
+derive_value! {
+    /// The live requests of one host for a service.
+    #[derive(Eq)]
+    pub struct Demand {
+        /// The service.
+        pub service: ServiceId,
+        /// Number of requests that run.
+        pub running: u32,
+        /// Number of requests that wait for a place.
+        pub waiting: u32,
+        /// The highest priority among them; 0 is the highest of all.
+        pub priority: u8,
+    }
+}
+
+derive_value! {
+    /// What senders have seen of one start of a target.
+    #[derive(Eq)]
+    pub struct Observation {
+        /// The target.
+        pub target: TargetId,
+        /// The start of the target, in milliseconds since the Unix epoch.
+        pub born_ms: u64,
+        /// Age of the load and the pace, in milliseconds.
+        pub age_ms: u32,
+        /// Number of requests that the target runs.
+        pub running: u32,
+        /// Number of requests that wait at the target.
+        pub waiting: u32,
+        /// How long work takes on the target's machine, in percent of the usual time; `None` if the
+        /// target does not say.
+        pub pace: Option<u32>,
+        /// The remaining time of the target's slow phase, in milliseconds.
+        pub cold_ms: u32,
+        /// Number of requests that the target answered.
+        pub answers: u32,
+        /// Number of requests that the target refused as full.
+        pub refusals: u32,
+        /// Number of requests that the target failed.
+        pub failures: u32,
+        /// Number of requests that the target did not answer in time.
+        pub silences: u32,
+    }
+}
+
+derive_value! {
+    /// The leader's answer to a [`Report`].
+    ///
+    /// It is a lease that holds for `lease_ms` from the moment at which the report was sent.
+    pub struct Guidance {
+        /// Term of the leader; guidance of an older term than the newest one is ignored.
+        pub term: Term,
+        /// Time until the next report is due, in milliseconds.
+        pub interval_ms: u32,
+        /// Duration of the lease, in milliseconds.
+        pub lease_ms: u32,
+        /// The host's shares of the places of services.
+        pub places: Vec<Places>,
+        /// The host's shares of what cold targets may get.
+        pub cold: Vec<ColdShare>,
+        /// What all senders have seen of the targets that changed most.
+        pub observations: Vec<Observation>,
+    }
+}
+
+derive_value! {
+    /// A host's share of the places of a service, which has fewer places than there are hosts.
+    #[derive(Eq)]
+    pub struct Places {
+        /// The service.
+        pub service: ServiceId,
+        /// Number of requests that the host may run at once.
+        pub share: u32,
+        /// Number of requests that the host may run at once if it hears no leader.
+        pub fallback: u32,
+    }
+}
+
+derive_value! {
+    /// A host's share of what a cold target may get.
+    #[derive(Eq)]
+    pub struct ColdShare {
+        /// The target.
+        pub target: TargetId,
+        /// The start of the target, in milliseconds since the Unix epoch.
+        pub born_ms: u64,
+        /// The most requests that the host may send in any span of one second.
+        pub per_second: u32,
+        /// The remaining time of the slow phase, in milliseconds.
+        pub cold_ms: u32,
+    }
+}
--- a/crates/catkinlatch-runtime/src/settings.rs
+++ b/crates/catkinlatch-runtime/src/settings.rs
@@ -1,14 +1,16 @@
 //! Settings of a process, read from a JSON file with comments.
 
+mod cold;
+mod resources;
 mod times;
 
-pub use self::times::Times;
+pub use self::{cold::Cold, resources::Resources, times::Times};
 
 use catkinlatch_base::{HostId, RegionId, ZoneId};
 use derive_more::{Display, Error};
 use serde::Deserialize;
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     path::{Path, PathBuf},
 };
@@ -69,6 +71,15 @@
     pub losses: usize,
     /// Times set by the deployment.
     pub times: Times,
+    /// What the process may use of its machine.
+    #[serde(default)]
+    pub resources: Resources,
+    /// Bounds on what cold targets get; `None` if they tolerate everything.
+    #[serde(default)]
+    pub cold: Option<Cold>,
+    /// Region of each availability zone.
+    #[serde(default)]
+    pub zones: BTreeMap<ZoneId, RegionId>,
 }
 
 impl Settings {
--- a/crates/catkinlatch-runtime/src/settings/times.rs
+++ b/crates/catkinlatch-runtime/src/settings/times.rs
@@ -30,6 +30,16 @@
     pub apply_ms: u64,
     /// Maximum time for which callers may cache addresses of entry hosts.
     pub address_ttl_s: f64,
+    /// Time without contact after which a host is not held to the times above.
+    #[serde(default)]
+    pub contact_ms: Option<u64>,
+    /// Time within which operators must get the acknowledgement of a change.
+    #[serde(default)]
+    pub ack_ms: Option<u64>,
+    /// Time after the acknowledgement of an evacuation from which nothing may reach the zone's
+    /// targets; `None` if the deployment has no evacuations.
+    #[serde(default)]
+    pub evacuate_ms: Option<u64>,
 }
 
 impl Times {
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -131,6 +131,8 @@
         | Reply::Results(_)
         | Reply::Body(_)
         | Reply::Suspect(_)
-        | Reply::Suspects { .. } => status(StatusCode::SERVICE_UNAVAILABLE),
+        | Reply::Suspects { .. }
+        | Reply::Exchanged(_)
+        | Reply::Place(_) => status(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -4,6 +4,7 @@
 mod cleanup;
 mod control;
 pub mod duty;
+mod exchange;
 mod follow;
 mod handler;
 mod host;
