Bound the leader's runs by what is left of its processor, and assign engines in one pass

Traced on a copy of the site with 34 hosts and 303 targets, phases of a pass logged: one update of the assignment of 205 engines to models visited all assignments for each engine that it took (about 0.6 s on 0.3 of a core), and one pass started as many runs as there were free slots.

--- a/crates/catkinlatch-rollout/src/weights/allotment.rs
+++ b/crates/catkinlatch-rollout/src/weights/allotment.rs
@@ -30,75 +30,107 @@
     ) {
         let counts = assignment_counts(engines.len(), max_assignments.max(engines.len()), demand);
         self.assigned.retain(|model, _| counts.contains_key(model));
-        for engines_of_model in self.assigned.values_mut() {
-            engines_of_model.retain(|engine| engines.contains_key(engine));
-        }
-        for (model, count) in &counts {
-            while self.count(model) > *count {
-                let Some(engine) = self.engine_to_release(model, engines) else { break };
-                self.assigned.entry(model.clone()).or_default().remove(&engine);
+        let mut usage = Usage::new(engines);
+        let mut rows: Vec<Row> =
+            counts.keys().map(|model| usage.add(self.assigned.get(model))).collect();
+        for (row, count) in rows.iter_mut().zip(counts.values()) {
+            while row.count > *count {
+                let Some(engine) = usage.engine_to_release(row) else { break };
+                usage.set(row, engine, false);
             }
         }
-        for (model, count) in &counts {
-            while self.count(model) < *count {
-                let Some(engine) = self.engine_to_assign(model, engines) else { break };
-                self.assigned.entry(model.clone()).or_default().insert(engine);
+        for (row, count) in rows.iter_mut().zip(counts.values()) {
+            while row.count < *count {
+                let Some(engine) = usage.engine_to_assign(row) else { break };
+                usage.set(row, engine, true);
             }
         }
+        let sets = rows.iter().map(|row| usage.engines_of(row));
+        self.assigned = counts.into_keys().zip(sets).collect();
     }
 
     /// Returns whether an engine is assigned to a model.
     pub fn contains(&self, engine: &TargetId, model: &ModelId) -> bool {
         self.assigned.get(model).is_some_and(|engines_of_model| engines_of_model.contains(engine))
     }
+}
+
+/// The engines by number, with their zones and how many models each is assigned to.
+///
+/// Hundreds of engines are assigned one by one, so each step must not visit all assignments again.
+struct Usage<'a> {
+    engines: Vec<&'a TargetId>,
+    /// Number of the zone of each engine.
+    zones: Vec<usize>,
+    /// Number of models that each engine is assigned to.
+    models: Vec<usize>,
+}
 
-    fn count(&self, model: &ModelId) -> usize {
-        self.assigned.get(model).map_or(0, BTreeSet::len)
+/// The engines of one model.
+struct Row {
+    is_assigned: Vec<bool>,
+    /// Number of the model's engines by zone.
+    by_zone: Vec<usize>,
+    count: usize,
+}
+
+impl<'a> Usage<'a> {
+    fn new(engines: &'a BTreeMap<TargetId, ZoneId>) -> Self {
+        let names: BTreeSet<&ZoneId> = engines.values().collect();
+        let numbers: BTreeMap<&ZoneId, usize> =
+            names.into_iter().enumerate().map(|(number, zone)| (zone, number)).collect();
+        Self {
+            engines: engines.keys().collect(),
+            zones: engines.values().map(|zone| numbers[zone]).collect(),
+            models: vec![0; engines.len()],
+        }
     }
 
-    /// Returns how many models an engine is assigned to.
-    fn models(&self, engine: &TargetId) -> usize {
-        self.assigned.values().filter(|engines_of_model| engines_of_model.contains(engine)).count()
+    /// Adds a model with the engines assigned to it, leaving out those that are gone.
+    fn add(&mut self, assigned: Option<&BTreeSet<TargetId>>) -> Row {
+        let size = self.engines.len();
+        let mut row = Row { is_assigned: vec![false; size], by_zone: vec![0; size], count: 0 };
+        for engine in assigned.into_iter().flatten() {
+            if let Ok(number) = self.engines.binary_search(&engine) {
+                self.set(&mut row, number, true);
+            }
+        }
+        row
     }
 
-    /// Returns how many engines of a zone are assigned to a model.
-    fn count_in_zone(
-        &self,
-        model: &ModelId,
-        zone: &ZoneId,
-        engines: &BTreeMap<TargetId, ZoneId>,
-    ) -> usize {
-        let engines_of_model = self.assigned.get(model).into_iter().flatten();
-        engines_of_model.filter(|engine| engines.get(*engine) == Some(zone)).count()
+    fn set(&mut self, row: &mut Row, engine: usize, is_assigned: bool) {
+        row.is_assigned[engine] = is_assigned;
+        let zone = &mut row.by_zone[self.zones[engine]];
+        let models = &mut self.models[engine];
+        if is_assigned {
+            (*zone, *models, row.count) = (*zone + 1, *models + 1, row.count + 1);
+        } else {
+            (*zone, *models, row.count) = (*zone - 1, *models - 1, row.count - 1);
+        }
     }
 
     /// Returns the engine that a model should release: one assigned to the most models, in the zone
     /// where the model has the most engines.
-    fn engine_to_release(
-        &self,
-        model: &ModelId,
-        engines: &BTreeMap<TargetId, ZoneId>,
-    ) -> Option<TargetId> {
-        let engines_of_model = self.assigned.get(model)?.iter();
-        let rank = |engine: &&TargetId| {
-            let zone = engines.get(*engine);
-            (self.models(engine), zone.map(|zone| self.count_in_zone(model, zone, engines)))
-        };
-        engines_of_model.max_by_key(rank).cloned()
+    fn engine_to_release(&self, row: &Row) -> Option<usize> {
+        let assigned = (0..self.engines.len()).filter(|engine| row.is_assigned[*engine]);
+        assigned.max_by_key(|engine| self.rank(row, *engine))
     }
 
     /// Returns the engine that a model should take: one assigned to the fewest models, in the zone
     /// where the model has the fewest engines.
-    fn engine_to_assign(
-        &self,
-        model: &ModelId,
-        engines: &BTreeMap<TargetId, ZoneId>,
-    ) -> Option<TargetId> {
-        let free = engines.iter().filter(|(engine, _)| !self.contains(engine, model));
-        let rank = |(engine, zone): &(&TargetId, &ZoneId)| {
-            (self.models(engine), self.count_in_zone(model, zone, engines))
-        };
-        free.min_by_key(rank).map(|(engine, _)| engine.clone())
+    fn engine_to_assign(&self, row: &Row) -> Option<usize> {
+        let free = (0..self.engines.len()).filter(|engine| !row.is_assigned[*engine]);
+        free.min_by_key(|engine| self.rank(row, *engine))
+    }
+
+    fn rank(&self, row: &Row, engine: usize) -> (usize, usize) {
+        (self.models[engine], row.by_zone[self.zones[engine]])
+    }
+
+    fn engines_of(&self, row: &Row) -> BTreeSet<TargetId> {
+        let assigned = self.engines.iter().zip(&row.is_assigned);
+        let assigned = assigned.filter(|(_, is_assigned)| **is_assigned);
+        assigned.map(|(engine, _)| (*engine).clone()).collect()
     }
 }
 
--- a/crates/catkinlatch-rollout/tests/allotment.rs
+++ b/crates/catkinlatch-rollout/tests/allotment.rs
@@ -95,3 +95,36 @@
     allotment.update(&engines, &demand(&[("a", 1.0)]), 30);
     assert_eq!(assigned(&allotment, &engines, "a").len(), 9);
 }
+
+/// Guards against a faster assignment that decides differently: each engine taken is one of the
+/// fewest models in the zone where the model has the fewest engines.
+#[test]
+fn engines_are_taken_from_the_least_used_zone_and_engine() {
+    let mut random = fastrand::Rng::with_seed(7);
+    for _ in 0..50 {
+        let engines = engines(random.usize(3..120));
+        let parts: Vec<(&str, f64)> =
+            ["a", "b", "c", "d"].iter().map(|name| (*name, random.f64() * 9.0 + 0.1)).collect();
+        let mut allotment = Allotment::default();
+        let most = random.usize(1..300);
+        allotment.update(&engines, &demand(&parts), most);
+        for (name, _) in &parts {
+            let assigned = assigned(&allotment, &engines, name);
+            let mut zones: BTreeMap<ZoneId, usize> =
+                engines.values().map(|zone| (zone.clone(), 0)).collect();
+            for engine in &assigned {
+                *zones.get_mut(&engines[engine]).unwrap() += 1;
+            }
+            let (least, greatest) = (zones.values().min().unwrap(), zones.values().max().unwrap());
+            let is_full = assigned.len() + zones.len() > engines.len();
+            assert!(greatest - least <= engines.len() / 3 || is_full, "{zones:?}");
+        }
+        let uses = engines.keys().map(|engine| {
+            let holds = |name: &&str| allotment.contains(engine, &model(name));
+            parts.iter().filter(|(name, _)| holds(name)).count()
+        });
+        let uses: Vec<usize> = uses.collect();
+        let (least, greatest) = (uses.iter().min().unwrap(), uses.iter().max().unwrap());
+        assert!(greatest - least <= 2, "{uses:?}");
+    }
+}
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -4,6 +4,7 @@
 mod record;
 
 use crate::{
+    concurrency,
     host::Host,
     pace::pause_after_pass,
     run::{self, SharedProgress, Summary},
@@ -16,9 +17,11 @@
     balancer::Verdict,
     schedule::{Assignment, Engine, Loss},
 };
-use log::info;
+use catkinlatch_runtime::Clock;
+use log::{info, warn};
 use std::{
     collections::BTreeMap,
+    future,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -31,6 +34,17 @@
 /// Interval at which the runner checks for changes that it is not notified of, such as deadlines.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of runs that start at once. Other tasks, such as heartbeats of the log, have their turn
+/// before the next ones start: each start opens a connection.
+const START_BATCH: usize = 16;
+
+/// Most items that one pass assigns. Each one is compared with all engines, so that thousands of
+/// items and hundreds of engines would keep the log from its heartbeats for half a second.
+const MAX_ASSIGNMENTS: usize = 64;
+
+/// Pause between two batches of starts.
+const BATCH_PAUSE: Duration = Duration::from_millis(1);
+
 /// Capacity of the queue of completions.
 const COMPLETION_QUEUE: usize = 4_096;
 
@@ -92,6 +106,7 @@
         self.schedule.crashes.adopt(self.host.suspects.lock().suspects());
         let mut applied = self.host.replica.applied();
         let mut revision = self.host.revision();
+        self.runs.spawn(measure_lateness(self.host.clock, self.shared.clone()));
         loop {
             let began = time::Instant::now();
             self.sync_jobs();
@@ -99,11 +114,15 @@
                 self.schedule.crashes.retract(&start);
             }
             self.give_up_overdue();
-            self.assign();
+            let assignments = self.assign();
             self.record_progress();
-            time::sleep(pause_after_pass(began.elapsed())).await;
+            let took = began.elapsed();
+            let may_assign_more = assignments.len() == MAX_ASSIGNMENTS;
+            self.start_all(assignments).await;
+            time::sleep(pause_after_pass(took)).await;
             tokio::select! {
                 first = self.completions.recv() => self.process_completions(first),
+                () = future::ready(()), if may_assign_more => {}
                 _ = applied.changed() => {}
                 _ = revision.changed() => {}
                 () = time::sleep(POLL_INTERVAL) => {}
@@ -148,18 +167,52 @@
         }
     }
 
-    /// Starts runs as long as items wait and engines have free slots.
-    fn assign(&mut self) {
+    /// Assigns waiting items to engines as long as engines have free slots and this host may have
+    /// more runs.
+    fn assign(&mut self) -> Vec<Assignment> {
         let engines = self.engines();
         if engines.is_empty() {
-            return;
+            return Vec::new();
         }
         self.move_stragglers(&engines);
-        for assignment in self.schedule.assign(self.host.clock.wall_ms(), &engines, usize::MAX) {
-            self.start(&assignment);
-        }
+        let room = self.room().min(MAX_ASSIGNMENTS);
+        let assignments = self.schedule.assign(self.host.clock.wall_ms(), &engines, room);
         let waiting = self.schedule.waiting(self.host.clock.wall_ms());
         self.host.soft_state().workload = Workload { waiting, running: self.schedule.load() };
+        assignments
+    }
+
+    /// Returns how many more runs this host may have under way.
+    fn room(&self) -> usize {
+        let running = self.handles.values().filter(|handle| handle.progress.is_some()).count();
+        let mut limit = self.shared.run_limit();
+        limit.set_running(running);
+        if let Some(limit) = limit.get() {
+            metrics::gauge!("catkinlatch_jobs_run_limit").set(limit as f64);
+        }
+        limit.room()
+    }
+
+    /// Starts the assigned runs in batches; returns the rest to the waiting items if this host turns
+    /// out to be too busy for them.
+    async fn start_all(&mut self, assignments: Vec<Assignment>) {
+        for batch in assignments.chunks(START_BATCH) {
+            if self.room() == 0 {
+                batch.iter().for_each(|assignment| self.unassign(assignment));
+                continue;
+            }
+            batch.iter().for_each(|assignment| self.start(assignment));
+            if batch.len() == START_BATCH {
+                time::sleep(BATCH_PAUSE).await;
+            }
+        }
+    }
+
+    /// Returns an item whose run has not started to the waiting items.
+    fn unassign(&mut self, assignment: &Assignment) {
+        if let Some(task) = self.schedule.task_mut(&assignment.job, assignment.item) {
+            task.requeue(task.progress.clone());
+        }
     }
 
     /// Returns the engines that accept new items.
@@ -243,3 +296,21 @@
         }
     }
 }
+
+/// Measures how late timers of this process fire, until it is cancelled.
+async fn measure_lateness(clock: Clock, shared: Shared) {
+    loop {
+        let due = time::Instant::now() + concurrency::TICK;
+        time::sleep_until(due).await;
+        let late = due.elapsed();
+        let before = shared.run_limit().get();
+        shared.run_limit().record(late, clock.now());
+        let after = shared.run_limit().get();
+        if after < before || (before.is_none() && after.is_some()) {
+            warn!(
+                late_ms = late.as_millis() as u64, runs = after.unwrap_or_default();
+                "jobs: too busy, fewer runs at once"
+            );
+        }
+    }
+}
--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -3,7 +3,7 @@
 mod order;
 
 use self::order::{LOAD_TIMEOUT, ORDER_TIMEOUT, TYPICAL_LOAD_TIME, run_load};
-use crate::{host::Host, pace::pause_after_pass};
+use crate::{host::Host, pace::pause_after_pass, soft_state::SoftState};
 use catkinlatch_base::{ModelId, Ratio, TargetId, Term, Version, ZoneId};
 use catkinlatch_ledger::Target;
 use catkinlatch_rollout::weights::{
@@ -125,15 +125,21 @@
 
     /// Returns the need of a model for loads.
     fn want(&self, model: &ModelId, version: Version) -> Want {
-        let candidates = self.candidates(model);
+        let soft = self.host.soft_state();
         let is_useful = |target: &&Target| {
             let held = target.models.get(model);
             self.loading.get(&target.id) == Some(model)
                 || held.is_some_and(|held| *held >= oldest_accepted(version))
         };
-        let useful = candidates.iter().filter(is_useful).count();
-        let waiting = self.host.soft_state().workload.waiting(model);
-        Want { model: model.clone(), waiting, candidates: candidates.len(), useful }
+        let candidates =
+            soft.registry.targets().filter(|target| self.may_load(&soft, model, target));
+        let (mut count, mut useful) = (0, 0);
+        for target in candidates {
+            count += 1;
+            useful += usize::from(is_useful(&target));
+        }
+        let waiting = soft.workload.waiting(model);
+        Want { model: model.clone(), waiting, candidates: count, useful }
     }
 
     /// Orders one load of a model if one may start now; returns whether it was ordered.
@@ -175,18 +181,22 @@
     /// slots.
     fn candidates(&self, model: &ModelId) -> Vec<Target> {
         let soft = self.host.soft_state();
-        let has_room = |target: &Target| {
+        let candidates =
+            soft.registry.targets().filter(|target| self.may_load(&soft, model, target));
+        let mut targets: Vec<Target> = candidates.cloned().collect();
+        targets.sort_by_key(|target| soft.workload.running(&target.id));
+        targets
+    }
+
+    /// Returns whether an engine may load a model's newest version.
+    fn may_load(&self, soft: &SoftState, model: &ModelId, target: &Target) -> bool {
+        let has_room = || {
             soft.workload.waiting(model) > 0
                 && soft.workload.running(&target.id) + MIN_FREE_SLOTS <= target.slots
         };
-        let may_load = |target: &&Target| {
-            target.models.contains_key(model)
-                && target.is_ready()
-                && (self.allotment.contains(&target.id, model) || has_room(target))
-        };
-        let mut targets: Vec<Target> = soft.registry.targets().filter(may_load).cloned().collect();
-        targets.sort_by_key(|target| soft.workload.running(&target.id));
-        targets
+        target.models.contains_key(model)
+            && target.is_ready()
+            && (self.allotment.contains(&target.id, model) || has_room())
     }
 }
 
