Evacuate zones: nothing new reaches their targets until they are restored

Cause: control calls `POST /evacuate/ZONE` and `DELETE /evacuate/ZONE` were unknown, so operators could not empty a zone.

The registry shows ready targets of these zones as `Phase::Evacuated`: on registration, on adoption of a view, in a new term and whenever state is applied, on every store host. The phase that another host showed is never taken over, so a zone restored by a new leader has ready targets again; targets that drain or leave stay draining. The answer waits for entry hosts in touch, as for configurations. After a restore, a target's share of its slots grows from one to all over 3 s (`registry::Ramp`), for items, scoring calls and live requests. An order of a load, and a request that waited for a permit, check the zone once more before they are sent.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -103,6 +103,10 @@
     target: &Target,
     limit: Duration,
 ) -> Result<Call, Outcome> {
+    // The zone may have been evacuated while the request waited for a permit.
+    if host.view().is_evacuated(&target.id) {
+        return Err(Outcome::NotRun("the target's zone is evacuated"));
+    }
     let started = host.clock.now();
     host.balancer().begin(&target.id);
     let verdict = Verdict::Unknown;
--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -35,6 +35,7 @@
             Answer::Reply(Reply::Followed(view)) => {
                 let before = host.view().version();
                 host.view_mut().update(&view);
+                host.ramp().observe_targets(view.targets.iter(), host.clock.now());
                 host.leader_client.set_hosts(&view.stores);
                 let known: BTreeSet<_> = view.targets.iter().map(|t| t.id.clone()).collect();
                 host.balancer().retain(&known);
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -2,7 +2,10 @@
 
 use crate::{suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
-use catkinlatch_ledger::{Balancer, registry::Leaving};
+use catkinlatch_ledger::{
+    Balancer,
+    registry::{Leaving, Ramp},
+};
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
@@ -24,6 +27,7 @@
     usage: Mutex<Usage>,
     suspects: Mutex<suspect::Table>,
     leaving: Mutex<Leaving>,
+    ramp: Mutex<Ramp>,
     draining: watch::Sender<bool>,
 }
 
@@ -47,6 +51,7 @@
             usage: Mutex::default(),
             suspects: Mutex::default(),
             leaving: Mutex::default(),
+            ramp: Mutex::default(),
             draining: watch::channel(false).0,
         }
     }
@@ -81,6 +86,11 @@
         lock(&self.leaving)
     }
 
+    /// Locks the ramps of restored zones. The guard must not be held across an `await`.
+    pub fn ramp(&self) -> MutexGuard<'_, Ramp> {
+        lock(&self.ramp)
+    }
+
     /// Counts a request of a team in the usage window of `wall_ms`, in milliseconds since the Unix
     /// epoch.
     pub fn count_request(&self, team: &TeamId, wall_ms: u64) {
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -265,9 +265,16 @@
     let view = host.view();
     let service = inbound.route.service(fastrand::f64())?;
     let leaving = host.leaving();
-    let pick = |left_out: &BTreeSet<TargetId>| {
+    let ramp = host.ramp().clone();
+    let pick_admitted = |left_out: &BTreeSet<TargetId>, random: f64| {
+        let balancer = host.balancer();
+        let admits =
+            |target: &&Target| ramp.admits(target, balancer.load(&target.id, now), random, now);
         let staying = view.targets(service).filter(|target| !leaving.contains(target));
-        host.balancer().pick(staying, &host.settings.zone, left_out, now).cloned()
+        balancer.pick(staying.filter(admits), &host.settings.zone, left_out, now).cloned()
+    };
+    let pick = |left_out: &BTreeSet<TargetId>| {
+        pick_admitted(left_out, fastrand::f64()).or_else(|| pick_admitted(left_out, 0.0))
     };
     let trial_targets = host.suspects().trial_targets(host.clock.wall_ms());
     if trial_targets.is_empty() {
--- a/crates/catkinlatch-entry/src/view.rs
+++ b/crates/catkinlatch-entry/src/view.rs
@@ -1,7 +1,7 @@
 //! The cluster state that an entry host receives from the leader.
 
-use catkinlatch_base::ServiceId;
-use catkinlatch_ledger::{Configuration, Target};
+use catkinlatch_base::{ServiceId, TargetId};
+use catkinlatch_ledger::{Configuration, Target, registry::Phase};
 use catkinlatch_runtime::message::{self, Entry};
 use std::sync::Arc;
 
@@ -33,6 +33,12 @@
         self.configuration.as_ref().map(|configuration| configuration.version)
     }
 
+    /// Returns whether the zone of a target is evacuated.
+    pub fn is_evacuated(&self, id: &TargetId) -> bool {
+        let is_it = |target: &&Target| target.phase == Phase::Evacuated && target.id == *id;
+        self.targets.iter().any(|target| is_it(&target))
+    }
+
     /// Returns the targets of a service.
     pub fn targets(&self, service: &ServiceId) -> impl Iterator<Item = &Target> {
         self.targets.iter().filter(move |target| target.service == *service)
--- a/crates/catkinlatch-ledger/src/balancer.rs
+++ b/crates/catkinlatch-ledger/src/balancer.rs
@@ -94,6 +94,12 @@
         self.stats.get(id).map_or(0, |stats| stats.running)
     }
 
+    /// Returns the requests that a target runs and queues: this sender's own, and those of others
+    /// as the target reported them a moment ago.
+    pub fn load(&self, id: &TargetId, now: Instant) -> u32 {
+        self.stats.get(id).map_or(0, |stats| stats.running + stats.others_load(now))
+    }
+
     /// Returns whether a target is backing off after a failure or refusal.
     pub fn is_backing_off(&self, id: &TargetId, now: Instant) -> bool {
         self.stats.get(id).is_some_and(|stats| now < stats.backoff_until)
--- a/crates/catkinlatch-ledger/src/command.rs
+++ b/crates/catkinlatch-ledger/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands that change the replicated state.
 
 use crate::{Job, Outcome, Tally, config::Document, job::Advance};
-use catkinlatch_base::{HostId, JobId, ModelId, Version, WindowId, derive_value};
+use catkinlatch_base::{HostId, JobId, ModelId, Version, WindowId, ZoneId, derive_value};
 use std::sync::Arc;
 
 derive_value! {
@@ -56,5 +56,15 @@
             /// The name of the machine.
             name: String,
         },
+        /// Asks that nothing more is sent to the targets of a zone. Idempotent.
+        Evacuate {
+            /// The zone, which needs no target and no entry in the settings.
+            zone: ZoneId,
+        },
+        /// Ends the evacuation of a zone. Idempotent.
+        Restore {
+            /// The zone.
+            zone: ZoneId,
+        },
     }
 }
--- a/crates/catkinlatch-ledger/src/registry.rs
+++ b/crates/catkinlatch-ledger/src/registry.rs
@@ -3,16 +3,22 @@
 //! Registrations may arrive late or out of order, so they are ordered by the start time of the
 //! target and by their sequence number.
 
+mod evacuation;
 mod leaving;
+mod ramp;
 mod target;
 
 pub use self::{
     leaving::Leaving,
+    ramp::Ramp,
     target::{Phase, Target},
 };
 
-use catkinlatch_base::{BootId, Instant, TargetId, derive_value};
-use std::{collections::BTreeMap, time::Duration};
+use catkinlatch_base::{BootId, Instant, TargetId, ZoneId, derive_value};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// How long the tombstone of a withdrawn target is kept, so that no delayed registration restores
 /// the target.
@@ -54,6 +60,8 @@
     registrations: BTreeMap<TargetId, Registration>,
     tombstones: BTreeMap<TargetId, (u64, Instant)>,
     leaving: Leaving,
+    evacuated: BTreeSet<ZoneId>,
+    ramp: Ramp,
 }
 
 impl Registry {
@@ -76,12 +84,13 @@
         self.leaving.insert(id, born_ms, now);
         let target = self.registrations.get_mut(id).map(|registration| &mut registration.target);
         let Some(target) = target.filter(|target| target.born_ms == born_ms) else { return false };
-        let was_ready = target.is_ready();
+        let was_draining = target.phase == Phase::Draining;
         target.phase = Phase::Draining;
-        was_ready
+        !was_draining
     }
 
-    /// Returns the target as draining if its start is known to leave.
+    /// Returns the target as draining if its start is known to leave, else as evacuated or ready,
+    /// whatever other hosts take its zone for.
     fn with_own_phase(&self, target: Target) -> Target {
         let previous = self.registrations.get(&target.id).map(|registration| &registration.target);
         let is_draining = |previous: &Target| {
@@ -90,7 +99,8 @@
         if self.leaving.contains(&target) || previous.is_some_and(is_draining) {
             return Target { phase: Phase::Draining, ..target };
         }
-        target
+        let phase = self.shown_phase(&target);
+        Target { phase, ..target }
     }
 
     /// Restarts the timeouts of all targets, since a new leader does not know when they last sent a
--- a/crates/catkinlatch-ledger/src/registry/target.rs
+++ b/crates/catkinlatch-ledger/src/registry/target.rs
@@ -14,6 +14,8 @@
         Ready,
         /// The target finishes its requests in flight and then shuts down.
         Draining,
+        /// The target accepts requests, but its zone is evacuated, so it gets nothing new.
+        Evacuated,
     }
 }
 
--- a/crates/catkinlatch-ledger/src/state.rs
+++ b/crates/catkinlatch-ledger/src/state.rs
@@ -1,11 +1,16 @@
 //! The replicated state.
 
+mod evacuation;
+
 use crate::{Command, Count, Job, Record, Reply, Tally, Window, config::Document};
 use catkinlatch_base::{
-    HostId, Incarnation, JobId, ModelId, TeamId, Version, WindowId, derive_value,
+    HostId, Incarnation, JobId, ModelId, TeamId, Version, WindowId, ZoneId, derive_value,
 };
 use catkinlatch_log::{Index, Machine};
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 /// Maximum number of closed usage windows that are kept. Older ones are dropped, and cannot be
 /// closed again.
@@ -27,6 +32,10 @@
         pub windows: BTreeMap<WindowId, Window>,
         /// The hosts that are to store no replicated state, with the names of their machines.
         pub retiring: BTreeMap<HostId, String>,
+        /// The zones whose targets are sent nothing new. Snapshots of earlier releases end before
+        /// this field.
+        #[serde(deserialize_with = "evacuation::deserialize")]
+        pub evacuated: BTreeSet<ZoneId>,
     }
 }
 
@@ -138,6 +147,14 @@
                 self.retiring.insert(host.clone(), name.clone());
                 Reply::Done
             }
+            Command::Evacuate { zone } => {
+                self.evacuated.insert(zone.clone());
+                Reply::Done
+            }
+            Command::Restore { zone } => {
+                self.evacuated.remove(zone);
+                Reply::Done
+            }
         }
     }
 }
--- a/crates/catkinlatch-ledger/tests/registry.rs
+++ b/crates/catkinlatch-ledger/tests/registry.rs
@@ -8,7 +8,10 @@
     Registry, Target,
     registry::{Change, Phase},
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 fn id(name: &str) -> TargetId {
     name.parse().unwrap()
@@ -121,3 +124,68 @@
     assert!(!registry.record_leaving(&id("a"), 1, now), "a late report of the earlier start");
     assert!(registry.target(&id("a")).unwrap().is_ready());
 }
+
+fn zones(names: &[&str]) -> BTreeSet<catkinlatch_base::ZoneId> {
+    names.iter().map(|name| name.parse().unwrap()).collect()
+}
+
+/// Guards against targets that stay evacuated on a leader that adopted them so from the last one.
+#[test]
+fn an_adopted_evacuated_target_is_ready_again_once_its_zone_is_restored() {
+    let mut registry = Registry::default();
+    let evacuated = Target { phase: Phase::Evacuated, ..target("t", 100, 1) };
+    registry.set_evacuated(&zones(&["zone-a"]), Instant::ZERO);
+    registry.adopt(vec![evacuated.clone()], Vec::new(), Instant::ZERO);
+    assert_eq!(registry.target(&id("t")).unwrap().phase, Phase::Evacuated);
+    assert!(registry.set_evacuated(&zones(&[]), Instant::ZERO));
+    assert!(registry.target(&id("t")).unwrap().is_ready());
+    // The last view of a leader that did not know the end of the evacuation yet.
+    registry.adopt(vec![evacuated], Vec::new(), Instant::ZERO);
+    assert!(registry.target(&id("t")).unwrap().is_ready());
+}
+
+/// Guards against requests to a target that registers, restarts, or is adopted as ready, in a zone
+/// that is evacuated already.
+#[test]
+fn ready_targets_that_become_known_in_an_evacuated_zone_are_not_ready() {
+    let mut registry = Registry::default();
+    assert!(!registry.set_evacuated(&zones(&["zone-a", "other"]), Instant::ZERO));
+    for start in [target("t", 100, 1), target("t", 100, 2), target("t", 200, 1)] {
+        registry.register(start, Instant::ZERO);
+        assert_eq!(registry.target(&id("t")).unwrap().phase, Phase::Evacuated);
+    }
+    registry.adopt(vec![target("t", 200, 1)], Vec::new(), Instant::ZERO);
+    assert_eq!(registry.target(&id("t")).unwrap().phase, Phase::Evacuated);
+}
+
+/// Guards against requests to a target that drains or leaves, after the evacuation of its zone.
+#[test]
+fn a_target_that_drains_stays_draining_when_its_zone_is_restored() {
+    let mut registry = Registry::default();
+    registry.register(Target { phase: Phase::Draining, ..target("t", 100, 1) }, Instant::ZERO);
+    registry.register(target("left", 100, 1), Instant::ZERO);
+    registry.set_evacuated(&zones(&["zone-a"]), Instant::ZERO);
+    assert!(registry.record_leaving(&id("left"), 100, Instant::ZERO), "followers must learn it");
+    registry.set_evacuated(&zones(&[]), Instant::ZERO);
+    assert!(registry.targets().all(|target| target.phase == Phase::Draining));
+}
+
+/// Guards against a zone's targets getting all that waits for them at the moment of its return.
+#[test]
+fn slots_of_a_restored_zone_grow_from_one_to_all_in_three_seconds() {
+    let mut registry = Registry::default();
+    let target = Target { slots: 7, ..target("t", 100, 1) };
+    let slots = |registry: &Registry, ms| {
+        registry.ramp().slots(&target, Instant::ZERO + Duration::from_millis(ms))
+    };
+    registry.set_evacuated(&zones(&["zone-a"]), Instant::ZERO);
+    registry.set_evacuated(&zones(&[]), Instant::ZERO);
+    assert_eq!(
+        [0, 499, 500, 1_500, 2_999, 3_000].map(|ms| slots(&registry, ms)),
+        [1, 1, 2, 4, 6, 7]
+    );
+    let admits = |load, random| registry.ramp().admits(&target, load, random, Instant::ZERO);
+    assert!(admits(0, 0.1) && !admits(1, 0.1) && !admits(0, 0.2), "one of seven slots");
+    registry.set_evacuated(&zones(&["zone-b"]), Instant::ZERO + Duration::from_secs(4));
+    assert_eq!(slots(&registry, 4_000), 7);
+}
--- a/crates/catkinlatch-ledger/tests/state.rs
+++ b/crates/catkinlatch-ledger/tests/state.rs
@@ -148,3 +148,34 @@
     apply(&mut state, advance(2, 0, 1..=1));
     assert_eq!(recorded(&state, 2), None);
 }
+
+/// The fields of the state before zones could be evacuated.
+#[derive(serde::Serialize, Default)]
+struct EarlierState {
+    document: Option<Document>,
+    versions: std::collections::BTreeMap<String, Version>,
+    jobs: Vec<()>,
+    counted: Vec<()>,
+    windows: Vec<()>,
+    retiring: std::collections::BTreeMap<String, String>,
+}
+
+/// Guards against stores that cannot restore their state after an update of the program.
+#[test]
+fn a_snapshot_without_evacuated_zones_decodes_and_a_truncated_one_does_not() {
+    let config = bincode::config::standard();
+    let mut earlier =
+        EarlierState { document: Some(document(7, "seven")), ..EarlierState::default() };
+    earlier.versions.insert("model".to_owned(), Version::new(3));
+    earlier.retiring.insert("10.0.0.1".to_owned(), "store-1".to_owned());
+    let bytes = bincode::serde::encode_to_vec(&earlier, config).unwrap();
+    let (mut state, _): (State, usize) = bincode::serde::decode_from_slice(&bytes, config).unwrap();
+    assert_eq!((state.retiring.len(), state.evacuated.len()), (1, 0));
+    assert_eq!(state.document.as_ref().unwrap().source, "seven");
+
+    apply(&mut state, Command::Evacuate { zone: "zone-a".parse().unwrap() });
+    let bytes = bincode::serde::encode_to_vec(&state, config).unwrap();
+    let decode = |bytes: &[u8]| bincode::serde::decode_from_slice::<State, _>(bytes, config);
+    assert_eq!(decode(&bytes).unwrap().0, state);
+    assert!(decode(&bytes[..bytes.len() - 1]).is_err(), "an evacuation must not be lost");
+}
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -94,8 +94,22 @@
     ///
     /// Returns an error if no port can be opened.
     pub async fn start(id: &str, service: &'static str, controls: Vec<String>) -> io::Result<Self> {
+        Self::start_in("zone-0", id, service, controls).await
+    }
+
+    /// Starts the engine in a zone and announces it to `controls`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start_in(
+        zone: &'static str,
+        id: &str,
+        service: &'static str,
+        controls: Vec<String>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-        let target = Target::new(id, service, listener.local_addr()?, 4);
+        let target = Target::new(id, service, listener.local_addr()?, 4).with_zone(zone);
         let state = Arc::new(Mutex::new(State::default()));
         let engine = Self { target, state, lifecycle: Lifecycle::new(controls) };
         engine.run(listener);
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -84,8 +84,22 @@
     ///
     /// Returns an error if no port can be opened.
     pub async fn start(id: &str, name: &'static str, controls: Vec<String>) -> io::Result<Self> {
+        Self::start_in("zone-0", id, name, controls).await
+    }
+
+    /// Starts the service in a zone and announces it to `controls`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start_in(
+        zone: &'static str,
+        id: &str,
+        name: &'static str,
+        controls: Vec<String>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-        let target = Target::new(id, name, listener.local_addr()?, 6);
+        let target = Target::new(id, name, listener.local_addr()?, 6).with_zone(zone);
         let service = Self {
             target,
             run_time: Arc::new(Mutex::new(RUN_TIME)),
--- a/crates/catkinlatch-standin/src/site/target.rs
+++ b/crates/catkinlatch-standin/src/site/target.rs
@@ -25,6 +25,8 @@
     pub service: &'static str,
     /// The address that the target listens on.
     pub address: SocketAddr,
+    /// The availability zone of the target.
+    pub zone: &'static str,
     /// How many requests the target runs at once.
     pub slots: u32,
     /// Whether the target is draining.
@@ -38,11 +40,26 @@
 }
 
 impl Target {
-    /// Creates a target that accepts requests.
+    /// Creates a target in zone `zone-0` that accepts requests.
     pub fn new(id: &str, service: &'static str, address: SocketAddr, slots: u32) -> Self {
         let (is_draining, says_leaving, is_silent, acknowledged) = Default::default();
         let id = id.to_owned();
-        Self { id, service, address, slots, is_draining, says_leaving, is_silent, acknowledged }
+        Self {
+            id,
+            service,
+            address,
+            zone: "zone-0",
+            slots,
+            is_draining,
+            says_leaving,
+            is_silent,
+            acknowledged,
+        }
+    }
+
+    /// Places the target in a zone.
+    pub fn with_zone(self, zone: &'static str) -> Self {
+        Self { zone, ..self }
     }
 
     /// Adds the header that says that the target leaves, if it does.
@@ -61,7 +78,7 @@
         for sequence in 1_u64.. {
             let is_draining = self.is_draining.load(Ordering::Relaxed);
             let body = json!({
-                "service": self.service, "address": self.address, "zone": "zone-0",
+                "service": self.service, "address": self.address, "zone": self.zone,
                 "version": "v1", "slots": self.slots, "cold_left_ms": 0, "stage": "both",
                 "state": if is_draining { "draining" } else { "ready" },
                 "models": models(), "seq": sequence, "born": started_ms as u64,
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -93,6 +93,8 @@
         }
         ControlCall::Retire(name) => Decoded::Message(Message::Retire(name)),
         ControlCall::RetirementStatus(name) => Decoded::Message(Message::Retirement(name)),
+        ControlCall::Evacuate(zone) => Decoded::Message(Message::Evacuate(zone)),
+        ControlCall::Restore(zone) => Decoded::Message(Message::Restore(zone)),
         ControlCall::Unknown => Decoded::Unknown,
     }
 }
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -1,5 +1,6 @@
 //! Handles messages from other processes.
 
+mod evacuation;
 mod suspect;
 
 use crate::{exchange, host::Host, view};
@@ -140,8 +141,8 @@
         Message::Retire(name) => retire(host, &name).await,
         Message::Retirement(name) => retirement(host, &name),
         Message::Exchange(report) => Reply::Exchanged(Box::new(exchange::answer(term, &report))),
-        // No part takes these yet.
-        Message::Evacuate(_) | Message::Restore(_) => Reply::Unknown,
+        Message::Evacuate(zone) => evacuation::evacuate(host, term, zone).await,
+        Message::Restore(zone) => evacuation::restore(host, term, zone).await,
         Message::RequestPlace { .. } => Reply::Place(true),
     }
 }
--- a/crates/catkinlatch-store/src/lead.rs
+++ b/crates/catkinlatch-store/src/lead.rs
@@ -1,6 +1,6 @@
 //! Runs the duties of the leader: batch jobs, weight loads, usage reports and cleanup.
 
-use crate::{cleanup, host::Host, runner::Runner, usage, weights};
+use crate::{cleanup, evacuation, host::Host, runner::Runner, usage, weights};
 use catkinlatch_base::Term;
 use log::info;
 use std::sync::Arc;
@@ -15,6 +15,7 @@
     loop {
         let term = await_term(&host).await;
         info!(term = term.get(); "lead: took over the duties");
+        evacuation::apply(&host);
         host.soft_state().reset_timeouts(host.clock.now());
         host.suspects.lock().watch_all(host.clock.now());
         let mut duties = JoinSet::new();
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -4,6 +4,7 @@
 mod cleanup;
 mod control;
 pub mod duty;
+mod evacuation;
 mod exchange;
 mod follow;
 mod handler;
@@ -83,6 +84,7 @@
     let publisher = host.clone();
     tokio::spawn(async move { publisher.suspects.run_publisher().await });
     tokio::spawn(view::watch_configuration(host.clone()));
+    tokio::spawn(evacuation::watch(host.clone()));
     let lead = tokio::spawn(lead::run(host.clone()));
     info!(name = host.settings.name.as_str(), control:% = control; "store: started");
 
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -181,7 +181,7 @@
             Engine {
                 id: target.id.clone(),
                 service: target.service.clone(),
-                slots: target.slots,
+                slots: soft.registry.ramp().slots(target, now),
                 slowness,
                 models,
             }
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -158,12 +158,12 @@
     let service = route.service(fastrand::f64())?;
     let soft = host.soft_state();
     let balancer = shared.balancer();
+    let now = host.clock.now();
     let has_room = |target: &&Target| {
-        let limit = f64::from(target.slots) * MAX_SLOT_SHARE;
+        let limit = f64::from(soft.registry.ramp().slots(target, now)) * MAX_SLOT_SHARE;
         f64::from(balancer.running(&target.id)) < limit
     };
     let targets = soft.registry.targets().filter(|target| target.service == *service);
-    let now = host.clock.now();
     let available = targets.filter(has_room);
     let target = balancer.pick(available, &host.settings.zone, tried, now)?.clone();
     Some((target, route.max_attempts))
--- a/crates/catkinlatch-store/src/weights/order.rs
+++ b/crates/catkinlatch-store/src/weights/order.rs
@@ -150,7 +150,9 @@
     request.headers_mut().insert(http::header::CONTENT_TYPE, json);
     let may_send = || {
         host.record_action(term);
-        host.replica.fencing_token() == Some(term)
+        // The zone may have been evacuated since the engine was chosen.
+        let is_ready = host.soft_state().registry.target(&target.id).is_some_and(Target::is_ready);
+        is_ready && host.replica.fencing_token() == Some(term)
     };
     let answer = async {
         let exchange = host.client.send_if(&target.address, request, may_send).await.ok()?;
