Directory: name no host that was killed long ago, and draw evacuations in the soak

Cause: an entry host that hears no leader kept naming the entry hosts of its last view for ever, also those that were killed meanwhile, and a host that never heard a leader named nobody.

Change: `entry::contact` decides which hosts of the view are taken to be running: for `contact_ms` and 1 s after the last answer of the leader, or after the host last accepted a connection. While the leader is silent for 1.5 s, a host opens a connection to 16 of the others each second, in turn. If no host is left, the directory names its own. Off where the settings have no `contact_ms`. The settings of the stand-in site have `contact_ms`, `ack_ms` and `evacuate_ms`. The soak has an operator who evacuates one zone at a time beside all other faults; nothing may reach the zone between 4 s after the acknowledgement and its restoration.

--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -31,6 +31,9 @@
             // Polls again at once so that the leader learns that this host is draining.
             _ = drain_watch.changed(), if !draining => continue,
         };
+        if matches!(answer, Answer::Reply(Reply::Followed(_) | Reply::Nothing)) {
+            host.contact().record_leader(host.clock.now());
+        }
         match answer {
             Answer::Reply(Reply::Followed(view)) => {
                 let before = host.view().version();
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of an entry host share.
 
-use crate::{suspect, usage::Usage, view::View};
+use crate::{contact::Contact, suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
 use catkinlatch_ledger::{
     Balancer,
@@ -28,6 +28,7 @@
     suspects: Mutex<suspect::Table>,
     leaving: Mutex<Leaving>,
     ramp: Mutex<Ramp>,
+    contact: Mutex<Contact>,
     draining: watch::Sender<bool>,
 }
 
@@ -52,6 +53,7 @@
             suspects: Mutex::default(),
             leaving: Mutex::default(),
             ramp: Mutex::default(),
+            contact: Mutex::default(),
             draining: watch::channel(false).0,
         }
     }
@@ -91,6 +93,11 @@
         lock(&self.ramp)
     }
 
+    /// Locks the signs of life of other hosts. The guard must not be held across an `await`.
+    pub fn contact(&self) -> MutexGuard<'_, Contact> {
+        lock(&self.contact)
+    }
+
     /// Counts a request of a team in the usage window of `wall_ms`, in milliseconds since the Unix
     /// epoch.
     pub fn count_request(&self, team: &TeamId, wall_ms: u64) {
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -4,12 +4,14 @@
 mod answer;
 mod attempt;
 mod batch;
+pub mod contact;
 mod directory;
 mod exchange;
 mod follow;
 mod front;
 mod host;
 mod leaving;
+mod probe;
 mod proxy;
 mod ready;
 mod stream;
@@ -73,6 +75,9 @@
     if let Some(address) = host.settings.directory_address {
         let listener = TcpListener::bind(address).await?;
         tokio::spawn(serve(server, listener, directory::handler(host.clone())));
+        if host.settings.times.contact_ms.is_some() {
+            tokio::spawn(probe::run(host.clone()));
+        }
     }
     tokio::spawn(follow::run(host.clone()));
     tokio::spawn(exchange::run(host.clone()));
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -59,7 +59,8 @@
             "times": {
                 "heartbeat_ms": 300, "drain_ms": 2000, "grace_s": 3, "lease_ms": 1000, "checks_fences": true,
                 "report_window_s": 1, "report_due_s": 5, "results_kept_s": 120,
-                "cancel_ms": 3000, "apply_ms": 2000, "address_ttl_s": 5
+                "cancel_ms": 3000, "apply_ms": 2000, "address_ttl_s": 5,
+                "contact_ms": 4000, "ack_ms": 5000, "evacuate_ms": 5000
             }
         });
         if let Some(folder) = &data_folder {
--- a/crates/catkinlatch-standin/src/site/soak.rs
+++ b/crates/catkinlatch-standin/src/site/soak.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod context;
+mod evacuation;
 mod fault;
 mod operator;
 mod record;
@@ -15,6 +16,7 @@
 use self::{
     caller::{call_services, read_streams},
     context::Context,
+    evacuation::evacuate_zones,
     fault::Faults,
     operator::change_configuration,
     route::configuration,
@@ -24,6 +26,9 @@
 use std::{io, path::PathBuf, sync::Arc, time::Duration};
 use tokio::{task::JoinSet, time};
 
+/// The zones, each of which has an engine; the first ones also have a service.
+const ZONES: [&str; 3] = ["zone-0", "zone-1", "zone-2"];
+
 /// Number of engines, which run items and streams.
 const ENGINES: usize = 3;
 
@@ -67,11 +72,13 @@
         let (mut engines, mut services) = (Vec::new(), Vec::new());
         for number in 0..ENGINES {
             let id = format!("engine-{number}");
-            engines.push(Engine::start(&id, "drafts", controls.clone()).await?);
+            let zone = ZONES[number % ZONES.len()];
+            engines.push(Engine::start_in(zone, &id, "drafts", controls.clone()).await?);
         }
         for number in 0..SERVICES {
             let id = format!("survey-{number}");
-            services.push(Service::start(&id, "survey", controls.clone()).await?);
+            let zone = ZONES[number % ZONES.len()];
+            services.push(Service::start_in(zone, &id, "survey", controls.clone()).await?);
         }
         site.control("PUT", "/config", &configuration(1)).await;
         let context = Arc::new(Context::new(&site, engines, services));
@@ -81,6 +88,7 @@
         }
         tasks.spawn(read_streams(context.clone(), random.fork()));
         tasks.spawn(change_configuration(context.clone(), random.fork()));
+        tasks.spawn(evacuate_zones(context.clone(), random.fork()));
         for number in 0..TRAINERS {
             tasks.spawn(train(context.clone(), number, random.fork()));
         }
--- a/crates/catkinlatch-standin/src/site/soak/record.rs
+++ b/crates/catkinlatch-standin/src/site/soak/record.rs
@@ -17,6 +17,8 @@
     pub results: u64,
     /// Number of configurations that were acknowledged.
     pub configurations: u64,
+    /// Number of zones that were evacuated and restored.
+    pub evacuations: u64,
     /// Ids of requests that were refused, which guarantees that they never run.
     pub refused: BTreeSet<String>,
     /// Ids of jobs that were refused and not submitted again, which guarantees that none of their
--- a/crates/catkinlatch-standin/src/site/soak/report.rs
+++ b/crates/catkinlatch-standin/src/site/soak/report.rs
@@ -76,6 +76,7 @@
             ("refused jobs", record.refused_jobs.len() as u64),
             ("results", record.results),
             ("configurations", record.configurations),
+            ("evacuations", record.evacuations),
             ("windows", reports.len() as u64),
         ]);
         Self { seed, faults, counts, violations: record.violations.clone() }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -10,6 +10,8 @@
 mod answer;
 #[path = "site/attempt.rs"]
 mod attempt;
+#[path = "site/directory.rs"]
+mod directory;
 #[path = "site/evacuation.rs"]
 mod evacuation;
 #[path = "site/key.rs"]
@@ -476,7 +478,7 @@
     let soak = Soak { program, folder: folder.path().into(), duration: FAILURES, seed: 7 };
     let report = soak.run().await.unwrap();
     assert!(report.violations.is_empty(), "{report}\n{:#?}", report.faults);
-    for name in ["served", "streams", "results", "configurations", "windows"] {
+    for name in ["served", "streams", "results", "configurations", "evacuations", "windows"] {
         assert!(report.counts[name] > 0, "no {name}: {report}");
     }
 }
