--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -31,10 +31,14 @@
             // Polls again at once so that the leader learns that this host is draining.
             _ = drain_watch.changed(), if !draining => continue,
         };
+        if matches!(answer, Answer::Reply(Reply::Followed(_) | Reply::Nothing)) {
+            host.contact().record_leader(host.clock.now());
+        }
         match answer {
             Answer::Reply(Reply::Followed(view)) => {
                 let before = host.view().version();
                 host.view_mut().update(&view);
+                host.ramp().observe_targets(view.targets.iter(), host.clock.now());
                 host.leader_client.set_hosts(&view.stores);
                 let known: BTreeSet<_> = view.targets.iter().map(|t| t.id.clone()).collect();
                 host.balancer().retain(&known);
