--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -6,6 +6,7 @@
 mod host;
 mod lifecycle;
 mod platform;
+mod relay;
 mod service;
 mod soak;
 mod target;
@@ -16,7 +17,8 @@
     host::Host,
     lifecycle::{CRASHING_BODY, Lifecycle, SILENCING_BODY},
     platform::Platform,
-    service::{Flaw, Headers, Service},
+    relay::Relay,
+    service::{Arrival, Flaw, Headers, Service},
     soak::{Report, Soak},
     target::Target,
 };
@@ -57,6 +59,17 @@
     /// The platform that receives usage reports.
     pub platform: Platform,
     client: catkinlatch_runtime::http::Client,
+    store_count: usize,
+}
+
+/// How many hosts a site has, and in what their settings differ from the usual ones.
+pub struct Shape<'a> {
+    /// The number of hosts with a disk.
+    pub stores: usize,
+    /// The number of hosts that callers connect to.
+    pub entries: usize,
+    /// Changes the settings of the host with this number; those with a disk come first.
+    pub adjust: &'a dyn Fn(usize, &mut serde_json::Value),
 }
 
 impl Site {
@@ -69,6 +82,20 @@
     /// Returns an error if no ports are free, a file can't be written or a process can't be
     /// started.
     pub async fn start(program: &Path, folder: &Path) -> io::Result<Self> {
+        let shape = Shape { stores: STORES, entries: ENTRIES, adjust: &|_, _| {} };
+        Self::start_shaped(program, folder, &shape).await
+    }
+
+    /// Like [`Self::start`], with other hosts and settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Self::start`] does.
+    pub async fn start_shaped(
+        program: &Path,
+        folder: &Path,
+        shape: &Shape<'_>,
+    ) -> io::Result<Self> {
         let allocated = ports::allocate(5)?;
         let ports = Ports {
             callers: allocated[0],
@@ -80,22 +107,22 @@
         let platform = Platform::start().await?;
         let layout = host::Layout { ports, platform: platform.address(), folder, program };
         let mut hosts = Vec::new();
-        for number in 0..STORES + ENTRIES {
-            hosts.push(Host::new(&layout, number, STORES)?);
+        for number in 0..shape.stores + shape.entries {
+            hosts.push(Host::new(&layout, number, shape)?);
         }
         hosts.iter_mut().rev().try_for_each(Host::start)?;
         let client = catkinlatch_runtime::http::Client::new();
-        Ok(Self { hosts, ports, platform, client })
+        Ok(Self { hosts, ports, platform, client, store_count: shape.stores })
     }
 
     /// Returns the hosts with a disk.
     pub fn stores(&self) -> &[Host] {
-        &self.hosts[..STORES]
+        &self.hosts[..self.store_count]
     }
 
     /// Returns the hosts that callers connect to.
     pub fn entries(&self) -> &[Host] {
-        &self.hosts[STORES..]
+        &self.hosts[self.store_count..]
     }
 
     /// Sends a request over a new connection and returns the complete response, or `None` on an
@@ -121,7 +148,7 @@
     /// Panics if a host answers with 400 Bad Request.
     pub async fn control(&self, method: &str, path: &str, body: &str) -> bytes::Bytes {
         for attempt in 0.. {
-            let host = &self.stores()[attempt % STORES];
+            let host = &self.stores()[attempt % self.store_count];
             let request = Request::builder().method(method).uri(path).header("host", "control");
             let request = request.body(body.as_bytes().to_vec()).expect("the request is valid");
             let answer = self.call(&host.address(self.ports.control), request).await;
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -1,6 +1,6 @@
 //! One host of a site.
 
-use super::Ports;
+use super::{Ports, Shape};
 use crate::cluster::Process;
 use serde_json::json;
 use std::{
@@ -33,12 +33,13 @@
 }
 
 impl Host {
-    /// Writes the settings of a host; the first `stores` hosts have a disk.
+    /// Writes the settings of the host with this number; the first hosts have a disk.
     ///
     /// # Errors
     ///
     /// Returns an error if the settings can't be written.
-    pub fn new(layout: &Layout<'_>, number: usize, stores: usize) -> io::Result<Self> {
+    pub fn new(layout: &Layout<'_>, number: usize, shape: &Shape<'_>) -> io::Result<Self> {
+        let stores = shape.stores;
         let ip = |number: usize| Ipv4Addr::new(127, 0, 0, 11 + number as u8);
         let at = |port: u16| SocketAddr::from((ip(number), port));
         let is_store = number < stores;
@@ -70,6 +71,7 @@
             settings["ready_address"] = json!(at(ready));
             settings["directory_address"] = json!(at(directory));
         }
+        (shape.adjust)(number, &mut settings);
         let path = layout.folder.join(format!("{name}.jsonc"));
         fs::write(&path, settings.to_string())?;
         let process = Process::new(layout.program.into(), path.clone()).with_subcommand("host");
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -13,7 +13,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{net::TcpListener, time};
 
@@ -26,6 +26,19 @@
 /// The headers of a request by name, with the path under the key `:path`.
 pub type Headers = BTreeMap<String, String>;
 
+/// A request that reached a target.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The start of the target.
+    pub target: String,
+    /// When the request's head arrived.
+    pub at: Instant,
+    /// The time that the request was given, in milliseconds; `None` if none was given.
+    pub deadline_ms: Option<u64>,
+    /// Whether the target refused it as full.
+    pub is_refused: bool,
+}
+
 /// Counts a request as abandoned if it is dropped before it has run.
 struct Run {
     abandoned: Arc<AtomicU32>,
@@ -64,6 +77,8 @@
     pub run_time: Arc<Mutex<Duration>>,
     /// The headers of each run of a request, by the request's id.
     pub headers_of_runs: Arc<Mutex<BTreeMap<String, Vec<Headers>>>>,
+    /// The requests that reached the service and were meant for it, by the request's id.
+    pub arrivals: Arc<Mutex<BTreeMap<String, Vec<Arrival>>>>,
     /// Number of coming requests that are run, but whose response is then lost.
     pub answers_to_lose: Arc<AtomicU32>,
     /// Number of requests whose caller left before they had run.
@@ -90,6 +105,7 @@
             target,
             run_time: Arc::new(Mutex::new(RUN_TIME)),
             headers_of_runs: Arc::default(),
+            arrivals: Arc::default(),
             answers_to_lose: Arc::default(),
             abandoned: Arc::default(),
             spoiled: Arc::default(),
@@ -189,7 +205,12 @@
         if headers.get("expect-instance").is_some_and(|expected| *expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, &id, "");
         }
-        if self.is_full.load(Ordering::Relaxed) {
+        let is_refused = self.is_full.load(Ordering::Relaxed);
+        let deadline_ms = headers.get("deadline-ms").and_then(|text| text.parse().ok());
+        let (target, at) = (self.target.id.clone(), Instant::now());
+        let arrival = Arrival { target, at, deadline_ms, is_refused };
+        lock(&self.arrivals).entry(id.clone()).or_default().push(arrival);
+        if is_refused {
             self.refusals.fetch_add(1, Ordering::Relaxed);
             return respond(StatusCode::SERVICE_UNAVAILABLE, &id, "");
         }
