Send a request to no more targets than its route allows, full ones included

Cause: a request that found all its targets full began a new round after 15 ms, with its count of sends and its list of tried targets emptied, so each round could go to other targets. It could not run on more than max_attempts, since only a request that has not run begins a new round, but it reached more: 7 of 7 full targets with max_attempts 3. Change: once a request has reached as many targets as its route allows, later rounds go to these alone. A target that could not be connected to was not reached.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -12,6 +12,9 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time;
 
+/// Why an attempt did not reach its target.
+pub const NO_CONNECTION: &str = "no connection";
+
 /// Outcome of an attempt.
 #[derive(Display)]
 pub enum Outcome {
@@ -111,7 +114,7 @@
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::NotSent(_))) => {
             guard.verdict = Verdict::Failed;
-            return Err(Outcome::NotRun("no connection"));
+            return Err(Outcome::NotRun(NO_CONNECTION));
         }
         Ok(Err(Failure::Unknown(reason))) => {
             guard.verdict = Verdict::Failed;
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -120,6 +120,8 @@
     let is_stream = inbound.route.kind == Kind::Stream;
     let is_idempotent = inbound.route.may_repeat();
     let mut tried = BTreeSet::new();
+    // Full targets are tried again, but all tries together reach `max_attempts` targets.
+    let mut reached = BTreeSet::new();
     let (mut sends, mut may_have_run) = (0, false);
     loop {
         let now = host.clock.now();
@@ -127,8 +129,10 @@
         if left < MIN_ATTEMPT_TIME && sends > 0 || left.is_zero() {
             return if may_have_run { End::TimedOut } else { End::NotRun(FULL_RETRY_AFTER) };
         }
-        let target =
-            (sends < inbound.route.max_attempts).then(|| pick_target(host, inbound, &tried, now));
+        let target = (sends < inbound.route.max_attempts).then(|| {
+            let left_out = left_out(host, inbound, &tried, &reached);
+            pick_target(host, inbound, &left_out, now)
+        });
         let Some(target) = target.flatten() else {
             if !may_have_run
                 && sends > 0
@@ -177,6 +181,9 @@
             attempt::send(host, inbound, &target, left, limit, MAX_ANSWER_BYTES).await
         };
         record(host, inbound, &target, permit, &outcome).await;
+        if !matches!(outcome, Outcome::NotRun(attempt::NO_CONNECTION)) {
+            reached.insert(target.id.clone());
+        }
         match outcome {
             Outcome::Answer(answer) => {
                 attempt_log.push(format!("{} answered", target.id));
@@ -255,6 +262,23 @@
 }
 
 /// Picks a target for a service of the route, leaving out those already tried.
+/// Returns the targets that a request must not be sent to now: those that were tried in this round,
+/// and all others once it has reached as many as its route allows.
+fn left_out(
+    host: &Host,
+    inbound: &InboundRequest,
+    tried: &BTreeSet<TargetId>,
+    reached: &BTreeSet<TargetId>,
+) -> BTreeSet<TargetId> {
+    let mut left_out = tried.clone();
+    if reached.len() >= inbound.route.max_attempts as usize {
+        let view = host.view();
+        let others = view.targets.iter().filter(|target| !reached.contains(&target.id));
+        left_out.extend(others.map(|target| target.id.clone()));
+    }
+    left_out
+}
+
 pub fn pick_target(
     host: &Host,
     inbound: &InboundRequest,
