Take the time for connecting and for the leader's word from a target's time

Cause: Deadline-Ms was computed before the connection to a target was opened, which may take up to 1 s, and on a resumed stream before the leader was asked about a suspect (up to 80 ms). The target was then given more time than the caller had left. Change: the header is shortened once the connection is open, and a resumed stream's time is read again after the leader's word, as that of other requests is. Result: client test a_call_is_prepared_once_its_connection_is_open. The two waits were found by reading; loopback connects too fast for a test of the whole way, and no test plays a suspect's resumed stream.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -110,7 +110,11 @@
     host.balancer().begin(&target.id);
     let verdict = Verdict::Unknown;
     let mut guard = Guard { host: host.clone(), target: target.id.clone(), started, verdict };
-    let exchange = match time::timeout(limit, host.client.send(&target.address, request)).await {
+    // Opening a connection can take longer than a target's work.
+    let shorten =
+        |request: &mut Request<Body>| shorten_deadline(request, host.clock.now() - started);
+    let sending = host.client.send_prepared(&target.address, request, shorten);
+    let exchange = match time::timeout(limit, sending).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::NotSent(_))) => {
             guard.verdict = Verdict::Failed;
@@ -138,6 +142,15 @@
     Ok(Call { exchange, guard })
 }
 
+/// Takes the time that has passed from the time that the target is given; returns whether any is
+/// left.
+fn shorten_deadline(request: &mut Request<Body>, passed: Duration) -> bool {
+    let Some(given) = header::number(request.headers(), &header::DEADLINE) else { return true };
+    let left = given.saturating_sub(passed.as_millis() as u64);
+    request.headers_mut().insert(header::DEADLINE, HeaderValue::from(left));
+    left > 0
+}
+
 /// Reads the response body to its end.
 pub async fn read_answer(host: &Host, call: Call, limit: Duration, max_bytes: usize) -> Outcome {
     let Call { exchange, mut guard } = call;
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -244,6 +244,8 @@
                 Permit::Busy | Permit::Refused => return false,
             }
             self.attempts.sends += 1;
+            // A suspect may have waited for the leader's word.
+            let left = self.remaining(self.host.clock.now());
             self.target = target.clone();
             let mut request = attempt::build_request(&self.inbound, &target, left);
             if let Some(last) = self.last_event {
--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -120,12 +120,26 @@
         address: &str,
         request: Request<Body>,
         may_send: impl FnOnce() -> bool,
+    ) -> Result<Exchange, Failure> {
+        self.send_prepared(address, request, |_| may_send()).await
+    }
+
+    /// Like [`Self::send_if`], but `prepare` may also change the request once a connection is open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that indicates whether the request may have been executed.
+    pub async fn send_prepared(
+        &self,
+        address: &str,
+        mut request: Request<Body>,
+        prepare: impl FnOnce(&mut Request<Body>) -> bool,
     ) -> Result<Exchange, Failure> {
         let mut connection = match self.take(address) {
             Some(connection) => connection,
             None => connect(address, self.resets_on_close).await?,
         };
-        if !may_send() {
+        if !prepare(&mut request) {
             return Err(Failure::NotSent("no longer permitted".to_owned()));
         }
         let sent = connection.sender.send_request(request).await;
--- a/crates/catkinlatch-runtime/tests/client.rs
+++ b/crates/catkinlatch-runtime/tests/client.rs
@@ -54,6 +54,34 @@
     assert_eq!(received, Some(0), "no byte of the call is sent");
 }
 
+/// Guards against a call that gives its target the time in which the connection was opened.
+#[tokio::test]
+async fn a_call_is_prepared_once_its_connection_is_open() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("the port is bound").to_string();
+    let is_prepared = AtomicBool::new(false);
+    let prepare = |request: &mut Request<_>| {
+        is_prepared.store(true, Ordering::SeqCst);
+        request.headers_mut().insert("left", "7".parse().expect("the value is valid"));
+        true
+    };
+    let client = Client::new();
+    let call = client.send_prepared(&address, request(b"order".to_vec()), prepare);
+    let server = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection comes");
+        let mut buffer = [0; 256];
+        let bytes = stream.read(&mut buffer).await.expect("the call arrives");
+        String::from_utf8_lossy(&buffer[..bytes]).into_owned()
+    };
+    let (_, received) = tokio::join!(call, server);
+    assert!(received.contains("left: 7"), "{received}");
+    is_prepared.store(false, Ordering::SeqCst);
+    drop(listener);
+    let call = client.send_prepared(&address, request(b"order".to_vec()), prepare);
+    assert!(call.await.is_err());
+    assert!(!is_prepared.load(Ordering::SeqCst), "no connection was open");
+}
+
 #[tokio::test]
 async fn the_rest_of_a_call_that_timed_out_does_not_arrive_later() {
     let socket = TcpSocket::new_v4().expect("a socket opens");
