Count a request's time from when its host may have received it

Cause: the time began when the host read the head of a request. A host that stands still (stopped, or without a processor) reads requests late, and its targets were given the time that had passed meanwhile: 1,799 ms where 1,291 were left, after a pause of 500 ms. With retries this is what the users' rule counts as well. Change: the process records every 20 ms that it runs. A request that is read within 60 ms after a gap of more than 40 ms may have waited since the gap began; that time is taken from its limit. Times that serve no promise (how long full targets are tried again) count as before.

--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -40,6 +40,8 @@
     pub team: Option<TeamId>,
     /// The priority; 0 is the highest.
     pub priority: u8,
+    /// How long the request may have waited before this process read it; its time runs meanwhile.
+    pub waited: Duration,
     /// The fingerprint, once it was asked for.
     fingerprint: OnceLock<Fingerprint>,
 }
@@ -67,7 +69,7 @@
 }
 
 async fn respond(host: Arc<Host>, request: Request<Incoming>) -> Response<Body> {
-    let arrived = host.clock.now();
+    let (arrived, waited) = (host.clock.now(), host.waited());
     let (head, body) = request.into_parts();
     let view = host.view();
     let Some(configuration) = view.configuration.clone() else {
@@ -119,12 +121,12 @@
                 return answer::status(StatusCode::METHOD_NOT_ALLOWED);
             }
             let priority = configuration.priority(&route, team.as_ref());
-            let inbound = InboundRequest { head, body, route, team, priority, fingerprint };
+            let inbound = InboundRequest { head, body, route, team, priority, waited, fingerprint };
             batch::submit(&host, &inbound).await
         }
         (EntryCall::Request, Some(route)) => {
             let priority = configuration.priority(&route, team.as_ref());
-            let inbound = InboundRequest { head, body, route, team, priority, fingerprint };
+            let inbound = InboundRequest { head, body, route, team, priority, waited, fingerprint };
             proxy::serve(&host, inbound, arrived).await
         }
         (EntryCall::Request, None) => answer::status(StatusCode::NOT_FOUND),
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,11 +1,14 @@
 //! State that the tasks of an entry host share.
 
-use crate::{suspect, usage::Usage, view::View};
+use crate::{arrival, suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
 use catkinlatch_ledger::{Balancer, registry::Leaving};
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::watch;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{sync::watch, time};
 
 /// State that the tasks of an entry host share.
 pub struct Host {
@@ -24,6 +27,7 @@
     usage: Mutex<Usage>,
     suspects: Mutex<suspect::Table>,
     leaving: Mutex<Leaving>,
+    pulse: Mutex<arrival::Pulse>,
     draining: watch::Sender<bool>,
 }
 
@@ -47,6 +51,7 @@
             usage: Mutex::default(),
             suspects: Mutex::default(),
             leaving: Mutex::default(),
+            pulse: Mutex::default(),
             draining: watch::channel(false).0,
         }
     }
@@ -81,6 +86,20 @@
         lock(&self.leaving)
     }
 
+    /// Records regularly that this process runs; never returns.
+    pub async fn beat(&self) {
+        loop {
+            lock(&self.pulse).beat(self.clock.now());
+            time::sleep(arrival::INTERVAL).await;
+        }
+    }
+
+    /// Returns the longest time for which a request that is read now may have waited for this
+    /// process.
+    pub fn waited(&self) -> Duration {
+        lock(&self.pulse).waited(self.clock.now())
+    }
+
     /// Counts a request of a team in the usage window of `wall_ms`, in milliseconds since the Unix
     /// epoch.
     pub fn count_request(&self, team: &TeamId, wall_ms: u64) {
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -2,6 +2,7 @@
 //! submits batch jobs to the leader.
 
 mod answer;
+pub mod arrival;
 mod attempt;
 mod batch;
 mod directory;
@@ -76,6 +77,8 @@
     }
     tokio::spawn(follow::run(host.clone()));
     tokio::spawn(exchange::run(host.clone()));
+    let beating = host.clone();
+    tokio::spawn(async move { beating.beat().await });
     tokio::spawn(suspect::follow(host.clone()));
     info!(name = host.settings.name.as_str(), callers:% = callers; "entry: started");
 
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -245,7 +245,8 @@
     let caller =
         header::number(&inbound.head.headers, &header::DEADLINE).map(Duration::from_millis);
     let route = inbound.route.timeout_ms.map(Duration::from_millis);
-    [caller, route].into_iter().flatten().min().unwrap_or(DEFAULT_TIMEOUT)
+    let limit = [caller, route].into_iter().flatten().min().unwrap_or(DEFAULT_TIMEOUT);
+    limit.saturating_sub(inbound.waited)
 }
 
 /// Returns how long full targets are tried again, so that the caller still gets its response or
@@ -261,7 +262,6 @@
     objective.map_or(left / 2, |objective| (objective * ATTEMPT_OBJECTIVES).min(left / 2))
 }
 
-/// Picks a target for a service of the route, leaving out those already tried.
 /// Returns the targets that a request must not be sent to now: those that were tried in this round,
 /// and all others once it has reached as many as its route allows.
 fn left_out(
@@ -279,6 +279,7 @@
     left_out
 }
 
+/// Picks a target for a service of the route, leaving out those already tried.
 pub fn pick_target(
     host: &Host,
     inbound: &InboundRequest,
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -211,6 +211,7 @@
         let caller = header::number(&self.inbound.head.headers, &header::DEADLINE);
         let caller =
             caller.map(|caller| self.attempts.arrived + Duration::from_millis(caller) - now);
+        let caller = caller.map(|left| left.saturating_sub(self.inbound.waited));
         caller.unwrap_or(proxy::DEFAULT_TIMEOUT)
     }
 
@@ -243,9 +244,9 @@
                 }
                 Permit::Busy | Permit::Refused => return false,
             }
-            self.attempts.sends += 1;
             // A suspect may have waited for the leader's word.
             let left = self.remaining(self.host.clock.now());
+            self.attempts.sends += 1;
             self.target = target.clone();
             let mut request = attempt::build_request(&self.inbound, &target, left);
             if let Some(last) = self.last_event {
