Evacuate zones on the product's own interface

Change: `catkinlatch evacuate ZONE [--end]` and `POST /v1/evacuation` commit `catkinlatch_state::Command::Evacuation` and answer once the change is in force on all nodes. Nodes apply the zones to `route::Table`, which leaves out their targets and counts none of their slots; loads of weights and shares of trainers leave them out too. The ramp moves to `catkinlatch_route::ramp`.

--- a/crates/catkinlatch-base/src/event.rs
+++ b/crates/catkinlatch-base/src/event.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     BatchNumber, HostId, KeyId, OrderId, RequestId, Revision, TargetId, TeamId, Term, TrainerId,
-    Version, WindowId,
+    Version, WindowId, ZoneId,
 };
 use derive_more::Display;
 
@@ -121,5 +121,17 @@
             /// The window.
             window: WindowId,
         },
+        /// A zone was evacuated.
+        #[display("control: evacuated zone {zone}")]
+        Evacuated {
+            /// The zone.
+            zone: ZoneId,
+        },
+        /// The evacuation of a zone ended.
+        #[display("control: restored zone {zone}")]
+        Restored {
+            /// The zone.
+            zone: ZoneId,
+        },
     }
 }
--- a/crates/catkinlatch-base/src/lib.rs
+++ b/crates/catkinlatch-base/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod invariant;
 mod nearest;
 pub mod timeline;
+pub mod trailing;
 pub mod unit;
 
 pub use self::{
--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -1,6 +1,7 @@
 //! Long polling of the leader for its current view.
 
 use crate::host::Host;
+use catkinlatch_ledger::registry::evacuated_zones;
 use catkinlatch_runtime::{
     Answer, Message, Reply,
     message::{Entry, Follow, Role, ViewVersion},
@@ -38,7 +39,7 @@
             Answer::Reply(Reply::Followed(view)) => {
                 let before = host.view().version();
                 host.view_mut().update(&view);
-                host.ramp().observe_targets(view.targets.iter(), host.clock.now());
+                host.ramp().observe(&evacuated_zones(view.targets.iter()), host.clock.now());
                 host.leader_client.set_hosts(&view.stores);
                 let known: BTreeSet<_> = view.targets.iter().map(|t| t.id.clone()).collect();
                 host.balancer().retain(&known);
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -2,10 +2,8 @@
 
 use crate::{contact::Contact, suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
-use catkinlatch_ledger::{
-    Balancer,
-    registry::{Leaving, Ramp},
-};
+use catkinlatch_ledger::{Balancer, registry::Leaving};
+use catkinlatch_route::Ramp;
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -268,8 +268,9 @@
     let ramp = host.ramp().clone();
     let pick_admitted = |left_out: &BTreeSet<TargetId>, random: f64| {
         let balancer = host.balancer();
-        let admits =
-            |target: &&Target| ramp.admits(target, balancer.load(&target.id, now), random, now);
+        let admits = |target: &&Target| {
+            ramp.admits(&target.zone, target.slots, balancer.load(&target.id, now), random, now)
+        };
         let staying = view.targets(service).filter(|target| !leaving.contains(target));
         balancer.pick(staying.filter(admits), &host.settings.zone, left_out, now).cloned()
     };
--- a/crates/catkinlatch-ledger/src/registry.rs
+++ b/crates/catkinlatch-ledger/src/registry.rs
@@ -5,20 +5,17 @@
 
 mod evacuation;
 mod leaving;
-mod ramp;
 mod target;
 
 pub use self::{
+    evacuation::evacuated_zones,
     leaving::Leaving,
-    ramp::Ramp,
     target::{Phase, Target},
 };
 
-use catkinlatch_base::{BootId, Instant, TargetId, ZoneId, derive_value};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use catkinlatch_base::{BootId, Instant, TargetId, derive_value};
+use catkinlatch_route::Ramp;
+use std::{collections::BTreeMap, time::Duration};
 
 /// How long the tombstone of a withdrawn target is kept, so that no delayed registration restores
 /// the target.
@@ -60,7 +57,6 @@
     registrations: BTreeMap<TargetId, Registration>,
     tombstones: BTreeMap<TargetId, (u64, Instant)>,
     leaving: Leaving,
-    evacuated: BTreeSet<ZoneId>,
     ramp: Ramp,
 }
 
--- a/crates/catkinlatch-ledger/src/registry/evacuation.rs
+++ b/crates/catkinlatch-ledger/src/registry/evacuation.rs
@@ -3,7 +3,7 @@
 //! The zones come from the replicated state alone. The phase that another host showed for a target
 //! is never taken over, so that a zone restored by a new leader has ready targets again.
 
-use super::{Phase, Ramp, Registry, Target};
+use super::{Phase, Registry, Target};
 use catkinlatch_base::{Instant, ZoneId};
 use std::collections::BTreeSet;
 
@@ -14,10 +14,9 @@
     /// Targets that drain stay draining, also when the evacuation of their zone ends.
     pub fn set_evacuated(&mut self, zones: &BTreeSet<ZoneId>, now: Instant) -> bool {
         self.ramp.observe(zones, now);
-        self.evacuated.clone_from(zones);
         let mut has_changed = false;
         for registration in self.registrations.values_mut() {
-            let phase = shown_phase(&self.evacuated, &registration.target);
+            let phase = shown_phase(zones, &registration.target);
             has_changed |= phase != registration.target.phase;
             registration.target.phase = phase;
         }
@@ -26,17 +25,18 @@
 
     /// Returns the zones whose targets are sent nothing new.
     pub fn evacuated(&self) -> &BTreeSet<ZoneId> {
-        &self.evacuated
+        self.ramp.evacuated()
     }
 
-    /// Returns the shares of slots that targets of restored zones take.
-    pub fn ramp(&self) -> &Ramp {
-        &self.ramp
+    /// Returns how many of its slots a target may use now, which is less than all for a while after
+    /// its zone was restored.
+    pub fn usable_slots(&self, target: &Target, now: Instant) -> u32 {
+        self.ramp.slots(&target.zone, target.slots, now)
     }
 
     /// Returns the phase of a target whose start is not known to leave.
     pub(super) fn shown_phase(&self, target: &Target) -> Phase {
-        shown_phase(&self.evacuated, target)
+        shown_phase(self.evacuated(), target)
     }
 }
 
@@ -47,3 +47,9 @@
         Phase::Ready | Phase::Evacuated => Phase::Ready,
     }
 }
+
+/// Returns the evacuated zones that a list of targets shows.
+pub fn evacuated_zones<'a>(targets: impl Iterator<Item = &'a Target>) -> BTreeSet<ZoneId> {
+    let evacuated = targets.filter(|target| target.phase == Phase::Evacuated);
+    evacuated.map(|target| target.zone.clone()).collect()
+}
--- a/crates/catkinlatch-ledger/src/state.rs
+++ b/crates/catkinlatch-ledger/src/state.rs
@@ -1,7 +1,5 @@
 //! The replicated state.
 
-mod evacuation;
-
 use crate::{Command, Count, Job, Record, Reply, Tally, Window, config::Document};
 use catkinlatch_base::{
     HostId, Incarnation, JobId, ModelId, TeamId, Version, WindowId, ZoneId, derive_value,
@@ -34,7 +32,7 @@
         pub retiring: BTreeMap<HostId, String>,
         /// The zones whose targets are sent nothing new. Snapshots of earlier releases end before
         /// this field.
-        #[serde(deserialize_with = "evacuation::deserialize")]
+        #[serde(deserialize_with = "catkinlatch_base::trailing::deserialize")]
         pub evacuated: BTreeSet<ZoneId>,
     }
 }
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 mod drain;
 pub mod entry;
+pub mod evacuation;
 mod http_log;
 mod metric;
 mod node;
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -1,7 +1,7 @@
 //! A node: the context shared by its tasks and HTTP handlers, its startup and its shutdown.
 
 use crate::{
-    Clock, Control, Drain, Settings, control, entry,
+    Clock, Control, Drain, Settings, control, entry, evacuation,
     http_log::HttpLog,
     metric, operator, order,
     peer::{self, Peers},
@@ -158,6 +158,7 @@
         tasks.spawn(trainer::run_samples(node.clone()));
         tasks.spawn(targets::roll_out_weights(node.clone()));
         tasks.spawn(entry::maintain(node.clone()));
+        tasks.spawn(evacuation::watch(node.clone()));
         if node.settings.peers.is_empty() {
             node.control.wait_ready().await;
         }
--- a/crates/catkinlatch-node/src/operator/api.rs
+++ b/crates/catkinlatch-node/src/operator/api.rs
@@ -5,7 +5,7 @@
     cluster, health,
     status::{self, Status},
 };
-use crate::{Node, control};
+use crate::{Node, control, evacuation};
 use catkinlatch_base::event::{self, Event};
 use catkinlatch_state::{Command, Reply, config};
 use dropshot::{
@@ -20,6 +20,7 @@
 
 /// Registers the endpoints of this module and of its siblings.
 pub fn register(api: &mut ApiDescription<Arc<Node>>) -> Result<(), ApiDescriptionRegisterError> {
+    evacuation::register(api)?;
     health::register(api)?;
     cluster::register(api)?;
     api.register(get_status)?;
@@ -45,6 +46,7 @@
         voters: control.voters,
         nodes: status::all_nodes(node).await,
         targets,
+        evacuated: state.evacuated().clone(),
     }))
 }
 
--- a/crates/catkinlatch-node/src/operator/status.rs
+++ b/crates/catkinlatch-node/src/operator/status.rs
@@ -7,7 +7,7 @@
 use catkinlatch_base::{HostId, Revision, Term, ZoneId, derive_schema};
 use catkinlatch_route::{Announcement, target::Role};
 use derive_more::Display;
-use std::{fmt, time::Duration};
+use std::{collections::BTreeSet, fmt, time::Duration};
 
 derive_schema! {
     /// The status of the cluster as seen by one node.
@@ -30,6 +30,9 @@
         pub nodes: Vec<Node>,
         /// The targets in the node's table.
         pub targets: Vec<Announcement>,
+        /// The zones whose targets get nothing new.
+        #[serde(default)]
+        pub evacuated: BTreeSet<ZoneId>,
     }
 }
 
@@ -112,6 +115,9 @@
         for node in &self.nodes {
             writeln!(f, "node {node}")?;
         }
+        for zone in &self.evacuated {
+            writeln!(f, "evacuated {zone}")?;
+        }
         for target in &self.targets {
             let role = match &target.role {
                 Role::Engine { model, version } => format!("model {model} version {version}"),
--- a/crates/catkinlatch-node/src/order/receiver.rs
+++ b/crates/catkinlatch-node/src/order/receiver.rs
@@ -185,11 +185,13 @@
     }
 }
 
-/// Returns the address at which a target accepts orders, if the target is announced.
+/// Returns the address at which a target accepts orders, if the target is announced and its zone is
+/// not evacuated.
 fn address(node: &Node, target: &TargetId) -> Option<String> {
     let table = node.table();
     let entry = table.entries().find(|(_, entry)| entry.announcement.id == *target)?.1;
-    Some(entry.announcement.address.clone())
+    let announcement = &entry.announcement;
+    (!table.is_evacuated(&announcement.zone)).then(|| announcement.address.clone())
 }
 
 fn platform_message(node: &Node, order: &PlatformOrder) -> Option<Message> {
--- a/crates/catkinlatch-node/src/targets/weights.rs
+++ b/crates/catkinlatch-node/src/targets/weights.rs
@@ -117,6 +117,7 @@
 fn engines(node: &Node, model: &ModelId) -> Vec<Engine> {
     let table = node.table();
     let announcements = table.entries().map(|(_, entry)| &entry.announcement);
+    let announcements = announcements.filter(|a| !table.is_evacuated(&a.zone));
     let reported = |role: &Role| match role {
         Role::Engine { model: own, version } if own == model => Some(*version),
         Role::Engine { .. } | Role::Service { .. } => None,
--- a/crates/catkinlatch-node/src/trainer/runner.rs
+++ b/crates/catkinlatch-node/src/trainer/runner.rs
@@ -54,6 +54,7 @@
     let table = node.table();
     let serves = |role: &Role| matches!(role, Role::Engine { model: m, .. } if m == model);
     let announcements = table.entries().map(|(_, entry)| &entry.announcement);
+    let announcements = announcements.filter(|a| !table.is_evacuated(&a.zone));
     announcements.filter(|a| serves(&a.role)).map(|a| a.slots).sum()
 }
 
--- a/crates/catkinlatch-route/src/lib.rs
+++ b/crates/catkinlatch-route/src/lib.rs
@@ -4,11 +4,13 @@
 //! generator.
 
 pub mod admission;
+pub mod ramp;
 pub mod retry;
 pub mod target;
 
 pub use self::{
     admission::Gate,
+    ramp::Ramp,
     retry::Budget,
     target::{Announcement, Key, Table},
 };
--- a/crates/catkinlatch-ledger/src/registry/ramp.rs
+++ b/crates/catkinlatch-route/src/ramp.rs
@@ -1,6 +1,5 @@
 //! Gradual return of load to the targets of a zone whose evacuation has ended.
 
-use super::{Phase, Target};
 use catkinlatch_base::{Instant, ZoneId};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -27,30 +26,28 @@
         self.evacuated.clone_from(evacuated);
     }
 
-    /// Records the evacuated zones that a list of targets shows.
-    pub fn observe_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Target>, now: Instant) {
-        let evacuated = targets.filter(|target| target.phase == Phase::Evacuated);
-        let evacuated = evacuated.map(|target| target.zone.clone()).collect();
-        self.observe(&evacuated, now);
+    /// Returns the evacuated zones.
+    pub fn evacuated(&self) -> &BTreeSet<ZoneId> {
+        &self.evacuated
     }
 
-    /// Returns how many of its slots a target may use now: all of them, unless its zone was
-    /// restored within [`DURATION`].
-    pub fn slots(&self, target: &Target, now: Instant) -> u32 {
-        let Some(at) = self.restored.get(&target.zone) else { return target.slots };
+    /// Returns how many of its `slots` a target in a zone may use now: all of them, unless the zone
+    /// was restored within [`DURATION`].
+    pub fn slots(&self, zone: &ZoneId, slots: u32, now: Instant) -> u32 {
+        let Some(at) = self.restored.get(zone) else { return slots };
         let share = (now - *at).as_secs_f64() / DURATION.as_secs_f64();
-        let more = f64::from(target.slots.saturating_sub(1)) * share.min(1.0);
-        target.slots.min(1 + more as u32)
+        let more = f64::from(slots.saturating_sub(1)) * share.min(1.0);
+        slots.min(1 + more as u32)
     }
 
-    /// Returns whether a sender may pick a target, given the target's load as far as it is known to
-    /// the sender, and a random number in 0.0..1.0.
+    /// Returns whether a sender may pick a target with `slots`, given the target's load as far as
+    /// it is known to the sender, and a random number in 0.0..1.0.
     ///
     /// A sender among many knows little of a target's load, so a target that may use a part of its
     /// slots is admitted for that part of the numbers.
-    pub fn admits(&self, target: &Target, load: u32, random: f64, now: Instant) -> bool {
-        let slots = self.slots(target, now);
-        let share = f64::from(slots) / f64::from(target.slots.max(1));
-        slots >= target.slots || load < slots && random < share
+    pub fn admits(&self, zone: &ZoneId, slots: u32, load: u32, random: f64, now: Instant) -> bool {
+        let limit = self.slots(zone, slots, now);
+        let share = f64::from(limit) / f64::from(slots.max(1));
+        limit >= slots || load < limit && random < share
     }
 }
--- a/crates/catkinlatch-route/src/target/table.rs
+++ b/crates/catkinlatch-route/src/target/table.rs
@@ -1,9 +1,13 @@
 //! The table of targets known to a node.
 
 use super::{Announcement, Selector};
-use catkinlatch_base::{BootId, Instant, TargetId};
+use crate::Ramp;
+use catkinlatch_base::{BootId, Instant, TargetId, ZoneId};
 use slotmap::SlotMap;
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 slotmap::new_key_type! {
     /// Identifies an entry of the table until the target is removed.
@@ -41,6 +45,7 @@
 pub struct Table {
     entries: SlotMap<Key, Entry>,
     retired_boots: VecDeque<BootId>,
+    ramp: Ramp,
 }
 
 impl Table {
@@ -88,6 +93,17 @@
         self.retired_boots.push_back(boot);
     }
 
+    /// Replaces the evacuated zones, whose targets are not eligible. Targets of a zone that is no
+    /// longer evacuated get their share of requests back gradually.
+    pub fn set_evacuated(&mut self, zones: &BTreeSet<ZoneId>, now: Instant) {
+        self.ramp.observe(zones, now);
+    }
+
+    /// Returns whether a zone is evacuated.
+    pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
+        self.ramp.evacuated().contains(zone)
+    }
+
     /// Returns all targets, including those whose latest announcement has expired.
     pub fn entries(&self) -> impl Iterator<Item = (Key, &Entry)> {
         self.entries.iter()
@@ -103,7 +119,12 @@
     /// Targets in `tried` are chosen only if no other target is eligible. Returns `None` if no
     /// target is eligible.
     pub fn choose(&self, selector: &Selector, tried: &[Key], now: Instant) -> Option<Key> {
+        let has_room = |entry: &Entry| {
+            let slots = self.usable_slots(entry, now);
+            slots >= entry.announcement.slots || entry.in_flight < slots
+        };
         self.eligible(selector, now)
+            .filter(|(_, entry)| has_room(entry))
             .min_by(|(a_key, a), (b_key, b)| {
                 let retried = tried.contains(a_key).cmp(&tried.contains(b_key));
                 retried.then(a.load().total_cmp(&b.load()))
@@ -113,7 +134,7 @@
 
     /// Returns the total number of slots of the eligible targets.
     pub fn slots(&self, selector: &Selector, now: Instant) -> u32 {
-        self.eligible(selector, now).map(|(_, entry)| entry.announcement.slots).sum()
+        self.eligible(selector, now).map(|(_, entry)| self.usable_slots(entry, now)).sum()
     }
 
     /// Counts a request as in flight on a target.
@@ -130,11 +151,18 @@
         }
     }
 
-    /// Returns the targets that match `selector` and whose latest announcement has not expired.
+    /// Returns how many of its slots a target may use now.
+    fn usable_slots(&self, entry: &Entry, now: Instant) -> u32 {
+        let Announcement { zone, slots, .. } = &entry.announcement;
+        self.ramp.slots(zone, *slots, now)
+    }
+
+    /// Returns the targets that match `selector`, whose latest announcement has not expired and
+    /// whose zone is not evacuated.
     fn eligible(&self, selector: &Selector, now: Instant) -> impl Iterator<Item = (Key, &Entry)> {
         let is_fresh = move |e: &Entry| now.saturating_duration_since(e.renewed) <= TIME_TO_LIVE;
-        self.entries
-            .iter()
+        let entries = self.entries.iter().filter(|(_, e)| !self.is_evacuated(&e.announcement.zone));
+        entries
             .filter(move |(_, entry)| is_fresh(entry) && selector.matches(&entry.announcement.role))
     }
 }
--- a/crates/catkinlatch-standin/tests/entry.rs
+++ b/crates/catkinlatch-standin/tests/entry.rs
@@ -255,3 +255,34 @@
     assert_eq!(refusal(&setup.complete("any").await), expect("no_target", "no"));
     setup.stop().await;
 }
+
+/// Guards against requests that reach an evacuated zone, and against callers that are not told that
+/// nothing was run.
+#[tokio::test]
+async fn an_evacuated_zone_gets_nothing_until_it_is_restored() {
+    let setup = Setup::start(true, vec![Options::default()]).await;
+    assert_eq!(setup.post_record(&[], "{}").await.status(), StatusCode::OK);
+    let decide = async |ends: bool| {
+        let decision = json!({ "zone": "zone-a", "ends": ends });
+        let response = setup.operator.post("/v1/evacuation", &decision).await.unwrap();
+        assert_eq!(response.status(), StatusCode::OK);
+    };
+    decide(false).await;
+    let before = setup.service.runs().len();
+    for response in [setup.post_record(&[], "{}").await, setup.complete("parapet").await] {
+        assert!(!response.status().is_success());
+        assert_eq!(refusal(&response).1, "no");
+    }
+    assert_eq!(setup.service.runs().len(), before);
+    decide(true).await;
+    // The node's admission counts the slots of the zone again a moment later.
+    let serves = async {
+        while !setup.post_record(&[], "{}").await.status().is_success()
+            || !setup.complete("parapet").await.status().is_success()
+        {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(60), serves).await.expect("the zone is used again");
+    setup.stop().await;
+}
--- a/crates/catkinlatch-state/src/command.rs
+++ b/crates/catkinlatch-state/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands of the control log and their results.
 
-use crate::{batch, claim, config, order, suspect, window};
+use crate::{batch, claim, config, evacuation, order, suspect, window};
 use catkinlatch_base::derive_value;
 
 derive_value! {
@@ -23,13 +23,15 @@
         Order(order::Change),
         /// Registers nodes that count usage, and freezes and confirms usage windows.
         Window(window::Change),
+        /// Evacuates a zone or ends its evacuation.
+        Evacuation(evacuation::Change),
     }
 }
 
 derive_value! {
     /// The result of applying a command, which is returned to its proposer.
     pub enum Reply {
-        /// [`Command::Nothing`] has no result.
+        /// [`Command::Nothing`] and [`Command::Evacuation`] have no result.
         Nothing,
         /// The result of a configuration change.
         Config(config::Reply),
--- a/crates/catkinlatch-state/src/lib.rs
+++ b/crates/catkinlatch-state/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claim;
 mod command;
 pub mod config;
+pub mod evacuation;
 pub mod order;
 pub mod sheet;
 mod state;
--- a/crates/catkinlatch-state/src/state.rs
+++ b/crates/catkinlatch-state/src/state.rs
@@ -5,12 +5,13 @@
     claim::Claims,
     command::{Command, Reply},
     config::Config,
+    evacuation,
     order::Orders,
     suspect::Suspects,
     window::Windows,
 };
-use catkinlatch_base::{Revision, derive_value, invariant};
-use std::sync::Arc;
+use catkinlatch_base::{Revision, ZoneId, derive_value, invariant};
+use std::{collections::BTreeSet, sync::Arc};
 
 derive_value! {
     /// The replicated state that results from applying the control log.
@@ -34,6 +35,9 @@
         ledgers: Arc<Ledgers>,
         orders: Arc<Orders>,
         windows: Arc<Windows>,
+        /// Snapshots of earlier releases end before this field.
+        #[serde(deserialize_with = "catkinlatch_base::trailing::deserialize")]
+        evacuated: BTreeSet<ZoneId>,
     }
 }
 
@@ -69,6 +73,10 @@
             Command::Window(change) => {
                 Reply::Window(Arc::make_mut(&mut self.windows).apply(change))
             }
+            Command::Evacuation(change) => {
+                evacuation::apply(&mut self.evacuated, change);
+                Reply::Nothing
+            }
         }
     }
 
@@ -106,4 +114,9 @@
     pub fn windows(&self) -> &Windows {
         &self.windows
     }
+
+    /// Returns the zones whose targets are sent nothing new.
+    pub fn evacuated(&self) -> &BTreeSet<ZoneId> {
+        &self.evacuated
+    }
 }
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -181,7 +181,7 @@
             Engine {
                 id: target.id.clone(),
                 service: target.service.clone(),
-                slots: soft.registry.ramp().slots(target, now),
+                slots: soft.registry.usable_slots(target, now),
                 slowness,
                 models,
             }
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -160,7 +160,7 @@
     let balancer = shared.balancer();
     let now = host.clock.now();
     let has_room = |target: &&Target| {
-        let limit = f64::from(soft.registry.ramp().slots(target, now)) * MAX_SLOT_SHARE;
+        let limit = f64::from(soft.registry.usable_slots(target, now)) * MAX_SLOT_SHARE;
         f64::from(balancer.running(&target.id)) < limit
     };
     let targets = soft.registry.targets().filter(|target| target.service == *service);
--- a/crates/catkinlatch/src/command.rs
+++ b/crates/catkinlatch/src/command.rs
@@ -13,6 +13,7 @@
 mod check;
 mod cluster;
 mod drain;
+mod evacuate;
 mod exit;
 mod host;
 mod key;
@@ -51,6 +52,7 @@
     Check(check::Check),
     Cluster(cluster::Cluster),
     Drain(drain::Drain),
+    Evacuate(evacuate::Evacuate),
     Host(host::Host),
     Key(key::Key),
     Plan(plan::Plan),
@@ -75,6 +77,7 @@
             Subcommand::Check(subcommand) => subcommand.run(),
             Subcommand::Cluster(subcommand) => subcommand.run(),
             Subcommand::Drain(subcommand) => subcommand.run(),
+            Subcommand::Evacuate(subcommand) => subcommand.run(),
             Subcommand::Host(subcommand) => subcommand.run(),
             Subcommand::Key(subcommand) => subcommand.run(),
             Subcommand::Plan(subcommand) => subcommand.run(),
--- a/crates/catkinlatch/tests/command.rs
+++ b/crates/catkinlatch/tests/command.rs
@@ -146,6 +146,26 @@
     assert_eq!(status["nodes"][0]["draining"], false);
 }
 
+/// Guards against decisions that operators cannot make, repeat or see.
+#[test]
+fn a_zone_is_evacuated_and_restored_and_that_is_shown() {
+    let node = Daemon::start();
+    wait_for_leader(&node);
+    for _ in 0..2 {
+        let evacuated = json(&node.run(&["evacuate"], &["zone-1", "--json"]));
+        assert_eq!(evacuated["zones"], serde_json::json!(["zone-1"]));
+    }
+    assert!(stdout(&node.run(&["status"], &[])).contains("evacuated zone-1"));
+    for _ in 0..2 {
+        let restored = node.run(&["evacuate"], &["zone-1", "--end"]);
+        assert_eq!(stdout(&restored).trim(), "no zone is evacuated");
+    }
+    assert!(!stdout(&node.run(&["status"], &[])).contains("evacuated"));
+    let timeline = stdout(&node.run(&["timeline"], &[]));
+    assert!(timeline.contains("evacuated zone zone-1"), "{timeline}");
+    assert!(timeline.contains("restored zone zone-1"), "{timeline}");
+}
+
 #[test]
 fn serve_exits_with_code_0_on_sigterm() {
     let mut node = Daemon::start_with("\"address_time_to_live_ms\": 0");
