Send cold targets no more than they tolerate, from all senders

Cause: a service's targets tolerate cold_per_s requests a second while they are cold after a start, and crash well above; entry hosts, items, scoring calls and orders did not know of it. Change: the limits are decoded from the operator's document (decode_cold_limits); the leader divides them and grants shares in its answers to reports (Report::cold, Guidance::cold), and an entry host reports at once when a request lacks a share. Each sender takes its allowance when the request is written (send_if), so a target that turns cold between selection and sending counts. A target that turns cold again starts a new view; a host that reads Cold-Ms in an answer acts at once and tells the leader. Cold targets are picked, and get items, only where no warm one has room. Off without settings.cold, or for services without cold_per_s. The soak draws services that turn cold, and checks that none is flooded.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -107,8 +107,18 @@
     host.balancer().begin(&target.id);
     let verdict = Verdict::Unknown;
     let mut guard = Guard { host: host.clone(), target: target.id.clone(), started, verdict };
-    let exchange = match time::timeout(limit, host.client.send(&target.address, request)).await {
+    let (mut sent, mut is_withheld) = (None, false);
+    let may_send = || {
+        let now = host.clock.now();
+        (sent, is_withheld) = (Some(now), !host.cold.admit(target, now));
+        !is_withheld
+    };
+    let exchange = host.client.send_if(&target.address, request, may_send);
+    let exchange = match time::timeout(limit, exchange).await {
         Ok(Ok(exchange)) => exchange,
+        Ok(Err(Failure::NotSent(_))) if is_withheld => {
+            return Err(Outcome::NotRun("the target is cold, and this host has no share of it"));
+        }
         Ok(Err(Failure::NotSent(_))) => {
             guard.verdict = Verdict::Failed;
             return Err(Outcome::NotRun("no connection"));
@@ -124,6 +134,7 @@
     };
     suspect::record_response(host, target, started);
     leaving::record_response(host, target, &exchange.response);
+    host.cold.record_response(target, &exchange.response, sent, host.clock.now());
     if let Some((running, waiting)) = header::target_load(exchange.response.headers()) {
         host.balancer().report(&target.id, running, waiting, host.clock.now());
     }
--- a/crates/catkinlatch-entry/src/exchange.rs
+++ b/crates/catkinlatch-entry/src/exchange.rs
@@ -15,6 +15,9 @@
 /// Shortest time between two reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Pause before a report that a request waits for, so that some requests share one.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
+
 /// Timeout of a report. A report that is lost is not repeated, since the next one replaces it.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -25,14 +28,20 @@
 pub async fn run(host: Arc<Host>) {
     let mut newest = Term::default();
     loop {
+        let sent = host.clock.now();
         let interval = match exchange(&host).await {
             Some(guidance) if guidance.term >= newest => {
                 newest = guidance.term;
+                let (targets, now) = (host.view().targets, host.clock.now());
+                host.cold.accept(&guidance, &targets, sent, now);
                 Duration::from_millis(guidance.interval_ms.into()).max(MIN_INTERVAL)
             }
             Some(_) | None => IDLE_INTERVAL,
         };
-        time::sleep(interval).await;
+        tokio::select! {
+            () = time::sleep(interval) => {}
+            () = host.cold.shortage() => time::sleep(SHORTAGE_PAUSE).await,
+        }
     }
 }
 
@@ -53,5 +62,6 @@
         zone: host.settings.zone.clone(),
         demands: Vec::new(),
         observations: Vec::new(),
+        cold: host.cold.report(host.clock.now()),
     }
 }
--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -34,6 +34,7 @@
         match answer {
             Answer::Reply(Reply::Followed(view)) => {
                 let before = host.view().version();
+                host.cold.observe_view(&view.targets, host.clock.now());
                 host.view_mut().update(&view);
                 host.leader_client.set_hosts(&view.stores);
                 let known: BTreeSet<_> = view.targets.iter().map(|t| t.id.clone()).collect();
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of an entry host share.
 
-use crate::{suspect, usage::Usage, view::View};
+use crate::{cold::Cold, suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
 use catkinlatch_ledger::{Balancer, registry::Leaving};
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
@@ -19,6 +19,8 @@
     pub leader_client: LeaderClient,
     /// The HTTP client with its connections to targets.
     pub client: Client,
+    /// What this host may send to cold targets.
+    pub cold: Cold,
     view: Mutex<View>,
     balancer: Mutex<Balancer>,
     usage: Mutex<Usage>,
@@ -36,12 +38,14 @@
         leader_client: LeaderClient,
         client: Client,
     ) -> Self {
+        let cold = Cold::new(settings.cold);
         Self {
             settings,
             clock,
             peers,
             leader_client,
             client,
+            cold,
             view: Mutex::default(),
             balancer: Mutex::default(),
             usage: Mutex::default(),
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempt;
 mod batch;
+mod cold;
 mod directory;
 mod exchange;
 mod follow;
@@ -76,6 +77,7 @@
     }
     tokio::spawn(follow::run(host.clone()));
     tokio::spawn(exchange::run(host.clone()));
+    tokio::spawn(cold::follow_limits(host.clone()));
     tokio::spawn(suspect::follow(host.clone()));
     info!(name = host.settings.name.as_str(), callers:% = callers; "entry: started");
 
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -3,6 +3,7 @@
 use crate::{
     answer,
     attempt::{self, Outcome},
+    cold,
     front::InboundRequest,
     host::Host,
     stream::{self, Attempts},
@@ -25,7 +26,7 @@
 const ATTEMPT_OBJECTIVES: u32 = 3;
 
 /// Pause before full targets are tried again.
-const FULL_RETRY_PAUSE: Duration = Duration::from_millis(15);
+pub const FULL_RETRY_PAUSE: Duration = Duration::from_millis(15);
 
 /// Share of the latency objective during which full targets are tried again.
 const FULL_RETRY_SHARE: f64 = 0.24;
@@ -130,11 +131,13 @@
         let target =
             (sends < inbound.route.max_attempts).then(|| pick_target(host, inbound, &tried, now));
         let Some(target) = target.flatten() else {
+            let may_wait = sends > 0 || cold::may_wait(host, inbound, &tried, now);
             if !may_have_run
-                && sends > 0
+                && may_wait
                 && host.clock.now() + FULL_RETRY_PAUSE < full_retry_deadline
             {
-                // Every target tried was full; requests are short, so slots soon become free.
+                // Every target tried was full, or is cold and this host lacks a share of it; requests
+                // are short, so slots soon become free.
                 time::sleep(FULL_RETRY_PAUSE).await;
                 tried.clear();
                 sends = 0;
@@ -267,7 +270,7 @@
     let leaving = host.leaving();
     let pick = |left_out: &BTreeSet<TargetId>| {
         let staying = view.targets(service).filter(|target| !leaving.contains(target));
-        host.balancer().pick(staying, &host.settings.zone, left_out, now).cloned()
+        cold::pick(host, staying, left_out, now).cloned()
     };
     let trial_targets = host.suspects().trial_targets(host.clock.wall_ms());
     if trial_targets.is_empty() {
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     attempt::{self, Call, Outcome},
+    cold,
     front::InboundRequest,
     host::Host,
     proxy,
@@ -231,6 +232,11 @@
             let Some(target) =
                 proxy::pick_target(&self.host, &self.inbound, &self.attempts.tried, now)
             else {
+                let may_wait = cold::may_wait(&self.host, &self.inbound, &self.attempts.tried, now);
+                if may_wait && now < give_up_at {
+                    time::sleep(proxy::FULL_RETRY_PAUSE).await;
+                    continue;
+                }
                 return false;
             };
             match suspect::admit(&self.host, &self.inbound, &target, left).await {
--- a/crates/catkinlatch-ledger/src/balancer.rs
+++ b/crates/catkinlatch-ledger/src/balancer.rs
@@ -99,6 +99,13 @@
         self.stats.get(id).is_some_and(|stats| now < stats.backoff_until)
     }
 
+    /// Returns whether a target is not backing off and has a free slot, as far as is known.
+    pub fn has_room(&self, target: &Target, now: Instant) -> bool {
+        self.stats.get(&target.id).is_none_or(|stats| {
+            now >= stats.backoff_until && stats.running + stats.others_load(now) < target.slots
+        })
+    }
+
     /// Returns the mean latency of each of `targets` as a multiple of their median.
     ///
     /// It is 1.0 for a target without a fresh measurement, and for all if there is none to compare.
--- a/crates/catkinlatch-ledger/src/lib.rs
+++ b/crates/catkinlatch-ledger/src/lib.rs
@@ -7,6 +7,7 @@
 //! free of I/O: nothing has a clock, a socket or a thread.
 
 pub mod balancer;
+pub mod cold;
 mod command;
 pub mod config;
 pub mod job;
@@ -19,6 +20,7 @@
 
 pub use self::{
     balancer::Balancer,
+    cold::ColdTargets,
     command::Command,
     config::Configuration,
     job::{Item, Job, Outcome, Record},
--- a/crates/catkinlatch-ledger/src/schedule/placement.rs
+++ b/crates/catkinlatch-ledger/src/schedule/placement.rs
@@ -54,7 +54,7 @@
     /// sufficiently new weights is available.
     ///
     /// Short items go to the engine with the lowest load relative to its speed, with a preference
-    /// for engines that have processed the prompt of the item's group. Long items, which their
+    /// for engines that have processed the prompt of the item's group. Cold engines come last. Long items, which their
     /// training step waits for, go to the engine that is expected to finish them first.
     pub fn best_engine(&self, task: &Task, wall_ms: u64) -> Option<&'a Engine> {
         let model = task.job.model.as_ref();
@@ -78,7 +78,7 @@
             ((share - saved) * 1e6) as i64
         };
         let engines = self.engines.iter().filter(fits);
-        engines.min_by_key(|engine| (cost(engine), Reverse(engine.version(model))))
+        engines.min_by_key(|engine| (engine.is_cold, cost(engine), Reverse(engine.version(model))))
     }
 
     fn running(&self, engine: &Engine) -> u32 {
--- a/crates/catkinlatch-ledger/tests/random/model.rs
+++ b/crates/catkinlatch-ledger/tests/random/model.rs
@@ -69,6 +69,7 @@
         service: "drafts".parse().unwrap(),
         slots,
         slowness: 1.0,
+        is_cold: false,
         models: BTreeMap::from([(model(), Version::new(1))]),
     }
 }
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -21,6 +21,7 @@
         service: "drafts".parse().unwrap(),
         slots,
         slowness: 1.0,
+        is_cold: false,
         models: BTreeMap::from([(model, Version::new(version))]),
     }
 }
@@ -100,6 +101,20 @@
     assert_eq!(schedule.stragglers(5_000, &one).len(), 1);
 }
 
+/// Guards against items on a cold engine while another one has a free slot, even a slow one.
+#[test]
+fn a_cold_engine_gets_items_only_if_no_other_has_a_free_slot() {
+    let mut schedule = schedule(&[job("job", 3)]);
+    let cold = Engine { is_cold: true, ..engine("cold", 8, 1) };
+    let slow = Engine { slowness: 9.0, ..engine("slow", 2, 1) };
+    let engines: Vec<String> = schedule
+        .assign(0, &[cold, slow], usize::MAX)
+        .iter()
+        .map(|assignment| assignment.engine.to_string())
+        .collect();
+    assert_eq!(engines, ["slow", "slow", "cold"]);
+}
+
 /// Returns an engine with the given slowness.
 fn engine_with_slowness(name: &str, slots: u32, slowness: f64) -> Engine {
     Engine { slowness, ..engine(name, slots, 1) }
--- a/crates/catkinlatch-route/src/cold/holder.rs
+++ b/crates/catkinlatch-route/src/cold/holder.rs
@@ -97,7 +97,7 @@
             let share = hold.valid_share(now);
             let wanted = if mem::take(&mut hold.is_short) {
                 share.saturating_mul(2).max(1)
-            } else if used > 0 && idle < GIVE_BACK_AFTER {
+            } else if share > 0 && used > 0 && idle < GIVE_BACK_AFTER {
                 used
             } else {
                 hold.share = 0;
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -5,7 +5,7 @@
 mod results;
 
 pub use self::{
-    exchange::{ColdShare, Demand, Guidance, Observation, Places, Report},
+    exchange::{ColdDemand, ColdShare, Demand, Guidance, Observation, Places, Report},
     follow::{Entry, Follow, Role, View, ViewVersion},
     results::Results,
 };
--- a/crates/catkinlatch-runtime/src/message/exchange.rs
+++ b/crates/catkinlatch-runtime/src/message/exchange.rs
@@ -15,6 +15,8 @@
         pub demands: Vec<Demand>,
         /// What the host has seen of targets since its last report.
         pub observations: Vec<Observation>,
+        /// What the host needs of cold targets, and which ones it has found cold.
+        pub cold: Vec<ColdDemand>,
     }
 }
 
@@ -33,6 +35,29 @@
     }
 }
 
+derive_value! {
+    /// What a host needs of one start of a cold target.
+    #[derive(Eq)]
+    pub struct ColdDemand {
+        /// Number of the report, counted since the host's process started.
+        pub number: u64,
+        /// The target.
+        pub target: TargetId,
+        /// The start of the target, in milliseconds since the Unix epoch.
+        pub born_ms: u64,
+        /// The remaining time of the cold phase as the host knows it, in milliseconds.
+        pub cold_ms: u32,
+        /// Number of requests a second that the host needs. With 0, the host has given its share
+        /// back before it sent the report.
+        pub wanted: u32,
+        /// Number of requests that the host sent to the target in the last second.
+        pub used: u32,
+        /// Time since the host's last request to the target, in milliseconds, rounded down; 0 if
+        /// it sent none in the last second.
+        pub idle_ms: u32,
+    }
+}
+
 derive_value! {
     /// What senders have seen of one start of a target.
     #[derive(Eq)]
--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -1,6 +1,7 @@
 //! A complete deployment on loopback: hosts that run the real program, with stand-ins for targets
 //! and platform that implement the platform's HTTP calls.
 
+mod cold;
 mod configuration;
 mod engine;
 mod host;
@@ -11,18 +12,20 @@
 mod target;
 
 pub use self::{
+    cold::{COLD_PER_SECOND, Cold, MAX_COLD_REQUESTS},
     configuration::{HOST, configuration, request},
     engine::Engine,
     host::Host,
     lifecycle::{CRASHING_BODY, Lifecycle, SILENCING_BODY},
     platform::Platform,
-    service::{Flaw, Headers, Service},
+    service::{FLOODED, Flaw, Headers, Service},
     soak::{Report, Soak},
     target::Target,
 };
 
 use crate::cluster::ports;
 use http::{Request, StatusCode};
+use serde_json::Value;
 use std::{io, path::Path, time::Duration};
 use tokio::time;
 
@@ -69,6 +72,16 @@
     /// Returns an error if no ports are free, a file can't be written or a process can't be
     /// started.
     pub async fn start(program: &Path, folder: &Path) -> io::Result<Self> {
+        Self::start_with(program, folder, &Value::Null).await
+    }
+
+    /// Like [`Self::start`], with further settings of all hosts.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no ports are free, a file can't be written or a process can't be
+    /// started.
+    pub async fn start_with(program: &Path, folder: &Path, settings: &Value) -> io::Result<Self> {
         let allocated = ports::allocate(5)?;
         let ports = Ports {
             callers: allocated[0],
@@ -78,7 +91,8 @@
             peers: allocated[4],
         };
         let platform = Platform::start().await?;
-        let layout = host::Layout { ports, platform: platform.address(), folder, program };
+        let layout =
+            host::Layout { ports, platform: platform.address(), folder, program, settings };
         let mut hosts = Vec::new();
         for number in 0..STORES + ENTRIES {
             hosts.push(Host::new(&layout, number, STORES)?);
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -1,6 +1,6 @@
 //! A stand-in model engine of a site.
 
-use super::{CRASHING_BODY, Lifecycle, Target};
+use super::{CRASHING_BODY, Cold, Lifecycle, Target, service::FLOODED};
 use bytes::Bytes;
 use catkinlatch_runtime::http::{Body, collect, full, serve};
 use http::{Request, Response, StatusCode};
@@ -94,8 +94,23 @@
     ///
     /// Returns an error if no port can be opened.
     pub async fn start(id: &str, service: &'static str, controls: Vec<String>) -> io::Result<Self> {
+        Self::start_cold(id, service, controls, Duration::ZERO).await
+    }
+
+    /// Like [`Self::start`], but the engine is cold for a time after each start.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start_cold(
+        id: &str,
+        service: &'static str,
+        controls: Vec<String>,
+        cold: Duration,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-        let target = Target::new(id, service, listener.local_addr()?, 4);
+        let mut target = Target::new(id, service, listener.local_addr()?, 4);
+        target.cold = Cold::new(cold);
         let state = Arc::new(Mutex::new(State::default()));
         let engine = Self { target, state, lifecycle: Lifecycle::new(controls) };
         engine.run(listener);
@@ -159,6 +174,10 @@
         if text("expect-instance").is_some_and(|expected| expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, "");
         }
+        if self.target.cold.arrive() {
+            self.crash(FLOODED);
+            std::future::pending::<()>().await;
+        }
         let Ok(body) = collect(body, 1 << 20).await else {
             return respond(StatusCode::BAD_REQUEST, "");
         };
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -2,7 +2,7 @@
 
 use super::Ports;
 use crate::cluster::Process;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::{
     fs, io,
     net::{Ipv4Addr, SocketAddr},
@@ -19,6 +19,8 @@
     pub folder: &'a Path,
     /// The path of the program.
     pub program: &'a Path,
+    /// Further settings of all hosts, an object or nothing.
+    pub settings: &'a Value,
 }
 
 /// One host of a site, which has its own loopback address.
@@ -70,6 +72,9 @@
             settings["ready_address"] = json!(at(ready));
             settings["directory_address"] = json!(at(directory));
         }
+        for (key, value) in layout.settings.as_object().into_iter().flatten() {
+            settings[key.as_str()] = value.clone();
+        }
         let path = layout.folder.join(format!("{name}.jsonc"));
         fs::write(&path, settings.to_string())?;
         let process = Process::new(layout.program.into(), path.clone()).with_subcommand("host");
--- a/crates/catkinlatch-standin/src/site/lifecycle.rs
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -140,6 +140,7 @@
         let first = target.id.split('.').next().unwrap_or_default().to_owned();
         target.id = format!("{first}.{}", self.crashes.len());
         (target.says_leaving, target.is_draining, target.is_silent) = Default::default();
+        target.cold = target.cold.next(DOWNTIME);
     }
 }
 
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -1,6 +1,6 @@
 //! A stand-in plain service of a site.
 
-use super::{CRASHING_BODY, Lifecycle, SILENCING_BODY, Target};
+use super::{CRASHING_BODY, Cold, Lifecycle, SILENCING_BODY, Target};
 use catkinlatch_runtime::http::{Body, collect, full, serve, streamed};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -20,6 +20,9 @@
 /// How long the service takes to run a request.
 const RUN_TIME: Duration = Duration::from_millis(5);
 
+/// Recorded as the body under which a cold start crashed that got too many requests.
+pub const FLOODED: &[u8] = b"too many requests while cold";
+
 /// The key under which a request's path is recorded among its headers.
 const PATH_KEY: &str = ":path";
 
@@ -84,8 +87,23 @@
     ///
     /// Returns an error if no port can be opened.
     pub async fn start(id: &str, name: &'static str, controls: Vec<String>) -> io::Result<Self> {
+        Self::start_cold(id, name, controls, Duration::ZERO).await
+    }
+
+    /// Like [`Self::start`], but the service is cold for a time after each start.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start_cold(
+        id: &str,
+        name: &'static str,
+        controls: Vec<String>,
+        cold: Duration,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-        let target = Target::new(id, name, listener.local_addr()?, 6);
+        let mut target = Target::new(id, name, listener.local_addr()?, 6);
+        target.cold = Cold::new(cold);
         let service = Self {
             target,
             run_time: Arc::new(Mutex::new(RUN_TIME)),
@@ -189,6 +207,10 @@
         if headers.get("expect-instance").is_some_and(|expected| *expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, &id, "");
         }
+        if self.target.cold.arrive() {
+            self.crash(FLOODED);
+            std::future::pending::<()>().await;
+        }
         if self.is_full.load(Ordering::Relaxed) {
             self.refusals.fetch_add(1, Ordering::Relaxed);
             return respond(StatusCode::SERVICE_UNAVAILABLE, &id, "");
--- a/crates/catkinlatch-standin/src/site/soak.rs
+++ b/crates/catkinlatch-standin/src/site/soak.rs
@@ -20,8 +20,14 @@
     route::configuration,
     trainer::train,
 };
-use super::{Engine, Service, Site};
-use std::{io, path::PathBuf, sync::Arc, time::Duration};
+use super::{Engine, FLOODED, Service, Site};
+use serde_json::json;
+use std::{
+    io,
+    path::PathBuf,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 use tokio::{task::JoinSet, time};
 
 /// Number of engines, which run items and streams.
@@ -30,6 +36,9 @@
 /// Number of services, which run live requests and score samples.
 const SERVICES: usize = 2;
 
+/// How long a service is cold after each start.
+const COLD_TIME: Duration = Duration::from_millis(1_500);
+
 /// Number of concurrent callers, each of which sends one live request at a time.
 const CALLERS: usize = 4;
 
@@ -61,7 +70,8 @@
     /// signaled for a fault. Everything else that goes wrong is a violation in the report.
     pub async fn run(&self) -> io::Result<Report> {
         let mut random = fastrand::Rng::with_seed(self.seed);
-        let site = Site::start(&self.program, &self.folder).await?;
+        let settings = json!({"cold": {"excess": 1.5, "slack": 5}});
+        let site = Site::start_with(&self.program, &self.folder, &settings).await?;
         let controls: Vec<String> =
             site.stores().iter().map(|host| host.address(site.ports.control)).collect();
         let (mut engines, mut services) = (Vec::new(), Vec::new());
@@ -71,7 +81,9 @@
         }
         for number in 0..SERVICES {
             let id = format!("survey-{number}");
-            services.push(Service::start(&id, "survey", controls.clone()).await?);
+            let service = Service::start_cold(&id, "survey", controls.clone(), COLD_TIME).await?;
+            service.target.cold.is_stated.store(true, Ordering::Relaxed);
+            services.push(service);
         }
         site.control("PUT", "/config", &configuration(1)).await;
         let context = Arc::new(Context::new(&site, engines, services));
@@ -92,6 +104,12 @@
         if !has_ended {
             context.record().violation("accepted work did not end after the last fault".to_owned());
         }
+        let flooded = String::from_utf8_lossy(FLOODED);
+        for service in &context.services {
+            let floods = service.crashes().iter().filter(|body| **body == flooded).count();
+            let id = service.target.id.as_str();
+            context.record().check(floods == 0, || format!("{id} was flooded {floods} times"));
+        }
         Ok(Report::new(self.seed, injected, &context, faults.site()))
     }
 }
--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -13,6 +13,9 @@
 /// store that failed before it is a voter again.
 const MIN_FAULT_FREE_TIME: Duration = Duration::from_secs(6);
 
+/// How long a service is cold that turns cold while it runs.
+const COLD_TIME: Duration = Duration::from_millis(3_000);
+
 /// How many answers a service loses in a row: enough that some of them belong to requests that
 /// must not run more than once.
 const LOST_ANSWERS: u32 = 25;
@@ -130,7 +133,7 @@
         let is_store = number < self.site.stores().len();
         let name = self.site.hosts[number].name.clone();
         let is_stable = self.last_store_fault.elapsed() > MIN_FAULT_FREE_TIME;
-        let fault = match self.random.u8(..14) {
+        let fault = match self.random.u8(..16) {
             0..4 => {
                 self.site.hosts[number].kill()?;
                 time::sleep(downtime).await;
@@ -178,6 +181,14 @@
                 tokio::spawn(caller::send_crashing(context.clone(), path, body.clone(), random));
                 return Ok(format!("a request to {path} crashes its targets: {body}"));
             }
+            13 | 14 => {
+                let service = self.random.usize(..context.services.len());
+                let Some(start) = context.services[service].current() else {
+                    return Ok(format!("service {service} is down"));
+                };
+                start.cold.turn_cold(COLD_TIME);
+                return Ok(format!("{} turns cold", start.id));
+            }
             _ => {
                 let engine = self.random.usize(..context.engines.len());
                 context.engines[engine].state().runs_to_break += 3;
--- a/crates/catkinlatch-standin/src/site/soak/route.rs
+++ b/crates/catkinlatch-standin/src/site/soak/route.rs
@@ -1,7 +1,7 @@
 //! The routes of the soak test.
 
-use crate::site::{HOST, configuration::configuration as with_routes};
-use serde_json::json;
+use crate::site::{COLD_PER_SECOND, HOST, configuration::configuration as with_routes};
+use serde_json::{Value, json};
 
 /// Returns the configuration of the soak test as the platform's JSON document.
 pub fn configuration(version: u64) -> String {
@@ -11,7 +11,7 @@
                "service": service, "max_attempts": attempts, "public": name == "score",
                "resumable": true, "due_ms": 7500, "max_wait_s": 60})
     };
-    with_routes(
+    let document = with_routes(
         version,
         &[
             route("survey", "idempotent", "survey", 4),
@@ -20,5 +20,8 @@
             route("chat", "stream", "drafts", 3),
             route("drafts", "rollout", "drafts", 50),
         ],
-    )
+    );
+    let mut document: Value = serde_json::from_str(&document).unwrap_or_default();
+    document["services"][0]["cold_per_s"] = json!(COLD_PER_SECOND);
+    document.to_string()
 }
--- a/crates/catkinlatch-standin/src/site/target.rs
+++ b/crates/catkinlatch-standin/src/site/target.rs
@@ -1,5 +1,6 @@
 //! Registration, heartbeats and draining, which all stand-in targets share.
 
+use super::Cold;
 use catkinlatch_runtime::http::{Client, full};
 use http::{HeaderValue, Request, Response};
 use serde_json::{Value, json};
@@ -33,6 +34,8 @@
     pub says_leaving: Arc<AtomicBool>,
     /// Whether the target answers nothing, and leaves its connections open.
     pub is_silent: Arc<AtomicBool>,
+    /// The target's cold phase.
+    pub cold: Cold,
     /// Number of heartbeats that were acknowledged while the target was draining.
     pub acknowledged: Arc<AtomicU64>,
 }
@@ -42,14 +45,28 @@
     pub fn new(id: &str, service: &'static str, address: SocketAddr, slots: u32) -> Self {
         let (is_draining, says_leaving, is_silent, acknowledged) = Default::default();
         let id = id.to_owned();
-        Self { id, service, address, slots, is_draining, says_leaving, is_silent, acknowledged }
+        let cold = Cold::new(Duration::ZERO);
+        Self {
+            id,
+            service,
+            address,
+            slots,
+            is_draining,
+            says_leaving,
+            is_silent,
+            cold,
+            acknowledged,
+        }
     }
 
-    /// Adds the header that says that the target leaves, if it does.
+    /// Adds the headers that say that the target leaves or is cold, if it does so.
     pub fn finish<B>(&self, mut response: Response<B>) -> Response<B> {
         if self.says_leaving.load(Ordering::Relaxed) {
             response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
         }
+        if let Some(left) = self.cold.stated() {
+            response.headers_mut().insert("cold-ms", HeaderValue::from(left as u64));
+        }
         response
     }
 
@@ -62,7 +79,8 @@
             let is_draining = self.is_draining.load(Ordering::Relaxed);
             let body = json!({
                 "service": self.service, "address": self.address, "zone": "zone-0",
-                "version": "v1", "slots": self.slots, "cold_left_ms": 0, "stage": "both",
+                "version": "v1", "slots": self.slots,
+                "cold_left_ms": self.cold.left().as_millis() as u64, "stage": "both",
                 "state": if is_draining { "draining" } else { "ready" },
                 "models": models(), "seq": sequence, "born": started_ms as u64,
             });
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -2,7 +2,7 @@
 
 mod suspect;
 
-use crate::{exchange, host::Host, view};
+use crate::{cold, exchange, host::Host, view};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
 use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry};
@@ -139,7 +139,9 @@
         }
         Message::Retire(name) => retire(host, &name).await,
         Message::Retirement(name) => retirement(host, &name),
-        Message::Exchange(report) => Reply::Exchanged(Box::new(exchange::answer(term, &report))),
+        Message::Exchange(report) => {
+            Reply::Exchanged(Box::new(exchange::answer(host, term, &report)))
+        }
         // No part takes these yet.
         Message::Evacuate(_) | Message::Restore(_) => Reply::Unknown,
         Message::RequestPlace { .. } => Reply::Place(true),
@@ -204,12 +206,16 @@
 async fn register(host: &Arc<Host>, term: Term, target: Target) -> Reply {
     let (id, is_ready) = (target.id.clone(), target.is_ready());
     let (sequence, born_ms) = (target.sequence, target.born_ms);
+    let stated = (target.cold_ms > 0).then(|| target.clone());
     let change = {
         let mut soft = host.soft_state();
         let change = soft.registry.register(target, host.clock.now());
         soft.revision += u64::from(change == registry::Change::Changed);
         change
     };
+    if let Some(target) = stated.filter(|_| change != registry::Change::Outdated) {
+        cold::observe(host, &target, Duration::from_millis(target.cold_ms));
+    }
     match change {
         registry::Change::Changed => {
             if is_ready {
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -1,6 +1,7 @@
 //! The state and connections that all tasks of this host's process share.
 
 use crate::{
+    cold::Cold,
     duty::{Rule, Turn},
     handler,
     soft_state::SoftState,
@@ -49,6 +50,8 @@
     pub client: Client,
     /// The requests that may crash targets.
     pub suspects: suspect::Shared,
+    /// What this host may send to cold targets.
+    pub cold: Cold,
     /// The last time this host may have acted as the holder of the duties; `None` if it never has.
     last_turn: Mutex<Option<Turn>>,
     soft_state: Mutex<SoftState>,
@@ -76,6 +79,7 @@
         let soft_state = Mutex::new(SoftState::default());
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
+        let cold = Cold::new(settings.cold);
         let (gathered, encoded_view) = (Notify::new(), Mutex::default());
         Self {
             settings,
@@ -85,6 +89,7 @@
             leader_client,
             client,
             suspects: suspect::Shared::default(),
+            cold,
             last_turn,
             soft_state,
             revision,
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -2,6 +2,7 @@
 //! jobs, loads weights onto engines and reports usage.
 
 mod cleanup;
+mod cold;
 mod control;
 pub mod duty;
 mod exchange;
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -1,6 +1,10 @@
 //! Runs one item of a job on an engine.
 
-use crate::{host::Host, shared::Shared};
+use crate::{
+    cold::{self, SendError},
+    host::Host,
+    shared::Shared,
+};
 use catkinlatch_base::{Instant, Version};
 use catkinlatch_ledger::{Job, Target, job::Progress, schedule::End};
 use catkinlatch_platform::{Event, EventParser, header};
@@ -71,10 +75,15 @@
     let mut summary = Summary::new(progress);
     let began = host.clock.now();
     let request = request(job, item, &summary.progress, engine);
-    let sent = time::timeout(FIRST_EVENT_TIMEOUT, host.client.send(&engine.address, request)).await;
+    let sent = time::timeout(FIRST_EVENT_TIMEOUT, cold::send(host, engine, request)).await;
     let exchange = match sent {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(failure)) => {
+        Ok(Err(SendError::Withheld)) => {
+            summary.end = End::Refused;
+            summary.reason = SendError::Withheld.to_string();
+            return summary;
+        }
+        Ok(Err(SendError::Failed(failure))) => {
             let may_have_run = matches!(failure, Failure::Unknown(_));
             summary.end = if may_have_run { End::Broken } else { End::Unreachable };
             summary.is_disconnect = may_have_run;
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -173,7 +173,10 @@
         let slowness = balancer.slowness(&ids, now);
         let is_usable =
             |target: &Target| target.is_ready() && !balancer.is_backing_off(&target.id, now);
+        let load = self.schedule.load();
         let engine = |(target, slowness): (&Target, f64)| {
+            let room = self.host.cold.room(target, now);
+            let running = load.get(&target.id).copied().unwrap_or_default();
             let mut models = target.models.clone();
             if let Some(loading) = soft.loading(&target.id, now) {
                 models.remove(loading);
@@ -181,8 +184,9 @@
             Engine {
                 id: target.id.clone(),
                 service: target.service.clone(),
-                slots: target.slots,
+                slots: room.map_or(target.slots, |room| target.slots.min(running + room)),
                 slowness,
+                is_cold: room.is_some(),
                 models,
             }
         };
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -1,6 +1,10 @@
 //! Calls the scoring service for a generated sample.
 
-use crate::{host::Host, shared::Shared};
+use crate::{
+    cold::{self, SendError},
+    host::Host,
+    shared::Shared,
+};
 use catkinlatch_base::TargetId;
 use catkinlatch_ledger::{Configuration, Job, Target, balancer, job::Scorer, suspect::Change};
 use catkinlatch_platform::header;
@@ -165,7 +169,8 @@
     let targets = soft.registry.targets().filter(|target| target.service == *service);
     let now = host.clock.now();
     let available = targets.filter(has_room);
-    let target = balancer.pick(available, &host.settings.zone, tried, now)?.clone();
+    let zone = &host.settings.zone;
+    let target = host.cold.pick(&balancer, available, zone, tried, now)?.clone();
     Some((target, route.max_attempts))
 }
 
@@ -207,10 +212,11 @@
     target: &Target,
     request: Request<Body>,
 ) -> Result<Response<bytes::Bytes>, Attempt> {
-    let sent = host.client.send(&target.address, request).await;
+    let sent = cold::send(host, target, request).await;
     let exchange = sent.map_err(|failure| match failure {
-        Failure::NotSent(_) => Attempt::Unanswered,
-        Failure::Unknown(_) => Attempt::Broken,
+        SendError::Withheld => Attempt::Full,
+        SendError::Failed(Failure::NotSent(_)) => Attempt::Unanswered,
+        SendError::Failed(Failure::Unknown(_)) => Attempt::Broken,
     })?;
     host.record_response(target, &exchange.response);
     let read = exchange.read_body(MAX_ANSWER_BYTES).await;
--- a/crates/catkinlatch-store/src/view.rs
+++ b/crates/catkinlatch-store/src/view.rs
@@ -1,6 +1,6 @@
 //! The view that the leader sends to its followers.
 
-use crate::host::Host;
+use crate::{cold, host::Host};
 use bytes::Bytes;
 use catkinlatch_runtime::{
     Reply,
@@ -49,10 +49,12 @@
     });
     let soft = host.soft_state();
     let own = host.settings.host.clone();
+    let mut targets: Vec<_> = soft.registry.targets().cloned().collect();
+    host.cold.update_left(&mut targets, host.clock.now());
     View {
         view_version: key.view_version,
         configuration,
-        targets: soft.registry.targets().cloned().collect(),
+        targets,
         tombstones: soft.registry.tombstones().collect(),
         entries: soft.entries().cloned().collect(),
         stores: soft.stores().map(|(host, _)| host.clone()).chain([own]).collect(),
@@ -65,6 +67,7 @@
     loop {
         applied.mark_unchanged();
         host.publish_configuration_version();
+        cold::update_limits(&host);
         if applied.changed().await.is_err() {
             return;
         }
--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -174,6 +174,7 @@
     /// items first: the ones assigned to the model and, while its items wait, all with enough free
     /// slots.
     fn candidates(&self, model: &ModelId) -> Vec<Target> {
+        let now = self.host.clock.now();
         let soft = self.host.soft_state();
         let has_room = |target: &Target| {
             soft.workload.waiting(model) > 0
@@ -182,6 +183,7 @@
         let may_load = |target: &&Target| {
             target.models.contains_key(model)
                 && target.is_ready()
+                && self.host.cold.room(target, now) != Some(0)
                 && (self.allotment.contains(&target.id, model) || has_room(target))
         };
         let mut targets: Vec<Target> = soft.registry.targets().filter(may_load).cloned().collect();
--- a/crates/catkinlatch-store/src/weights/order.rs
+++ b/crates/catkinlatch-store/src/weights/order.rs
@@ -1,6 +1,6 @@
 //! Orders a load from an engine and waits for its completion.
 
-use crate::host::Host;
+use crate::{cold, host::Host};
 use catkinlatch_base::{ModelId, TargetId, Term, Version};
 use catkinlatch_ledger::Target;
 use catkinlatch_platform::{
@@ -134,8 +134,11 @@
 
 async fn report(host: &Host, target: &Target) -> Option<EngineReport> {
     let request = request(target, Method::GET, REPORT_PATH, empty());
-    let answer =
-        host.client.fetch(&target.address, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await?;
+    let answer = async {
+        let exchange = cold::send(host, target, request).await.ok()?;
+        exchange.read_body(MAX_ANSWER_BYTES).await.ok()
+    };
+    let answer = time::timeout(ORDER_TIMEOUT, answer).await.ok().flatten()?;
     host.record_response(target, &answer);
     if !answer.status().is_success() {
         return None;
@@ -153,7 +156,7 @@
         host.replica.fencing_token() == Some(term)
     };
     let answer = async {
-        let exchange = host.client.send_if(&target.address, request, may_send).await.ok()?;
+        let exchange = cold::send_if(host, target, request, may_send).await.ok()?;
         host.record_response(target, &exchange.response);
         exchange.read_body(MAX_ANSWER_BYTES).await.ok()
     };
