Describe cold targets, and count callers refused because of them

Cause: operators could not tell a refusal for want of warm targets from one for want of slots. A test with a burst at hosts that hold shares. Not shown by any test of the site: that an entry host ignores a refusal in the moment of sending but counts (no test has many connections under way at once), and that engines offer only as many slots as there is allowance (the check at the send holds the items back as well).

--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -131,9 +131,9 @@
         let target =
             (sends < inbound.route.max_attempts).then(|| pick_target(host, inbound, &tried, now));
         let Some(target) = target.flatten() else {
-            let may_wait = sends > 0 || cold::may_wait(host, inbound, &tried, now);
+            let is_cold = cold::may_wait(host, inbound, &tried, now);
             if !may_have_run
-                && may_wait
+                && (sends > 0 || is_cold)
                 && host.clock.now() + FULL_RETRY_PAUSE < full_retry_deadline
             {
                 // Every target tried was full, or is cold and this host lacks a share of it; requests
@@ -143,6 +143,10 @@
                 sends = 0;
                 continue;
             }
+            if is_cold {
+                metrics::counter!("catkinlatch_entry_cold_refused").increment(1);
+                attempt_log.push("only cold targets without a share are left".to_owned());
+            }
             let after = if sends == 0 { NO_TARGET_RETRY_AFTER } else { FULL_RETRY_AFTER };
             return if may_have_run { End::MayHaveRun } else { End::NotRun(after) };
         };
--- a/tests/site/cold.rs
+++ b/tests/site/cold.rs
@@ -126,6 +126,17 @@
     assert!(tally.refused.iter().all(|id| setup.service.runs(id) == 0));
 }
 
+/// Guards against a burst at hosts that hold shares, whose requests are not counted as they are sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_burst_at_hosts_with_shares_keeps_the_bound() {
+    let setup = Arc::new(start(Called::Fully, Duration::from_secs(9)).await);
+    let steady = call(&setup, "steady", 20, Duration::from_secs(1)).await;
+    assert!(steady.served > 0, "{steady:?}");
+    let burst = call(&setup, "burst", 4_000, Duration::from_millis(30)).await;
+    expect_bound(&setup);
+    assert!(burst.refused.len() > 50 && burst.other.is_empty(), "{burst:?}");
+}
+
 /// Guards against a target that turns cold while it serves and is used as before, against work
 /// that waited flooding it as soon as it is warm, and against a bound that never ends.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
