--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -114,12 +114,20 @@
     host.balancer().begin(&target.id);
     let verdict = Verdict::Unknown;
     let mut guard = Guard { host: host.clone(), target: target.id.clone(), started, verdict };
-    // Opening a connection can take longer than a target's work.
-    let shorten =
-        |request: &mut Request<Body>| shorten_deadline(request, host.clock.now() - started);
-    let sending = host.client.send_prepared(&target.address, request, shorten);
+    let (mut sent, mut is_withheld) = (None, false);
+    let prepare = |request: &mut Request<Body>| {
+        let now = host.clock.now();
+        // Opening a connection can take longer than a target's work.
+        shorten_deadline(request, now - started);
+        (sent, is_withheld) = (Some(now), !host.cold.admit(target, now));
+        !is_withheld
+    };
+    let sending = host.client.send_prepared(&target.address, request, prepare);
     let exchange = match time::timeout(limit, sending).await {
         Ok(Ok(exchange)) => exchange,
+        Ok(Err(Failure::NotSent(_))) if is_withheld => {
+            return Err(Outcome::NotRun("the target is cold, and this host has no share of it"));
+        }
         Ok(Err(Failure::NotSent(_))) => {
             guard.verdict = Verdict::Failed;
             return Err(Outcome::NotRun(NO_CONNECTION));
@@ -135,6 +143,7 @@
     };
     suspect::record_response(host, target, started);
     leaving::record_response(host, target, &exchange.response);
+    host.cold.record_response(target, &exchange.response, sent, host.clock.now());
     if let Some((running, waiting)) = header::target_load(exchange.response.headers()) {
         host.balancer().report(&target.id, running, waiting, host.clock.now());
     }
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of an entry host share.
 
-use crate::{arrival, contact::Contact, suspect, usage::Usage, view::View};
+use crate::{arrival, cold::Cold, contact::Contact, suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
 use catkinlatch_ledger::{Balancer, registry::Leaving};
 use catkinlatch_route::Ramp;
@@ -23,6 +23,8 @@
     pub leader_client: LeaderClient,
     /// The HTTP client with its connections to targets.
     pub client: Client,
+    /// What this host may send to cold targets.
+    pub cold: Cold,
     view: Mutex<View>,
     balancer: Mutex<Balancer>,
     usage: Mutex<Usage>,
@@ -43,12 +45,14 @@
         leader_client: LeaderClient,
         client: Client,
     ) -> Self {
+        let cold = Cold::new(settings.cold);
         Self {
             settings,
             clock,
             peers,
             leader_client,
             client,
+            cold,
             view: Mutex::default(),
             balancer: Mutex::default(),
             usage: Mutex::default(),
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -3,6 +3,7 @@
 use crate::{
     answer,
     attempt::{self, Outcome},
+    cold,
     front::InboundRequest,
     host::Host,
     stream::{self, Attempts},
@@ -25,7 +26,7 @@
 const ATTEMPT_OBJECTIVES: u32 = 3;
 
 /// Pause before full targets are tried again.
-const FULL_RETRY_PAUSE: Duration = Duration::from_millis(15);
+pub const FULL_RETRY_PAUSE: Duration = Duration::from_millis(15);
 
 /// Share of the latency objective during which full targets are tried again.
 const FULL_RETRY_SHARE: f64 = 0.24;
@@ -134,16 +135,22 @@
             pick_target(host, inbound, &left_out, now)
         });
         let Some(target) = target.flatten() else {
+            let is_cold = cold::may_wait(host, inbound, &tried, now);
             if !may_have_run
-                && sends > 0
+                && (sends > 0 || is_cold)
                 && host.clock.now() + FULL_RETRY_PAUSE < full_retry_deadline
             {
-                // Every target tried was full; requests are short, so slots soon become free.
+                // Every target tried was full, or is cold and this host lacks a share of it; requests
+                // are short, so slots soon become free.
                 time::sleep(FULL_RETRY_PAUSE).await;
                 tried.clear();
                 sends = 0;
                 continue;
             }
+            if is_cold {
+                metrics::counter!("catkinlatch_entry_cold_refused").increment(1);
+                attempt_log.push("only cold targets without a share are left".to_owned());
+            }
             let after = if sends == 0 { NO_TARGET_RETRY_AFTER } else { FULL_RETRY_AFTER };
             return if may_have_run { End::MayHaveRun } else { End::NotRun(after) };
         };
@@ -297,7 +304,9 @@
             ramp.admits(&target.zone, target.slots, balancer.load(&target.id, now), random, now)
         };
         let staying = view.targets(service).filter(|target| !leaving.contains(target));
-        balancer.pick(staying.filter(admits), &host.settings.zone, left_out, now).cloned()
+        let admitted: Vec<&Target> = staying.filter(admits).collect();
+        drop(balancer);
+        cold::pick(host, admitted.into_iter(), left_out, now).cloned()
     };
     let pick = |left_out: &BTreeSet<TargetId>| {
         pick_admitted(left_out, fastrand::f64()).or_else(|| pick_admitted(left_out, 0.0))
--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -1,6 +1,7 @@
 //! A complete deployment on loopback: hosts that run the real program, with stand-ins for targets
 //! and platform that implement the platform's HTTP calls.
 
+mod cold;
 mod configuration;
 mod engine;
 mod host;
@@ -12,19 +13,21 @@
 mod target;
 
 pub use self::{
+    cold::{COLD_PER_SECOND, Cold, MAX_COLD_REQUESTS},
     configuration::{HOST, configuration, request},
     engine::Engine,
     host::Host,
     lifecycle::{CRASHING_BODY, Lifecycle, SILENCING_BODY},
     platform::Platform,
     relay::Relay,
-    service::{Arrival, Flaw, Headers, Service},
+    service::{Arrival, FLOODED, Flaw, Headers, Service},
     soak::{Report, Soak},
     target::Target,
 };
 
 use crate::cluster::ports;
 use http::{Request, StatusCode};
+use serde_json::Value;
 use std::{io, path::Path, time::Duration};
 use tokio::time;
 
@@ -82,7 +85,21 @@
     /// Returns an error if no ports are free, a file can't be written or a process can't be
     /// started.
     pub async fn start(program: &Path, folder: &Path) -> io::Result<Self> {
-        let shape = Shape { stores: STORES, entries: ENTRIES, adjust: &|_, _| {} };
+        Self::start_with(program, folder, &Value::Null).await
+    }
+
+    /// Like [`Self::start`], with further settings of all hosts, an object or nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Self::start`] does.
+    pub async fn start_with(program: &Path, folder: &Path, settings: &Value) -> io::Result<Self> {
+        let adjust = |_: usize, host: &mut Value| {
+            for (key, value) in settings.as_object().into_iter().flatten() {
+                host[key.as_str()] = value.clone();
+            }
+        };
+        let shape = Shape { stores: STORES, entries: ENTRIES, adjust: &adjust };
         Self::start_shaped(program, folder, &shape).await
     }
 
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -1,6 +1,6 @@
 //! A stand-in model engine of a site.
 
-use super::{CRASHING_BODY, Lifecycle, Target};
+use super::{CRASHING_BODY, Cold, Lifecycle, Target, service::FLOODED};
 use bytes::Bytes;
 use catkinlatch_runtime::http::{Body, collect, full, serve};
 use http::{Request, Response, StatusCode};
@@ -107,9 +107,39 @@
         id: &str,
         service: &'static str,
         controls: Vec<String>,
+    ) -> io::Result<Self> {
+        Self::start_as(zone, id, service, controls, Duration::ZERO).await
+    }
+
+    /// Like [`Self::start`], but the engine is cold for a time after each start.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start_cold(
+        id: &str,
+        service: &'static str,
+        controls: Vec<String>,
+        cold: Duration,
+    ) -> io::Result<Self> {
+        Self::start_as("zone-0", id, service, controls, cold).await
+    }
+
+    /// Starts the engine in a zone, cold for a time after each start.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start_as(
+        zone: &'static str,
+        id: &str,
+        service: &'static str,
+        controls: Vec<String>,
+        cold: Duration,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-        let target = Target::new(id, service, listener.local_addr()?, 4).with_zone(zone);
+        let mut target = Target::new(id, service, listener.local_addr()?, 4).with_zone(zone);
+        target.cold = Cold::new(cold);
         let state = Arc::new(Mutex::new(State::default()));
         let engine = Self { target, state, lifecycle: Lifecycle::new(controls) };
         engine.run(listener);
@@ -173,6 +203,10 @@
         if text("expect-instance").is_some_and(|expected| expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, "");
         }
+        if self.target.cold.arrive() {
+            self.crash(FLOODED);
+            std::future::pending::<()>().await;
+        }
         let Ok(body) = collect(body, 1 << 20).await else {
             return respond(StatusCode::BAD_REQUEST, "");
         };
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -10,6 +10,8 @@
 mod answer;
 #[path = "site/attempt.rs"]
 mod attempt;
+#[path = "site/cold.rs"]
+mod cold;
 #[path = "site/directory.rs"]
 mod directory;
 #[path = "site/evacuation.rs"]
