Acknowledge a change once every entry host in touch holds it

Cause, in order of weight: - A new leader acknowledged a change at once: is_propagated left out all followers of another term, which are all of them right after an election. Entry hosts still waited for an answer of the frozen leader. - A poll without an answer ended after 1.4 s, then other hosts were asked one after the other, up to 1.4 s each, in at most 2 s, a frozen one or one whose connection had fallen silent several times. - The leader acknowledged after 0.6 s whether or not all hosts held the change, and a deposed one went on waiting for hosts that poll its successor. - A store host that passed a call on to a frozen leader waited 0.9 s for it, also when it had heard of the next leader, and then could ask the frozen one again. Class: each wait was a constant of its own, chosen without the others and without the times that it guards. The leader waits for all entry hosts that it or its predecessor knows, until they count as out of touch (1.4 s) or for 2.1 s. An entry host whose poll is late asks the other hosts, several at a time, and opens a new connection beside a silent one. Healthy polls are as before, message for message. A store host turns to a new leader as soon as it hears of it. A call at a leader that can't commit ends after 3 s.

--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -9,9 +9,6 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::time;
 
-/// How long the leader may delay its answer while its view is unchanged.
-const POLL_WAIT: Duration = Duration::from_millis(500);
-
 /// Timeout for one poll, including retries with other hosts.
 const POLL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -22,10 +19,12 @@
 pub async fn run(host: Arc<Host>) {
     let mut view_version = ViewVersion::default();
     let mut drain_watch = host.watch_draining();
+    let waits = host.settings.times.waits();
     loop {
         let draining = *drain_watch.borrow_and_update();
-        let message = Message::Follow(follow_message(&host, view_version));
-        let pending = host.leader_client.call(&message, POLL_WAIT, POLL_TIMEOUT);
+        let follow = |wait| Message::Follow(follow_message(&host, view_version, wait));
+        let (message, probe) = (follow(waits.poll), follow(Duration::ZERO));
+        let pending = host.leader_client.poll(&message, &probe, &waits, POLL_TIMEOUT);
         let answer = tokio::select! {
             answer = pending => answer,
             // Polls again at once so that the leader learns that this host is draining.
@@ -56,7 +55,7 @@
     }
 }
 
-fn follow_message(host: &Host, view_version: ViewVersion) -> Follow {
+fn follow_message(host: &Host, view_version: ViewVersion, wait: Duration) -> Follow {
     let address = host.settings.callers_address.map(|address| address.to_string());
     let entry = Entry {
         host: host.settings.host.clone(),
@@ -71,7 +70,7 @@
         role: Role::Entry(entry),
         view_version,
         version: host.view().version(),
-        wait_ms: POLL_WAIT.as_millis() as u64,
+        wait_ms: wait.as_millis() as u64,
         counts: host.usage().counts(),
     }
 }
--- a/crates/catkinlatch-runtime/src/leader_client.rs
+++ b/crates/catkinlatch-runtime/src/leader_client.rs
@@ -1,5 +1,7 @@
 //! Finds the leader and sends it messages.
 
+mod search;
+
 use crate::{CallError, Message, Peers, Reply};
 use catkinlatch_base::HostId;
 use log::info;
--- a/crates/catkinlatch-runtime/src/peers.rs
+++ b/crates/catkinlatch-runtime/src/peers.rs
@@ -4,10 +4,11 @@
 use catkinlatch_base::{HostId, Incarnation};
 use catkinlatch_wire::{Destination, Error, Frame, Hello, Link, PROTOCOL, Secret, codec, link};
 use derive_more::{Display, Error as DeriveError};
+use log::info;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 use tokio::{
@@ -48,6 +49,12 @@
     last_used: Instant,
 }
 
+impl Drop for CachedLink {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
 /// The sessions of this process with other processes.
 #[derive(Debug)]
 pub struct Peers {
@@ -102,49 +109,81 @@
         message: &impl Serialize,
         timeout: Duration,
     ) -> Result<R, CallError> {
-        let link = self.link(host);
-        let deadline = Instant::now() + timeout;
-        let session = loop {
-            match link.session() {
-                Some(session) => break session,
-                None if Instant::now() + OPEN_POLL_INTERVAL >= deadline => {
-                    return Err(CallError::NotSent { host: host.clone() });
-                }
-                None => time::sleep(OPEN_POLL_INTERVAL).await,
-            }
-        };
-        let unknown = |reason| CallError::Unknown { host: host.clone(), reason };
-        let frame = Frame::new(codec::encode(message));
-        let answer = match time::timeout_at(deadline, session.call(&frame)).await {
-            Ok(answer) => answer.map_err(unknown)?,
-            Err(_) => return Err(unknown(Error::Timeout)),
-        };
-        codec::decode(&answer.payload).map_err(|error| unknown(Error::protocol(error.to_string())))
+        call(&self.link(host), host, message, timeout).await
+    }
+
+    /// Like [`Self::call`], but opens a new session, which replaces the open one if it answers.
+    ///
+    /// A session whose connection has fallen silent is noticed only by its own timeout.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Self::call`] does; the open session is then kept.
+    pub async fn call_anew<R: DeserializeOwned>(
+        &self,
+        host: &HostId,
+        message: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<R, CallError> {
+        let spare = self.open_link(host);
+        let answer = call(&spare.link, host, message, timeout).await?;
+        info!(host:% = host; "peer: replaced a silent session");
+        self.lock().insert(host.clone(), spare);
+        Ok(answer)
     }
 
     /// Closes the sessions that have not been used for `IDLE_TIMEOUT`.
     pub fn prune(&self) {
         let now = Instant::now();
-        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        for (_, unused) in links.extract_if(.., |_, cached| now >= cached.last_used + IDLE_TIMEOUT)
-        {
-            unused.driver.abort();
-        }
+        self.lock().retain(|_, cached| now < cached.last_used + IDLE_TIMEOUT);
     }
 
     /// Returns the link to a host; creates it if there is none.
     fn link(&self, host: &HostId) -> Arc<Link> {
-        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        let cached = links.entry(host.clone()).or_insert_with(|| {
-            let address = format!("{host}:{}", self.port);
-            let destination = Destination { host: host.clone(), address };
-            let greeting = codec::encode(&crate::Message::Greeting);
-            let (link, driver) =
-                link(destination, self.local.clone(), self.secret.clone(), greeting);
-            let driver = tokio::spawn(driver).abort_handle();
-            CachedLink { link: Arc::new(link), driver, last_used: Instant::now() }
-        });
+        let mut links = self.lock();
+        let cached = links.entry(host.clone()).or_insert_with(|| self.open_link(host));
         cached.last_used = Instant::now();
         cached.link.clone()
     }
+
+    /// Opens a link to a host, which is closed when it is dropped.
+    fn open_link(&self, host: &HostId) -> CachedLink {
+        let address = format!("{host}:{}", self.port);
+        let destination = Destination { host: host.clone(), address };
+        let greeting = codec::encode(&crate::Message::Greeting);
+        let (link, driver) = link(destination, self.local.clone(), self.secret.clone(), greeting);
+        let driver = tokio::spawn(driver).abort_handle();
+        CachedLink { link: Arc::new(link), driver, last_used: Instant::now() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<HostId, CachedLink>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Sends a message over a link and returns the answer; `timeout` includes the time until a session
+/// is open.
+async fn call<R: DeserializeOwned>(
+    link: &Link,
+    host: &HostId,
+    message: &impl Serialize,
+    timeout: Duration,
+) -> Result<R, CallError> {
+    let deadline = Instant::now() + timeout;
+    let session = loop {
+        match link.session() {
+            Some(session) => break session,
+            None if Instant::now() + OPEN_POLL_INTERVAL >= deadline => {
+                return Err(CallError::NotSent { host: host.clone() });
+            }
+            None => time::sleep(OPEN_POLL_INTERVAL).await,
+        }
+    };
+    let unknown = |reason| CallError::Unknown { host: host.clone(), reason };
+    let frame = Frame::new(codec::encode(message));
+    let answer = match time::timeout_at(deadline, session.call(&frame)).await {
+        Ok(answer) => answer.map_err(unknown)?,
+        Err(_) => return Err(unknown(Error::Timeout)),
+    };
+    codec::decode(&answer.payload).map_err(|error| unknown(Error::protocol(error.to_string())))
 }
--- a/crates/catkinlatch-runtime/src/settings.rs
+++ b/crates/catkinlatch-runtime/src/settings.rs
@@ -3,8 +3,9 @@
 mod cold;
 mod resources;
 mod times;
+mod waits;
 
-pub use self::{cold::Cold, resources::Resources, times::Times};
+pub use self::{cold::Cold, resources::Resources, times::Times, waits::Waits};
 
 use catkinlatch_base::{HostId, RegionId, ZoneId};
 use derive_more::{Display, Error};
@@ -132,7 +133,8 @@
             ),
         ];
         let failed = checks.iter().filter(|(holds, _)| !holds);
-        failed.map(|(_, finding)| (*finding).to_owned()).collect()
+        let failed = failed.map(|(_, finding)| (*finding).to_owned());
+        failed.chain(self.times.waits().contradictions(&self.times)).collect()
     }
 
     /// Returns the ids of the seed hosts, sorted and without duplicates.
--- a/crates/catkinlatch-runtime/src/settings/times.rs
+++ b/crates/catkinlatch-runtime/src/settings/times.rs
@@ -1,5 +1,6 @@
 //! Times set by the deployment.
 
+use super::Waits;
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -43,6 +44,11 @@
 }
 
 impl Times {
+    /// Derives the waits on the way of a change to the hosts that must obey it.
+    pub fn waits(&self) -> Waits {
+        Waits::new(self)
+    }
+
     /// Returns the time within which a process must exit after it was asked to stop.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -22,9 +22,6 @@
 /// Timeout for calls from targets, which fail over to another host after one second.
 const TARGET_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Timeout for calls from trainers and operators.
-const CALL_TIMEOUT: Duration = Duration::from_millis(3_000);
-
 type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
 /// Returns the request handler of the control interface.
@@ -44,7 +41,7 @@
     };
     let timeout = match call {
         ControlCall::Register(_) | ControlCall::Withdraw(_) => TARGET_CALL_TIMEOUT,
-        _ => CALL_TIMEOUT,
+        _ => host.settings.times.waits().call,
     };
     match decode(call, &body) {
         Decoded::Message(message) => respond(host.ask_leader(message, timeout).await),
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -1,7 +1,9 @@
 //! Handles messages from other processes.
 
+mod propagation;
 mod suspect;
 
+use self::propagation::{await_propagation, await_propagation_to_most, leads};
 use crate::{exchange, host::Host, view};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
@@ -18,10 +20,6 @@
     time::{self, Instant},
 };
 
-/// How long to wait until all entry hosts have received a change; a host that takes longer is
-/// presumed disconnected.
-const PROPAGATION_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// How long after its election a leader may still lack contact with some stores.
 const DISCOVERY_TIME: Duration = Duration::from_millis(2_500);
 
@@ -110,6 +108,9 @@
             let reply = propose(host, Command::Configure(document)).await;
             if matches!(reply, Reply::Done) {
                 let is_propagated = await_propagation(host, term, Some(version)).await;
+                if !is_propagated && !leads(host, term) {
+                    return Reply::NotLeader(host.other_leader());
+                }
                 info!(
                     version = version, held_by_all = is_propagated;
                     "control: configuration in force"
@@ -129,7 +130,11 @@
                 soft.revision += 1;
             }
             host.publish_revision();
-            let is_propagated = await_propagation(host, term, None).await;
+            let is_propagated = await_propagation_to_most(host, term).await;
+            if !is_propagated && !leads(host, term) {
+                // The next leader may not know of the withdrawal.
+                return Reply::NotLeader(host.other_leader());
+            }
             info!(target_id:% = id, held_by_all = is_propagated; "targets: withdrawn");
             Reply::Done
         }
@@ -187,20 +192,6 @@
     }
 }
 
-/// Waits until all live entry hosts have received the current view; returns false on timeout.
-async fn await_propagation(host: &Arc<Host>, term: Term, version: Option<u64>) -> bool {
-    let until = Instant::now() + PROPAGATION_TIMEOUT;
-    let revision = host.soft_state().revision;
-    let mut poll = time::interval(Duration::from_millis(5));
-    while Instant::now() < until {
-        if host.soft_state().is_propagated(ViewVersion { term, revision }, version) {
-            return true;
-        }
-        poll.tick().await;
-    }
-    false
-}
-
 async fn register(host: &Arc<Host>, term: Term, target: Target) -> Reply {
     let (id, is_ready) = (target.id.clone(), target.is_ready());
     let (sequence, born_ms) = (target.sequence, target.born_ms);
@@ -231,7 +222,10 @@
         registry::Change::Renewed => {}
     }
     if !is_ready {
-        let is_propagated = await_propagation(host, term, None).await;
+        let is_propagated = await_propagation_to_most(host, term).await;
+        if !is_propagated && !leads(host, term) {
+            return Reply::NotLeader(host.other_leader());
+        }
         if change == registry::Change::Changed {
             info!(target_id:% = id, held_by_all = is_propagated; "targets: no longer ready");
         }
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -12,7 +12,7 @@
 use catkinlatch_ledger::{Target, suspect::Change};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::{
-    Answer, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
+    Answer, CallError, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
 };
 use catkinlatch_state::suspect::Reply as SuspectReply;
 use http::{Response, StatusCode};
@@ -30,6 +30,9 @@
 /// Delay between two attempts while no other leader is known and this host holds no valid lease.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Timeout of a call that this host passes on to the leader; it is then passed on again.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// How long changes of the soft state are gathered before they are published.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
@@ -73,7 +76,8 @@
         // An earlier process on this host may have acted until just now.
         let earlier = Turn { term: None, at: clock.now() };
         let last_turn = Mutex::new((!settings.is_first_start).then_some(earlier));
-        let soft_state = Mutex::new(SoftState::default());
+        let contact = settings.times.waits().contact;
+        let soft_state = Mutex::new(SoftState::default().with_follower_timeout(contact));
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
         let (gathered, encoded_view) = (Notify::new(), Mutex::default());
@@ -224,29 +228,48 @@
     /// The message must be idempotent.
     pub async fn ask_leader(self: &Arc<Self>, message: Message, timeout: Duration) -> Answer {
         let until = Instant::now() + timeout;
+        let mut may_be_done = false;
         loop {
-            match handler::handle(self, message.clone()).await {
-                Reply::NotLeader(_) => {}
-                Reply::Unknown => return Answer::Unknown,
-                reply => return Answer::Reply(reply),
+            // A leader that is cut off from the others can neither commit a change nor refuse it.
+            match time::timeout_at(until, handler::handle(self, message.clone())).await {
+                Ok(Reply::NotLeader(_)) => {}
+                Ok(Reply::Unknown) | Err(_) => return Answer::Unknown,
+                Ok(reply) => return Answer::Reply(reply),
             }
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Answer::NotDone;
+                return if may_be_done { Answer::Unknown } else { Answer::NotDone };
             }
-            match self.other_leader() {
-                Some(leader) => self.leader_client.set_leader(Some(&leader)),
+            let Some(leader) = self.other_leader() else {
                 // A host whose disk failed hears no leader, but the others may have one.
-                None if self.replica.has_failed() => {}
-                None => {
-                    time::sleep(RETRY_INTERVAL.min(left)).await;
+                if self.replica.has_failed() {
+                    return self.leader_client.call(&message, Duration::ZERO, left).await;
+                }
+                time::sleep(RETRY_INTERVAL.min(left)).await;
+                continue;
+            };
+            let reply = tokio::select! {
+                reply = self.peers.call(&leader, &message, ANSWER_TIMEOUT.min(left)) => reply,
+                // The one that was asked may be frozen, and would answer in vain.
+                () = self.await_other_leader_than(&leader) => {
+                    may_be_done = true;
                     continue;
                 }
-            }
-            match self.leader_client.call(&message, Duration::ZERO, left).await {
-                Answer::NotDone => {}
-                answer => return answer,
+            };
+            match reply {
+                Ok(Reply::NotLeader(_)) => time::sleep(RETRY_INTERVAL.min(left)).await,
+                Ok(Reply::Unknown) => return Answer::Unknown,
+                Ok(reply) => return Answer::Reply(reply),
+                Err(CallError::NotSent { .. }) => {}
+                Err(CallError::Unknown { .. }) => may_be_done = true,
             }
         }
     }
+
+    /// Waits until another host than `leader` leads, which may be this one.
+    async fn await_other_leader_than(&self, leader: &HostId) {
+        let is_other = |other: &HostId| other != leader;
+        let mut status = self.replica.status();
+        let _ = status.wait_for(|status| status.leader.as_ref().is_some_and(is_other)).await;
+    }
 }
--- a/crates/catkinlatch-store/src/soft_state.rs
+++ b/crates/catkinlatch-store/src/soft_state.rs
@@ -6,7 +6,8 @@
 use catkinlatch_runtime::message::{Entry, Follow, Role, View, ViewVersion};
 use std::{collections::BTreeMap, time::Duration};
 
-/// How long a process counts as alive after its last poll. Processes poll twice a second.
+/// How long a process counts as in touch after its last poll, unless the settings say otherwise.
+/// Processes poll twice a second.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_400);
 
 /// How long the usage counts of a process are kept after its last poll.
@@ -44,10 +45,17 @@
     /// The engines that load weights of a model, and the deadline of each load.
     loading: BTreeMap<TargetId, (ModelId, Instant)>,
     followers: BTreeMap<HostId, Follower>,
+    /// How long a process counts as in touch after its last poll; `None` applies the default.
+    follower_timeout: Option<Duration>,
     sources: BTreeMap<Incarnation, Source>,
 }
 
 impl SoftState {
+    /// Sets how long a process counts as in touch after its last poll.
+    pub fn with_follower_timeout(self, timeout: Duration) -> Self {
+        Self { follower_timeout: Some(timeout), ..self }
+    }
+
     /// Records that an engine loads weights, with a deadline.
     pub fn begin_load(&mut self, engine: &TargetId, model: &ModelId, until: Instant) {
         self.loading.insert(engine.clone(), (model.clone(), until));
@@ -115,9 +123,9 @@
         self.orders.retain(|(id, born_ms), _| {
             registry.target(id).is_some_and(|target| target.born_ms == *born_ms)
         });
-        let expired = self
-            .followers
-            .extract_if(.., |_, follower| now >= follower.last_contact + FOLLOWER_TIMEOUT);
+        let timeout = self.follower_timeout.unwrap_or(FOLLOWER_TIMEOUT);
+        let is_silent = |follower: &Follower| now >= follower.last_contact + timeout;
+        let expired = self.followers.extract_if(.., |_, follower| is_silent(follower));
         let expired: Vec<HostId> = expired.map(|(host, _)| host).collect();
         self.revision += u64::from(!expired.is_empty());
         expired
@@ -134,12 +142,18 @@
         stores.map(|(host, follower)| (host, follower.name.as_str()))
     }
 
-    /// Returns whether all entry hosts that follow the term of `view_version` have received
-    /// this view and version of the configuration.
+    /// Returns whether any entry host is known, from its polls or from the view of another leader.
+    pub fn has_followers(&self) -> bool {
+        self.entries().next().is_some()
+    }
+
+    /// Returns whether all entry hosts in touch have received this view and version of the
+    /// configuration.
+    ///
+    /// Those that have not polled this leader yet count as well, since they still obey what its
+    /// predecessor told them.
     pub fn is_propagated(&self, view_version: ViewVersion, version: Option<u64>) -> bool {
-        let entries = self.followers.values().filter(|follower| follower.entry.is_some());
-        let mut entries =
-            entries.filter(|follower| follower.view_version.term == view_version.term);
+        let mut entries = self.followers.values().filter(|follower| follower.entry.is_some());
         entries.all(|follower| follower.view_version >= view_version && follower.version >= version)
     }
 
