Let a deposed leader name its successor at the end of a long poll

Cause: both long polls (view, suspects) ended with 'nothing new' without a look at the lease. A leader that was deposed meanwhile so passed for the leader with the hosts that polled it, which then asked it again first. Found in a run of the site tests: two entry hosts went back to the deposed leader 0.3 and 0.5 s after they had found the next one. It costs one refused poll; no rule was broken. Change: the end of the wait checks the lease. Test: none of its own; the tests of confirmed configurations pass.

--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -184,11 +184,14 @@
         tokio::select! {
             _ = revision.changed() => {}
             _ = configuration.changed() => {}
-            () = time::sleep_until(until) => return codec::encode(&Reply::Nothing),
+            () = time::sleep_until(until) => {}
         }
-        if host.replica.fencing_token() != Some(term) {
+        if !leads(host, term) {
             return codec::encode(&Reply::NotLeader(host.other_leader()));
         }
+        if Instant::now() >= until {
+            return codec::encode(&Reply::Nothing);
+        }
     }
 }
 
--- a/crates/catkinlatch-store/src/handler/suspect.rs
+++ b/crates/catkinlatch-store/src/handler/suspect.rs
@@ -49,7 +49,11 @@
         }
         tokio::select! {
             _ = revision.changed() => {}
-            () = time::sleep_until(until) => return codec::encode(&Reply::Nothing),
+            () = time::sleep_until(until) => {
+                let leads = host.replica.fencing_token() == Some(term);
+                let other = || Reply::NotLeader(host.other_leader());
+                return codec::encode(&if leads { Reply::Nothing } else { other() });
+            }
         }
     }
 }
