Keep a long standstill in mind when short ones follow it

Change: standstills are kept until the process has run for 80 ms since; those that follow do not count as running, and don't add up. Test: tests/arrival.rs, a_short_standstill_does_not_end_the_time_for_catching_up (fails before), regular_standstills_do_not_add_up.

--- a/crates/catkinlatch-entry/src/arrival.rs
+++ b/crates/catkinlatch-entry/src/arrival.rs
@@ -13,38 +13,48 @@
 /// How late a beat must be for the process to count as having stood still.
 const LATE: Duration = Duration::from_millis(20);
 
-/// How long after a standstill requests may still be read that arrived during it.
-const CATCH_UP: Duration = Duration::from_millis(60);
+/// How long a process must have run since a standstill to have read all requests that arrived during
+/// it. Shorter standstills that follow do not count as running.
+const CATCH_UP: Duration = Duration::from_millis(80);
 
-/// Beats of a process while it runs, and its last standstill.
-#[derive(Clone, Copy, Debug, Default)]
+/// Beats of a process while it runs, and its last standstills.
+#[derive(Clone, Debug, Default)]
 pub struct Pulse {
     last: Option<Instant>,
-    standstill: Option<Standstill>,
+    standstills: Vec<Standstill>,
 }
 
+/// A time in which the process did not run.
 #[derive(Clone, Copy, Debug)]
 struct Standstill {
     began: Instant,
-    ended: Instant,
+    /// When the process has caught up.
+    until: Instant,
 }
 
 impl Pulse {
     /// Records that the process runs; called every [`INTERVAL`].
     pub fn beat(&mut self, now: Instant) {
-        self.standstill = self.standstill_at(now);
+        if let Some((began, gap)) = self.gap(now) {
+            self.standstills.iter_mut().for_each(|past| past.until += gap);
+            self.standstills.push(Standstill { began, until: now + CATCH_UP });
+        }
+        self.standstills.retain(|past| now < past.until);
         self.last = Some(now);
     }
 
     /// Returns the longest time for which a request that is read now may have waited.
     pub fn waited(&self, now: Instant) -> Duration {
-        let standstill = self.standstill_at(now).filter(|past| now < past.ended + CATCH_UP);
-        standstill.map_or(Duration::ZERO, |past| now - past.began)
+        let current = self.gap(now);
+        let gap = current.map_or(Duration::ZERO, |(_, gap)| gap);
+        let past = self.standstills.iter().find(|past| now < past.until + gap);
+        let began = past.map(|past| past.began).or(current.map(|(began, _)| began));
+        began.map_or(Duration::ZERO, |began| now - began)
     }
 
-    /// Returns the last standstill, which may have just ended without a beat.
-    fn standstill_at(&self, now: Instant) -> Option<Standstill> {
-        let began = self.last.filter(|last| now >= *last + INTERVAL + LATE);
-        began.map(|began| Standstill { began, ended: now }).or(self.standstill)
+    /// Returns when the process stopped running and for how long, if the next beat is late.
+    fn gap(&self, now: Instant) -> Option<(Instant, Duration)> {
+        let last = self.last.filter(|last| now >= *last + INTERVAL + LATE)?;
+        Some((last, now - last))
     }
 }
--- a/crates/catkinlatch-entry/tests/arrival.rs
+++ b/crates/catkinlatch-entry/tests/arrival.rs
@@ -33,3 +33,24 @@
     (1..=5).for_each(|beat| pulse.beat(at(1_300 + beat * 20)));
     assert_eq!(pulse.waited(at(1_405)), Duration::ZERO, "long after a standstill");
 }
+
+/// Guards against a long standstill that is forgotten because a short one follows it.
+#[test]
+fn a_short_standstill_does_not_end_the_time_for_catching_up() {
+    let mut pulse = beating_until(1_000);
+    [1_500, 1_520, 1_580, 1_600].into_iter().for_each(|beat| pulse.beat(at(beat)));
+    assert_eq!(pulse.waited(at(1_610)), Duration::from_millis(610));
+    [1_620, 1_640].into_iter().for_each(|beat| pulse.beat(at(beat)));
+    assert!(pulse.waited(at(1_650)) < Duration::from_millis(200));
+}
+
+/// Guards against a process with a small share of a processor, whose standstills would add up.
+#[test]
+fn regular_standstills_do_not_add_up() {
+    let mut pulse = beating_until(1_000);
+    for period in 0..100 {
+        let start = 1_000 + period * 100;
+        [60, 80, 100].into_iter().for_each(|beat| pulse.beat(at(start + beat)));
+        assert!(pulse.waited(at(start + 105)) < Duration::from_millis(300));
+    }
+}
