Bound the bytes, the memory and the time of each response

Cause: a target that answers without end cost its caller's host whatever it sent. Bodies were buffered up to 64 MiB each, informational responses and digits of a chunk size had no limit in hyper, the event parser searched all bytes from the start with each part, and any byte restarted the wait for the next event.

Change: - The event parser takes time proportional to the bytes, bounds an event, and returns the events that precede a fault. - `http::Limits` derives all limits from `resources.memory_mb`. Without the setting they are those of before: 64 MiB for a response, 48 MiB for a control call. - `http::Client` counts the bytes on the wire against the content that they carry, bounds heads at 64 KiB, and lets all responses in flight share a quarter of the memory. The newest are ended first; up to 64 KiB each are exempt, so that usual responses pass beside a flood. - Bytes that are no response are told apart from a connection that broke, so that they are no crash: the request may have run, the run is broken, the call is unanswered, the target backs off. - Heads and bodies of live requests together end at the deadline. The wait for the next event of a stream or item goes on until an event is complete. - A control call whose body is too long gets 413 instead of 400.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -75,17 +75,19 @@
 /// Sends a request to a target and reads the complete response.
 ///
 /// `left` is the time until the request's deadline, which the target is sent. `limit` applies to
-/// the response head and to the body separately; the body may have `max_bytes`.
+/// the response head and to the body separately; both together end at the deadline.
 pub async fn send(
     host: &Arc<Host>,
     inbound: &InboundRequest,
     target: &Target,
     left: Duration,
     limit: Duration,
-    max_bytes: usize,
 ) -> Outcome {
     match open(host, build_request(inbound, target, left), inbound.id(), target, limit).await {
-        Ok(call) => read_answer(host, call, limit, max_bytes).await,
+        Ok(call) => {
+            let elapsed = host.clock.now() - call.guard.started;
+            read_answer(host, call, limit.min(left.saturating_sub(elapsed))).await
+        }
         Err(outcome) => outcome,
     }
 }
@@ -117,6 +119,10 @@
             guard.verdict = Verdict::Failed;
             return Err(Outcome::Broken(reason));
         }
+        Ok(Err(failure @ Failure::Malformed(_))) => {
+            guard.verdict = Verdict::Failed;
+            return Err(Outcome::MayHaveRun(failure.to_string()));
+        }
         Err(_) => {
             guard.verdict = Verdict::Failed;
             return Err(Outcome::Silent("no answer in time"));
@@ -136,15 +142,16 @@
 }
 
 /// Reads the response body to its end.
-pub async fn read_answer(host: &Host, call: Call, limit: Duration, max_bytes: usize) -> Outcome {
+pub async fn read_answer(host: &Host, call: Call, limit: Duration) -> Outcome {
     let Call { exchange, mut guard } = call;
+    let max_bytes = host.client.limits().body;
     let outcome = match time::timeout(limit, exchange.read_body(max_bytes)).await {
         Ok(Ok(answer)) => {
             guard.record_answer(host.clock.now() - guard.started);
             return Outcome::Answer(answer);
         }
         Ok(Err(error @ BodyError::Broken(_))) => Outcome::Broken(error.to_string()),
-        Ok(Err(error @ BodyError::TooLong)) => Outcome::MayHaveRun(error.to_string()),
+        Ok(Err(error)) => Outcome::MayHaveRun(error.to_string()),
         Err(_) => Outcome::Silent("the response did not end in time"),
     };
     guard.record_failure();
--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -99,9 +99,9 @@
             info!(request = request_id(&head); "entry: refused, the body is too long");
             return answer::status(StatusCode::PAYLOAD_TOO_LARGE);
         }
-        Err(BodyError::Broken(reason)) => {
+        Err(error) => {
             info!(
-                request = request_id(&head), reason = reason.as_str();
+                request = request_id(&head), reason:% = error;
                 "entry: refused, the body could not be read"
             );
             return answer::status(StatusCode::BAD_REQUEST);
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -20,7 +20,7 @@
 use self::host::Host;
 use catkinlatch_runtime::{
     Clock, LeaderClient, Peers, Settings,
-    http::{Client, Server, serve},
+    http::{Client, Limits, Server, serve},
 };
 use derive_more::{Display, Error, From};
 use log::info;
@@ -62,7 +62,9 @@
     let clock = Clock::new();
     let peers = Arc::new(Peers::new(&settings));
     let leader_client = LeaderClient::new(peers.clone(), settings.seed_hosts());
-    let host = Arc::new(Host::new(settings, clock, peers, leader_client, Client::new()));
+    let limits = Limits::new(settings.resources.memory_mb);
+    let client = Client::new().with_limits(limits);
+    let host = Arc::new(Host::new(settings, clock, peers, leader_client, client));
 
     let (close, closed) = watch::channel(false);
     let server = Server { idle_timeout: IDLE_TIMEOUT, stop: closed };
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -44,9 +44,6 @@
 /// Share of a request's time in which a suspect waits for a run of its own.
 const TRIAL_WAIT_SHARE: f64 = 0.5;
 
-/// Largest response that is buffered before it is forwarded, in bytes.
-pub const MAX_ANSWER_BYTES: usize = 64 << 20;
-
 /// Outcome of all attempts of a request.
 enum End {
     /// A target answered; holds the response for the caller.
@@ -174,7 +171,7 @@
                 Err(outcome) => outcome,
             }
         } else {
-            attempt::send(host, inbound, &target, left, limit, MAX_ANSWER_BYTES).await
+            attempt::send(host, inbound, &target, left, limit).await
         };
         record(host, inbound, &target, permit, &outcome).await;
         match outcome {
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::Target;
-use catkinlatch_platform::{EventParser, header};
-use catkinlatch_runtime::http::{Body, streamed};
+use catkinlatch_platform::{EventParser, Parsed, header};
+use catkinlatch_runtime::http::{Body, BodyError, record_end, streamed};
 use http::{HeaderValue, Response, StatusCode};
 use log::info;
 use std::{
@@ -50,6 +50,10 @@
     parser: EventParser,
     /// Complete blocks of events that have not been forwarded yet.
     ready: VecDeque<Bytes>,
+    /// Why the stream failed for good; the caller learns it after the blocks in `ready`.
+    failure: Option<String>,
+    /// How long this host has waited for data since the last complete event.
+    waited: Duration,
     /// Id of the last event received, or else of the last one that the caller had before this
     /// request.
     last_event: Option<u64>,
@@ -98,7 +102,8 @@
     let request = attempt::build_request(inbound, target, left);
     let call = attempt::open(host, request, inbound.id(), target, limit).await?;
     if call.exchange.response.status() != StatusCode::OK {
-        return Err(attempt::read_answer(host, call, limit, proxy::MAX_ANSWER_BYTES).await);
+        let limit = limit.min(attempts.deadline - host.clock.now());
+        return Err(attempt::read_answer(host, call, limit).await);
     }
     let head = &call.exchange.response;
     let (status, headers) = (head.status(), header::forwardable(head.headers()));
@@ -108,8 +113,10 @@
         attempts,
         target: target.clone(),
         call: Some(call),
-        parser: EventParser::default(),
+        parser: EventParser::new(host.client.limits().event),
         ready: VecDeque::new(),
+        failure: None,
+        waited: Duration::ZERO,
         last_event: header::number(&inbound.head.headers, &header::LAST_EVENT),
         has_begun: false,
     };
@@ -134,6 +141,9 @@
             if let Some(block) = self.ready.pop_front() {
                 return Some(Ok(block));
             }
+            if let Some(reason) = self.failure.take() {
+                return Some(Err(reason));
+            }
             match self.read().await {
                 Read::Blocks => {}
                 Read::End => {
@@ -158,7 +168,7 @@
                     self.log(&reason);
                     if !self.resume().await {
                         self.call = None;
-                        return Some(Err(reason));
+                        self.failure = Some(reason);
                     }
                 }
             }
@@ -168,22 +178,26 @@
     /// Reads the next part of the body and splits it into complete blocks.
     async fn read(&mut self) -> Read {
         let left = self.remaining(self.host.clock.now());
-        let limit = if self.inbound.route.may_repeat() { left.min(EVENT_TIMEOUT) } else { left };
+        // Parts that complete no event do not extend the wait. The time that the caller takes for
+        // events is left out.
+        let event_limit = EVENT_TIMEOUT.saturating_sub(self.waited);
+        let limit = if self.inbound.route.may_repeat() { left.min(event_limit) } else { left };
         let Some(call) = &mut self.call else { return Read::End };
-        let part = match time::timeout(limit, call.exchange.next()).await {
+        let began = self.host.clock.now();
+        let received = time::timeout(limit, call.exchange.next()).await;
+        self.waited += self.host.clock.now() - began;
+        let part = match received {
             Ok(Ok(Some(part))) => part,
             Ok(Ok(None)) if self.parser.is_partial() => {
                 return Read::broken("the stream ended within an event");
             }
             Ok(Ok(None)) => return Read::End,
-            Ok(Err(error)) => return Read::broken(error),
+            Ok(Err(error @ BodyError::Broken(_))) => return Read::broken(error),
+            Ok(Err(error)) => return Read::failed(error),
             Err(_) => return Read::failed("timed out waiting for the next event"),
         };
-        let blocks = match self.parser.parse_raw(&part) {
-            Ok(blocks) => blocks,
-            Err(reason) => return Read::failed(reason),
-        };
-        for (id, block) in blocks {
+        let Parsed { list, fault } = self.parser.parse_raw(&part);
+        for (id, block) in list {
             if let Some(id) = id {
                 if let Some(last) = self.last_event.filter(|last| id <= *last) {
                     return Read::failed(format!("event {id} comes after {last}"));
@@ -193,10 +207,15 @@
                     call.guard.record_answer(elapsed);
                 }
                 (self.last_event, self.has_begun) = (Some(id), true);
+                self.waited = Duration::ZERO;
             }
             self.ready.push_back(block);
         }
-        Read::Blocks
+        if fault.is_some() {
+            record_end(&self.target.address, "event");
+        }
+        let held = call.exchange.hold(self.parser.buffered()).map_err(|error| error.to_string());
+        fault.map_or(held, Err).map_or_else(Read::failed, |()| Read::Blocks)
     }
 
     /// Returns the remaining time.
@@ -211,13 +230,14 @@
         let caller = header::number(&self.inbound.head.headers, &header::DEADLINE);
         let caller =
             caller.map(|caller| self.attempts.arrived + Duration::from_millis(caller) - now);
-        caller.unwrap_or(proxy::DEFAULT_TIMEOUT)
+        caller.unwrap_or(proxy::DEFAULT_TIMEOUT.saturating_sub(self.waited))
     }
 
     /// Resumes the stream at another target after the last event, if the route allows it; returns
     /// whether that succeeded.
     async fn resume(&mut self) -> bool {
-        self.parser = EventParser::default();
+        self.parser = EventParser::new(self.host.client.limits().event);
+        self.waited = Duration::ZERO;
         let give_up_at = self.host.clock.now() + EVENT_TIMEOUT;
         while self.inbound.route.may_repeat()
             && self.attempts.sends < self.inbound.route.max_attempts
--- a/crates/catkinlatch-runtime/src/http.rs
+++ b/crates/catkinlatch-runtime/src/http.rs
@@ -3,11 +3,19 @@
 mod answer;
 mod body;
 mod client;
+mod exchange;
+mod limits;
+pub mod memory;
+mod meter;
+mod segments;
 mod server;
 
 pub use self::{
     answer::{json, status, text},
     body::{Body, BodyError, collect, empty, full, streamed},
-    client::{Client, Exchange, Failure},
+    client::{Client, Failure, record_end},
+    exchange::Exchange,
+    limits::Limits,
+    meter::{MAX_HEAD_BYTES, Meter, Metered},
     server::{Server, serve},
 };
--- a/crates/catkinlatch-runtime/src/http/body.rs
+++ b/crates/catkinlatch-runtime/src/http/body.rs
@@ -62,4 +62,11 @@
     /// The connection failed before the end of the body; the text is the cause.
     #[display("the body ended early: {_0}")]
     Broken(String),
+    /// The body is not encoded as HTTP demands, or takes too many bytes beside its content; the text
+    /// is the cause.
+    #[display("the body is malformed: {_0}")]
+    Malformed(String),
+    /// All bodies in flight take too much memory, and this is one of the newest.
+    #[display("ended to limit the memory of responses")]
+    NoMemory,
 }
--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -1,17 +1,18 @@
 //! HTTP client with a pool of idle connections.
 
-use super::{Body, BodyError, collect};
+use super::{
+    Body, Exchange, Limits,
+    memory::Budget,
+    meter::{MAX_HEAD_BYTES, Meter, Metered},
+};
 use bytes::Bytes;
 use derive_more::Display;
-use http_body_util::BodyExt as _;
 use hyper::{
     Request, Response,
-    body::Incoming,
     client::conn::http1::{self, SendRequest},
-    header,
 };
 use hyper_util::rt::TokioIo;
-use log::debug;
+use log::{debug, warn};
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError},
@@ -26,15 +27,6 @@
 /// Timeout of opening a connection; to a live target this takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Time for which an idle connection is kept if the server announces no keep-alive timeout.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// Maximum time for which an idle connection is kept.
-const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Fraction of the server's keep-alive timeout for which an idle connection is reused.
-const KEEP_ALIVE_FRACTION: f64 = 0.75;
-
 /// Maximum number of idle connections to an address.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -47,13 +39,26 @@
     /// The request may have been executed; the text is the cause.
     #[display("sent, but not answered: {_0}")]
     Unknown(String),
+    /// The server sent bytes that are no response, or a head beyond its limits, so that the request
+    /// may have been executed; the text is the cause.
+    #[display("no valid response: {_0}")]
+    Malformed(String),
 }
 
-/// HTTP client that reuses connections; clones share the pool of idle connections.
-#[derive(Clone, Debug, Default)]
+/// HTTP client that reuses connections; clones share the pool of idle connections and the limit on
+/// the memory of responses.
+#[derive(Clone, Debug)]
 pub struct Client {
     idle: Arc<Mutex<HashMap<String, Vec<Idle>>>>,
     resets_on_close: bool,
+    limits: Limits,
+    budget: Budget,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 /// An idle connection, which may be reused until its deadline.
@@ -65,9 +70,10 @@
 
 /// An open connection, closed on drop.
 #[derive(Debug)]
-struct Connection {
+pub(super) struct Connection {
     sender: SendRequest<Body>,
     driver: JoinHandle<()>,
+    pub(super) meter: Meter,
 }
 
 impl Drop for Connection {
@@ -76,20 +82,27 @@
     }
 }
 
-/// A response whose body has not been read to its end; dropping it closes the connection.
-#[derive(Debug)]
-pub struct Exchange {
-    /// Head of the response, and the rest of its body.
-    pub response: Response<Incoming>,
-    connection: Connection,
-    address: String,
-    client: Client,
-}
-
 impl Client {
-    /// Creates a client without idle connections.
+    /// Creates a client without idle connections, with the limits of a host with ample memory.
     pub fn new() -> Self {
-        Self::default()
+        let limits = Limits::default();
+        let budget = Budget::new(limits.in_flight);
+        Self { idle: Arc::default(), resets_on_close: false, limits, budget }
+    }
+
+    /// Sets the limits on responses.
+    pub fn with_limits(self, limits: Limits) -> Self {
+        Self { limits, budget: Budget::new(limits.in_flight), ..self }
+    }
+
+    /// Returns the limits on responses.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Returns the memory that all responses in flight share.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
     }
 
     /// Resets connections when they are closed, so that what a cut or slow link has not yet taken
@@ -128,9 +141,19 @@
         if !may_send() {
             return Err(Failure::NotSent("no longer permitted".to_owned()));
         }
-        let sent = connection.sender.send_request(request).await;
-        let response = sent.map_err(|error| Failure::Unknown(error.to_string()))?;
-        Ok(Exchange { response, connection, address: address.to_owned(), client: self.clone() })
+        connection.meter.begin();
+        match connection.sender.send_request(request).await {
+            Ok(response) => Ok(Exchange::new(response, connection, address, self)),
+            Err(error) => {
+                let is_excess = connection.meter.is_exceeded() || error.is_parse_too_large();
+                if is_excess {
+                    record_end(address, "head");
+                    return Err(Failure::Malformed("the head exceeds its limit".to_owned()));
+                }
+                let failure = if error.is_parse() { Failure::Malformed } else { Failure::Unknown };
+                Err(failure(error.to_string()))
+            }
+        }
     }
 
     /// Sends a request and reads the complete response.
@@ -192,7 +215,7 @@
     }
 
     /// Adds an idle connection to the pool for the time `idle`, or closes it if there are too many.
-    fn keep(&self, address: String, connection: Connection, idle: Duration) {
+    pub(super) fn keep(&self, address: String, connection: Connection, idle: Duration) {
         let mut lock = self.lock();
         let list = lock.entry(address).or_default();
         if list.len() < MAX_IDLE_CONNECTIONS {
@@ -205,51 +228,6 @@
     }
 }
 
-impl Exchange {
-    /// Reads the complete body of at most `limit` bytes; keeps the connection if it can be reused.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the body is longer than `limit` or ends prematurely.
-    pub async fn read_body(self, limit: usize) -> Result<Response<Bytes>, BodyError> {
-        let Self { response, connection, address, client } = self;
-        let (head, body) = response.into_parts();
-        let bytes = collect(body, limit).await?;
-        if let Some(idle) = idle_time(&head) {
-            client.keep(address, connection, idle);
-        }
-        Ok(Response::from_parts(head, bytes))
-    }
-
-    /// Returns the next part of the body, or `None` at its end.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the connection failed before the end of the body.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
-        loop {
-            match self.response.body_mut().frame().await {
-                None => return Ok(None),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-                Some(Err(error)) => return Err(BodyError::Broken(error.to_string())),
-            }
-        }
-    }
-
-    /// Keeps the connection for reuse if possible; the body must have been read to its end.
-    pub fn release(self) {
-        let Self { response, connection, address, client } = self;
-        let (head, _) = response.into_parts();
-        if let Some(idle) = idle_time(&head) {
-            client.keep(address, connection, idle);
-        }
-    }
-}
-
 async fn connect(address: &str, resets_on_close: bool) -> Result<Connection, Failure> {
     let opening = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let socket = match opening.await {
@@ -261,7 +239,10 @@
     if resets_on_close {
         let _ = socket.set_zero_linger();
     }
-    let (sender, connection) = http1::handshake(TokioIo::new(socket))
+    let meter = Meter::default();
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(Metered::new(socket, meter.clone())))
         .await
         .map_err(|error| Failure::NotSent(error.to_string()))?;
     let address = address.to_owned();
@@ -270,29 +251,11 @@
             debug!("http: a connection to {address} ended: {error}");
         }
     });
-    Ok(Connection { sender, driver })
+    Ok(Connection { sender, driver, meter })
 }
 
-/// Returns the time for which the connection may be kept after this response.
-///
-/// Returns `None` if the response closes the connection, has neither a content length nor a
-/// transfer encoding, or is not HTTP/1.1.
-fn idle_time(head: &hyper::http::response::Parts) -> Option<Duration> {
-    let values = head.headers.get_all(header::CONNECTION).iter();
-    let closes = values
-        .filter_map(|value| value.to_str().ok())
-        .any(|value| value.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")));
-    let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
-    if closes || !has_length || head.version != hyper::Version::HTTP_11 {
-        return None;
-    }
-    let keep_alive = head.headers.get("keep-alive").and_then(|value| value.to_str().ok());
-    let timeout = keep_alive.and_then(|value| {
-        value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok())
-    });
-    let idle = timeout.map_or(DEFAULT_IDLE_TIMEOUT, |seconds: u64| {
-        Duration::from_secs(seconds).mul_f64(KEEP_ALIVE_FRACTION)
-    });
-    Some(idle.min(MAX_IDLE_TIMEOUT))
+/// Records that a response from `address` was ended because it exceeded the limit on `what`.
+pub fn record_end(address: &str, what: &'static str) {
+    metrics::counter!("catkinlatch_http_responses_ended", "limit" => what).increment(1);
+    warn!(address = address, limit = what; "http: ended a response beyond a limit");
 }
--- a/crates/catkinlatch-standin/src/cluster/process.rs
+++ b/crates/catkinlatch-standin/src/cluster/process.rs
@@ -75,6 +75,11 @@
         self.signal("CONT")
     }
 
+    /// Returns the id of the process; `None` if it is not running.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns the path of the process's log, which lies beside its settings.
     pub fn log_file(&self) -> PathBuf {
         self.settings.with_extension("log")
--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod engine;
+mod flood;
 mod host;
 mod lifecycle;
 mod platform;
@@ -13,6 +14,7 @@
 pub use self::{
     configuration::{HOST, configuration, request},
     engine::Engine,
+    flood::{Flood, Pace, Place},
     host::Host,
     lifecycle::{CRASHING_BODY, Lifecycle, SILENCING_BODY},
     platform::Platform,
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -7,8 +7,15 @@
     fs, io,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
+    time::Duration,
 };
 
+/// Memory of a host that callers connect to, in megabytes; the smallest of the deployments.
+const ENTRY_MEMORY_MB: u64 = 120;
+
+/// Memory of a host with a disk, in megabytes.
+const STORE_MEMORY_MB: u64 = 280;
+
 /// What all hosts of a site share.
 pub struct Layout<'a> {
     /// The ports that every host uses.
@@ -56,6 +63,7 @@
             "is_first_start": true,
             "losses": 1,
             "platform_address": layout.platform,
+            "resources": {"memory_mb": if is_store { STORE_MEMORY_MB } else { ENTRY_MEMORY_MB }},
             "times": {
                 "heartbeat_ms": 300, "drain_ms": 2000, "grace_s": 3, "lease_ms": 1000, "checks_fences": true,
                 "report_window_s": 1, "report_due_s": 5, "results_kept_s": 120,
@@ -121,6 +129,26 @@
         self.process.wait()
     }
 
+    /// Returns the peak resident memory of the running process, in bytes; 0 if it is not running.
+    pub fn peak_memory(&self) -> u64 {
+        let Some(id) = self.process.id() else { return 0 };
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes: Option<u64> =
+            line.and_then(|line| line.trim().strip_suffix(" kB")?.parse().ok());
+        kilobytes.unwrap_or(0) << 10
+    }
+
+    /// Returns the processor time of the running process, assuming 100 clock ticks a second, which
+    /// Linux reports to processes on all common architectures; zero if it is not running.
+    pub fn processor_time(&self) -> Duration {
+        let Some(id) = self.process.id() else { return Duration::ZERO };
+        let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+        let ticks = fields.skip(11).take(2).filter_map(|field| field.parse::<u64>().ok());
+        Duration::from_millis(ticks.sum::<u64>() * 10)
+    }
+
     /// Returns the log output of the process; empty if there is none.
     pub fn log(&self) -> String {
         fs::read_to_string(self.process.log_file()).unwrap_or_default()
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -9,16 +9,13 @@
 };
 use catkinlatch_runtime::{
     Answer, Message, Reply,
-    http::{Body, collect, json, status, text},
+    http::{Body, BodyError, collect, json, status, text},
 };
 use http::{Response, StatusCode};
 use hyper::{Request, body::Incoming};
 use log::{info, warn};
 use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
 
-/// The largest accepted request body.
-const MAX_BODY_BYTES: usize = 48 << 20;
-
 /// Timeout for calls from targets, which fail over to another host after one second.
 const TARGET_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -35,8 +32,12 @@
 async fn answer(host: Arc<Host>, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let call = call::control_call(&head.method, &head.uri);
-    let body = match collect(body, MAX_BODY_BYTES).await {
+    let body = match collect(body, host.client.limits().control_body).await {
         Ok(body) => body,
+        Err(error @ BodyError::TooLong) => {
+            warn!(path = head.uri.path(), error:% = error; "control: refused a request body");
+            return status(StatusCode::PAYLOAD_TOO_LARGE);
+        }
         Err(error) => {
             warn!(path = head.uri.path(), error:% = error; "control: cannot read a request body");
             return status(StatusCode::BAD_REQUEST);
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -25,7 +25,7 @@
 use self::host::Host;
 use catkinlatch_runtime::{
     Clock, LeaderClient, Peers, Replica, Settings,
-    http::{Client, Server, serve},
+    http::{Client, Limits, Server, serve},
     replica,
 };
 use derive_more::{Display, Error, From};
@@ -67,7 +67,8 @@
     let clock = Clock::new();
     let peers = Arc::new(Peers::new(&settings));
     let replica = Replica::start(&settings, clock, peers.clone(), opened);
-    let client = Client::new().with_reset_on_close();
+    let limits = Limits::new(settings.resources.memory_mb);
+    let client = Client::new().with_reset_on_close().with_limits(limits);
     let leader_client = LeaderClient::new(peers.clone(), settings.seed_hosts());
     let host = Arc::new(Host::new(settings, clock, peers, replica, leader_client, client));
 
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -3,8 +3,8 @@
 use crate::{host::Host, shared::Shared};
 use catkinlatch_base::{Instant, Version};
 use catkinlatch_ledger::{Job, Target, job::Progress, schedule::End};
-use catkinlatch_platform::{Event, EventParser, header};
-use catkinlatch_runtime::http::{Exchange, Failure, full};
+use catkinlatch_platform::{Event, EventParser, Parsed, header};
+use catkinlatch_runtime::http::{BodyError, Exchange, Failure, full, record_end};
 use http::{HeaderName, HeaderValue, Request, StatusCode};
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -75,9 +75,9 @@
     let exchange = match sent {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(failure)) => {
-            let may_have_run = matches!(failure, Failure::Unknown(_));
+            let may_have_run = !matches!(failure, Failure::NotSent(_));
             summary.end = if may_have_run { End::Broken } else { End::Unreachable };
-            summary.is_disconnect = may_have_run;
+            summary.is_disconnect = matches!(failure, Failure::Unknown(_));
             summary.reason = failure.to_string();
             return summary;
         }
@@ -167,14 +167,19 @@
     /// Reads events until the text is complete or the stream fails.
     async fn read(&self, mut exchange: Exchange, summary: &mut Summary) {
         summary.version = header::version(exchange.response.headers());
-        let mut parser = EventParser::default();
+        let mut parser = EventParser::new(self.host.client.limits().event);
         let mut last = None;
+        let opened = time::Instant::now();
         loop {
             if summary.version.is_some() && self.is_outdated(summary.version) {
                 return mark_outdated(summary);
             }
-            let limit = if last.is_some() { NEXT_EVENT_TIMEOUT } else { FIRST_EVENT_TIMEOUT };
-            let part = match time::timeout(limit, exchange.next()).await {
+            // Parts that complete no event do not extend the wait.
+            let until = match last {
+                Some(last) => self.host.clock.timer(last + NEXT_EVENT_TIMEOUT),
+                None => opened + FIRST_EVENT_TIMEOUT,
+            };
+            let part = match time::timeout_at(until, exchange.next()).await {
                 Ok(Ok(Some(part))) => part,
                 Ok(Ok(None)) if parser.is_partial() || summary.progress.text.is_empty() => {
                     summary.reason = "the stream ended within an event".to_owned();
@@ -187,7 +192,7 @@
                 }
                 Ok(Err(error)) => {
                     summary.reason = error.to_string();
-                    summary.is_disconnect = true;
+                    summary.is_disconnect = matches!(error, BodyError::Broken(_));
                     return;
                 }
                 Err(_) => {
@@ -195,13 +200,7 @@
                     return;
                 }
             };
-            let complete = match parser.parse(&part) {
-                Ok(complete) => complete,
-                Err(reason) => {
-                    summary.reason = reason;
-                    return;
-                }
-            };
+            let Parsed { list: complete, fault } = parser.parse(&part);
             if !complete.is_empty() {
                 self.record_pace(&mut last, complete.len() as u32, summary);
             }
@@ -213,6 +212,14 @@
                     return;
                 }
             }
+            if fault.is_some() {
+                record_end(&self.engine.address, "event");
+            }
+            let held = exchange.hold(parser.buffered()).map_err(|error| error.to_string());
+            if let Err(reason) = fault.map_or(held, Err) {
+                summary.reason = reason;
+                return;
+            }
         }
     }
 
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -209,13 +209,13 @@
 ) -> Result<Response<bytes::Bytes>, Attempt> {
     let sent = host.client.send(&target.address, request).await;
     let exchange = sent.map_err(|failure| match failure {
-        Failure::NotSent(_) => Attempt::Unanswered,
+        Failure::NotSent(_) | Failure::Malformed(_) => Attempt::Unanswered,
         Failure::Unknown(_) => Attempt::Broken,
     })?;
     host.record_response(target, &exchange.response);
     let read = exchange.read_body(MAX_ANSWER_BYTES).await;
     read.map_err(|error| match error {
-        BodyError::TooLong => Attempt::Unanswered,
+        BodyError::TooLong | BodyError::Malformed(_) | BodyError::NoMemory => Attempt::Unanswered,
         BodyError::Broken(_) => Attempt::Broken,
     })
 }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -10,6 +10,8 @@
 mod answer;
 #[path = "site/attempt.rs"]
 mod attempt;
+#[path = "site/flood.rs"]
+mod flood;
 #[path = "site/key.rs"]
 mod key;
 #[path = "site/leaving.rs"]
