Apply the limits on responses to the product's own hosts

Cause: `Upstream` used hyper's pooled client, which has no limit on informational responses and the framing of bodies, and `sse::Decoder` searched its buffer from the start with each part.

Change: `Upstream` sends with `catkinlatch_runtime::http::Client`. Malformed answers are a call error of their own, which is no broken connection and so no crash. Connections for orders bound heads and framing as well. The decoder searches each byte once, and passes on the events before a fault.

--- a/crates/catkinlatch-node/src/entry/dispatch.rs
+++ b/crates/catkinlatch-node/src/entry/dispatch.rs
@@ -16,10 +16,10 @@
 use catkinlatch_base::{Instant, RequestId, Tokens, event};
 use catkinlatch_fleet::meter::Record;
 use catkinlatch_route::{admission::Class, retry::Effect, target::Selector};
+use catkinlatch_runtime::http::Exchange;
 use catkinlatch_state::config;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use std::sync::Arc;
 
@@ -98,7 +98,7 @@
     authorized: &AuthorizedRequest,
     call: &Call,
     retrier: &Retrier,
-) -> Result<(Attempt, Response<Incoming>), Failure> {
+) -> Result<(Attempt, Exchange), Failure> {
     let attempt = retrier.begin(node, authorized).await?;
     let request = match target_request(node, authorized, call, &attempt.address) {
         Ok(request) => request,
@@ -110,13 +110,14 @@
         target: attempt.target.clone(),
     });
     let sent = node.upstream.send(request);
-    let response = match tokio::time::timeout_at(node.clock.timer(authorized.deadline), sent).await
+    let exchange = match tokio::time::timeout_at(node.clock.timer(authorized.deadline), sent).await
     {
-        Ok(Ok(response)) => response,
+        Ok(Ok(exchange)) => exchange,
         Ok(Err(error)) => return Err(call_failure(authorized, attempt, &error)),
         Err(_) => return Err(attempt::timed_out(authorized, attempt)),
     };
-    targets::record_response(node, &attempt.target, &attempt.boot, &response);
+    let response = &exchange.response;
+    targets::record_response(node, &attempt.target, &attempt.boot, response);
     if !echoes_id(response.headers(), &authorized.request) {
         let message = "the target answered another request; retry if that does no harm";
         return Err(may_have_run(authorized, attempt, message));
@@ -125,7 +126,7 @@
         let message = format!("the target answered with status {}", response.status());
         return Err(may_have_run(authorized, attempt, &message));
     }
-    Ok((attempt, response))
+    Ok((attempt, exchange))
 }
 
 /// Sends a request, retrying on other targets as the retry rules allow, and returns the response
@@ -135,7 +136,7 @@
     authorized: &AuthorizedRequest,
     call: &Call,
     retrier: &mut Retrier,
-) -> Result<(Attempt, Response<Incoming>), Box<Refusal>> {
+) -> Result<(Attempt, Exchange), Box<Refusal>> {
     loop {
         match send_once(node, authorized, call, retrier).await {
             Ok(answer) => return Ok(answer),
@@ -193,12 +194,12 @@
     call: &Call,
     retrier: &Retrier,
 ) -> Result<(Attempt, http::response::Parts, Bytes), Failure> {
-    let (attempt, response) = send_once(node, authorized, call, retrier).await?;
-    let (head, body) = response.into_parts();
+    let (attempt, exchange) = send_once(node, authorized, call, retrier).await?;
     let limit = usize::try_from(authorized.route.max_answer_bytes).unwrap_or(usize::MAX);
-    let read = upstream::read_body(body, limit);
-    let body = match tokio::time::timeout_at(node.clock.timer(authorized.deadline), read).await {
-        Ok(Ok(body)) => body,
+    let read = upstream::read_whole(exchange, limit);
+    let read = tokio::time::timeout_at(node.clock.timer(authorized.deadline), read).await;
+    let (head, body) = match read {
+        Ok(Ok(response)) => response.into_parts(),
         Ok(Err(error)) => return Err(call_failure(authorized, attempt, &error)),
         Err(_) => return Err(attempt::timed_out(authorized, attempt)),
     };
@@ -326,6 +327,7 @@
     let (ran, effect, broken) = match error {
         CallError::Connect => (Ran::No, Effect::Unsent, false),
         CallError::Broken => (Ran::Maybe, Effect::MayHaveRun, true),
+        CallError::Malformed => (Ran::Maybe, Effect::MayHaveRun, false),
         CallError::TooLong { .. } => (Ran::Yes, Effect::MayHaveRun, false),
     };
     let message = format!("the target failed: {error}");
--- a/crates/catkinlatch-node/src/entry/sse.rs
+++ b/crates/catkinlatch-node/src/entry/sse.rs
@@ -14,10 +14,13 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     buffer: BytesMut,
+    /// Number of bytes of the buffer in which no delimiter begins.
+    searched: usize,
 }
 
 impl Decoder {
-    /// Adds bytes; returns `false` if the buffer exceeds [`MAX_EVENT_BYTES`].
+    /// Adds bytes; returns `false` if the buffer exceeds [`MAX_EVENT_BYTES`]. The events that are
+    /// complete are valid nevertheless.
     pub fn push(&mut self, data: &[u8]) -> bool {
         self.buffer.extend_from_slice(data);
         self.buffer.len() <= MAX_EVENT_BYTES
@@ -25,8 +28,19 @@
 
     /// Removes and returns the next complete event with its delimiter.
     pub fn next(&mut self) -> Option<Bytes> {
-        let end = self.buffer.windows(DELIMITER.len()).position(|window| window == DELIMITER)?;
-        Some(self.buffer.split_to(end + DELIMITER.len()).freeze())
+        let rest = &self.buffer[self.searched..];
+        let Some(at) = rest.windows(DELIMITER.len()).position(|window| window == DELIMITER) else {
+            self.searched = self.buffer.len().saturating_sub(DELIMITER.len() - 1);
+            return None;
+        };
+        let end = self.searched + at + DELIMITER.len();
+        self.searched = 0;
+        Some(self.buffer.split_to(end).freeze())
+    }
+
+    /// Returns the number of bytes of an incomplete event that are held.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
     }
 }
 
--- a/crates/catkinlatch-node/src/entry/stream.rs
+++ b/crates/catkinlatch-node/src/entry/stream.rs
@@ -17,13 +17,10 @@
 use bytes::Bytes;
 use catkinlatch_base::{Instant, event};
 use catkinlatch_route::retry::Effect;
+use catkinlatch_runtime::http::Exchange;
 use dropshot::Body;
 use http::{HeaderMap, HeaderValue, Response, header};
-use http_body_util::{
-    BodyExt,
-    channel::{Channel, Sender},
-};
-use hyper::body::Incoming;
+use http_body_util::channel::{Channel, Sender};
 use serde_json::{Value, json};
 use std::{io, sync::Arc, time::Duration};
 use tokio::time;
@@ -50,18 +47,20 @@
     let started = node.clock.now();
     guard.set_sent();
     let mut retrier = Retrier::new(node, &caller.authorized, &call);
-    let (attempt, response) = dispatch::send(node, &caller.authorized, &call, &mut retrier).await?;
-    let (mut head, body) = response.into_parts();
-    dispatch::strip_connection_headers(&mut head.headers);
-    if !is_event_stream(&head.headers) {
-        let reply = read_whole(node, &caller, attempt, head, body, &mut retrier).await?;
+    let (attempt, exchange) = dispatch::send(node, &caller.authorized, &call, &mut retrier).await?;
+    if !is_event_stream(exchange.response.headers()) {
+        let reply = read_whole(node, &caller, attempt, exchange, &mut retrier).await?;
         return Ok(Response::from_parts(reply.head, Body::from(reply.body)));
     }
+    let (mut head, ()) = Response::new(()).into_parts();
+    head.status = exchange.response.status();
+    head.headers = exchange.response.headers().clone();
+    dispatch::strip_connection_headers(&mut head.headers);
     let (sender, channel) = Channel::<Bytes, io::Error>::new(BUFFERED_CHUNKS);
     let node = node.clone();
     let (usage, text, tokens) = Default::default();
     let relay = Relay { node, caller, call, retrier, started, guard, usage, text, tokens, sender };
-    tokio::spawn(relay.run(attempt, body));
+    tokio::spawn(relay.run(attempt, exchange));
     Ok(Response::from_parts(head, Body::wrap(channel)))
 }
 
@@ -75,16 +74,17 @@
     node: &Arc<Node>,
     caller: &Caller,
     attempt: Attempt,
-    head: http::response::Parts,
-    body: Incoming,
+    exchange: Exchange,
     retrier: &mut Retrier,
 ) -> Result<Reply, Box<Refusal>> {
     let limit = usize::try_from(caller.authorized.route.max_answer_bytes).unwrap_or(usize::MAX);
-    let read = upstream::read_body(body, limit);
+    let read = upstream::read_whole(exchange, limit);
     let until = node.clock.timer(caller.authorized.deadline);
     let failure = match time::timeout_at(until, read).await {
-        Ok(Ok(body)) => {
+        Ok(Ok(response)) => {
             retrier.record_success(node, &attempt).await;
+            let (mut head, body) = response.into_parts();
+            dispatch::strip_connection_headers(&mut head.headers);
             return Ok(Reply { head, body });
         }
         Ok(Err(error)) => dispatch::call_failure(&caller.authorized, attempt, &error),
@@ -100,7 +100,7 @@
     /// The caller disconnected.
     Left,
     /// The target failed; the stream may be resumed at another.
-    Broken,
+    Failed(CallError),
     /// This node ends the stream early; holds the code and message for the caller.
     Cut(Code, &'static str),
 }
@@ -120,19 +120,19 @@
 }
 
 impl Relay {
-    async fn run(mut self, mut attempt: Attempt, mut body: Incoming) {
+    async fn run(mut self, mut attempt: Attempt, mut exchange: Exchange) {
         loop {
-            match self.forward_events(body).await {
+            let error = match self.forward_events(exchange).await {
                 End::Whole => return self.finish(attempt).await,
                 End::Left => return self.retrier.abandon(&self.node, attempt).await,
                 End::Cut(code, message) => {
                     self.retrier.abandon(&self.node, attempt).await;
                     return self.abort(code, message).await;
                 }
-                End::Broken => {}
-            }
-            match self.resume(attempt).await {
-                Some((next, rest)) => (attempt, body) = (next, rest),
+                End::Failed(error) => error,
+            };
+            match self.resume(attempt, &error).await {
+                Some((next, rest)) => (attempt, exchange) = (next, rest),
                 None => {
                     let message = "the answer is partial: the target failed";
                     return self.abort(Code::TargetFailed, message).await;
@@ -142,7 +142,7 @@
     }
 
     /// Forwards complete events until the target's stream ends.
-    async fn forward_events(&mut self, mut body: Incoming) -> End {
+    async fn forward_events(&mut self, mut exchange: Exchange) -> End {
         let deadline = self.node.clock.timer(self.caller.authorized.deadline);
         let mut changes = self.node.control.changes();
         let mut decoder = Decoder::default();
@@ -152,16 +152,17 @@
             if !in_force && cut == deadline {
                 cut = deadline.min(time::Instant::now() + WITHDRAWN_KEY_GRACE);
             }
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
+            let part = tokio::select! {
+                part = exchange.next() => part,
                 () = time::sleep_until(cut) => return self.cut_reason(in_force),
                 Ok(()) = changes.changed() => continue,
             };
-            let Some(Ok(frame)) = frame else { return End::Broken };
-            let Some(data) = frame.data_ref() else { continue };
-            if !decoder.push(data) {
-                return End::Broken;
-            }
+            let data = match part {
+                Ok(Some(data)) => data,
+                Ok(None) => return End::Failed(CallError::Broken),
+                Err(error) => return End::Failed(upstream::body_error(&error, usize::MAX)),
+            };
+            let is_within_limit = decoder.push(&data);
             while let Some(event) = decoder.next() {
                 let done = self.record_event(&event);
                 if self.sender.send_data(event).await.is_err() {
@@ -171,6 +172,9 @@
                     return End::Whole;
                 }
             }
+            if !is_within_limit || exchange.hold(decoder.buffered()).is_err() {
+                return End::Failed(CallError::Malformed);
+            }
         }
     }
 
@@ -200,17 +204,18 @@
     }
 
     /// Resumes the response at another target; `None` if that is not possible.
-    async fn resume(&mut self, lost: Attempt) -> Option<(Attempt, Incoming)> {
+    async fn resume(&mut self, lost: Attempt, error: &CallError) -> Option<(Attempt, Exchange)> {
         let authorized = &self.caller.authorized;
-        let failure = dispatch::call_failure(authorized, lost, &CallError::Broken);
+        let failure = dispatch::call_failure(authorized, lost, error);
         self.retrier.handle_failure(&self.node, authorized, failure).await.ok()?;
         let call = self.resume_call()?;
         loop {
             let sent = dispatch::send(&self.node, authorized, &call, &mut self.retrier).await;
-            let (attempt, response) = sent.ok()?;
-            let resumed = response.headers().get(RESUMED).and_then(|value| value.to_str().ok());
+            let (attempt, exchange) = sent.ok()?;
+            let resumed =
+                exchange.response.headers().get(RESUMED).and_then(|value| value.to_str().ok());
             if resumed.and_then(|text| text.parse().ok()) == Some(self.tokens) {
-                return Some((attempt, response.into_body()));
+                return Some((attempt, exchange));
             }
             let refusal = Refusal::not_run(
                 authorized.request.clone(),
--- a/crates/catkinlatch-node/src/order/guard.rs
+++ b/crates/catkinlatch-node/src/order/guard.rs
@@ -1,5 +1,6 @@
 //! A TCP connection that checks for permission before each write.
 
+use catkinlatch_runtime::http::{Meter, Metered};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::{
@@ -19,7 +20,7 @@
 /// before the system call. A write without permission fails with
 /// [`PermissionDenied`](io::ErrorKind::PermissionDenied).
 pub struct Guard<F> {
-    stream: TokioIo<TcpStream>,
+    stream: TokioIo<Metered<TcpStream>>,
     may_write: F,
     written: Arc<AtomicBool>,
 }
@@ -27,7 +28,10 @@
 impl<F> Guard<F> {
     /// Wraps a connection.
     pub fn new(stream: TcpStream, may_write: F) -> Self {
-        Self { stream: TokioIo::new(stream), may_write, written: Arc::default() }
+        let meter = Meter::default();
+        meter.begin();
+        let stream = TokioIo::new(Metered::new(stream, meter));
+        Self { stream, may_write, written: Arc::default() }
     }
 
     /// Returns a flag that is set as soon as any byte may have been sent.
--- a/crates/catkinlatch-node/src/order/send.rs
+++ b/crates/catkinlatch-node/src/order/send.rs
@@ -3,6 +3,7 @@
 use super::guard::Guard;
 use crate::upstream::read_body;
 use bytes::Bytes;
+use catkinlatch_runtime::http::MAX_HEAD_BYTES;
 use derive_more::{Display, Error};
 use http::{Request, Response, header};
 use http_body_util::Full;
@@ -58,7 +59,8 @@
 ) -> Option<Response<Bytes>> {
     let host = address.parse().ok()?;
     request.headers_mut().insert(header::HOST, host);
-    let (mut sender, connection) = http1::handshake(guard).await.ok()?;
+    let connection = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(guard).await;
+    let (mut sender, connection) = connection.ok()?;
     let exchange = async {
         let (head, body) = sender.send_request(request).await.ok()?.into_parts();
         let body = read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
--- a/crates/catkinlatch-node/src/upstream.rs
+++ b/crates/catkinlatch-node/src/upstream.rs
@@ -1,18 +1,14 @@
 //! HTTP client for calls from a node to targets and the platform.
 
 use bytes::Bytes;
+use catkinlatch_runtime::http::{BodyError, Client, Exchange, Failure};
 use derive_more::{Display, Error};
-use http::{Request, Response, Uri};
+use http::{HeaderValue, Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
-};
-use std::time::Duration;
 
-/// The timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Port of addresses that name none.
+const DEFAULT_PORT: u16 = 80;
 
 /// Why a call failed.
 #[derive(Debug, Display, Error)]
@@ -23,6 +19,9 @@
     /// The connection failed after the request may have been sent, in part or whole.
     #[display("the connection broke")]
     Broken,
+    /// The target sent bytes that are no response, or exceeded a limit other than the body's.
+    #[display("the answer is malformed or has no end")]
+    Malformed,
     /// The response body is longer than the limit.
     #[display("the answer is longer than {limit} bytes")]
     TooLong {
@@ -31,34 +30,42 @@
     },
 }
 
-/// An HTTP client that never retries a request by itself.
-#[derive(Clone, Debug)]
+/// An HTTP client that never retries a request by itself; its responses stay within the limits of
+/// [`catkinlatch_runtime::http::Limits`].
+#[derive(Clone, Debug, Default)]
 pub struct Upstream {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client,
 }
 
 impl Upstream {
     /// Creates a client; connections are opened when requests are sent.
     pub fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
-        let client =
-            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
-        Self { client }
+        Self::default()
     }
 
-    /// Sends a request and returns the response as soon as its head has arrived.
+    /// Sends a request with an absolute URI and returns the response as soon as its head has
+    /// arrived.
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::Connect`] or [`CallError::Broken`].
-    pub async fn send(
-        &self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, CallError> {
-        self.client.request(request).await.map_err(|error| {
-            if error.is_connect() { CallError::Connect } else { CallError::Broken }
+    /// Returns [`CallError::Connect`], [`CallError::Broken`] or [`CallError::Malformed`].
+    pub async fn send(&self, mut request: Request<Full<Bytes>>) -> Result<Exchange, CallError> {
+        self.client.prune();
+        let uri = std::mem::take(request.uri_mut());
+        let authority = uri.authority().ok_or(CallError::Connect)?;
+        if let Ok(host) = HeaderValue::from_str(authority.as_str()) {
+            request.headers_mut().entry(header::HOST).or_insert(host);
+        }
+        let port = authority.port_u16().unwrap_or(DEFAULT_PORT);
+        let address = format!("{}:{port}", authority.host());
+        let path = uri.path_and_query().map_or("/", |path| path.as_str());
+        *request.uri_mut() = path.parse().map_err(|_| CallError::Connect)?;
+        let request = request.map(|body| body.map_err(|never| match never {}).boxed_unsync());
+        let sent = self.client.send(&address, request).await;
+        sent.map_err(|failure| match failure {
+            Failure::NotSent(_) => CallError::Connect,
+            Failure::Unknown(_) => CallError::Broken,
+            Failure::Malformed(_) => CallError::Malformed,
         })
     }
 
@@ -72,9 +79,26 @@
         request: Request<Full<Bytes>>,
         limit: usize,
     ) -> Result<Response<Bytes>, CallError> {
-        let (head, body) = self.send(request).await?.into_parts();
-        let body = read_body(body, limit).await?;
-        Ok(Response::from_parts(head, body))
+        read_whole(self.send(request).await?, limit).await
+    }
+}
+
+/// Reads the rest of a response with a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Returns [`CallError::TooLong`] if the body is longer than `limit`, and [`CallError::Broken`] or
+/// [`CallError::Malformed`] if it cannot be read to its end.
+pub async fn read_whole(exchange: Exchange, limit: usize) -> Result<Response<Bytes>, CallError> {
+    exchange.read_body(limit).await.map_err(|error| body_error(&error, limit))
+}
+
+/// Converts the error of reading a body of at most `limit` bytes.
+pub fn body_error(error: &BodyError, limit: usize) -> CallError {
+    match error {
+        BodyError::TooLong => CallError::TooLong { limit },
+        BodyError::Broken(_) => CallError::Broken,
+        BodyError::Malformed(_) | BodyError::NoMemory => CallError::Malformed,
     }
 }
 
