--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod configuration;
 mod engine;
+mod flood;
 mod host;
 mod lifecycle;
 mod platform;
@@ -16,6 +17,7 @@
     cold::{COLD_PER_SECOND, Cold, MAX_COLD_REQUESTS},
     configuration::{HOST, configuration, request},
     engine::Engine,
+    flood::{Flood, Pace, Place},
     host::Host,
     lifecycle::{CRASHING_BODY, Lifecycle, SILENCING_BODY},
     platform::Platform,
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -215,13 +215,13 @@
     let sent = cold::send(host, target, request).await;
     let exchange = sent.map_err(|failure| match failure {
         SendError::Withheld => Attempt::Full,
-        SendError::Failed(Failure::NotSent(_)) => Attempt::Unanswered,
+        SendError::Failed(Failure::NotSent(_) | Failure::Malformed(_)) => Attempt::Unanswered,
         SendError::Failed(Failure::Unknown(_)) => Attempt::Broken,
     })?;
     host.record_response(target, &exchange.response);
     let read = exchange.read_body(MAX_ANSWER_BYTES).await;
     read.map_err(|error| match error {
-        BodyError::TooLong => Attempt::Unanswered,
+        BodyError::TooLong | BodyError::Malformed(_) | BodyError::NoMemory => Attempt::Unanswered,
         BodyError::Broken(_) => Attempt::Broken,
     })
 }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -16,6 +16,8 @@
 mod directory;
 #[path = "site/evacuation.rs"]
 mod evacuation;
+#[path = "site/flood.rs"]
+mod flood;
 #[path = "site/key.rs"]
 mod key;
 #[path = "site/leaving.rs"]
