Queue live requests by rank on entry hosts, and bound their retries by route

Cause: a request that found all targets full slept 15 ms and tried again, so the next free slot went to whichever woke first. Retries on further targets had no bound but the attempts of each request. Change: admission::rank::Queue orders the waiting requests of a service by rank, with turns for the teams of a rank and floors; entry/src/admission.rs wakes the first one when an own request has ended or 15 ms after a refusal. Refusals say when to return, which follows the queue and is spread; a caller that returns as told goes before newcomers of its team. retry::Budget bounds retries after attempts that may have run: 0.2 of the first attempts, and a reserve of five that refills at one in 20 s on each host. places::{Share, Division} and the host's side of shares are not in use yet: no leader grants any.

--- a/crates/catkinlatch-entry/src/exchange.rs
+++ b/crates/catkinlatch-entry/src/exchange.rs
@@ -1,6 +1,6 @@
 //! The entry host's side of the exchange with the leader about load and targets.
 
-use crate::host::Host;
+use crate::{admission, host::Host};
 use catkinlatch_base::Term;
 use catkinlatch_runtime::{
     Message, Reply,
@@ -12,6 +12,10 @@
 /// Time until the next report if the leader has not said when it is due.
 const IDLE_INTERVAL: Duration = Duration::from_millis(5_000);
 
+/// Time until the next report if there was no answer and this host has a share of a service's
+/// places, or knows no leader to report to.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Shortest time between two reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -25,14 +29,27 @@
 pub async fn run(host: Arc<Host>) {
     let mut newest = Term::default();
     loop {
-        let interval = match exchange(&host).await {
+        let turn = host.admission.exchange.lock().await;
+        let sent_at = host.clock.now();
+        let answer = exchange(&host).await;
+        let interval = match answer {
             Some(guidance) if guidance.term >= newest => {
                 newest = guidance.term;
+                admission::adopt(&host, &guidance, sent_at);
                 Duration::from_millis(guidance.interval_ms.into()).max(MIN_INTERVAL)
             }
-            Some(_) | None => IDLE_INTERVAL,
+            Some(_) => IDLE_INTERVAL,
+            None => {
+                admission::record_silence(&host);
+                let waits = host.admission.is_divided() || host.leader_client.leader().is_none();
+                if waits { RETRY_INTERVAL } else { IDLE_INTERVAL }
+            }
         };
-        time::sleep(interval).await;
+        drop(turn);
+        // A place that this host no longer needs is reported early.
+        time::sleep(MIN_INTERVAL.min(interval)).await;
+        let rest = interval.saturating_sub(MIN_INTERVAL);
+        let _ = time::timeout(rest, host.admission.surplus.notified()).await;
     }
 }
 
@@ -51,7 +68,7 @@
         host: host.settings.host.clone(),
         incarnation: host.peers.local().incarnation,
         zone: host.settings.zone.clone(),
-        demands: Vec::new(),
+        demands: host.admission.demands(host.clock.now()),
         observations: Vec::new(),
     }
 }
--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -1,6 +1,6 @@
 //! HTTP front end for callers: authorizes requests and dispatches them.
 
-use crate::{answer, batch, host::Host, proxy};
+use crate::{admission::Place, answer, batch, host::Host, proxy};
 use catkinlatch_base::TeamId;
 use catkinlatch_ledger::config::{Configuration, Kind, Route};
 use catkinlatch_platform::{
@@ -42,6 +42,8 @@
     pub priority: u8,
     /// The fingerprint, once it was asked for.
     fingerprint: OnceLock<Fingerprint>,
+    /// The place in the queue of a service, which the request holds until it and its response end.
+    pub place: OnceLock<Place>,
 }
 
 impl InboundRequest {
@@ -50,6 +52,11 @@
         header::text(&self.head.headers, &header::REQUEST_ID)
     }
 
+    /// Returns the caller's API key, valid or not.
+    pub fn key(&self) -> Option<&str> {
+        header::text(&self.head.headers, &header::KEY)
+    }
+
     /// Returns the fingerprint, which is the same for each attempt of a caller at this request.
     pub fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
@@ -92,7 +99,7 @@
             return answer::status(code);
         }
     };
-    let fingerprint = OnceLock::new();
+    let (fingerprint, place) = (OnceLock::new(), OnceLock::new());
     let body = match collect(body, configuration.limits.body_bytes).await {
         Ok(body) => body,
         Err(BodyError::TooLong) => {
@@ -119,12 +126,12 @@
                 return answer::status(StatusCode::METHOD_NOT_ALLOWED);
             }
             let priority = configuration.priority(&route, team.as_ref());
-            let inbound = InboundRequest { head, body, route, team, priority, fingerprint };
+            let inbound = InboundRequest { head, body, route, team, priority, fingerprint, place };
             batch::submit(&host, &inbound).await
         }
         (EntryCall::Request, Some(route)) => {
             let priority = configuration.priority(&route, team.as_ref());
-            let inbound = InboundRequest { head, body, route, team, priority, fingerprint };
+            let inbound = InboundRequest { head, body, route, team, priority, fingerprint, place };
             proxy::serve(&host, inbound, arrived).await
         }
         (EntryCall::Request, None) => answer::status(StatusCode::NOT_FOUND),
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of an entry host share.
 
-use crate::{suspect, usage::Usage, view::View};
+use crate::{admission::Admission, suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
 use catkinlatch_ledger::{Balancer, registry::Leaving};
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
@@ -19,6 +19,8 @@
     pub leader_client: LeaderClient,
     /// The HTTP client with its connections to targets.
     pub client: Client,
+    /// The queues of live requests for the slots of services.
+    pub admission: Admission,
     view: Mutex<View>,
     balancer: Mutex<Balancer>,
     usage: Mutex<Usage>,
@@ -42,6 +44,7 @@
             peers,
             leader_client,
             client,
+            admission: Admission::default(),
             view: Mutex::default(),
             balancer: Mutex::default(),
             usage: Mutex::default(),
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry role, run by the hosts that callers connect to: proxies live requests to targets and
 //! submits batch jobs to the leader.
 
+mod admission;
 mod answer;
 mod attempt;
 mod batch;
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -1,14 +1,14 @@
 //! Proxying of live requests to targets.
 
 use crate::{
-    answer,
+    admission, answer,
     attempt::{self, Outcome},
     front::InboundRequest,
     host::Host,
     stream::{self, Attempts},
     suspect::{self, Permit},
 };
-use catkinlatch_base::{Instant, TargetId};
+use catkinlatch_base::{Instant, ServiceId, TargetId};
 use catkinlatch_ledger::{Target, config::Kind};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::http::{Body, full};
@@ -24,12 +24,13 @@
 /// retried on another target.
 const ATTEMPT_OBJECTIVES: u32 = 3;
 
-/// Pause before full targets are tried again.
-const FULL_RETRY_PAUSE: Duration = Duration::from_millis(15);
-
-/// Share of the latency objective during which full targets are tried again.
+/// Share of the latency objective during which a request waits for a free slot.
 const FULL_RETRY_SHARE: f64 = 0.24;
 
+/// Time before the end of the wait in which no attempt starts any more, so that refusals by all
+/// targets arrive within it.
+const LAST_ATTEMPT_TIME: Duration = Duration::from_millis(15);
+
 /// Shortest remaining time in which another attempt is made.
 pub const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 
@@ -115,27 +116,34 @@
     failure: &mut Option<Response<Body>>,
 ) -> End {
     let deadline = arrived + time_limit(inbound);
-    let full_retry_deadline = arrived + full_retry_limit(inbound);
+    let longest_wait = full_retry_limit(inbound).min(time_limit(inbound));
+    let give_up_at = arrived + longest_wait.saturating_sub(LAST_ATTEMPT_TIME);
     let trial_deadline = arrived + time_limit(inbound).mul_f64(TRIAL_WAIT_SHARE);
     let is_stream = inbound.route.kind == Kind::Stream;
     let is_idempotent = inbound.route.may_repeat();
     let mut tried = BTreeSet::new();
-    let (mut sends, mut may_have_run) = (0, false);
+    let (mut sends, mut may_have_run, mut spends_retry) = (0, false, false);
     loop {
         let now = host.clock.now();
         let left = deadline - now;
         if left < MIN_ATTEMPT_TIME && sends > 0 || left.is_zero() {
             return if may_have_run { End::TimedOut } else { End::NotRun(FULL_RETRY_AFTER) };
         }
-        let target =
-            (sends < inbound.route.max_attempts).then(|| pick_target(host, inbound, &tried, now));
-        let Some(target) = target.flatten() else {
-            if !may_have_run
-                && sends > 0
-                && host.clock.now() + FULL_RETRY_PAUSE < full_retry_deadline
-            {
+        let place = match enter(host, inbound, arrived, give_up_at).await {
+            Ok(place) => place,
+            Err(end) => return end,
+        };
+        let now = host.clock.now();
+        let picked = (sends < inbound.route.max_attempts).then(|| match (sends, place) {
+            (0, Some(place)) => pick_from(host, place.service(), &tried, now),
+            _ => pick_target(host, inbound, &tried, now),
+        });
+        let Some(target) = picked.flatten() else {
+            if let Some(place) = place.filter(|_| !may_have_run && sends > 0) {
                 // Every target tried was full; requests are short, so slots soon become free.
-                time::sleep(FULL_RETRY_PAUSE).await;
+                if let Err(refusal) = admission::wait_again(host, inbound, place, arrived).await {
+                    return End::NotRun(refusal.after);
+                }
                 tried.clear();
                 sends = 0;
                 continue;
@@ -158,8 +166,17 @@
                 return if may_have_run { End::MayHaveRun } else { End::NotRun(after) };
             }
         }
-        // A suspect may have waited for the leader's word.
-        let left = deadline - host.clock.now();
+        // The request may have waited for a place, and a suspect for the leader's word.
+        let now = host.clock.now();
+        let left = deadline - now;
+        if !may_have_run && sends == 0 {
+            host.admission.earn_retry(&inbound.route, now);
+        }
+        if spends_retry && !host.admission.take_retry(&inbound.route, now) {
+            attempt_log.push("no retry left in the budget of the route".to_owned());
+            metrics::counter!("catkinlatch_entry_retries_refused").increment(1);
+            return if left.is_zero() { End::TimedOut } else { End::MayHaveRun };
+        }
         sends += 1;
         let is_last = sends >= inbound.route.max_attempts || !is_idempotent;
         let limit = if is_last { left } else { left.min(attempt_limit(inbound, left)) };
@@ -177,6 +194,7 @@
             attempt::send(host, inbound, &target, left, limit, MAX_ANSWER_BYTES).await
         };
         record(host, inbound, &target, permit, &outcome).await;
+        spends_retry = !matches!(outcome, Outcome::NotRun(_));
         match outcome {
             Outcome::Answer(answer) => {
                 attempt_log.push(format!("{} answered", target.id));
@@ -203,6 +221,29 @@
     }
 }
 
+/// Waits for a place in the queue of a service, if the request has none yet.
+///
+/// Returns `None` if its route names no service.
+///
+/// # Errors
+///
+/// Returns the end of the request if it cannot run within its time.
+async fn enter<'a>(
+    host: &Arc<Host>,
+    inbound: &'a InboundRequest,
+    arrived: Instant,
+    give_up_at: Instant,
+) -> Result<Option<&'a admission::Place>, End> {
+    if inbound.place.get().is_none()
+        && let Some(service) = inbound.route.service(fastrand::f64())
+    {
+        let entered = admission::enter(host, inbound, service, arrived, give_up_at).await;
+        let place = entered.map_err(|refusal| End::NotRun(refusal.after))?;
+        let _ = inbound.place.set(place);
+    }
+    Ok(inbound.place.get())
+}
+
 /// Records what an attempt tells about whether the request crashes targets. Only a crash is waited
 /// for, since the next attempt must not run beside another.
 async fn record(
@@ -234,14 +275,14 @@
 }
 
 /// Returns the time from arrival within which the caller must get its response.
-fn time_limit(inbound: &InboundRequest) -> Duration {
+pub fn time_limit(inbound: &InboundRequest) -> Duration {
     let caller =
         header::number(&inbound.head.headers, &header::DEADLINE).map(Duration::from_millis);
     let route = inbound.route.timeout_ms.map(Duration::from_millis);
     [caller, route].into_iter().flatten().min().unwrap_or(DEFAULT_TIMEOUT)
 }
 
-/// Returns how long full targets are tried again, so that the caller still gets its response or
+/// Returns how long a request waits for a free slot, so that the caller still gets its response or
 /// refusal early.
 fn full_retry_limit(inbound: &InboundRequest) -> Duration {
     let objective = inbound.route.objective_ms.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
@@ -260,10 +301,19 @@
     inbound: &InboundRequest,
     tried: &BTreeSet<TargetId>,
     now: Instant,
+) -> Option<Target> {
+    pick_from(host, inbound.route.service(fastrand::f64())?, tried, now)
+}
+
+/// Picks a target of a service, leaving out those already tried.
+fn pick_from(
+    host: &Host,
+    service: &ServiceId,
+    tried: &BTreeSet<TargetId>,
+    now: Instant,
 ) -> Option<Target> {
     // Targets may start draining between attempts, so each attempt uses the latest view.
     let view = host.view();
-    let service = inbound.route.service(fastrand::f64())?;
     let leaving = host.leaving();
     let pick = |left_out: &BTreeSet<TargetId>| {
         let staying = view.targets(service).filter(|target| !leaving.contains(target));
--- a/crates/catkinlatch-route/src/admission.rs
+++ b/crates/catkinlatch-route/src/admission.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod pool;
 mod queue;
+pub mod rank;
 mod request;
 mod throughput;
 
--- /dev/null
+++ b/crates/catkinlatch-route/src/admission/rank.rs
@@ -0,0 +1,422 @@
+//! Queue of one sender's requests for the slots of one service, ordered by rank.
+//!
+//! The sender does not see the slots: targets refuse what they have no room for. A request that all
+//! targets refused waits here, and the one at the head tries again when a slot may be free.
+
+mod account;
+mod pace;
+mod returns;
+
+pub use self::{account::Flow, returns::Returns};
+
+use self::{
+    account::{Accounts, Candidate, Charge},
+    pace::Pace,
+};
+use catkinlatch_base::{Instant, TeamId};
+use derive_more::Display;
+use slotmap::SlotMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+    time::Duration,
+};
+
+slotmap::new_key_type! {
+    /// Identifies a request of a queue.
+    pub struct Ticket;
+}
+
+/// Maximum number of requests that wait for one service. A sender that has more of them waiting
+/// could not serve the last ones within the time that callers wait.
+pub const MAX_WAITING: usize = 64;
+
+/// Time after a refusal until the next attempt. A refusal arrives within a few milliseconds, and a
+/// slot is used for about 150 ms, so a freed one is unused for a tenth of that at most.
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Most requests that start in one [`PROBE_INTERVAL`] while targets refuse none.
+const MAX_BURST: u32 = 16;
+
+/// Time without a waiting request after which the queue forgets who was served.
+const MEMORY: Duration = Duration::from_secs(10);
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The rank; 0 is served first.
+    pub rank: u8,
+    /// The team; `None` if the caller has no key.
+    pub team: Option<TeamId>,
+    /// Whether the caller returns after a refusal.
+    pub is_return: bool,
+    /// When the request is refused if it has not run.
+    pub give_up_at: Instant,
+}
+
+impl Arrival {
+    fn flow(&self) -> Flow {
+        Flow { rank: self.rank, team: self.team.clone() }
+    }
+}
+
+/// Reasons for which a request is refused; it has not run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Reason {
+    /// It waited as long as it may.
+    #[display("no place within its time")]
+    TimeOver,
+    /// So many go before it that it cannot run within its time.
+    #[display("too many go before it")]
+    TooManyBefore,
+    /// The queue is full of requests that go before it.
+    #[display("the queue is full")]
+    QueueFull,
+}
+
+/// What becomes of a request that arrives or waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// It tries the targets now.
+    Run,
+    /// It waits; [`Queue::poll`] returns its next step.
+    Wait,
+    /// It is refused.
+    Refuse(Reason),
+}
+
+/// The load of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Number of requests that run.
+    pub running: u32,
+    /// Number of requests that wait.
+    pub waiting: u32,
+    /// The highest rank among them.
+    pub rank: u8,
+}
+
+#[derive(Debug)]
+struct Request {
+    arrival: Arrival,
+    sequence: u64,
+    /// What the request was charged when it started, until it ends.
+    charge: Option<Charge>,
+    /// When it last started.
+    started_at: Instant,
+}
+
+/// The requests of one sender for one service.
+///
+/// ```
+/// use catkinlatch_base::Instant;
+/// use catkinlatch_route::admission::rank::{Arrival, Queue, Step};
+///
+/// let arrival = |rank| Arrival {
+///     rank,
+///     team: None,
+///     is_return: false,
+///     give_up_at: Instant::from_millis(96),
+/// };
+/// let mut queue = Queue::default();
+/// let (low, step) = queue.enter(arrival(2), Instant::ZERO);
+/// assert_eq!(step, Step::Run);
+/// queue.requeue(low, Instant::ZERO);
+/// let (high, step) = queue.enter(arrival(0), Instant::ZERO);
+/// assert_eq!(step, Step::Run);
+/// queue.requeue(high, Instant::ZERO);
+/// assert_eq!(queue.poll(Instant::ZERO), None);
+/// assert_eq!(queue.poll(Instant::from_millis(15)), Some((high, Step::Run)));
+/// ```
+#[derive(Debug, Default)]
+pub struct Queue {
+    requests: SlotMap<Ticket, Request>,
+    waiting: BTreeSet<Ticket>,
+    /// Requests that are refused although their time is not over.
+    evicted: Vec<Ticket>,
+    next_sequence: u64,
+    limit: Option<u32>,
+    /// When the next request may start after a refusal.
+    next_attempt: Instant,
+    /// Number of requests that may still start before `next_attempt` is set again.
+    burst_left: u32,
+    /// Number of requests that may start in the next interval.
+    burst: u32,
+    /// Whether a slot has become free that a request may get which tries the targets.
+    is_slot_free: bool,
+    accounts: Accounts,
+    pace: Pace,
+    last_used: Instant,
+}
+
+impl Queue {
+    /// Sets how many requests may run at once; `None` leaves this to the targets.
+    pub fn set_limit(&mut self, limit: Option<u32>, now: Instant) {
+        let has_grown = limit.unwrap_or(u32::MAX) > self.limit.unwrap_or(u32::MAX);
+        self.limit = limit;
+        if has_grown {
+            // The places of a limit are free, unlike those that targets are asked for.
+            let free = limit.unwrap_or(1).saturating_sub(self.running());
+            self.next_attempt = self.next_attempt.min(now);
+            self.burst_left = self.burst_left.max(free);
+        }
+    }
+
+    /// Returns whether a request waits that the limit alone keeps from starting.
+    pub fn is_limited(&self) -> bool {
+        !self.waiting.is_empty() && !self.has_place()
+    }
+
+    /// Adds a request. It runs at once if it is the first in order and the limit allows it.
+    ///
+    /// A refused request has left the queue. A full queue refuses the last in order, which
+    /// [`Queue::poll`] returns if it is not the new one.
+    pub fn enter(&mut self, arrival: Arrival, now: Instant) -> (Ticket, Step) {
+        self.expire(now);
+        let give_up_at = arrival.give_up_at;
+        let flow = arrival.flow();
+        if !self.waiting.iter().any(|other| self.requests[*other].arrival.flow() == flow) {
+            self.accounts.activate(&flow);
+        }
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let request = Request { arrival, sequence, charge: None, started_at: Instant::ZERO };
+        let ticket = self.requests.insert(request);
+        self.waiting.insert(ticket);
+        if self.has_place() && self.head() == Some(ticket) {
+            self.start(ticket, now);
+            return (ticket, Step::Run);
+        }
+        if self.waiting.len() > MAX_WAITING
+            && let Some(last) = self.last()
+        {
+            self.waiting.remove(&last);
+            if last == ticket {
+                self.requests.remove(ticket);
+                return (ticket, Step::Refuse(Reason::QueueFull));
+            }
+            self.evicted.push(last);
+        }
+        let before = self.count_before(ticket);
+        // Half the expected wait is exceeded almost always.
+        if self.pace.wait(before, now).is_some_and(|wait| now + wait / 2 > give_up_at) {
+            self.waiting.remove(&ticket);
+            self.requests.remove(ticket);
+            return (ticket, Step::Refuse(Reason::TooManyBefore));
+        }
+        (ticket, Step::Wait)
+    }
+
+    /// Puts a request that all targets refused back to its place in the order.
+    pub fn requeue(&mut self, ticket: Ticket, now: Instant) {
+        let Some(request) = self.requests.get_mut(ticket) else { return };
+        if let Some(charge) = request.charge.take() {
+            self.accounts.refund(charge);
+        }
+        self.waiting.insert(ticket);
+        let pause = if mem::take(&mut self.is_slot_free) { Duration::ZERO } else { PROBE_INTERVAL };
+        self.next_attempt = now + pause;
+        (self.burst, self.burst_left) = (1, 1);
+        self.last_used = now;
+    }
+
+    /// Removes a request that has ended, or whose caller has left.
+    pub fn end(&mut self, ticket: Ticket, now: Instant) {
+        let is_evicted = self.evicted.contains(&ticket);
+        self.evicted.retain(|other| *other != ticket);
+        let is_waiting = self.waiting.remove(&ticket) || is_evicted;
+        if self.requests.remove(ticket).is_none() || is_waiting {
+            return;
+        }
+        self.pace.record_end(!self.waiting.is_empty(), now);
+        // The slot of an own request is free, whatever was refused before. A request of a
+        // higher rank that tries the targets at this moment gets the slot if it is refused.
+        if self.tries_until(now).is_some() {
+            self.is_slot_free = true;
+        } else {
+            self.use_free_slot(now);
+        }
+    }
+
+    /// Returns the next request that starts or is refused, if there is one.
+    pub fn poll(&mut self, now: Instant) -> Option<(Ticket, Step)> {
+        if let Some(ticket) = self.evicted.pop() {
+            self.requests.remove(ticket);
+            return Some((ticket, Step::Refuse(Reason::QueueFull)));
+        }
+        let is_over = |ticket: &&Ticket| now >= self.requests[**ticket].arrival.give_up_at;
+        if let Some(ticket) = self.waiting.iter().find(is_over).copied() {
+            self.waiting.remove(&ticket);
+            self.requests.remove(ticket);
+            return Some((ticket, Step::Refuse(Reason::TimeOver)));
+        }
+        if !self.has_place() || !self.may_try(now) {
+            return None;
+        }
+        let ticket = self.head()?;
+        self.start(ticket, now);
+        self.burst_left = self.burst_left.saturating_sub(1);
+        self.last_used = now;
+        Some((ticket, Step::Run))
+    }
+
+    /// Returns when [`Queue::poll`] may have a request again if nothing else happens before.
+    pub fn next_poll(&self, now: Instant) -> Option<Instant> {
+        let give_up = self.waiting.iter().map(|ticket| self.requests[*ticket].arrival.give_up_at);
+        let free_at = self.is_slot_free.then(|| self.tries_until(now)).flatten();
+        let next = free_at.map_or(self.next_attempt, |at| at.min(self.next_attempt));
+        let attempt = (!self.waiting.is_empty() && self.has_place()).then_some(next);
+        give_up.chain(attempt).min()
+    }
+
+    /// Returns the load; `None` if no request runs or waits.
+    pub fn load(&self) -> Option<Load> {
+        let rank = self.requests.values().map(|request| request.arrival.rank).min()?;
+        let waiting = self.waiting.len() as u32;
+        Some(Load { running: self.running(), waiting, rank })
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Draws the time after which a refused caller of a rank should return, which follows the queue.
+    ///
+    /// It is spread over 0.6 to 1.4 of the time until those before it have started, at most `most`.
+    pub fn retry_after(
+        &self,
+        rank: u8,
+        most: Duration,
+        now: Instant,
+        random: &mut fastrand::Rng,
+    ) -> Duration {
+        let ranks = self.waiting.iter().map(|ticket| self.requests[*ticket].arrival.rank);
+        let before = ranks.filter(|other| *other <= rank).count();
+        let drawn = self.pace.retry_after(before, now).mul_f64(0.6 + 0.8 * random.f64());
+        // Callers whose time is too short for the spread are spread below it.
+        if drawn <= most { drawn } else { most.mul_f64(0.5 + 0.5 * random.f64()) }
+    }
+
+    /// Lets the next request start, since a slot is free.
+    fn use_free_slot(&mut self, now: Instant) {
+        self.is_slot_free = false;
+        self.next_attempt = self.next_attempt.min(now);
+        self.burst_left = self.burst_left.max(1);
+    }
+
+    /// Returns until when a request may still be refused that started and has a higher rank than the
+    /// waiting ones; `None` if there is none.
+    fn tries_until(&self, now: Instant) -> Option<Instant> {
+        let waiting =
+            self.waiting.iter().map(|ticket| self.requests[*ticket].arrival.rank).min()?;
+        let running = self.requests.values().filter(|request| request.charge.is_some());
+        let tries = running.filter(|request| request.arrival.rank < waiting);
+        let until = tries.map(|request| request.started_at + PROBE_INTERVAL).max()?;
+        (now < until).then_some(until)
+    }
+
+    fn running(&self) -> u32 {
+        (self.requests.len() - self.waiting.len() - self.evicted.len()) as u32
+    }
+
+    fn has_place(&self) -> bool {
+        self.limit.is_none_or(|limit| self.running() < limit)
+    }
+
+    /// Returns whether a waiting request may try the targets, and begins the next interval if the
+    /// last one is over without a refusal.
+    fn may_try(&mut self, now: Instant) -> bool {
+        if self.is_slot_free && self.tries_until(now).is_none() {
+            self.use_free_slot(now);
+        }
+        if now < self.next_attempt {
+            return false;
+        }
+        if self.burst_left == 0 {
+            self.burst = (self.burst * 2).clamp(1, MAX_BURST);
+            self.burst_left = self.burst;
+            self.next_attempt = now + PROBE_INTERVAL;
+            return false;
+        }
+        true
+    }
+
+    fn start(&mut self, ticket: Ticket, now: Instant) {
+        self.waiting.remove(&ticket);
+        let candidates = self.candidates();
+        let Some(request) = self.requests.get_mut(ticket) else { return };
+        let flow = request.arrival.flow();
+        request.charge = Some(self.accounts.charge(flow, &candidates));
+        request.started_at = now;
+    }
+
+    fn head(&self) -> Option<Ticket> {
+        // With one request there is nothing to order; this is the way without contention.
+        if self.waiting.len() <= 1 {
+            return self.waiting.first().copied();
+        }
+        self.accounts.choose(&self.candidates())
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let waiting = self.waiting.iter().map(|ticket| (*ticket, &self.requests[*ticket]));
+        let candidate = |(ticket, request): (Ticket, &Request)| Candidate {
+            ticket,
+            flow: request.arrival.flow(),
+            is_newcomer: !request.arrival.is_return,
+            sequence: request.sequence,
+        };
+        waiting.map(candidate).collect()
+    }
+
+    /// Returns the request that a full queue refuses: the newest of the team that has most waiting,
+    /// in the lowest rank that has more than its floor.
+    fn last(&self) -> Option<Ticket> {
+        let mut ranks: BTreeMap<u8, usize> = BTreeMap::new();
+        let mut flows: BTreeMap<Flow, usize> = BTreeMap::new();
+        for ticket in &self.waiting {
+            let arrival = &self.requests[*ticket].arrival;
+            *ranks.entry(arrival.rank).or_default() += 1;
+            *flows.entry(arrival.flow()).or_default() += 1;
+        }
+        let has_most = |(_, count): &(&u8, &usize)| **count > MAX_WAITING / 5;
+        let rank = ranks.iter().rev().find(has_most).map(|(rank, _)| *rank)?;
+        self.waiting.iter().copied().filter(|t| self.requests[*t].arrival.rank == rank).max_by_key(
+            |ticket| {
+                let request = &self.requests[*ticket];
+                (flows[&request.arrival.flow()], !request.arrival.is_return, request.sequence)
+            },
+        )
+    }
+
+    /// Estimates how many requests start before a waiting one, by the order and the floors.
+    fn count_before(&self, ticket: Ticket) -> usize {
+        let own = &self.requests[ticket];
+        let flow = own.arrival.flow();
+        let (mut of_higher, mut of_peers, mut of_flow) = (0, 0, 0);
+        let mut flows = BTreeSet::new();
+        for other in self.waiting.iter().map(|other| &self.requests[*other]) {
+            let other_flow = other.arrival.flow();
+            let is_earlier =
+                (!other.arrival.is_return, other.sequence) < (!own.arrival.is_return, own.sequence);
+            of_higher += usize::from(other_flow.rank < flow.rank);
+            of_peers += usize::from(other_flow.rank == flow.rank && other_flow != flow);
+            of_flow += usize::from(other_flow == flow && is_earlier);
+            flows.insert(other_flow);
+        }
+        let higher = flows.iter().filter(|other| other.rank < flow.rank).count();
+        let peers = flows.iter().filter(|other| other.rank == flow.rank).count();
+        // Each higher team goes four times at most, and each other team of the rank once, before
+        // each request of this team.
+        let turns = of_flow + 1;
+        of_higher.min(4 * turns * higher) + of_peers.min(turns * (peers - 1)) + of_flow
+    }
+
+    fn expire(&mut self, now: Instant) {
+        if self.waiting.is_empty() && now >= self.last_used + MEMORY {
+            self.accounts = Accounts::default();
+        }
+        self.last_used = now;
+    }
+}
--- a/crates/catkinlatch-route/src/lib.rs
+++ b/crates/catkinlatch-route/src/lib.rs
@@ -4,6 +4,7 @@
 //! generator.
 
 pub mod admission;
+pub mod places;
 pub mod retry;
 pub mod target;
 
--- a/crates/catkinlatch-route/src/retry/budget.rs
+++ b/crates/catkinlatch-route/src/retry/budget.rs
@@ -12,7 +12,7 @@
 /// Number of retries in the full reserve, which serves routes with little traffic.
 const RESERVE_RETRIES: f64 = 5.0;
 
-/// Rate at which the reserve refills.
+/// Usual rate at which the reserve refills.
 const RESERVE_RETRIES_PER_SECOND: f64 = 0.5;
 
 /// The retry budget of one route.
@@ -37,13 +37,20 @@
     share: Ratio,
     credit: f64,
     reserve: f64,
+    refill: f64,
     updated_at: Instant,
 }
 
 impl Budget {
     /// Creates a budget with a full reserve that allows `share` retries per first attempt.
     pub fn new(share: Ratio, now: Instant) -> Self {
-        Self { share, credit: 0.0, reserve: RESERVE_RETRIES, updated_at: now }
+        let refill = RESERVE_RETRIES_PER_SECOND;
+        Self { share, credit: 0.0, reserve: RESERVE_RETRIES, refill, updated_at: now }
+    }
+
+    /// Sets the rate at which the reserve refills, in retries a second.
+    pub fn with_refill(self, refill: f64) -> Self {
+        Self { refill, ..self }
     }
 
     /// Records a first attempt, which earns credit.
@@ -68,7 +75,7 @@
         let idle = now.saturating_duration_since(self.updated_at);
         let kept = 1.0 - cmp::min(idle, CREDIT_WINDOW).as_secs_f64() / CREDIT_WINDOW.as_secs_f64();
         self.credit *= kept;
-        let filled = self.reserve + idle.as_secs_f64() * RESERVE_RETRIES_PER_SECOND;
+        let filled = self.reserve + idle.as_secs_f64() * self.refill;
         self.reserve = filled.min(RESERVE_RETRIES);
         self.updated_at = now;
     }
--- a/crates/catkinlatch-runtime/src/message/exchange.rs
+++ b/crates/catkinlatch-runtime/src/message/exchange.rs
@@ -30,6 +30,9 @@
         pub waiting: u32,
         /// The highest priority among them; 0 is the highest of all.
         pub priority: u8,
+        /// Number of requests that the host may run at once, after it gave up what it does not
+        /// need; 0 if it has no share.
+        pub share: u32,
     }
 }
 
