Test full targets with real processes

Cause: the queue of entry hosts and the budget of retries had decision tests alone. Change: tests/site/admission.rs: targets that are full, full for a while, or have one slot, with a leader and after it was killed; retries in an outage. The stand-in service can have a number of slots.

--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -29,12 +29,14 @@
 /// Counts a request as abandoned if it is dropped before it has run.
 struct Run {
     abandoned: Arc<AtomicU32>,
+    running: Arc<AtomicU32>,
     has_ended: bool,
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
         self.abandoned.fetch_add(u32::from(!self.has_ended), Ordering::Relaxed);
+        self.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -72,6 +74,10 @@
     spoiled: Arc<Mutex<Option<(Flaw, u32)>>>,
     /// Whether the service refuses all requests because it is full.
     pub is_full: Arc<AtomicBool>,
+    /// Number of requests that the service runs at once; it refuses others because it is full.
+    pub room: Arc<AtomicU32>,
+    /// Number of requests that run.
+    running: Arc<AtomicU32>,
     /// Number of requests that the service refused because it was full.
     pub refusals: Arc<AtomicU32>,
     lifecycle: Lifecycle,
@@ -94,6 +100,8 @@
             abandoned: Arc::default(),
             spoiled: Arc::default(),
             is_full: Arc::default(),
+            room: Arc::new(AtomicU32::new(u32::MAX)),
+            running: Arc::default(),
             refusals: Arc::default(),
             lifecycle: Lifecycle::new(controls),
         };
@@ -189,7 +197,9 @@
         if headers.get("expect-instance").is_some_and(|expected| *expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, &id, "");
         }
-        if self.is_full.load(Ordering::Relaxed) {
+        let room = self.room.load(Ordering::Relaxed);
+        let is_running = self.running.load(Ordering::Relaxed) >= room;
+        if is_running || self.is_full.load(Ordering::Relaxed) {
             self.refusals.fetch_add(1, Ordering::Relaxed);
             return respond(StatusCode::SERVICE_UNAVAILABLE, &id, "");
         }
@@ -211,7 +221,9 @@
             std::future::pending::<()>().await;
         }
         let run_time = *lock(&self.run_time);
-        let mut run = Run { abandoned: self.abandoned.clone(), has_ended: false };
+        self.running.fetch_add(1, Ordering::Relaxed);
+        let (abandoned, running) = (self.abandoned.clone(), self.running.clone());
+        let mut run = Run { abandoned, running, has_ended: false };
         time::sleep(run_time).await;
         run.has_ended = true;
         let mut headers_of_runs = lock(&self.headers_of_runs);
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -6,6 +6,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed test may panic")]
 
+#[path = "site/admission.rs"]
+mod admission;
 #[path = "site/answer.rs"]
 mod answer;
 #[path = "site/attempt.rs"]
