Divide a service's places among entry hosts and scoring calls

Cause: where a service has fewer slots than there are entry hosts, no host can know whether one is free, and scoring calls took up to 0.6 of each target without being accounted for. Change: places::Division on the leader grants shares by need and rank under a lease of 1,500 ms; hosts give up what they do not need with each report, and ask for one place with Message::RequestPlace when a request has none. Demand has the share that the host holds and Report a sequence, so that the leader knows which grants still count although messages are lost. The leader's scoring calls take places from the same division by the rank of their jobs. A new leader grants no more than hosts hold for one lease. Off, with one report in 5 s as before, where a service has as many places as ready entry hosts, and for engines.

--- a/crates/catkinlatch-entry/src/admission.rs
+++ b/crates/catkinlatch-entry/src/admission.rs
@@ -201,7 +201,9 @@
     loop {
         let is_over = match time::timeout(PLACE_TIMEOUT, host.admission.exchange.lock()).await {
             Ok(_turn) => {
-                let granted = request_place(&host, &service).await;
+                // After an unanswered message the leader may not have this host's latest report.
+                let is_silent = update(&host, &service, |line| line.is_silent());
+                let granted = if is_silent { None } else { request_place(&host, &service).await };
                 update(&host, &service, |line| line.end_request(granted))
             }
             Err(_) => update(&host, &service, |line| line.end_request(None)),
--- a/crates/catkinlatch-entry/src/admission/line.rs
+++ b/crates/catkinlatch-entry/src/admission/line.rs
@@ -121,6 +121,11 @@
         !self.is_asking
     }
 
+    /// Returns whether no leader has answered since the last message to it.
+    pub fn is_silent(&self) -> bool {
+        self.share.is_some_and(|share| share.is_silent())
+    }
+
     /// Records that no leader answered.
     pub fn record_silence(&mut self) {
         if let Some(share) = &mut self.share {
--- a/crates/catkinlatch-entry/src/exchange.rs
+++ b/crates/catkinlatch-entry/src/exchange.rs
@@ -19,6 +19,10 @@
 /// Shortest time between two reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Shortest time until a report that this host has places which it does not need. With 100 ms,
+/// requests of other hosts gave up before a single place was free for them.
+const SURPLUS_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Timeout of a report. A report that is lost is not repeated, since the next one replaces it.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -28,10 +32,12 @@
 /// about which host is taken for the leader.
 pub async fn run(host: Arc<Host>) {
     let mut newest = Term::default();
+    let mut sequence = 0;
     loop {
         let turn = host.admission.exchange.lock().await;
         let sent_at = host.clock.now();
-        let answer = exchange(&host).await;
+        sequence = host.clock.wall_ms().max(sequence + 1);
+        let answer = exchange(&host, sequence).await;
         let interval = match answer {
             Some(guidance) if guidance.term >= newest => {
                 newest = guidance.term;
@@ -47,26 +53,27 @@
         };
         drop(turn);
         // A place that this host no longer needs is reported early.
-        time::sleep(MIN_INTERVAL.min(interval)).await;
-        let rest = interval.saturating_sub(MIN_INTERVAL);
+        time::sleep(SURPLUS_INTERVAL).await;
+        let rest = interval.saturating_sub(SURPLUS_INTERVAL);
         let _ = time::timeout(rest, host.admission.surplus.notified()).await;
     }
 }
 
 /// Sends one report; returns the leader's guidance.
-async fn exchange(host: &Host) -> Option<Guidance> {
+async fn exchange(host: &Host, sequence: u64) -> Option<Guidance> {
     let leader = host.leader_client.leader()?;
-    let message = Message::Exchange(Box::new(report(host)));
+    let message = Message::Exchange(Box::new(report(host, sequence)));
     match host.peers.call::<Reply>(&leader, &message, TIMEOUT).await {
         Ok(Reply::Exchanged(guidance)) => Some(*guidance),
         Ok(_) | Err(_) => None,
     }
 }
 
-fn report(host: &Host) -> Report {
+fn report(host: &Host, sequence: u64) -> Report {
     Report {
         host: host.settings.host.clone(),
         incarnation: host.peers.local().incarnation,
+        sequence,
         zone: host.settings.zone.clone(),
         demands: host.admission.demands(host.clock.now()),
         observations: Vec::new(),
--- a/crates/catkinlatch-route/src/places/division.rs
+++ b/crates/catkinlatch-route/src/places/division.rs
@@ -50,6 +50,8 @@
     held: u32,
     /// The share that it was granted since; the answer may have been lost.
     granted: u32,
+    /// Number of the last report.
+    sequence: u64,
     /// Until when need, share and grant count.
     until: Instant,
     /// Part of the places by need and rank, as of the last division.
@@ -98,16 +100,29 @@
     /// has.
     ///
     /// The holder sends one message at a time, and gives up what it does not need before it says
-    /// what it has.
-    pub fn grant(&mut self, holder: &Holder, held: u32, need: Need, now: Instant) -> u32 {
+    /// what it has. Returns `None` for a report that is not newer than the last one, which is
+    /// `sequence`: it says nothing about what the holder has now.
+    pub fn grant(
+        &mut self,
+        holder: &Holder,
+        sequence: u64,
+        held: u32,
+        need: Need,
+        now: Instant,
+    ) -> Option<u32> {
+        self.expire(now);
+        if self.accounts.get(holder).is_some_and(|account| sequence <= account.sequence) {
+            return None;
+        }
         self.record(holder, held, need, now);
         let most = if self.is_waiting(now) { held } else { self.free_for(holder) };
         self.divide(now);
         let spare = (self.free_for(holder) / 2).saturating_sub(self.places / 4);
-        let Some(account) = self.accounts.get_mut(holder) else { return 0 };
+        let account = self.accounts.get_mut(holder)?;
+        account.sequence = sequence;
         // Places that nobody needs are lent, one to a holder, so that it need not ask for it.
         account.granted = account.entitled.max(spare.min(1)).min(most);
-        account.granted
+        Some(account.granted)
     }
 
     /// Grants a holder one place more than it has, if one is free; returns whether it did.
@@ -144,6 +159,11 @@
         is_free
     }
 
+    /// Records what the leader's own calls need after some have ended.
+    pub fn record_own(&mut self, need: Need, now: Instant) {
+        self.record(&Holder::Own, 0, need, now);
+    }
+
     /// Returns the sum of what all holders may use.
     pub fn committed(&mut self, now: Instant) -> u32 {
         self.expire(now);
@@ -154,8 +174,8 @@
         self.expire(now);
         let account = self.accounts.entry(holder.clone()).or_default();
         let until = now + self.lease;
-        let entitled = account.entitled;
-        *account = Account { need, held, granted: 0, until, entitled };
+        let Account { sequence, entitled, .. } = *account;
+        *account = Account { need, held, granted: 0, sequence, until, entitled };
     }
 
     fn expire(&mut self, now: Instant) {
--- a/crates/catkinlatch-route/src/places/share.rs
+++ b/crates/catkinlatch-route/src/places/share.rs
@@ -69,6 +69,11 @@
         self.is_silent = true;
     }
 
+    /// Returns whether the leader has not answered since the last guidance.
+    pub fn is_silent(&self) -> bool {
+        self.is_silent
+    }
+
     /// Returns whether guidance without this service, whose report was sent at `sent_at`, means
     /// that the service is not divided any more.
     pub fn is_ended_by(&self, sent_at: Instant) -> bool {
--- a/crates/catkinlatch-runtime/src/message/exchange.rs
+++ b/crates/catkinlatch-runtime/src/message/exchange.rs
@@ -9,6 +9,8 @@
         pub host: HostId,
         /// Identifies this start of the process.
         pub incarnation: Incarnation,
+        /// Grows with each report of the host, also across its restarts.
+        pub sequence: u64,
         /// The host's availability zone.
         pub zone: ZoneId,
         /// The host's requests that run or wait, by service.
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -90,8 +90,22 @@
     ///
     /// Returns an error if no port can be opened.
     pub async fn start(id: &str, name: &'static str, controls: Vec<String>) -> io::Result<Self> {
+        Self::start_with_slots(id, name, controls, 6).await
+    }
+
+    /// Starts the service like [`Service::start`], with this number of slots.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start_with_slots(
+        id: &str,
+        name: &'static str,
+        controls: Vec<String>,
+        slots: u32,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-        let target = Target::new(id, name, listener.local_addr()?, 6);
+        let target = Target::new(id, name, listener.local_addr()?, slots);
         let service = Self {
             target,
             run_time: Arc::new(Mutex::new(RUN_TIME)),
--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -124,13 +124,24 @@
         format!("{} says that it leaves, and starts anew; {late} late requests", start.id)
     }
 
+    /// Lets services refuse all requests for a while, or run one at a time.
+    async fn fill(&mut self, context: &Context, duration: Duration) -> String {
+        let (room, from) = (self.random.u32(..2), self.random.usize(..context.services.len()));
+        let services = &context.services[from..];
+        services.iter().for_each(|service| service.room.store(room, Ordering::Relaxed));
+        time::sleep(duration).await;
+        services.iter().for_each(|service| service.room.store(u32::MAX, Ordering::Relaxed));
+        let count = services.len();
+        format!("{count} services have room for {room} requests for {duration:?}")
+    }
+
     async fn inject(&mut self, context: &Arc<Context>) -> io::Result<String> {
         let number = self.random.usize(..self.site.hosts.len());
         let downtime = Duration::from_millis(self.random.u64(..1_200));
         let is_store = number < self.site.stores().len();
         let name = self.site.hosts[number].name.clone();
         let is_stable = self.last_store_fault.elapsed() > MIN_FAULT_FREE_TIME;
-        let fault = match self.random.u8(..14) {
+        let fault = match self.random.u8(..15) {
             0..4 => {
                 self.site.hosts[number].kill()?;
                 time::sleep(downtime).await;
@@ -178,6 +189,7 @@
                 tokio::spawn(caller::send_crashing(context.clone(), path, body.clone(), random));
                 return Ok(format!("a request to {path} crashes its targets: {body}"));
             }
+            13 => return Ok(self.fill(context, downtime).await),
             _ => {
                 let engine = self.random.usize(..context.engines.len());
                 context.engines[engine].state().runs_to_break += 3;
--- a/crates/catkinlatch-store/src/exchange.rs
+++ b/crates/catkinlatch-store/src/exchange.rs
@@ -1,21 +1,26 @@
 //! The leader's side of the exchange with entry hosts about load and targets.
 
+use crate::{host::Host, places};
 use catkinlatch_base::Term;
 use catkinlatch_runtime::message::{Guidance, Report};
 
 /// Time until the next report while no part needs reports, in milliseconds.
 const IDLE_INTERVAL_MS: u32 = 5_000;
 
+/// Time until the next report while a part needs reports, in milliseconds.
+const ACTIVE_INTERVAL_MS: u32 = 500;
+
 /// Duration of the lease that guidance is, in milliseconds.
-const LEASE_MS: u32 = 1_500;
+const LEASE_MS: u32 = places::LEASE.as_millis() as u32;
 
 /// Answers the report of an entry host in `term`.
-pub fn answer(term: Term, _report: &Report) -> Guidance {
+pub fn answer(host: &Host, term: Term, report: &Report) -> Guidance {
+    let places = host.places.guide(host, term, report);
     Guidance {
         term,
-        interval_ms: IDLE_INTERVAL_MS,
+        interval_ms: if places.is_empty() { IDLE_INTERVAL_MS } else { ACTIVE_INTERVAL_MS },
         lease_ms: LEASE_MS,
-        places: Vec::new(),
+        places,
         cold: Vec::new(),
         observations: Vec::new(),
     }
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -139,10 +139,14 @@
         }
         Message::Retire(name) => retire(host, &name).await,
         Message::Retirement(name) => retirement(host, &name),
-        Message::Exchange(report) => Reply::Exchanged(Box::new(exchange::answer(term, &report))),
+        Message::Exchange(report) => {
+            Reply::Exchanged(Box::new(exchange::answer(host, term, &report)))
+        }
         // No part takes these yet.
         Message::Evacuate(_) | Message::Restore(_) => Reply::Unknown,
-        Message::RequestPlace { .. } => Reply::Place(true),
+        Message::RequestPlace { host: holder, service } => {
+            host.places.request(host, term, holder, &service)
+        }
     }
 }
 
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -3,6 +3,7 @@
 use crate::{
     duty::{Rule, Turn},
     handler,
+    places::Places,
     soft_state::SoftState,
     suspect,
     view::{self, EncodedView},
@@ -49,6 +50,8 @@
     pub client: Client,
     /// The requests that may crash targets.
     pub suspects: suspect::Shared,
+    /// The division of services' places among hosts while this one leads.
+    pub places: Places,
     /// The last time this host may have acted as the holder of the duties; `None` if it never has.
     last_turn: Mutex<Option<Turn>>,
     soft_state: Mutex<SoftState>,
@@ -85,6 +88,7 @@
             leader_client,
             client,
             suspects: suspect::Shared::default(),
+            places: Places::default(),
             last_turn,
             soft_state,
             revision,
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -10,6 +10,7 @@
 mod host;
 mod lead;
 pub mod pace;
+mod places;
 pub mod redundancy;
 mod run;
 mod runner;
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -1,6 +1,6 @@
 //! Calls the scoring service for a generated sample.
 
-use crate::{host::Host, shared::Shared};
+use crate::{host::Host, places, shared::Shared};
 use catkinlatch_base::TargetId;
 use catkinlatch_ledger::{Configuration, Job, Target, balancer, job::Scorer, suspect::Change};
 use catkinlatch_platform::header;
@@ -59,12 +59,13 @@
         Fingerprint::of_request(["", &scorer.host, "POST", &scorer.path], &scorer.body);
     let mut failures = 0;
     let mut tried = BTreeSet::new();
+    let mut place = host.places.call(job.priority);
     loop {
         let configuration = host
             .replica
             .read(|state| state.document.as_ref().map(|document| document.configuration.clone()));
         let Some((target, route_max_failures)) =
-            target(host, shared, configuration, scorer, &tried)
+            target(host, shared, configuration, scorer, &tried, &mut place)
         else {
             tried.clear();
             let _ = time::timeout(RETRY_INTERVAL, shared.slot_freed().notified()).await;
@@ -83,6 +84,7 @@
             continue;
         }
         let attempt = call(host, shared, scorer, &target).await;
+        place.end(host.clock.now());
         if is_suspect {
             host.change_suspects(&end_of_trial(host, fingerprint, &attempt));
         }
@@ -152,6 +154,7 @@
     configuration: Option<Arc<Configuration>>,
     scorer: &Scorer,
     tried: &BTreeSet<TargetId>,
+    place: &mut places::Call,
 ) -> Option<(Target, u32)> {
     let configuration = configuration?;
     let route = configuration.route(&scorer.host, &scorer.path)?;
@@ -166,6 +169,10 @@
     let now = host.clock.now();
     let available = targets.filter(has_room);
     let target = balancer.pick(available, &host.settings.zone, tried, now)?.clone();
+    drop((soft, balancer));
+    if !place.take(host, service) {
+        return None;
+    }
     Some((target, route.max_attempts))
 }
 
--- a/tests/site/admission.rs
+++ b/tests/site/admission.rs
@@ -1,7 +1,7 @@
 //! Full targets: the order of waiting requests, refusals, and the budget of retries.
 
-use super::{Setup, ok, wait_until};
-use catkinlatch_standin::site::{Flaw, HOST};
+use super::{Setup, configuration, ok, wait_until};
+use catkinlatch_standin::site::{Flaw, HOST, Service};
 use http::{Request, Response, StatusCode};
 use std::{
     sync::atomic::Ordering,
@@ -23,13 +23,22 @@
 impl Setup {
     /// Sends a request of rank 1, or without a key of rank 2.
     async fn ask(&self, id: &str, has_key: bool) -> Option<Response<bytes::Bytes>> {
-        let path = if has_key { "/survey/1" } else { "/score/1" };
+        self.ask_at(0, if has_key { "/survey/1" } else { "/score/1" }, id, has_key).await
+    }
+
+    async fn ask_at(
+        &self,
+        entry: usize,
+        path: &str,
+        id: &str,
+        has_key: bool,
+    ) -> Option<Response<bytes::Bytes>> {
         let request = Request::post(path).header("host", HOST).header("attempt-id", id);
         let request = request.header("deadline-ms", CALLER_TIME.as_millis().to_string());
         let key = has_key.then_some("key-of-the-team");
         let request =
             key.into_iter().fold(request, |request, key| request.header("x-api-key", key));
-        let address = self.site.entries()[0].address(self.site.ports.callers);
+        let address = self.site.entries()[entry].address(self.site.ports.callers);
         self.site.call(&address, request.body(Vec::new()).unwrap()).await
     }
 
@@ -153,7 +162,7 @@
     let mut services = vec![setup.service.clone()];
     for number in 2..=4 {
         let id = format!("survey-{number}");
-        let start = catkinlatch_standin::site::Service::start(&id, "survey", controls.clone());
+        let start = Service::start(&id, "survey", controls.clone());
         services.push(start.await.unwrap());
     }
     wait_until("all targets serve", || async {
@@ -174,3 +183,73 @@
     assert!(runs <= 30 + 6 + 6, "{runs} runs of 30 requests");
     assert!(runs >= 30 + 3, "the reserve must allow the first failures to be retried: {runs}");
 }
+
+/// Sends requests to both entry hosts at once for a while, one at a time each; returns how many were
+/// served and how many refused.
+async fn ask_both(setup: &Setup, name: &str, duration: Duration) -> [usize; 2] {
+    let ask = |entry: usize| async move {
+        let (mut counts, began) = ([0, 0], Instant::now());
+        for number in 0.. {
+            if began.elapsed() > duration {
+                break;
+            }
+            let id = format!("{name}-{entry}-{number}");
+            let answer = setup.ask_at(entry, "/narrow/1", &id, true).await;
+            counts[usize::from(!answer.is_some_and(ok))] += 1;
+            time::sleep(Duration::from_millis(40)).await;
+        }
+        counts
+    };
+    let (first, second) = tokio::join!(ask(0), ask(1));
+    [first[0] + second[0], first[1] + second[1]]
+}
+
+/// Guards against hosts that together send a service more than it has places, against places that
+/// stay with a host that does not need them, and against an outage while no leader divides them.
+/// Load: two entry hosts, one place, two callers; then the leader is killed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_single_place_is_shared_by_all_hosts() {
+    let mut setup = Setup::start().await;
+    let controls =
+        setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect();
+    let narrow = Service::start_with_slots("narrow-1", "narrow", controls, 1).await.unwrap();
+    narrow.room.store(1, Ordering::Relaxed);
+    let mut document: serde_json::Value = serde_json::from_str(&configuration(2)).unwrap();
+    document["services"]
+        .as_array_mut()
+        .unwrap()
+        .push(serde_json::json!({"name": "narrow", "health_path": "/health", "max_conns": 96}));
+    document["routes"].as_array_mut().unwrap().push(serde_json::json!(
+        {"name": "narrow", "host": HOST, "path_prefix": "/narrow/", "kind": "idempotent",
+         "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2, "service": "narrow",
+         "max_attempts": 4, "public": false}
+    ));
+    setup.site.control("PUT", "/config", &document.to_string()).await;
+    wait_until("both hosts use the service", || async {
+        let first = setup.ask_at(0, "/narrow/1", "first", true).await;
+        let second = setup.ask_at(1, "/narrow/1", "second", true).await;
+        first.is_some_and(ok) && second.is_some_and(ok)
+    })
+    .await;
+    wait_until("the service is divided", || async {
+        let is_divided = |log: String| log.contains("the service is divided");
+        setup.site.stores().iter().any(|host| is_divided(host.log()))
+    })
+    .await;
+    // Hosts report each 5 s until they know that a service is divided.
+    time::sleep(Duration::from_secs(6)).await;
+    let refusals = || narrow.refusals.load(Ordering::Relaxed);
+    let before = refusals();
+    let [served, refused] = ask_both(&setup, "divided", Duration::from_secs(5)).await;
+    assert_eq!(refusals(), before, "hosts sent more than the service has places");
+    assert!(served > 20 * refused && served > 50, "{served} served, {refused} refused");
+
+    setup.kill_leader();
+    let [served, refused] = ask_both(&setup, "no-leader", Duration::from_secs(4)).await;
+    assert!(served > 5 * refused && served > 40, "{served} served, {refused} refused");
+    time::sleep(Duration::from_secs(4)).await;
+    let before = refusals();
+    let [served, refused] = ask_both(&setup, "next-leader", Duration::from_secs(4)).await;
+    assert_eq!(refusals(), before, "hosts sent more than the service has places");
+    assert!(served > 20 * refused && served > 40, "{served} served, {refused} refused");
+}
