--- a/crates/catkinlatch-route/src/admission/rank.rs
+++ b/crates/catkinlatch-route/src/admission/rank.rs
@@ -35,6 +35,9 @@
 /// slot is used for about 150 ms, so a freed one is unused for a tenth of that at most.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Longest time after a refusal until the next attempt.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Most requests that start in one [`PROBE_INTERVAL`] while targets refuse none.
 const MAX_BURST: u32 = 16;
 
@@ -214,7 +217,12 @@
             self.accounts.refund(charge);
         }
         self.waiting.insert(ticket);
-        let pause = if mem::take(&mut self.is_slot_free) { Duration::ZERO } else { PROBE_INTERVAL };
+        // Where own requests end often, they show which slots are free, and attempts in between
+        // keep the first in order from taking them.
+        let pause = self.pace.interval(now).map_or(PROBE_INTERVAL, |interval| {
+            (4 * interval).clamp(PROBE_INTERVAL, MAX_PROBE_INTERVAL)
+        });
+        let pause = if mem::take(&mut self.is_slot_free) { Duration::ZERO } else { pause };
         self.next_attempt = now + pause;
         (self.burst, self.burst_left) = (1, 1);
         self.last_used = now;
@@ -229,8 +237,8 @@
             return;
         }
         self.pace.record_end(!self.waiting.is_empty(), now);
-        // The slot of an own request is free, whatever was refused before. A request of a
-        // higher rank that tries the targets at this moment gets the slot if it is refused.
+        // The slot of an own request is free, whatever was refused before. A request that
+        // tries the targets at this moment went first, so it gets the slot if it is refused.
         if self.tries_until(now).is_some() {
             self.is_slot_free = true;
         } else {
@@ -302,16 +310,16 @@
     fn use_free_slot(&mut self, now: Instant) {
         self.is_slot_free = false;
         self.next_attempt = self.next_attempt.min(now);
-        self.burst_left = self.burst_left.max(1);
+        self.burst_left = (self.burst_left + 1).min(MAX_BURST);
     }
 
-    /// Returns until when a request may still be refused that started and has a higher rank than the
+    /// Returns until when a request may still be refused that started and has no lower rank than the
     /// waiting ones; `None` if there is none.
     fn tries_until(&self, now: Instant) -> Option<Instant> {
         let waiting =
             self.waiting.iter().map(|ticket| self.requests[*ticket].arrival.rank).min()?;
         let running = self.requests.values().filter(|request| request.charge.is_some());
-        let tries = running.filter(|request| request.arrival.rank < waiting);
+        let tries = running.filter(|request| request.arrival.rank <= waiting);
         let until = tries.map(|request| request.started_at + PROBE_INTERVAL).max()?;
         (now < until).then_some(until)
     }
--- a/crates/catkinlatch-route/src/admission/rank/pace.rs
+++ b/crates/catkinlatch-route/src/admission/rank/pace.rs
@@ -44,6 +44,11 @@
         self.observations = self.observations.saturating_add(1);
     }
 
+    /// Returns the mean time between two ends while others wait; `None` if too little was observed.
+    pub fn interval(&self, now: Instant) -> Option<Duration> {
+        self.wait(1, now)
+    }
+
     /// Returns how long a request waits that has `before` others before it; `None` if too little
     /// was observed.
     pub fn wait(&self, before: usize, now: Instant) -> Option<Duration> {
--- a/crates/catkinlatch-route/tests/places.rs
+++ b/crates/catkinlatch-route/tests/places.rs
@@ -305,3 +305,46 @@
     assert!(!division.add_place(&holder("b"), at(1_499)));
     assert!(division.add_place(&holder("b"), at(1_500)));
 }
+
+/// Guards against places that are given to another host while their holder may not know yet that its
+/// share was reduced.
+#[test]
+fn a_reduced_share_counts_until_its_holder_confirms_it() {
+    let mut division = Division::new(3, LEASE, Instant::ZERO);
+    let (first, other) = (Holder::Host("a".parse().unwrap()), Holder::Host("b".parse().unwrap()));
+    let at = Instant::from_millis(2_000);
+    let need = |waiting| Need { running: 0, waiting, rank: 1 };
+    assert_eq!(division.grant(&first, 1, 0, need(3), at), Some(3));
+    let later = at + Duration::from_millis(100);
+    assert_eq!(division.grant(&first, 2, 3, need(1), later), Some(1));
+    assert!(!division.add_place(&other, later));
+    assert_eq!(division.grant(&first, 3, 1, need(1), later), Some(1));
+    assert!(division.add_place(&other, later));
+}
+
+/// Guards against a late or repeated report, which says what its host held before.
+#[test]
+fn an_older_report_changes_nothing() {
+    let mut division = Division::new(2, LEASE, Instant::ZERO);
+    let (first, other) = (Holder::Host("a".parse().unwrap()), Holder::Host("b".parse().unwrap()));
+    let at = Instant::from_millis(2_000);
+    let need = |waiting| Need { running: 0, waiting, rank: 1 };
+    assert_eq!(division.grant(&first, 7, 0, need(2), at), Some(2));
+    for sequence in [6, 7] {
+        assert_eq!(division.grant(&first, sequence, 0, need(0), at), None);
+        assert!(!division.add_place(&other, at));
+    }
+}
+
+/// Guards against a host without a place that refuses all while no leader answers, and against an
+/// even share that is reported as granted.
+#[test]
+fn a_host_uses_the_even_share_while_the_leader_is_silent() {
+    let (sent_at, now) = (Instant::ZERO, Instant::from_millis(100));
+    let mut share = Share::new(0, 1, sent_at, LEASE);
+    assert_eq!(share.limit(now), 0);
+    share.record_silence();
+    assert_eq!((share.limit(now), share.held(now)), (1, 0));
+    share.add();
+    assert_eq!((share.limit(now), share.held(now)), (1, 1));
+}
