--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,6 +1,8 @@
 //! State that the tasks of an entry host share.
 
-use crate::{arrival, cold::Cold, contact::Contact, suspect, usage::Usage, view::View};
+use crate::{
+    admission::Admission, arrival, cold::Cold, contact::Contact, suspect, usage::Usage, view::View,
+};
 use catkinlatch_base::{TeamId, WindowId};
 use catkinlatch_ledger::{Balancer, registry::Leaving};
 use catkinlatch_route::Ramp;
@@ -25,6 +27,8 @@
     pub client: Client,
     /// What this host may send to cold targets.
     pub cold: Cold,
+    /// The queues of live requests for the slots of services.
+    pub admission: Admission,
     view: Mutex<View>,
     balancer: Mutex<Balancer>,
     usage: Mutex<Usage>,
@@ -53,6 +57,7 @@
             leader_client,
             client,
             cold,
+            admission: Admission::default(),
             view: Mutex::default(),
             balancer: Mutex::default(),
             usage: Mutex::default(),
--- a/crates/catkinlatch-route/src/lib.rs
+++ b/crates/catkinlatch-route/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod cold;
+pub mod places;
 pub mod ramp;
 pub mod retry;
 pub mod target;
--- a/crates/catkinlatch-runtime/src/message/exchange.rs
+++ b/crates/catkinlatch-runtime/src/message/exchange.rs
@@ -9,6 +9,8 @@
         pub host: HostId,
         /// Identifies this start of the process.
         pub incarnation: Incarnation,
+        /// Grows with each report of the host, also across its restarts.
+        pub sequence: u64,
         /// The host's availability zone.
         pub zone: ZoneId,
         /// The host's requests that run or wait, by service.
@@ -32,6 +34,9 @@
         pub waiting: u32,
         /// The highest priority among them; 0 is the highest of all.
         pub priority: u8,
+        /// Number of requests that the host may run at once, after it gave up what it does not
+        /// need; 0 if it has no share.
+        pub share: u32,
     }
 }
 
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -45,12 +45,14 @@
 /// Counts a request as abandoned if it is dropped before it has run.
 struct Run {
     abandoned: Arc<AtomicU32>,
+    running: Arc<AtomicU32>,
     has_ended: bool,
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
         self.abandoned.fetch_add(u32::from(!self.has_ended), Ordering::Relaxed);
+        self.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -90,6 +92,10 @@
     spoiled: Arc<Mutex<Option<(Flaw, u32)>>>,
     /// Whether the service refuses all requests because it is full.
     pub is_full: Arc<AtomicBool>,
+    /// Number of requests that the service runs at once; it refuses others because it is full.
+    pub room: Arc<AtomicU32>,
+    /// Number of requests that run.
+    running: Arc<AtomicU32>,
     /// Number of requests that the service refused because it was full.
     pub refusals: Arc<AtomicU32>,
     lifecycle: Lifecycle,
@@ -105,6 +111,22 @@
         Self::start_in("zone-0", id, name, controls).await
     }
 
+    /// Starts the service like [`Service::start`], with this number of slots.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start_with_slots(
+        id: &str,
+        name: &'static str,
+        controls: Vec<String>,
+        slots: u32,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let target = Target::new(id, name, listener.local_addr()?, slots);
+        Ok(Self::launch(target, listener, controls))
+    }
+
     /// Starts the service in a zone and announces it to `controls`.
     ///
     /// # Errors
@@ -148,6 +170,10 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let mut target = Target::new(id, name, listener.local_addr()?, 6).with_zone(zone);
         target.cold = Cold::new(cold);
+        Ok(Self::launch(target, listener, controls))
+    }
+
+    fn launch(target: Target, listener: TcpListener, controls: Vec<String>) -> Self {
         let service = Self {
             target,
             run_time: Arc::new(Mutex::new(RUN_TIME)),
@@ -157,11 +183,13 @@
             abandoned: Arc::default(),
             spoiled: Arc::default(),
             is_full: Arc::default(),
+            room: Arc::new(AtomicU32::new(u32::MAX)),
+            running: Arc::default(),
             refusals: Arc::default(),
             lifecycle: Lifecycle::new(controls),
         };
         service.run(listener);
-        Ok(service)
+        service
     }
 
     /// Serves and announces a start of the target.
@@ -256,7 +284,9 @@
             self.crash(FLOODED);
             std::future::pending::<()>().await;
         }
-        let is_refused = self.is_full.load(Ordering::Relaxed);
+        let room = self.room.load(Ordering::Relaxed);
+        let is_running = self.running.load(Ordering::Relaxed) >= room;
+        let is_refused = is_running || self.is_full.load(Ordering::Relaxed);
         let deadline_ms = headers.get("deadline-ms").and_then(|text| text.parse().ok());
         let (target, at) = (self.target.id.clone(), Instant::now());
         let arrival = Arrival { target, at, deadline_ms, is_refused };
@@ -283,7 +313,9 @@
             std::future::pending::<()>().await;
         }
         let run_time = *lock(&self.run_time);
-        let mut run = Run { abandoned: self.abandoned.clone(), has_ended: false };
+        self.running.fetch_add(1, Ordering::Relaxed);
+        let (abandoned, running) = (self.abandoned.clone(), self.running.clone());
+        let mut run = Run { abandoned, running, has_ended: false };
         time::sleep(run_time).await;
         run.has_ended = true;
         let mut headers_of_runs = lock(&self.headers_of_runs);
--- a/crates/catkinlatch-store/src/exchange.rs
+++ b/crates/catkinlatch-store/src/exchange.rs
@@ -1,6 +1,6 @@
 //! The leader's side of the exchange with entry hosts about load and targets.
 
-use crate::{cold, host::Host};
+use crate::{cold, host::Host, places};
 use catkinlatch_base::Term;
 use catkinlatch_runtime::message::{Guidance, Report};
 use std::time::Duration;
@@ -8,16 +8,20 @@
 /// Time until the next report while no part needs reports, in milliseconds.
 const IDLE_INTERVAL_MS: u32 = 5_000;
 
+/// Time until the next report while a part needs reports, in milliseconds.
+const ACTIVE_INTERVAL_MS: u32 = 500;
+
 /// Duration of the lease that guidance is.
-pub const LEASE: Duration = Duration::from_millis(1_500);
+pub const LEASE: Duration = places::LEASE;
 
 /// Answers the report of an entry host in `term`.
 pub fn answer(host: &Host, term: Term, report: &Report) -> Guidance {
+    let places = host.places.guide(host, term, report);
     let mut guidance = Guidance {
         term,
-        interval_ms: IDLE_INTERVAL_MS,
+        interval_ms: if places.is_empty() { IDLE_INTERVAL_MS } else { ACTIVE_INTERVAL_MS },
         lease_ms: LEASE.as_millis() as u32,
-        places: Vec::new(),
+        places,
         cold: Vec::new(),
         observations: Vec::new(),
     };
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -150,7 +150,9 @@
         }
         Message::Evacuate(zone) => evacuation::evacuate(host, term, zone).await,
         Message::Restore(zone) => evacuation::restore(host, term, zone).await,
-        Message::RequestPlace { .. } => Reply::Place(true),
+        Message::RequestPlace { host: holder, service } => {
+            host.places.request(host, term, holder, &service)
+        }
     }
 }
 
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -4,6 +4,7 @@
     cold::Cold,
     duty::{Rule, Turn},
     handler,
+    places::Places,
     soft_state::SoftState,
     suspect,
     view::{self, EncodedView},
@@ -55,6 +56,8 @@
     pub suspects: suspect::Shared,
     /// What this host may send to cold targets.
     pub cold: Cold,
+    /// The division of services' places among hosts while this one leads.
+    pub places: Places,
     /// The last time this host may have acted as the holder of the duties; `None` if it never has.
     last_turn: Mutex<Option<Turn>>,
     soft_state: Mutex<SoftState>,
@@ -94,6 +97,7 @@
             client,
             suspects: suspect::Shared::default(),
             cold,
+            places: Places::default(),
             last_turn,
             soft_state,
             revision,
