Earn retries once a request, spend them on resumed streams, and split the queue's file

Cause: a request that waited earned a retry with each round of attempts; resumed streams spent none; a suspect scoring call kept its place while it waited for a run of its own. Change: as named; the trial of a suspect ends if the budget refuses its attempt.

--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -14,7 +14,7 @@
 use catkinlatch_runtime::http::{Body, full};
 use http::{Response, StatusCode};
 use log::info;
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, mem, sync::Arc, time::Duration};
 use tokio::time;
 
 /// Timeout for requests whose caller and route set none.
@@ -122,7 +122,8 @@
     let is_stream = inbound.route.kind == Kind::Stream;
     let is_idempotent = inbound.route.may_repeat();
     let mut tried = BTreeSet::new();
-    let (mut sends, mut may_have_run, mut spends_retry) = (0, false, false);
+    let (mut sends, mut may_have_run) = (0, false);
+    let (mut is_first, mut spends_retry) = (true, false);
     loop {
         let now = host.clock.now();
         let left = deadline - now;
@@ -169,10 +170,13 @@
         // The request may have waited for a place, and a suspect for the leader's word.
         let now = host.clock.now();
         let left = deadline - now;
-        if !may_have_run && sends == 0 {
+        if mem::take(&mut is_first) {
             host.admission.earn_retry(&inbound.route, now);
         }
         if spends_retry && !host.admission.take_retry(&inbound.route, now) {
+            if permit == Permit::Trial {
+                suspect::end_trial(host, inbound);
+            }
             attempt_log.push("no retry left in the budget of the route".to_owned());
             metrics::counter!("catkinlatch_entry_retries_refused").increment(1);
             return if left.is_zero() { End::TimedOut } else { End::MayHaveRun };
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -219,6 +219,7 @@
     async fn resume(&mut self) -> bool {
         self.parser = EventParser::default();
         let give_up_at = self.host.clock.now() + EVENT_TIMEOUT;
+        let mut spends_retry = true;
         while self.inbound.route.may_repeat()
             && self.attempts.sends < self.inbound.route.max_attempts
         {
@@ -243,6 +244,15 @@
                 }
                 Permit::Busy | Permit::Refused => return false,
             }
+            let route = &self.inbound.route;
+            if spends_retry && !self.host.admission.take_retry(route, self.host.clock.now()) {
+                if mem::take(&mut self.attempts.is_trial) {
+                    suspect::end_trial(&self.host, &self.inbound);
+                }
+                self.log("no retry left in the budget of the route");
+                return false;
+            }
+            spends_retry = true;
             self.attempts.sends += 1;
             self.target = target.clone();
             let mut request = attempt::build_request(&self.inbound, &target, left);
@@ -256,7 +266,10 @@
                     return true;
                 }
                 Ok(_) => self.log("the next target did not return a stream"),
-                Err(Outcome::NotRun(reason)) => self.log(reason),
+                Err(Outcome::NotRun(reason)) => {
+                    spends_retry = false;
+                    self.log(reason);
+                }
                 Err(Outcome::MayHaveRun(reason)) => self.log(&reason),
                 Err(Outcome::Silent(reason)) => self.log(reason),
                 Err(Outcome::Broken(reason)) => {
--- a/crates/catkinlatch-route/src/admission/rank.rs
+++ b/crates/catkinlatch-route/src/admission/rank.rs
@@ -4,23 +4,24 @@
 //! targets refused waits here, and the one at the head tries again when a slot may be free.
 
 mod account;
+mod arrival;
+mod bound;
 mod pace;
 mod returns;
 
-pub use self::{account::Flow, returns::Returns};
+pub use self::{
+    account::Flow,
+    arrival::{Arrival, Load, Reason, Step},
+    returns::Returns,
+};
 
 use self::{
     account::{Accounts, Candidate, Charge},
     pace::Pace,
 };
-use catkinlatch_base::{Instant, TeamId};
-use derive_more::Display;
+use catkinlatch_base::Instant;
 use slotmap::SlotMap;
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    mem,
-    time::Duration,
-};
+use std::{collections::BTreeSet, mem, time::Duration};
 
 slotmap::new_key_type! {
     /// Identifies a request of a queue.
@@ -44,61 +45,6 @@
 /// Time without a waiting request after which the queue forgets who was served.
 const MEMORY: Duration = Duration::from_secs(10);
 
-/// A request that asks for a slot.
-#[derive(Clone, Debug)]
-pub struct Arrival {
-    /// The rank; 0 is served first.
-    pub rank: u8,
-    /// The team; `None` if the caller has no key.
-    pub team: Option<TeamId>,
-    /// Whether the caller returns after a refusal.
-    pub is_return: bool,
-    /// When the request is refused if it has not run.
-    pub give_up_at: Instant,
-}
-
-impl Arrival {
-    fn flow(&self) -> Flow {
-        Flow { rank: self.rank, team: self.team.clone() }
-    }
-}
-
-/// Reasons for which a request is refused; it has not run.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Reason {
-    /// It waited as long as it may.
-    #[display("no place within its time")]
-    TimeOver,
-    /// So many go before it that it cannot run within its time.
-    #[display("too many go before it")]
-    TooManyBefore,
-    /// The queue is full of requests that go before it.
-    #[display("the queue is full")]
-    QueueFull,
-}
-
-/// What becomes of a request that arrives or waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Step {
-    /// It tries the targets now.
-    Run,
-    /// It waits; [`Queue::poll`] returns its next step.
-    Wait,
-    /// It is refused.
-    Refuse(Reason),
-}
-
-/// The load of a queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Load {
-    /// Number of requests that run.
-    pub running: u32,
-    /// Number of requests that wait.
-    pub waiting: u32,
-    /// The highest rank among them.
-    pub rank: u8,
-}
-
 #[derive(Debug)]
 struct Request {
     arrival: Arrival,
@@ -378,49 +324,6 @@
         waiting.map(candidate).collect()
     }
 
-    /// Returns the request that a full queue refuses: the newest of the team that has most waiting,
-    /// in the lowest rank that has more than its floor.
-    fn last(&self) -> Option<Ticket> {
-        let mut ranks: BTreeMap<u8, usize> = BTreeMap::new();
-        let mut flows: BTreeMap<Flow, usize> = BTreeMap::new();
-        for ticket in &self.waiting {
-            let arrival = &self.requests[*ticket].arrival;
-            *ranks.entry(arrival.rank).or_default() += 1;
-            *flows.entry(arrival.flow()).or_default() += 1;
-        }
-        let has_most = |(_, count): &(&u8, &usize)| **count > MAX_WAITING / 5;
-        let rank = ranks.iter().rev().find(has_most).map(|(rank, _)| *rank)?;
-        self.waiting.iter().copied().filter(|t| self.requests[*t].arrival.rank == rank).max_by_key(
-            |ticket| {
-                let request = &self.requests[*ticket];
-                (flows[&request.arrival.flow()], !request.arrival.is_return, request.sequence)
-            },
-        )
-    }
-
-    /// Estimates how many requests start before a waiting one, by the order and the floors.
-    fn count_before(&self, ticket: Ticket) -> usize {
-        let own = &self.requests[ticket];
-        let flow = own.arrival.flow();
-        let (mut of_higher, mut of_peers, mut of_flow) = (0, 0, 0);
-        let mut flows = BTreeSet::new();
-        for other in self.waiting.iter().map(|other| &self.requests[*other]) {
-            let other_flow = other.arrival.flow();
-            let is_earlier =
-                (!other.arrival.is_return, other.sequence) < (!own.arrival.is_return, own.sequence);
-            of_higher += usize::from(other_flow.rank < flow.rank);
-            of_peers += usize::from(other_flow.rank == flow.rank && other_flow != flow);
-            of_flow += usize::from(other_flow == flow && is_earlier);
-            flows.insert(other_flow);
-        }
-        let higher = flows.iter().filter(|other| other.rank < flow.rank).count();
-        let peers = flows.iter().filter(|other| other.rank == flow.rank).count();
-        // Each higher team goes four times at most, and each other team of the rank once, before
-        // each request of this team.
-        let turns = of_flow + 1;
-        of_higher.min(4 * turns * higher) + of_peers.min(turns * (peers - 1)) + of_flow
-    }
-
     fn expire(&mut self, now: Instant) {
         if self.waiting.is_empty() && now >= self.last_used + MEMORY {
             self.accounts = Accounts::default();
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -74,6 +74,7 @@
         let id = scorer.id.as_str();
         let is_suspect = host.suspects.lock().suspects().get(&fingerprint).is_some();
         if is_suspect && !start_trial(host, fingerprint, &target) {
+            place.end(host.clock.now());
             if !host.suspects.lock().suspects().is_refused(&fingerprint) {
                 time::sleep(RETRY_INTERVAL).await;
             } else if job.give_up_ms.is_some_and(|give_up| host.clock.wall_ms() > give_up) {
