Report recent crashes again to a leader that lacks them

Cause: a host forgot the crashes that a leader had confirmed once a list without them came. A leader passes new suspects on within 1 s, so one that is lost before leaves its successor without them, and the request ran as any other on each host again. Change: a host keeps the crashes that it saw in the last 3 s. It reports those that the list of a new leader lacks, and those under a request that a leader does not know when it is asked for a run. An answer to the request drops them. A host that did not see a crash itself forgets it as before.

--- a/crates/catkinlatch-entry/src/suspect.rs
+++ b/crates/catkinlatch-entry/src/suspect.rs
@@ -79,7 +79,18 @@
         process: host.peers.local().incarnation,
         for_ms: left.as_millis() as u64,
     };
-    match change(host, start).await {
+    let verdict = change(host, start).await;
+    if verdict == Verdict::NotSuspect {
+        let recent = host.suspects().recent(&fingerprint, host.clock.wall_ms());
+        if !recent.is_empty() {
+            // The leader is new and lacks what its predecessor knew.
+            for crash in recent {
+                change(host, crash).await;
+            }
+            return Permit::Busy;
+        }
+    }
+    match verdict {
         Verdict::Granted => Permit::Trial,
         Verdict::NotSuspect => Permit::Plain,
         Verdict::Busy | Verdict::Done => Permit::Busy,
--- a/crates/catkinlatch-entry/src/suspect/table.rs
+++ b/crates/catkinlatch-entry/src/suspect/table.rs
@@ -18,6 +18,10 @@
 /// Largest number of refused requests that one host reports again to a leader that lacks them.
 const MAX_REPORTED_AGAIN: usize = 32;
 
+/// How long a crash is reported again to a leader that lacks it: a leader passes its list on within
+/// 1 s, and a host may hear of the next leader 2 s later.
+const RECENT_MS: u64 = 3_000;
+
 /// Within this time after a crash, no target is up again, so that an answer comes from the start
 /// whose connection broke.
 const RESTART_TIME: Duration = Duration::from_millis(500);
@@ -39,6 +43,9 @@
     suspects: Suspects,
     version: ViewVersion,
     unreported: VecDeque<Change>,
+    /// The last crashes that this host saw, and when, in milliseconds since the Unix epoch. A
+    /// leader may be lost after it confirmed one and before another host has its list.
+    recent: VecDeque<(u64, Change)>,
     /// The targets whose connections broke within [`RESTART_TIME`].
     breaks: Vec<Break>,
 }
@@ -83,10 +90,24 @@
         }
         if matches!(change, Change::Crashed { .. }) {
             self.keep(change.clone());
+            self.remember(change, wall_ms);
+        }
+        if let Change::Clear { fingerprint } = change {
+            self.recent.retain(|(_, crash)| crashed(crash) != Some(fingerprint));
         }
         change.apply(&mut self.suspects, wall_ms)
     }
 
+    /// Returns the crashes under a request that this host saw lately, which are to be reported again
+    /// to a leader that does not know the request.
+    pub fn recent(&self, fingerprint: &Fingerprint, wall_ms: u64) -> Vec<Change> {
+        let recent = self
+            .recent
+            .iter()
+            .filter(|(at, crash)| wall_ms < at + RECENT_MS && crashed(crash) == Some(fingerprint));
+        recent.map(|(_, crash)| crash.clone()).collect()
+    }
+
     /// Records that the connection to a target broke.
     pub fn record_break(&mut self, target: &Target, now: Instant) {
         self.breaks.retain(|other| other.target != target.id && now < other.at + RESTART_TIME);
@@ -122,8 +143,9 @@
 
     /// Replaces the copy by the leader's list, with the crashes that it does not contain yet.
     ///
-    /// A new leader may have lost what all hosts know, for example if all stores were killed, so
-    /// the refused requests that it lacks are reported to it again.
+    /// A new leader may have lost what all hosts know, for example if all stores were killed, or
+    /// what only its predecessor knew. So the refused requests that it lacks are reported to it
+    /// again, and the last crashes that this host saw.
     pub fn adopt(&mut self, version: ViewVersion, suspects: Suspects, wall_ms: u64) {
         if version.term != self.version.term {
             let missing = self.suspects.refused().filter(|(id, _)| suspects.get(id).is_none());
@@ -138,6 +160,13 @@
                 })
                 .collect();
             missing.into_iter().for_each(|change| self.keep(change));
+            let recent = self.recent.iter().filter(|(at, _)| wall_ms < at + RECENT_MS);
+            let unknown = |crash: &&Change| {
+                crashed(crash).is_some_and(|fingerprint| suspects.get(fingerprint).is_none())
+            };
+            let recent: Vec<Change> =
+                recent.map(|(_, crash)| crash).filter(unknown).cloned().collect();
+            recent.into_iter().for_each(|crash| self.keep(crash));
         }
         self.version = version;
         self.suspects = suspects;
@@ -146,6 +175,14 @@
         }
     }
 
+    fn remember(&mut self, crash: &Change, wall_ms: u64) {
+        self.recent.retain(|(at, _)| wall_ms < at + RECENT_MS);
+        if !self.recent.iter().any(|(_, other)| other.is_same_crash(crash)) {
+            self.recent.truncate(MAX_UNREPORTED - 1);
+            self.recent.push_front((wall_ms, crash.clone()));
+        }
+    }
+
     fn keep(&mut self, change: Change) {
         if self.unreported.iter().any(|other| other.is_same_crash(&change)) {
             return;
@@ -156,3 +193,11 @@
         self.unreported.push_back(change);
     }
 }
+
+/// Returns the request under which a target crashed.
+fn crashed(change: &Change) -> Option<&Fingerprint> {
+    match change {
+        Change::Crashed { fingerprint, .. } => Some(fingerprint),
+        _ => None,
+    }
+}
--- a/crates/catkinlatch-entry/tests/suspect.rs
+++ b/crates/catkinlatch-entry/tests/suspect.rs
@@ -62,6 +62,21 @@
     assert_eq!(report(&mut table).len(), 2);
 }
 
+/// Guards against a request that crashes targets on each host again, after a leader is lost that had
+/// confirmed its crashes and told nobody yet.
+#[test]
+fn a_crash_that_only_a_lost_leader_confirmed_is_reported_again() {
+    let mut table = Table::default();
+    table.adopt(version(1, 1), Suspects::default(), WALL_MS);
+    table.apply(&crashed(1), WALL_MS);
+    assert_eq!(report(&mut table), [crashed(1)]);
+    table.adopt(version(2, 0), Suspects::default(), WALL_MS + 2_000);
+    assert_eq!(table.state(&ID), State::Suspect);
+    assert_eq!(report(&mut table), [crashed(1)]);
+    table.adopt(version(3, 0), Suspects::default(), WALL_MS + 4_000);
+    assert_eq!(table.state(&ID), State::Unknown, "a leader has had the time to pass it on");
+}
+
 #[test]
 fn a_request_that_the_same_leader_cleared_stays_cleared() {
     let mut table = Table::default();
