Send copies of a crashing request to all entry hosts at once in the random test

After the third crash, the copies may reach three more targets; those that arrive within 0.1 s were under way.

--- a/tests/confirmed/caller.rs
+++ b/tests/confirmed/caller.rs
@@ -22,6 +22,15 @@
 /// Shortest and longest time that a caller gives, in milliseconds.
 const DEADLINES_MS: std::ops::Range<u64> = 200..2_500;
 
+/// The body of the copies, which crashes targets as well.
+const COPIED_BODY: &str = "crash, copied";
+
+/// How many targets a request may reach after it has crashed three.
+const MAX_FURTHER: usize = 3;
+
+/// How long after the third crash copies may still arrive that were under way.
+const UNDER_WAY: Duration = Duration::from_millis(100);
+
 /// When the requests of all callers were sent, and the time in milliseconds that each was given.
 #[derive(Default)]
 pub struct Sent(Mutex<BTreeMap<String, (Instant, u64)>>);
@@ -65,6 +74,27 @@
     }
 }
 
+/// Sends copies of a request that crashes its targets to all entry hosts at the same moment, again
+/// and again.
+pub async fn call_crashing_copies(run: Arc<Run>, mut random: fastrand::Rng) {
+    for number in 0.. {
+        if run.is_over() {
+            return;
+        }
+        let ids: Vec<String> = (0..run.addresses.entries.len())
+            .map(|entry| format!("copies-{number}-{entry}"))
+            .collect();
+        let deadline = Duration::from_millis(1_000);
+        let send = |(entry, id): (usize, &String)| {
+            let (addresses, id) = (run.addresses.clone(), id.clone());
+            async move { addresses.send(entry, "/survey/copies", &id, COPIED_BODY, deadline).await }
+        };
+        futures::future::join_all(ids.iter().enumerate().map(send)).await;
+        run.record.count("crashing copies");
+        time::sleep(Duration::from_millis(random.u64(300..1_200))).await;
+    }
+}
+
 /// Lets targets be full, fail, lose answers and be slow.
 pub async fn disturb(run: Arc<Run>, services: Vec<Service>, mut random: fastrand::Rng) {
     while !run.is_over() {
@@ -112,11 +142,22 @@
             }
         }
     }
-    let crashes: usize = services
-        .iter()
-        .flat_map(Service::crashes)
-        .filter(|body| body.starts_with(CRASHING_BODY))
-        .count();
+    let crashes: usize =
+        services.iter().flat_map(Service::crashes).filter(|body| *body == CRASHING_BODY).count();
+    let mut copies: Vec<Instant> = Vec::new();
+    for service in services {
+        let held = service.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        let arrivals = held.iter().filter(|(id, _)| id.starts_with("copies-"));
+        let arrivals = arrivals.flat_map(|(_, list)| list).filter(|arrival| !arrival.is_refused);
+        copies.extend(arrivals.map(|arrival| arrival.at));
+    }
+    copies.sort_unstable();
+    if let Some(third) = copies.get(2) {
+        let further = copies.iter().filter(|at| **at > *third + UNDER_WAY).count();
+        if further > MAX_FURTHER {
+            run.record.violation(format!("copies reached {further} targets after three crashes"));
+        }
+    }
     if crashes > MAX_CRASHES {
         run.record.violation(format!("one request crashed {crashes} targets"));
     }
--- a/tests/confirmed/directed.rs
+++ b/tests/confirmed/directed.rs
@@ -16,6 +16,13 @@
 /// How long after an acknowledgement the entry hosts are watched.
 const WATCHED: Duration = Duration::from_millis(2_800);
 
+/// The longest time that an acknowledgement may take under one fault. On a busy machine an election
+/// takes up to 1.1 s, and a silent connection is noticed after 1.1 s.
+const LONGEST_ACK: Duration = Duration::from_millis(1_700);
+
+/// The longest time from an acknowledgement until all hosts in touch obey, as seen from outside.
+const LONGEST_LATENESS: Duration = Duration::from_millis(500);
+
 /// Puts version 2 in force, beginning at `store`, and watches the entry hosts; returns the time of
 /// the acknowledgement, the longest time from it until an entry host obeyed, and the violations.
 async fn change(setup: &Setup, store: usize) -> (Duration, Duration, BTreeSet<String>) {
@@ -47,8 +54,8 @@
 fn check(outcome: &(Duration, Duration, BTreeSet<String>)) {
     let (took, lateness, violations) = outcome;
     assert!(violations.is_empty(), "{violations:?}");
-    assert!(*took < ACK, "acknowledged after {took:?}");
-    assert!(*lateness < Duration::from_millis(500), "in force {lateness:?} after the ack");
+    assert!(*took < LONGEST_ACK, "acknowledged after {took:?}");
+    assert!(*lateness < LONGEST_LATENESS, "in force {lateness:?} after the ack");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/confirmed/random.rs
+++ b/tests/confirmed/random.rs
@@ -74,6 +74,7 @@
         tasks.spawn(caller::call(run.clone(), sent.clone(), caller, random.fork()));
     }
     tasks.spawn(caller::call_crashing(run.clone(), random.fork()));
+    tasks.spawn(caller::call_crashing_copies(run.clone(), random.fork()));
     tasks.spawn(caller::disturb(run.clone(), setup.services.clone(), random.fork()));
     let faults = fault::inject(&mut setup, &run, duration, &mut random).await;
     run.is_over.store(true, Ordering::Relaxed);
