Test that a request waits for a share of a cold target

Cause: taking out the wait for a share made no test fail. Change: a test of single requests at hosts that have given their shares back. Result: it passes, and fails without the wait.

--- a/tests/site/cold.rs
+++ b/tests/site/cold.rs
@@ -126,6 +126,18 @@
     assert!(tally.refused.iter().all(|id| setup.service.runs(id) == 0));
 }
 
+/// Guards against callers that are refused although the leader has allowance left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_at_a_host_without_a_share_waits_for_one() {
+    let setup = start(Called::Fully, Duration::from_secs(30)).await;
+    for number in 0..4 {
+        time::sleep(Duration::from_millis(1_700)).await;
+        let id = format!("lone-{number}");
+        let answer = setup.request(number % 2, "POST", "/survey/1", &id, "").await;
+        assert!(answer.is_some_and(ok), "{id}");
+    }
+}
+
 /// Guards against a burst at hosts that hold shares, whose requests are not counted as they are sent.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_burst_at_hosts_with_shares_keeps_the_bound() {
