Draw targets that answer without end in the soak of a site, and describe the limits

The soak has a service and an engine more, which answer without end for 0.5 to 2.5 s, at a random place, fast or as a drip. It is a violation if a response is still read 3.5 s later, or if an entry host takes more than 120 MB. The engine has no model, so it gets streams but no items.

--- a/crates/catkinlatch-standin/src/site/soak.rs
+++ b/crates/catkinlatch-standin/src/site/soak.rs
@@ -20,7 +20,8 @@
     route::configuration,
     trainer::train,
 };
-use super::{Engine, Service, Site};
+use super::{Engine, Flood, Service, Site};
+use serde_json::json;
 use std::{io, path::PathBuf, sync::Arc, time::Duration};
 use tokio::{task::JoinSet, time};
 
@@ -74,7 +75,10 @@
             services.push(Service::start(&id, "survey", controls.clone()).await?);
         }
         site.control("PUT", "/config", &configuration(1)).await;
-        let context = Arc::new(Context::new(&site, engines, services));
+        let service = Flood::start("survey-flood", "survey", controls.clone(), json!([]));
+        let engine = Flood::start("engine-flood", "drafts", controls, json!([]));
+        let floods = vec![service.await?, engine.await?];
+        let context = Arc::new(Context::new(&site, engines, services, floods));
         let mut tasks = JoinSet::new();
         for number in 0..CALLERS {
             tasks.spawn(call_services(context.clone(), number, random.fork()));
--- a/crates/catkinlatch-standin/src/site/soak/context.rs
+++ b/crates/catkinlatch-standin/src/site/soak/context.rs
@@ -1,7 +1,7 @@
 //! State that callers, trainers, the operator and the fault injection share.
 
 use super::record::Record;
-use crate::site::{self, Engine, Service, Site};
+use crate::site::{self, Engine, Flood, Service, Site};
 use bytes::Bytes;
 use catkinlatch_runtime::http::{Client, Exchange, full};
 use http::{Request, Response};
@@ -31,6 +31,8 @@
     pub engines: Vec<Engine>,
     /// The stand-in services.
     pub services: Vec<Service>,
+    /// Targets that answer without end while they have a fault: a service, then an engine.
+    pub floods: Vec<Flood>,
     client: Client,
     record: Mutex<Record>,
     is_stopping: AtomicBool,
@@ -38,13 +40,19 @@
 
 impl Context {
     /// Creates the shared state of the tasks that use `site`.
-    pub fn new(site: &Site, engines: Vec<Engine>, services: Vec<Service>) -> Self {
+    pub fn new(
+        site: &Site,
+        engines: Vec<Engine>,
+        services: Vec<Service>,
+        floods: Vec<Flood>,
+    ) -> Self {
         let address = |port: u16| move |host: &crate::site::Host| host.address(port);
         Self {
             callers: site.entries().iter().map(address(site.ports.callers)).collect(),
             controls: site.stores().iter().map(address(site.ports.control)).collect(),
             engines,
             services,
+            floods,
             client: Client::new(),
             record: Mutex::default(),
             is_stopping: AtomicBool::new(false),
--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -1,7 +1,7 @@
 //! Randomly injected faults of a site.
 
 use super::{caller, context::Context};
-use crate::site::{Engine, Service, Site, Target};
+use crate::site::{Engine, Pace, Place, Service, Site, Target};
 use std::{
     io,
     sync::{Arc, atomic::Ordering},
@@ -27,6 +27,12 @@
 /// How long a target that leaves is watched after the drain time.
 const LEAVING_TIME: Duration = Duration::from_millis(1_000);
 
+/// How long a response without end may take: the time of callers and of the settings' routes.
+const ENDLESS_TIME: Duration = Duration::from_millis(3_500);
+
+/// Memory of a host that callers connect to, in bytes.
+const MAX_MEMORY: u64 = 120_000_000;
+
 /// A target that is to leave.
 #[derive(Clone, Copy)]
 enum LeavingTarget<'a> {
@@ -124,13 +130,47 @@
         format!("{} says that it leaves, and starts anew; {late} late requests", start.id)
     }
 
+    /// Lets a target answer without end for a while.
+    ///
+    /// It is a violation if a host that callers connect to takes more than its memory, or if
+    /// responses are still read a while after the target has got its last request.
+    async fn flood(&mut self, context: &Context) -> String {
+        let places = [
+            Place::Head,
+            Place::Interim,
+            Place::Body,
+            Place::ChunkSize,
+            Place::Extension,
+            Place::Trailers,
+            Place::Event,
+        ];
+        let place = places[self.random.usize(..places.len())];
+        let pace = if self.random.bool() { Pace::Fast } else { Pace::Drip };
+        let flood = &context.floods[self.random.usize(..context.floods.len())];
+        let before = flood.requests();
+        flood.set_fault(Some((place, pace)));
+        time::sleep(Duration::from_millis(self.random.u64(500..2_500))).await;
+        flood.set_fault(None);
+        let requests = flood.requests() - before;
+        time::sleep(ENDLESS_TIME).await;
+        let (open, mut record) = (flood.open(), context.record());
+        record.check(open == 0, || {
+            format!("{open} responses of {} still have no end: {place:?} {pace:?}", flood.target.id)
+        });
+        for host in self.site.entries() {
+            let peak = host.peak_memory();
+            record.check(peak < MAX_MEMORY, || format!("{} took {peak} bytes", host.name));
+        }
+        format!("{} answered {requests} requests without end: {place:?} {pace:?}", flood.target.id)
+    }
+
     async fn inject(&mut self, context: &Arc<Context>) -> io::Result<String> {
         let number = self.random.usize(..self.site.hosts.len());
         let downtime = Duration::from_millis(self.random.u64(..1_200));
         let is_store = number < self.site.stores().len();
         let name = self.site.hosts[number].name.clone();
         let is_stable = self.last_store_fault.elapsed() > MIN_FAULT_FREE_TIME;
-        let fault = match self.random.u8(..14) {
+        let fault = match self.random.u8(..16) {
             0..4 => {
                 self.site.hosts[number].kill()?;
                 time::sleep(downtime).await;
@@ -171,6 +211,7 @@
                 return Ok(format!("service {service} loses {LOST_ANSWERS} answers"));
             }
             11 => return Ok(self.leave(context).await),
+            14 | 15 => return Ok(self.flood(context).await),
             12 => {
                 let path = if self.random.bool() { "/survey/1" } else { "/chat/1" };
                 let random = self.random.fork();
