--- a/crates/catkinlatch-standin/src/site/soak.rs
+++ b/crates/catkinlatch-standin/src/site/soak.rs
@@ -22,7 +22,7 @@
     route::configuration,
     trainer::train,
 };
-use super::{Engine, FLOODED, Service, Site};
+use super::{Engine, FLOODED, Flood, Service, Site};
 use serde_json::json;
 use std::{
     io,
@@ -94,7 +94,10 @@
             services.push(service);
         }
         site.control("PUT", "/config", &configuration(1)).await;
-        let context = Arc::new(Context::new(&site, engines, services));
+        let service = Flood::start("survey-flood", "survey", controls.clone(), json!([]));
+        let engine = Flood::start("engine-flood", "drafts", controls, json!([]));
+        let floods = vec![service.await?, engine.await?];
+        let context = Arc::new(Context::new(&site, engines, services, floods));
         let mut tasks = JoinSet::new();
         for number in 0..CALLERS {
             tasks.spawn(call_services(context.clone(), number, random.fork()));
