Acknowledge another document under the version in force again

Cause: answered it with 409. Operators that race send two documents under one version, and the deployments ask that a version which is not higher is acknowledged and changes nothing; a refusal of what was acknowledged before would be a fault of its own.

--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -19,10 +19,6 @@
 /// Timeout for calls from targets, which fail over to another host after one second.
 const TARGET_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Timeout of reading the configuration in force after a change; without it the change counts as
-/// the one in force.
-const HELD_TIMEOUT: Duration = Duration::from_millis(300);
-
 type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
 /// Returns the request handler of the control interface.
@@ -49,7 +45,6 @@
         _ => host.settings.times.waits().call,
     };
     match decode(call, &body) {
-        Decoded::Message(Message::Configure(document)) => configure(&host, document, timeout).await,
         Decoded::Message(message) => respond(host.ask_leader(message, timeout).await),
         Decoded::Invalid(reason) => {
             warn!(
@@ -65,25 +60,6 @@
     }
 }
 
-/// Puts a configuration in force; refuses it if another one of the same version is in force.
-async fn configure(host: &Arc<Host>, document: Document, timeout: Duration) -> Response<Body> {
-    let (version, source) = (document.configuration.version, document.source.clone());
-    let answer = host.ask_leader(Message::Configure(document), timeout).await;
-    if !matches!(answer, Answer::Reply(Reply::Done)) {
-        return respond(answer);
-    }
-    // Of two that operators send under one version, only the first takes effect.
-    let held = host.ask_leader(Message::Configuration, HELD_TIMEOUT).await;
-    if let Answer::Reply(Reply::Configuration(Some(held))) = held
-        && held != source
-        && decode_configuration(&held).is_ok_and(|held| held.version == version)
-    {
-        warn!(version = version; "control: another configuration has this version");
-        return text(StatusCode::CONFLICT, "another configuration of this version is in force");
-    }
-    respond(answer)
-}
-
 /// A decoded call.
 enum Decoded {
     /// A message for the leader.
