Answer an evacuation only while this host still leads

Cause: since changes are acknowledged only once all hosts in touch hold them, the wait ends at once on a host that no longer leads, and the evacuation was then acknowledged without it. Change: the call is passed on to the next leader, as a configuration is.

--- a/crates/catkinlatch-store/src/handler/evacuation.rs
+++ b/crates/catkinlatch-store/src/handler/evacuation.rs
@@ -1,6 +1,6 @@
 //! Handles the evacuation of zones and its end.
 
-use super::{await_propagation, propose};
+use super::{await_propagation, leads, propose};
 use crate::{evacuation, host::Host};
 use catkinlatch_base::{Term, ZoneId};
 use catkinlatch_ledger::Command;
@@ -36,6 +36,10 @@
         evacuation::apply(host);
         let is_propagated = await_propagation(host, term, None).await;
         info!(zone:% = zone, held_by_all = is_propagated; "{event}");
+        if !leads(host, term) {
+            // Only the next leader can tell whether entry hosts hold the view.
+            return Reply::NotLeader(host.other_leader());
+        }
     }
     reply
 }
