--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -124,8 +124,8 @@
     };
     suspect::record_response(host, target, started);
     leaving::record_response(host, target, &exchange.response);
-    if let Some((running, waiting)) = header::target_load(exchange.response.headers()) {
-        host.balancer().report(&target.id, running, waiting, host.clock.now());
+    if let Some(load) = header::target_load(exchange.response.headers()) {
+        host.balancer().report(&target.id, load.running, load.waiting, host.clock.now());
     }
     if let Some(outcome) = check_answer(&exchange, id) {
         let is_full = matches!(outcome, Outcome::NotRun(_));
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -191,8 +191,8 @@
     let mut balancer = shared.balancer();
     balancer.end(&target.id, verdict, now);
     let load = answer.as_ref().and_then(|answer| header::target_load(answer.headers()));
-    if let Some((running, waiting)) = load {
-        balancer.report(&target.id, running, waiting, now);
+    if let Some(load) = load {
+        balancer.report(&target.id, load.running, load.waiting, now);
     }
     attempt
 }
