Estimate targets from what all senders observe, and agree on failing ones

Cause: a host sends a request every six seconds and learns almost nothing of targets by itself. Each sender finds a slow, failing or silent target anew. Change: catkinlatch_ledger::observation, without clock or network: estimates with half-lives (300 ms, 2 s), a leader's hub with a digest of at most 64 targets, agreement on cooldowns (two statements, a quarter of the senders, at most a third of a service's targets, one sender retries), and selection by expected time. Nothing uses the module yet.

--- a/crates/catkinlatch-ledger/src/lib.rs
+++ b/crates/catkinlatch-ledger/src/lib.rs
@@ -3,13 +3,15 @@
 //! [`State`] is the state machine that the hosts with a disk replicate: the configuration, the
 //! latest versions of models, batch jobs with their results, and usage windows. [`registry`]
 //! tracks the targets that register themselves, [`schedule`] decides which item of which job runs
-//! next and on which engine, and [`balancer`] selects the target of a request. Everything here is
-//! free of I/O: nothing has a clock, a socket or a thread.
+//! next and on which engine, [`balancer`] selects the target of a request, and [`observation`]
+//! shares what senders learn of targets. Everything here is free of I/O: nothing has a clock, a
+//! socket or a thread.
 
 pub mod balancer;
 mod command;
 pub mod config;
 pub mod job;
+pub mod observation;
 pub mod registry;
 mod reply;
 pub mod schedule;
