Share observations of targets between hosts, and send late requests a second time

Change: Report and Guidance carry observations, durations, cooldowns, services and the time between early reports (fields at their end); Message::RequestRetry and Reply::Retry at the ends of the enums. Entry hosts and scoring calls select by expected time there, and by Balancer::pick elsewhere. A late request is sent to a second target under a budget of its own; a suspect never. Observation moved from the runtime to the ledger.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -1,9 +1,9 @@
 //! A single attempt to run a request on a target.
 
-use crate::{front::InboundRequest, host::Host, leaving, suspect};
+use crate::{front::InboundRequest, host::Host, leaving, observation, suspect};
 use bytes::Bytes;
-use catkinlatch_base::{Instant, TargetId};
-use catkinlatch_ledger::{Target, balancer::Verdict};
+use catkinlatch_base::Instant;
+use catkinlatch_ledger::{Target, balancer::Verdict, observation::Event};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::http::{Body, BodyError, Exchange, Failure, full};
 use derive_more::Display;
@@ -33,9 +33,11 @@
 /// Counts an attempt as in flight until dropped, including when the caller disconnects.
 pub struct Guard {
     host: Arc<Host>,
-    target: TargetId,
+    target: Target,
     started: Instant,
     verdict: Verdict,
+    /// What the attempt shows other senders, if that is not what the verdict says.
+    event: Option<Event>,
 }
 
 impl Guard {
@@ -60,7 +62,8 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.host.balancer().end(&self.target, self.verdict, self.host.clock.now());
+        self.host.balancer().end(&self.target.id, self.verdict, self.host.clock.now());
+        observation::record(&self.host, &self.target, self.verdict, self.event);
     }
 }
 
@@ -106,7 +109,8 @@
     let started = host.clock.now();
     host.balancer().begin(&target.id);
     let verdict = Verdict::Unknown;
-    let mut guard = Guard { host: host.clone(), target: target.id.clone(), started, verdict };
+    let (held_host, held_target) = (host.clone(), target.clone());
+    let mut guard = Guard { host: held_host, target: held_target, started, verdict, event: None };
     let exchange = match time::timeout(limit, host.client.send(&target.address, request)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::NotSent(_))) => {
@@ -119,6 +123,7 @@
         }
         Err(_) => {
             guard.verdict = Verdict::Failed;
+            guard.event = Some(Event::Silent);
             return Err(Outcome::Silent("no answer in time"));
         }
     };
@@ -126,6 +131,7 @@
     leaving::record_response(host, target, &exchange.response);
     if let Some(load) = header::target_load(exchange.response.headers()) {
         host.balancer().report(&target.id, load.running, load.waiting, host.clock.now());
+        observation::record_load(host, target, load);
     }
     if let Some(outcome) = check_answer(&exchange, id) {
         let is_full = matches!(outcome, Outcome::NotRun(_));
@@ -140,12 +146,21 @@
     let Call { exchange, mut guard } = call;
     let outcome = match time::timeout(limit, exchange.read_body(max_bytes)).await {
         Ok(Ok(answer)) => {
-            guard.record_answer(host.clock.now() - guard.started);
+            let elapsed = host.clock.now() - guard.started;
+            guard.record_answer(elapsed);
+            if answer.status() == StatusCode::INTERNAL_SERVER_ERROR {
+                guard.event = Some(Event::Failed);
+            } else {
+                observation::record_duration(&guard.host, &guard.target, elapsed);
+            }
             return Outcome::Answer(answer);
         }
         Ok(Err(error @ BodyError::Broken(_))) => Outcome::Broken(error.to_string()),
         Ok(Err(error @ BodyError::TooLong)) => Outcome::MayHaveRun(error.to_string()),
-        Err(_) => Outcome::Silent("the response did not end in time"),
+        Err(_) => {
+            guard.event = Some(Event::Silent);
+            Outcome::Silent("the response did not end in time")
+        }
     };
     guard.record_failure();
     outcome
--- a/crates/catkinlatch-entry/src/exchange.rs
+++ b/crates/catkinlatch-entry/src/exchange.rs
@@ -1,7 +1,7 @@
 //! The entry host's side of the exchange with the leader about load and targets.
 
-use crate::host::Host;
-use catkinlatch_base::Term;
+use crate::{host::Host, observation};
+use catkinlatch_base::{Instant, Term};
 use catkinlatch_runtime::{
     Message, Reply,
     message::{Guidance, Report},
@@ -12,6 +12,9 @@
 /// Time until the next report if the leader has not said when it is due.
 const IDLE_INTERVAL: Duration = Duration::from_millis(5_000);
 
+/// Number of reports in succession that are lost before a host reports less often.
+const MAX_LOST: u32 = 10;
+
 /// Shortest time between two reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -24,34 +27,44 @@
 /// about which host is taken for the leader.
 pub async fn run(host: Arc<Host>) {
     let mut newest = Term::default();
+    let (mut interval, mut lost) = (IDLE_INTERVAL, 0);
     loop {
-        let interval = match exchange(&host).await {
+        match exchange(&host).await {
             Some(guidance) if guidance.term >= newest => {
-                newest = guidance.term;
-                Duration::from_millis(guidance.interval_ms.into()).max(MIN_INTERVAL)
+                (newest, lost) = (guidance.term, 0);
+                interval = Duration::from_millis(guidance.interval_ms.into()).max(MIN_INTERVAL);
             }
-            Some(_) | None => IDLE_INTERVAL,
-        };
+            // A new leader learns only from reports what the last one knew.
+            Some(_) | None if lost < MAX_LOST => lost += 1,
+            Some(_) | None => interval = IDLE_INTERVAL,
+        }
         time::sleep(interval).await;
     }
 }
 
-/// Sends one report; returns the leader's guidance.
-async fn exchange(host: &Host) -> Option<Guidance> {
+/// Sends one report and takes over the leader's guidance, which it returns.
+pub async fn exchange(host: &Host) -> Option<Guidance> {
     let leader = host.leader_client.leader()?;
-    let message = Message::Exchange(Box::new(report(host)));
+    let sent_at = host.clock.now();
+    let message = Message::Exchange(Box::new(report(host, sent_at)));
     match host.peers.call::<Reply>(&leader, &message, TIMEOUT).await {
-        Ok(Reply::Exchanged(guidance)) => Some(*guidance),
+        Ok(Reply::Exchanged(guidance)) => {
+            observation::adopt(host, &guidance, sent_at);
+            Some(*guidance)
+        }
         Ok(_) | Err(_) => None,
     }
 }
 
-fn report(host: &Host) -> Report {
+fn report(host: &Host, now: Instant) -> Report {
+    let news = host.guide().take_news(now);
     Report {
         host: host.settings.host.clone(),
         incarnation: host.peers.local().incarnation,
         zone: host.settings.zone.clone(),
         demands: Vec::new(),
-        observations: Vec::new(),
+        observations: news.observations,
+        sequence: news.sequence,
+        durations: news.durations,
     }
 }
--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -38,6 +38,7 @@
                 host.leader_client.set_hosts(&view.stores);
                 let known: BTreeSet<_> = view.targets.iter().map(|t| t.id.clone()).collect();
                 host.balancer().retain(&known);
+                host.guide().retain(|target| known.contains(target));
                 host.leaving().retain(view.targets.iter(), host.clock.now());
                 let version = host.view().version();
                 if version != before {
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,8 +1,9 @@
 //! State that the tasks of an entry host share.
 
-use crate::{suspect, usage::Usage, view::View};
+use crate::{second, suspect, usage::Usage, view::View};
 use catkinlatch_base::{TeamId, WindowId};
-use catkinlatch_ledger::{Balancer, registry::Leaving};
+use catkinlatch_ledger::{Balancer, observation::Guide, registry::Leaving};
+use catkinlatch_route::Budget;
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
@@ -21,6 +22,8 @@
     pub client: Client,
     view: Mutex<View>,
     balancer: Mutex<Balancer>,
+    guide: Mutex<Guide>,
+    second_budget: Mutex<Budget>,
     usage: Mutex<Usage>,
     suspects: Mutex<suspect::Table>,
     leaving: Mutex<Leaving>,
@@ -36,6 +39,7 @@
         leader_client: LeaderClient,
         client: Client,
     ) -> Self {
+        let second_budget = Mutex::new(Budget::new(second::SHARE, clock.now()));
         Self {
             settings,
             clock,
@@ -44,6 +48,8 @@
             client,
             view: Mutex::default(),
             balancer: Mutex::default(),
+            guide: Mutex::default(),
+            second_budget,
             usage: Mutex::default(),
             suspects: Mutex::default(),
             leaving: Mutex::default(),
@@ -66,6 +72,17 @@
         lock(&self.balancer)
     }
 
+    /// Locks what this host and others observed of targets. The guard must not be held across an
+    /// `await`; it is taken after that of leaving targets and before that of the load balancer.
+    pub fn guide(&self) -> MutexGuard<'_, Guide> {
+        lock(&self.guide)
+    }
+
+    /// Locks the budget of second sends. The guard must not be held across an `await`.
+    pub fn second_budget(&self) -> MutexGuard<'_, Budget> {
+        lock(&self.second_budget)
+    }
+
     /// Locks the usage counters. The guard must not be held across an `await`.
     pub fn usage(&self) -> MutexGuard<'_, Usage> {
         lock(&self.usage)
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     answer,
-    attempt::{self, Outcome},
+    attempt::Outcome,
     front::InboundRequest,
     host::Host,
+    observation,
+    second::{self, Sent},
     stream::{self, Attempts},
     suspect::{self, Permit},
 };
@@ -119,6 +121,7 @@
     let trial_deadline = arrived + time_limit(inbound).mul_f64(TRIAL_WAIT_SHARE);
     let is_stream = inbound.route.kind == Kind::Stream;
     let is_idempotent = inbound.route.may_repeat();
+    observation::refresh(host, &inbound.route).await;
     let mut tried = BTreeSet::new();
     let (mut sends, mut may_have_run) = (0, false);
     loop {
@@ -127,9 +130,11 @@
         if left < MIN_ATTEMPT_TIME && sends > 0 || left.is_zero() {
             return if may_have_run { End::TimedOut } else { End::NotRun(FULL_RETRY_AFTER) };
         }
-        let target =
-            (sends < inbound.route.max_attempts).then(|| pick_target(host, inbound, &tried, now));
-        let Some(target) = target.flatten() else {
+        let target = match sends < inbound.route.max_attempts {
+            true => observation::next_target(host, inbound, &tried).await,
+            false => None,
+        };
+        let Some(mut target) = target else {
             if !may_have_run
                 && sends > 0
                 && host.clock.now() + FULL_RETRY_PAUSE < full_retry_deadline
@@ -163,8 +168,8 @@
         sends += 1;
         let is_last = sends >= inbound.route.max_attempts || !is_idempotent;
         let limit = if is_last { left } else { left.min(attempt_limit(inbound, left)) };
+        let is_trial = permit == Permit::Trial;
         let outcome = if is_stream {
-            let is_trial = permit == Permit::Trial;
             let attempts = Attempts { sends, tried: tried.clone(), arrived, deadline, is_trial };
             match stream::open(host, inbound, &target, attempts, limit).await {
                 Ok(response) => {
@@ -174,7 +179,20 @@
                 Err(outcome) => outcome,
             }
         } else {
-            attempt::send(host, inbound, &target, left, limit, MAX_ANSWER_BYTES).await
+            let attempts = Attempts { sends, tried: tried.clone(), arrived, deadline, is_trial };
+            let sent = second::send(host, inbound, &target, &attempts, limit).await;
+            let Sent { target: answered, outcome, other } = sent;
+            if let Some((other, other_outcome)) = other {
+                sends += 1;
+                attempt_log.push(format!("{} with a second send: {other_outcome}", other.id));
+                may_have_run |= !matches!(other_outcome, Outcome::NotRun(_));
+                if let Outcome::Answer(answer) = other_outcome {
+                    *failure = Some(caller_response(answer));
+                }
+                tried.insert(other.id);
+            }
+            target = answered;
+            outcome
         };
         record(host, inbound, &target, permit, &outcome).await;
         match outcome {
@@ -205,7 +223,7 @@
 
 /// Records what an attempt tells about whether the request crashes targets. Only a crash is waited
 /// for, since the next attempt must not run beside another.
-async fn record(
+pub async fn record(
     host: &Arc<Host>,
     inbound: &InboundRequest,
     target: &Target,
@@ -267,7 +285,7 @@
     let leaving = host.leaving();
     let pick = |left_out: &BTreeSet<TargetId>| {
         let staying = view.targets(service).filter(|target| !leaving.contains(target));
-        host.balancer().pick(staying, &host.settings.zone, left_out, now).cloned()
+        observation::pick(host, service, staying, left_out, now)
     };
     let trial_targets = host.suspects().trial_targets(host.clock.wall_ms());
     if trial_targets.is_empty() {
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -5,7 +5,9 @@
 mod results;
 
 pub use self::{
-    exchange::{ColdShare, Demand, Guidance, Observation, Places, Report},
+    exchange::{
+        ColdShare, Cooldown, Demand, Durations, Guidance, Observation, Places, Report, Scope,
+    },
     follow::{Entry, Follow, Role, View, ViewVersion},
     results::Results,
 };
@@ -106,6 +108,13 @@
             /// The service.
             service: ServiceId,
         },
+        /// Asks whether a host may retry a target in cooldown.
+        RequestRetry {
+            /// The host.
+            host: HostId,
+            /// The target.
+            target: TargetId,
+        },
     }
 }
 
@@ -148,5 +157,7 @@
         Exchanged(Box<Guidance>),
         /// Whether the host may use one more place of the service until its next guidance.
         Place(bool),
+        /// Whether the host may retry the target with one request.
+        Retry(bool),
     }
 }
--- a/crates/catkinlatch-runtime/src/message/exchange.rs
+++ b/crates/catkinlatch-runtime/src/message/exchange.rs
@@ -1,5 +1,7 @@
 //! Messages with which entry hosts and the leader share what they know about load and targets.
 
+pub use catkinlatch_ledger::observation::{Cooldown, Durations, Observation, Scope};
+
 use catkinlatch_base::{HostId, Incarnation, ServiceId, TargetId, Term, ZoneId, derive_value};
 
 derive_value! {
@@ -15,6 +17,10 @@
         pub demands: Vec<Demand>,
         /// What the host has seen of targets since its last report.
         pub observations: Vec<Observation>,
+        /// Number of the report since the process started, by which one that arrives twice is told.
+        pub sequence: u64,
+        /// How long answered requests took since the last report.
+        pub durations: Vec<Durations>,
     }
 }
 
@@ -33,36 +39,6 @@
     }
 }
 
-derive_value! {
-    /// What senders have seen of one start of a target.
-    #[derive(Eq)]
-    pub struct Observation {
-        /// The target.
-        pub target: TargetId,
-        /// The start of the target, in milliseconds since the Unix epoch.
-        pub born_ms: u64,
-        /// Age of the load and the pace, in milliseconds.
-        pub age_ms: u32,
-        /// Number of requests that the target runs.
-        pub running: u32,
-        /// Number of requests that wait at the target.
-        pub waiting: u32,
-        /// How long work takes on the target's machine, in percent of the usual time; `None` if the
-        /// target does not say.
-        pub pace: Option<u32>,
-        /// The remaining time of the target's slow phase, in milliseconds.
-        pub cold_ms: u32,
-        /// Number of requests that the target answered.
-        pub answers: u32,
-        /// Number of requests that the target refused as full.
-        pub refusals: u32,
-        /// Number of requests that the target failed.
-        pub failures: u32,
-        /// Number of requests that the target did not answer in time.
-        pub silences: u32,
-    }
-}
-
 derive_value! {
     /// The leader's answer to a [`Report`].
     ///
@@ -80,6 +56,13 @@
         pub cold: Vec<ColdShare>,
         /// What all senders have seen of the targets that changed most.
         pub observations: Vec<Observation>,
+        /// The targets in cooldown.
+        pub cooldowns: Vec<Cooldown>,
+        /// The services for which targets are selected by what all senders have observed.
+        pub scopes: Vec<Scope>,
+        /// Shortest time between a report and one that a host sends early, because a request begins
+        /// or was answered, in milliseconds.
+        pub refresh_ms: u32,
     }
 }
 
--- a/crates/catkinlatch-standin/src/site/target.rs
+++ b/crates/catkinlatch-standin/src/site/target.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -33,6 +33,8 @@
     pub says_leaving: Arc<AtomicBool>,
     /// Whether the target answers nothing, and leaves its connections open.
     pub is_silent: Arc<AtomicBool>,
+    /// The pace of the target's machine in percent, which its answers state unless it is 0.
+    pub pace: Arc<AtomicU32>,
     /// Number of heartbeats that were acknowledged while the target was draining.
     pub acknowledged: Arc<AtomicU64>,
 }
@@ -41,15 +43,30 @@
     /// Creates a target that accepts requests.
     pub fn new(id: &str, service: &'static str, address: SocketAddr, slots: u32) -> Self {
         let (is_draining, says_leaving, is_silent, acknowledged) = Default::default();
-        let id = id.to_owned();
-        Self { id, service, address, slots, is_draining, says_leaving, is_silent, acknowledged }
+        let (id, pace) = (id.to_owned(), Arc::default());
+        Self {
+            id,
+            service,
+            address,
+            slots,
+            is_draining,
+            says_leaving,
+            is_silent,
+            pace,
+            acknowledged,
+        }
     }
 
-    /// Adds the header that says that the target leaves, if it does.
+    /// Adds the headers that say that the target leaves, and how fast it is, if they apply.
     pub fn finish<B>(&self, mut response: Response<B>) -> Response<B> {
         if self.says_leaving.load(Ordering::Relaxed) {
             response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
         }
+        let pace = self.pace.load(Ordering::Relaxed);
+        if let Some(load) = (pace > 0).then(|| format!("0,0,{},{pace}", self.slots)) {
+            let load = HeaderValue::from_str(&load).expect("digits are valid in a header");
+            response.headers_mut().insert("server-load", load);
+        }
         response
     }
 
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -133,6 +133,7 @@
         | Reply::Suspect(_)
         | Reply::Suspects { .. }
         | Reply::Exchanged(_)
-        | Reply::Place(_) => status(StatusCode::SERVICE_UNAVAILABLE),
+        | Reply::Place(_)
+        | Reply::Retry(_) => status(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -2,7 +2,7 @@
 
 mod suspect;
 
-use crate::{exchange, host::Host, view};
+use crate::{exchange, host::Host, observation, view};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
 use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry};
@@ -139,7 +139,12 @@
         }
         Message::Retire(name) => retire(host, &name).await,
         Message::Retirement(name) => retirement(host, &name),
-        Message::Exchange(report) => Reply::Exchanged(Box::new(exchange::answer(term, &report))),
+        Message::Exchange(report) => {
+            Reply::Exchanged(Box::new(exchange::answer(host, term, &report)))
+        }
+        Message::RequestRetry { host: sender, target } => {
+            Reply::Retry(observation::grant_retry(host, &sender, &target))
+        }
         // No part takes these yet.
         Message::Evacuate(_) | Message::Restore(_) => Reply::Unknown,
         Message::RequestPlace { .. } => Reply::Place(true),
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     duty::{Rule, Turn},
-    handler,
+    handler, observation,
     soft_state::SoftState,
     suspect,
     view::{self, EncodedView},
@@ -49,6 +49,8 @@
     pub client: Client,
     /// The requests that may crash targets.
     pub suspects: suspect::Shared,
+    /// What senders observe of targets.
+    pub observations: observation::Shared,
     /// The last time this host may have acted as the holder of the duties; `None` if it never has.
     last_turn: Mutex<Option<Turn>>,
     soft_state: Mutex<SoftState>,
@@ -77,6 +79,7 @@
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
         let (gathered, encoded_view) = (Notify::new(), Mutex::default());
+        let observations = observation::Shared::new(settings.host.clone());
         Self {
             settings,
             clock,
@@ -85,6 +88,7 @@
             leader_client,
             client,
             suspects: suspect::Shared::default(),
+            observations,
             last_turn,
             soft_state,
             revision,
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -9,6 +9,7 @@
 mod handler;
 mod host;
 mod lead;
+mod observation;
 pub mod pace;
 pub mod redundancy;
 mod run;
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -75,9 +75,11 @@
     pub fn new(host: Arc<Host>) -> Self {
         let (sender, completions) = mpsc::channel(COMPLETION_QUEUE);
         let last_recorded = host.clock.now();
+        let shared = Shared::default();
+        host.observations.restart(shared.clone());
         Self {
             host,
-            shared: Shared::default(),
+            shared,
             schedule: Schedule::default(),
             runs: JoinSet::new(),
             handles: BTreeMap::new(),
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -1,8 +1,10 @@
 //! Calls the scoring service for a generated sample.
 
-use crate::{host::Host, shared::Shared};
+use crate::{host::Host, observation, shared::Shared};
 use catkinlatch_base::TargetId;
-use catkinlatch_ledger::{Configuration, Job, Target, balancer, job::Scorer, suspect::Change};
+use catkinlatch_ledger::{
+    Configuration, Job, Target, balancer, job::Scorer, observation::Event, suspect::Change,
+};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::http::{Body, BodyError, Failure, full};
 use catkinlatch_state::suspect::{Fingerprint, Reply as Verdict};
@@ -156,6 +158,7 @@
     let configuration = configuration?;
     let route = configuration.route(&scorer.host, &scorer.path)?;
     let service = route.service(fastrand::f64())?;
+    observation::update(host);
     let soft = host.soft_state();
     let balancer = shared.balancer();
     let has_room = |target: &&Target| {
@@ -165,7 +168,7 @@
     let targets = soft.registry.targets().filter(|target| target.service == *service);
     let now = host.clock.now();
     let available = targets.filter(has_room);
-    let target = balancer.pick(available, &host.settings.zone, tried, now)?.clone();
+    let target = observation::pick(host, &balancer, service, available, tried, now)?.clone();
     Some((target, route.max_attempts))
 }
 
@@ -182,10 +185,11 @@
         Err(attempt) => (None, attempt),
     };
     let now = host.clock.now();
-    let verdict = match attempt {
-        Attempt::Signed(_) | Attempt::Failed => balancer::Verdict::Answered(now - began),
-        Attempt::Full => balancer::Verdict::Full,
-        Attempt::Unanswered | Attempt::Broken => balancer::Verdict::Failed,
+    let (verdict, event) = match attempt {
+        Attempt::Signed(_) => (balancer::Verdict::Answered(now - began), Event::Answered),
+        Attempt::Failed => (balancer::Verdict::Answered(now - began), Event::Failed),
+        Attempt::Full => (balancer::Verdict::Full, Event::Refused),
+        Attempt::Unanswered | Attempt::Broken => (balancer::Verdict::Failed, Event::Failed),
     };
     shared.slot_freed().notify_one();
     let mut balancer = shared.balancer();
@@ -194,6 +198,9 @@
     if let Some(load) = load {
         balancer.report(&target.id, load.running, load.waiting, now);
     }
+    let own = balancer.running(&target.id);
+    drop(balancer);
+    observation::record(host, target, event, now - began, load, own);
     attempt
 }
 
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -14,6 +14,8 @@
 mod key;
 #[path = "site/leaving.rs"]
 mod leaving;
+#[path = "site/observations.rs"]
+mod observations;
 #[path = "site/stream.rs"]
 mod stream;
 #[path = "site/suspect.rs"]
