End a cooldown that nobody asks to retry, and keep scoring calls off targets in cooldown

Cause: found by reading: a cooldown whose sender was lost during the retry stayed until the next one asked, and a scoring call went to a target in cooldown when the others had no room for further calls. Change: 6 s without a request to retry end the cooldown, also after a lost one; the call waits for room.

--- a/crates/catkinlatch-ledger/src/observation/cooldown.rs
+++ b/crates/catkinlatch-ledger/src/observation/cooldown.rs
@@ -137,7 +137,9 @@
                 self.phase = Phase::Open { since: now, retry: None };
                 None
             }
-            Phase::Open { since, retry: None } if now >= *since + UNASKED_TIME => {
+            Phase::Open { since, retry }
+                if now >= retry.as_ref().map_or(*since, |(_, until)| *until) + UNASKED_TIME =>
+            {
                 self.end(now);
                 Some(Change::Ended { target: target.clone(), was_retried: false })
             }
--- a/crates/catkinlatch-ledger/tests/observations.rs
+++ b/crates/catkinlatch-ledger/tests/observations.rs
@@ -174,6 +174,9 @@
     let [own, shared] = [Policy::Own, Policy::Shared].map(|policy| play_all(&load, policy));
     assert!(shared.mean() < own.mean() * 1.1, "{} {}", shared.mean(), own.mean());
     assert_eq!(shared.failures, own.failures);
+    let never = Play { leaderless_from: 0, ..load };
+    let [own, shared] = [Policy::Own, Policy::Shared].map(|policy| play_all(&never, policy));
+    assert_eq!((shared.ms, shared.sends), (own.ms, own.sends), "the same decisions");
 }
 
 /// Guards against a cooldown on the word of one host: by a single report, by one that arrives
@@ -187,9 +190,14 @@
     report(&mut once, 1, 1, &failing, at(100));
     report(&mut once, 1, 1, &failing, at(200));
     assert!(!once.is_in_cooldown(&targets[0].id));
+    once.update(targets.iter(), 1, |_| 0, at(300));
+    let told = |hub: &Hub| hub.digest().observations.iter().map(|seen| seen.failures).max();
+    assert_eq!(told(&once), Some(0), "one statement does not keep others from a target either");
     let mut twice = once.clone();
     report(&mut twice, 1, 2, &failing, at(600));
     assert!(twice.is_in_cooldown(&targets[0].id));
+    twice.update(targets.iter(), 1, |_| 0, at(700));
+    assert!(told(&twice) > Some(0));
     let mut two = once.clone();
     report(&mut two, 2, 1, &failing, at(600));
     assert!(two.is_in_cooldown(&targets[0].id));
@@ -224,6 +232,9 @@
     hub.update(targets.iter(), 1, |_| 0, open);
     assert!(hub.grant_retry(&host(1), id, open));
     assert!(!hub.grant_retry(&host(2), id, open));
+    let mut unasked = hub.clone();
+    unasked.update(targets.iter(), 1, |_| 0, Instant::from_millis(10_300));
+    assert!(!unasked.is_in_cooldown(id), "the first sender was lost, and no other asks");
     let later = Instant::from_millis(4_300);
     assert!(hub.grant_retry(&host(2), id, later), "the first sender was lost");
     report(&mut hub, 2, 2, &[observation(cooling[0], None, 1, 0)], later);
--- a/crates/catkinlatch-store/src/observation.rs
+++ b/crates/catkinlatch-store/src/observation.rs
@@ -135,7 +135,9 @@
     }
     let (table, random) = (hub.table(), fastrand::f64());
     let selection = Selection { table, balancer, zone, tried, now, random };
-    select(&selection, targets.into_iter(), |target| hub.is_in_cooldown(&target.id))
+    // A call waits rather than go to a target in cooldown because the others have no room.
+    let healthy = targets.into_iter().filter(|target| !hub.is_in_cooldown(&target.id));
+    select(&selection, healthy, |_| false)
 }
 
 /// Records how a scoring call ended, and the load that the target stated in its answer; `own` is
