--- a/crates/catkinlatch-entry/src/admission.rs
+++ b/crates/catkinlatch-entry/src/admission.rs
@@ -10,7 +10,7 @@
 
 use self::line::{Line, Wake};
 use crate::{front::InboundRequest, host::Host};
-use catkinlatch_base::{Instant, Ratio, ServiceId, TeamId};
+use catkinlatch_base::{Instant, Ratio, ServiceId, TeamId, Term};
 use catkinlatch_ledger::config::Route;
 use catkinlatch_route::{
     admission::rank::{Arrival, Reason, Returns, Step, Ticket},
@@ -50,6 +50,15 @@
 /// What identifies a caller that returns after a refusal: its key and its request.
 type Caller = (Option<String>, Fingerprint);
 
+/// The reports that this host has sent so far.
+#[derive(Default)]
+pub struct Progress {
+    /// The number of the last report.
+    pub sequence: u64,
+    /// The highest term of the leaders that answered.
+    pub newest: Term,
+}
+
 /// The queues of all services, and what else limits the attempts of this host.
 #[derive(Default)]
 pub struct Admission {
@@ -58,7 +67,7 @@
     budgets: Mutex<BTreeMap<String, Budget>>,
     /// Held while a message that changes this host's shares is under way: the leader must get them
     /// in order.
-    pub exchange: AsyncMutex<()>,
+    pub exchange: AsyncMutex<Progress>,
     /// Notified when this host holds a place that it does not need.
     pub surplus: Notify,
 }
--- a/crates/catkinlatch-entry/src/cold.rs
+++ b/crates/catkinlatch-entry/src/cold.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns whether a target is cold, so that this host needs a share of what it tolerates.
+    pub fn limits(&self, target: &Target, now: Instant) -> bool {
+        self.is_on() && self.lock().targets.is_limited(target, now)
+    }
+
     /// Takes one request from the share of a target just before it is sent; returns whether it may
     /// be sent.
     pub fn admit(&self, target: &Target, now: Instant) -> bool {
--- a/crates/catkinlatch-entry/src/exchange.rs
+++ b/crates/catkinlatch-entry/src/exchange.rs
@@ -1,7 +1,7 @@
 //! The entry host's side of the exchange with the leader about load and targets.
 
-use crate::{admission, host::Host};
-use catkinlatch_base::Term;
+use crate::{admission, host::Host, observation};
+use catkinlatch_base::{Instant, Term};
 use catkinlatch_runtime::{
     Message, Reply,
     message::{Guidance, Report},
@@ -15,6 +15,8 @@
 /// Time until the next report if there was no answer and this host has a share of a service's
 /// places, or knows no leader to report to.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of reports in succession that are lost before a host reports less often.
+const MAX_LOST: u32 = 10;
 
 /// Shortest time between two reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -34,28 +36,20 @@
 /// about which host is taken for the leader.
 pub async fn run(host: Arc<Host>) {
     let mut newest = Term::default();
-    let mut sequence = 0;
+    let (mut interval, mut lost) = (IDLE_INTERVAL, 0);
     loop {
-        let turn = host.admission.exchange.lock().await;
-        let sent_at = host.clock.now();
-        sequence = host.clock.wall_ms().max(sequence + 1);
-        let answer = exchange(&host, sequence).await;
-        let interval = match answer {
+        match exchange(&host).await {
             Some(guidance) if guidance.term >= newest => {
-                newest = guidance.term;
-                let (targets, now) = (host.view().targets, host.clock.now());
-                host.cold.accept(&guidance, &targets, sent_at, now);
-                admission::adopt(&host, &guidance, sent_at);
-                Duration::from_millis(guidance.interval_ms.into()).max(MIN_INTERVAL)
+                (newest, lost) = (guidance.term, 0);
+                interval = Duration::from_millis(guidance.interval_ms.into()).max(MIN_INTERVAL);
             }
-            Some(_) => IDLE_INTERVAL,
-            None => {
-                admission::record_silence(&host);
-                let waits = host.admission.is_divided() || host.leader_client.leader().is_none();
-                if waits { RETRY_INTERVAL } else { IDLE_INTERVAL }
+            None if host.admission.is_divided() || host.leader_client.leader().is_none() => {
+                interval = RETRY_INTERVAL;
             }
-        };
-        drop(turn);
+            // A new leader learns only from reports what the last one knew.
+            Some(_) | None if lost < MAX_LOST => lost += 1,
+            Some(_) | None => interval = IDLE_INTERVAL,
+        }
         tokio::select! {
             () = next_report(&host, interval) => {}
             () = host.cold.shortage() => time::sleep(SHORTAGE_PAUSE).await,
@@ -70,24 +64,49 @@
     let _ = time::timeout(rest, host.admission.surplus.notified()).await;
 }
 
-/// Sends one report; returns the leader's guidance.
-async fn exchange(host: &Host, sequence: u64) -> Option<Guidance> {
+/// Sends one report and takes over the leader's guidance, which it returns.
+///
+/// Reports are sent one after the other, and guidance of an earlier term than the newest one is
+/// returned without effect.
+pub async fn exchange(host: &Arc<Host>) -> Option<Guidance> {
+    let mut progress = host.admission.exchange.lock().await;
     let leader = host.leader_client.leader()?;
-    let message = Message::Exchange(Box::new(report(host, sequence)));
+    let sent_at = host.clock.now();
+    progress.sequence = host.clock.wall_ms().max(progress.sequence + 1);
+    let message = Message::Exchange(Box::new(report(host, progress.sequence, sent_at)));
     match host.peers.call::<Reply>(&leader, &message, TIMEOUT).await {
-        Ok(Reply::Exchanged(guidance)) => Some(*guidance),
-        Ok(_) | Err(_) => None,
+        Ok(Reply::Exchanged(guidance)) => {
+            if guidance.term >= progress.newest {
+                progress.newest = guidance.term;
+                adopt(host, &guidance, sent_at);
+            }
+            Some(*guidance)
+        }
+        Ok(_) | Err(_) => {
+            admission::record_silence(host);
+            None
+        }
     }
 }
 
-fn report(host: &Host, sequence: u64) -> Report {
+/// Takes over the guidance that answers a report sent at `sent_at`.
+fn adopt(host: &Arc<Host>, guidance: &Guidance, sent_at: Instant) {
+    let (targets, now) = (host.view().targets, host.clock.now());
+    host.cold.accept(guidance, &targets, sent_at, now);
+    admission::adopt(host, guidance, sent_at);
+    observation::adopt(host, guidance, sent_at);
+}
+
+fn report(host: &Host, sequence: u64, now: Instant) -> Report {
+    let news = host.guide().take_news(now);
     Report {
         host: host.settings.host.clone(),
         incarnation: host.peers.local().incarnation,
         sequence,
         zone: host.settings.zone.clone(),
-        demands: host.admission.demands(host.clock.now()),
-        observations: Vec::new(),
-        cold: host.cold.report(host.clock.now()),
+        demands: host.admission.demands(now),
+        observations: news.observations,
+        cold: host.cold.report(now),
+        durations: news.durations,
     }
 }
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,11 +1,12 @@
 //! State that the tasks of an entry host share.
 
 use crate::{
-    admission::Admission, arrival, cold::Cold, contact::Contact, suspect, usage::Usage, view::View,
+    admission::Admission, arrival, cold::Cold, contact::Contact, second, suspect, usage::Usage,
+    view::View,
 };
 use catkinlatch_base::{TeamId, WindowId};
-use catkinlatch_ledger::{Balancer, registry::Leaving};
-use catkinlatch_route::Ramp;
+use catkinlatch_ledger::{Balancer, observation::Guide, registry::Leaving};
+use catkinlatch_route::{Budget, Ramp};
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -31,6 +32,8 @@
     pub admission: Admission,
     view: Mutex<View>,
     balancer: Mutex<Balancer>,
+    guide: Mutex<Guide>,
+    second_budget: Mutex<Budget>,
     usage: Mutex<Usage>,
     suspects: Mutex<suspect::Table>,
     leaving: Mutex<Leaving>,
@@ -50,6 +53,7 @@
         client: Client,
     ) -> Self {
         let cold = Cold::new(settings.cold);
+        let second_budget = Mutex::new(Budget::new(second::SHARE, clock.now()));
         Self {
             settings,
             clock,
@@ -60,6 +64,8 @@
             admission: Admission::default(),
             view: Mutex::default(),
             balancer: Mutex::default(),
+            guide: Mutex::default(),
+            second_budget,
             usage: Mutex::default(),
             suspects: Mutex::default(),
             leaving: Mutex::default(),
@@ -85,6 +91,17 @@
         lock(&self.balancer)
     }
 
+    /// Locks what this host and others observed of targets. The guard must not be held across an
+    /// `await`; it is taken after that of leaving targets and before that of the load balancer.
+    pub fn guide(&self) -> MutexGuard<'_, Guide> {
+        lock(&self.guide)
+    }
+
+    /// Locks the budget of second sends. The guard must not be held across an `await`.
+    pub fn second_budget(&self) -> MutexGuard<'_, Budget> {
+        lock(&self.second_budget)
+    }
+
     /// Locks the usage counters. The guard must not be held across an `await`.
     pub fn usage(&self) -> MutexGuard<'_, Usage> {
         lock(&self.usage)
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -6,6 +6,8 @@
     cold,
     front::InboundRequest,
     host::Host,
+    observation,
+    second::{self, Sent},
     stream::{self, Attempts},
     suspect::{self, Permit},
 };
@@ -122,6 +124,7 @@
     let trial_deadline = arrived + time_limit(inbound).mul_f64(TRIAL_WAIT_SHARE);
     let is_stream = inbound.route.kind == Kind::Stream;
     let is_idempotent = inbound.route.may_repeat();
+    observation::refresh(host, &inbound.route).await;
     let mut tried = BTreeSet::new();
     // Full targets are tried again, but all tries together reach `max_attempts` targets.
     let mut reached = BTreeSet::new();
@@ -137,15 +140,12 @@
             Ok(place) => place,
             Err(end) => return end,
         };
+        let picked = match sends < inbound.route.max_attempts {
+            true => next_target(host, inbound, place, sends, &tried, &reached).await,
+            false => None,
+        };
         let now = host.clock.now();
-        let picked = (sends < inbound.route.max_attempts).then(|| {
-            let left_out = left_out(host, inbound, &tried, &reached);
-            match (sends, place) {
-                (0, Some(place)) => pick_from(host, place.service(), &left_out, now),
-                _ => pick_target(host, inbound, &left_out, now),
-            }
-        });
-        let Some(target) = picked.flatten() else {
+        let Some(mut target) = picked else {
             let is_cold = cold::may_wait(host, inbound, &tried, now);
             if sends == 0 && is_cold && now + FULL_RETRY_PAUSE < give_up_at {
                 // The targets left are cold, and this host lacks a share of them.
@@ -200,8 +200,8 @@
         sends += 1;
         let is_last = sends >= inbound.route.max_attempts || !is_idempotent;
         let limit = if is_last { left } else { left.min(attempt_limit(inbound, left)) };
+        let is_trial = permit == Permit::Trial;
         let outcome = if is_stream {
-            let is_trial = permit == Permit::Trial;
             let attempts = Attempts { sends, tried: tried.clone(), arrived, deadline, is_trial };
             match stream::open(host, inbound, &target, attempts, limit).await {
                 Ok(response) => {
@@ -211,7 +211,21 @@
                 Err(outcome) => outcome,
             }
         } else {
-            attempt::send(host, inbound, &target, left, limit).await
+            let attempts = Attempts { sends, tried: tried.clone(), arrived, deadline, is_trial };
+            let sent = second::send(host, inbound, &target, &attempts, limit).await;
+            let Sent { target: answered, outcome, other } = sent;
+            if let Some((other, other_outcome)) = other {
+                sends += 1;
+                attempt_log.push(format!("{} with a second send: {other_outcome}", other.id));
+                may_have_run |= !matches!(other_outcome, Outcome::NotRun(_));
+                if let Outcome::Answer(answer) = other_outcome {
+                    *failure = Some(caller_response(answer));
+                }
+                reached.insert(other.id.clone());
+                tried.insert(other.id);
+            }
+            target = answered;
+            outcome
         };
         record(host, inbound, &target, permit, &outcome).await;
         if !matches!(outcome, Outcome::NotRun(attempt::NO_CONNECTION)) {
@@ -269,7 +283,7 @@
 
 /// Records what an attempt tells about whether the request crashes targets. Only a crash is waited
 /// for, since the next attempt must not run beside another.
-async fn record(
+pub async fn record(
     host: &Arc<Host>,
     inbound: &InboundRequest,
     target: &Target,
@@ -319,6 +333,27 @@
     objective.map_or(left / 2, |objective| (objective * ATTEMPT_OBJECTIVES).min(left / 2))
 }
 
+/// Returns the target of the next attempt: one in cooldown if this host may retry it now, or else
+/// the one that is expected to answer first.
+async fn next_target(
+    host: &Host,
+    inbound: &InboundRequest,
+    place: Option<&admission::Place>,
+    sends: u32,
+    tried: &BTreeSet<TargetId>,
+    reached: &BTreeSet<TargetId>,
+) -> Option<Target> {
+    let left_out = left_out(host, inbound, tried, reached);
+    if let Some(target) = observation::request_retry(host, inbound, &left_out).await {
+        return Some(target);
+    }
+    let now = host.clock.now();
+    match (sends, place) {
+        (0, Some(place)) => pick_from(host, place.service(), &left_out, now),
+        _ => pick_target(host, inbound, &left_out, now),
+    }
+}
+
 /// Returns the targets that a request must not be sent to now: those that were tried in this round,
 /// and all others once it has reached as many as its route allows.
 fn left_out(
@@ -365,7 +400,10 @@
         let staying = view.targets(service).filter(|target| !leaving.contains(target));
         let admitted: Vec<&Target> = staying.filter(admits).collect();
         drop(balancer);
-        cold::pick(host, admitted.into_iter(), left_out, now).cloned()
+        if admitted.iter().any(|target| host.cold.limits(target, now)) {
+            return cold::pick(host, admitted.into_iter(), left_out, now).cloned();
+        }
+        observation::pick(host, service, admitted.into_iter(), left_out, now)
     };
     let pick = |left_out: &BTreeSet<TargetId>| {
         pick_admitted(left_out, fastrand::f64()).or_else(|| pick_admitted(left_out, 0.0))
--- a/crates/catkinlatch-standin/src/site/target.rs
+++ b/crates/catkinlatch-standin/src/site/target.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -38,6 +38,8 @@
     pub is_silent: Arc<AtomicBool>,
     /// The target's cold phase.
     pub cold: Cold,
+    /// The pace of the target's machine in percent, which its answers state unless it is 0.
+    pub pace: Arc<AtomicU32>,
     /// Number of heartbeats that were acknowledged while the target was draining.
     pub acknowledged: Arc<AtomicU64>,
 }
@@ -46,7 +48,7 @@
     /// Creates a target in zone `zone-0` that accepts requests.
     pub fn new(id: &str, service: &'static str, address: SocketAddr, slots: u32) -> Self {
         let (is_draining, says_leaving, is_silent, acknowledged) = Default::default();
-        let id = id.to_owned();
+        let (id, pace) = (id.to_owned(), Arc::default());
         let cold = Cold::new(Duration::ZERO);
         Self {
             id,
@@ -58,6 +60,7 @@
             says_leaving,
             is_silent,
             cold,
+            pace,
             acknowledged,
         }
     }
@@ -67,7 +70,7 @@
         Self { zone, ..self }
     }
 
-    /// Adds the headers that say that the target leaves or is cold, if it does so.
+    /// Adds the headers that say that the target leaves, is cold, and how fast it is, if they apply.
     pub fn finish<B>(&self, mut response: Response<B>) -> Response<B> {
         if self.says_leaving.load(Ordering::Relaxed) {
             response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
@@ -75,6 +78,11 @@
         if let Some(left) = self.cold.stated() {
             response.headers_mut().insert("cold-ms", HeaderValue::from(left as u64));
         }
+        let pace = self.pace.load(Ordering::Relaxed);
+        if let Some(load) = (pace > 0).then(|| format!("0,0,{},{pace}", self.slots)) {
+            let load = HeaderValue::from_str(&load).expect("digits are valid in a header");
+            response.headers_mut().insert("server-load", load);
+        }
         response
     }
 
--- a/crates/catkinlatch-store/src/exchange.rs
+++ b/crates/catkinlatch-store/src/exchange.rs
@@ -1,6 +1,6 @@
 //! The leader's side of the exchange with entry hosts about load and targets.
 
-use crate::{cold, host::Host, places};
+use crate::{cold, host::Host, observation, places};
 use catkinlatch_base::Term;
 use catkinlatch_runtime::message::{Guidance, Report};
 use std::time::Duration;
@@ -17,13 +17,18 @@
 /// Answers the report of an entry host in `term`.
 pub fn answer(host: &Host, term: Term, report: &Report) -> Guidance {
     let places = host.places.guide(host, term, report);
+    let digest = observation::answer(host, report);
+    let is_idle = places.is_empty() && digest.scopes.is_empty();
     let mut guidance = Guidance {
         term,
-        interval_ms: if places.is_empty() { IDLE_INTERVAL_MS } else { ACTIVE_INTERVAL_MS },
+        interval_ms: if is_idle { IDLE_INTERVAL_MS } else { ACTIVE_INTERVAL_MS },
         lease_ms: LEASE.as_millis() as u32,
         places,
         cold: Vec::new(),
-        observations: Vec::new(),
+        observations: digest.observations,
+        cooldowns: digest.cooldowns,
+        scopes: digest.scopes,
+        refresh_ms: digest.refresh_ms,
     };
     cold::guide(host, term, report, &mut guidance);
     guidance
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -5,7 +5,7 @@
 mod suspect;
 
 use self::propagation::{await_propagation, await_propagation_to_most, leads};
-use crate::{cold, exchange, host::Host, view};
+use crate::{cold, exchange, host::Host, observation, view};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
 use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry};
@@ -153,6 +153,9 @@
         Message::RequestPlace { host: holder, service } => {
             host.places.request(host, term, holder, &service)
         }
+        Message::RequestRetry { host: sender, target } => {
+            Reply::Retry(observation::grant_retry(host, &sender, &target))
+        }
     }
 }
 
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -3,7 +3,7 @@
 use crate::{
     cold::Cold,
     duty::{Rule, Turn},
-    handler,
+    handler, observation,
     places::Places,
     soft_state::SoftState,
     suspect,
@@ -58,6 +58,8 @@
     pub cold: Cold,
     /// The division of services' places among hosts while this one leads.
     pub places: Places,
+    /// What senders observe of targets.
+    pub observations: observation::Shared,
     /// The last time this host may have acted as the holder of the duties; `None` if it never has.
     last_turn: Mutex<Option<Turn>>,
     soft_state: Mutex<SoftState>,
@@ -88,6 +90,7 @@
         let configuration_version = watch::channel(None).0;
         let cold = Cold::new(settings.cold);
         let (gathered, encoded_view) = (Notify::new(), Mutex::default());
+        let observations = observation::Shared::new(settings.host.clone());
         Self {
             settings,
             clock,
@@ -98,6 +101,7 @@
             suspects: suspect::Shared::default(),
             cold,
             places: Places::default(),
+            observations,
             last_turn,
             soft_state,
             revision,
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -12,6 +12,7 @@
 mod handler;
 mod host;
 mod lead;
+mod observation;
 pub mod pace;
 mod places;
 pub mod redundancy;
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -3,11 +3,13 @@
 use crate::{
     cold::{self, SendError},
     host::Host,
-    places,
+    observation, places,
     shared::Shared,
 };
 use catkinlatch_base::TargetId;
-use catkinlatch_ledger::{Configuration, Job, Target, balancer, job::Scorer, suspect::Change};
+use catkinlatch_ledger::{
+    Configuration, Job, Target, balancer, job::Scorer, observation::Event, suspect::Change,
+};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::http::{Body, BodyError, Failure, full};
 use catkinlatch_state::suspect::{Fingerprint, Reply as Verdict};
@@ -165,6 +167,7 @@
     let configuration = configuration?;
     let route = configuration.route(&scorer.host, &scorer.path)?;
     let service = route.service(fastrand::f64())?;
+    observation::update(host);
     let soft = host.soft_state();
     let balancer = shared.balancer();
     let now = host.clock.now();
@@ -174,8 +177,12 @@
     };
     let targets = soft.registry.targets().filter(|target| target.service == *service);
     let available = targets.filter(has_room);
-    let zone = &host.settings.zone;
-    let target = host.cold.pick(&balancer, available, zone, tried, now)?.clone();
+    let available: Vec<&Target> = available.collect();
+    let target = if available.iter().any(|target| host.cold.room(target, now).is_some()) {
+        host.cold.pick(&balancer, available.into_iter(), &host.settings.zone, tried, now)?.clone()
+    } else {
+        observation::pick(host, &balancer, service, available.into_iter(), tried, now)?.clone()
+    };
     drop((soft, balancer));
     if !place.take(host, service) {
         return None;
@@ -196,18 +203,22 @@
         Err(attempt) => (None, attempt),
     };
     let now = host.clock.now();
-    let verdict = match attempt {
-        Attempt::Signed(_) | Attempt::Failed => balancer::Verdict::Answered(now - began),
-        Attempt::Full => balancer::Verdict::Full,
-        Attempt::Unanswered | Attempt::Broken => balancer::Verdict::Failed,
+    let (verdict, event) = match attempt {
+        Attempt::Signed(_) => (balancer::Verdict::Answered(now - began), Event::Answered),
+        Attempt::Failed => (balancer::Verdict::Answered(now - began), Event::Failed),
+        Attempt::Full => (balancer::Verdict::Full, Event::Refused),
+        Attempt::Unanswered | Attempt::Broken => (balancer::Verdict::Failed, Event::Failed),
     };
     shared.slot_freed().notify_one();
     let mut balancer = shared.balancer();
     balancer.end(&target.id, verdict, now);
     let load = answer.as_ref().and_then(|answer| header::target_load(answer.headers()));
-    if let Some((running, waiting)) = load {
-        balancer.report(&target.id, running, waiting, now);
+    if let Some(load) = load {
+        balancer.report(&target.id, load.running, load.waiting, now);
     }
+    let own = balancer.running(&target.id);
+    drop(balancer);
+    observation::record(host, target, event, now - began, load, own);
     attempt
 }
 
