Bound runs from half of the election timeout on, and let operators switch the division of slots on

Change: the division is a setting, divides_slots, off unless set; the bound starts at a lateness of 250 ms.

--- a/crates/catkinlatch-runtime/src/settings.rs
+++ b/crates/catkinlatch-runtime/src/settings.rs
@@ -78,6 +78,10 @@
     /// Bounds on what cold targets get; `None` if they tolerate everything.
     #[serde(default)]
     pub cold: Option<Cold>,
+    /// Whether the leader divides the slots of a service among hosts if it has fewer slots than
+    /// there are entry hosts.
+    #[serde(default)]
+    pub divides_slots: bool,
     /// Region of each availability zone.
     #[serde(default)]
     pub zones: BTreeMap<ZoneId, RegionId>,
--- a/crates/catkinlatch-store/src/concurrency.rs
+++ b/crates/catkinlatch-store/src/concurrency.rs
@@ -10,12 +10,13 @@
 /// Interval at which the leader measures how late its timers fire.
 pub const TICK: Duration = Duration::from_millis(20);
 
-/// Lateness of a timer from which the leader has too many runs: one heartbeat interval of the log.
-/// Followers elect another leader when five heartbeats are missing.
-const MAX_LATENESS: Duration = Duration::from_millis(100);
+/// Lateness of a timer from which the leader has too many runs: half of the election timeout, after
+/// which followers elect another leader. A leader on a machine that is slow for a while is up to
+/// 200 ms late with few runs, and fewer runs would not help it.
+const MAX_LATENESS: Duration = Duration::from_millis(250);
 
-/// Lateness of a timer up to which the leader may have more runs.
-const GROWTH_LATENESS: Duration = Duration::from_millis(30);
+/// Lateness of a timer up to which the leader may have more runs: one heartbeat interval.
+const GROWTH_LATENESS: Duration = Duration::from_millis(100);
 
 /// Share of the current runs that a late leader keeps.
 const DECREASE: f64 = 0.7;
--- a/crates/catkinlatch-store/src/places.rs
+++ b/crates/catkinlatch-store/src/places.rs
@@ -211,6 +211,9 @@
 /// Returns the plain services that have fewer places than there are ready entry hosts, with their
 /// places. The slots of engines are assigned to items by the schedule.
 fn divided_services(host: &Host) -> BTreeMap<ServiceId, u32> {
+    if !host.settings.divides_slots {
+        return BTreeMap::new();
+    }
     let document = host.replica.read(|state| state.document.clone());
     let Some(document) = document else { return BTreeMap::new() };
     let soft = host.soft_state();
