Share observations only where the settings ask for it

Cause: the part was built and tested with stand-ins, but not measured on the deployments, and it would be on wherever a service has fewer slots than entry hosts. Change: the setting shares_observations, off unless set; with it off nothing is selected by observations. Result: with the setting on, the tests of the stand-ins' site as before.

--- a/crates/catkinlatch-runtime/src/settings.rs
+++ b/crates/catkinlatch-runtime/src/settings.rs
@@ -82,6 +82,9 @@
     /// there are entry hosts.
     #[serde(default)]
     pub divides_slots: bool,
+    /// Whether hosts share what they observe of targets, where that is of use.
+    #[serde(default)]
+    pub shares_observations: bool,
     /// Region of each availability zone.
     #[serde(default)]
     pub zones: BTreeMap<ZoneId, RegionId>,
--- a/crates/catkinlatch-store/src/observation.rs
+++ b/crates/catkinlatch-store/src/observation.rs
@@ -50,6 +50,9 @@
 
 /// Records the report of an entry host; returns what it is told.
 pub fn answer(host: &Host, report: &Report) -> Digest {
+    if !host.settings.shares_observations {
+        return Digest::default();
+    }
     update(host);
     let now = host.clock.now();
     let runs = host.observations.runs();
@@ -74,6 +77,9 @@
 
 /// Updates what entry hosts are told, if that is due.
 pub fn update(host: &Host) {
+    if !host.settings.shares_observations {
+        return;
+    }
     let now = host.clock.now();
     if !host.observations.lock().is_due(now) {
         return;
