--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -65,7 +65,7 @@
             "losses": 1,
             "platform_address": layout.platform,
             "resources": {"memory_mb": if is_store { STORE_MEMORY_MB } else { ENTRY_MEMORY_MB }},
-            "shares_observations": true,
+            "divides_slots": true, "shares_observations": true,
             "times": {
                 "heartbeat_ms": 300, "drain_ms": 2000, "grace_s": 3, "lease_ms": 1000, "checks_fences": true,
                 "report_window_s": 1, "report_due_s": 5, "results_kept_s": 120,
