--- a/crates/catkinlatch-entry/src/contact.rs
+++ b/crates/catkinlatch-entry/src/contact.rs
@@ -24,7 +24,7 @@
 }
 
 impl Contact {
-    /// Records an answer of the leader, which vouches for the entry hosts of its view.
+    /// Records an answer of the leader, which confirms the entry hosts of its view.
     pub fn record_leader(&mut self, now: Instant) {
         self.leader = Some(now);
         self.hosts.clear();
