Name no time to return that is longer than callers wait

Cause: where no target was left the refusal said 400 ms, whatever time its caller had; callers wait for at most a third of theirs. Change: each refusal of a live request is capped at a third of the caller's time.

--- a/crates/catkinlatch-entry/src/admission.rs
+++ b/crates/catkinlatch-entry/src/admission.rs
@@ -6,7 +6,7 @@
 mod line;
 mod refusal;
 
-pub use self::refusal::Refusal;
+pub use self::refusal::{Refusal, most_retry_after};
 
 use self::line::{Line, Wake};
 use crate::{front::InboundRequest, host::Host};
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -75,7 +75,8 @@
     }
     let response = match end {
         End::Answered(response) => response,
-        End::NotRun(after) => answer::refusal(after),
+        // Callers do not wait longer than a third of their time before they return.
+        End::NotRun(after) => answer::refusal(after.min(admission::most_retry_after(&inbound))),
         End::MayHaveRun => answer::status(StatusCode::BAD_GATEWAY),
         End::TimedOut => answer::status(StatusCode::GATEWAY_TIMEOUT),
     };
