Wait in the test of cold targets until a new leader may grant shares

Trace: its calls ended 3 ms before the leader's 2.5 s after its election were over, in which it grants nothing by design; the first leader's term is 2. Change: the test waits for that time first. Its load is 24 requests at once in place of 12, which had just filled six slots at each host.

--- a/tests/site/cold.rs
+++ b/tests/site/cold.rs
@@ -17,6 +17,9 @@
 /// Duration of the cold phase after a start.
 const COLD: Duration = Duration::from_secs(3);
 
+/// Longer than a new leader waits before it grants shares of what cold targets tolerate.
+const NEW_LEADER_WAIT: Duration = Duration::from_secs(3);
+
 /// Which parts of a deployment ask for the bound.
 #[derive(Clone, Copy, PartialEq)]
 enum Called {
@@ -206,7 +209,8 @@
     let cold = Duration::from_secs(30);
     let second = Service::start_cold("survey-2", "survey", controls, cold).await.unwrap();
     setup.engines[0].target.cold.turn_cold(cold);
-    time::sleep(Duration::from_secs(1)).await;
+    // A new leader grants nothing for 2.5 s, the time of its predecessor's shares.
+    time::sleep(NEW_LEADER_WAIT).await;
     for number in 0..40 {
         let answer = setup.request(number % 2, "POST", "/survey/1", &number.to_string(), "").await;
         assert!(answer.is_some_and(ok));
@@ -214,7 +218,8 @@
     setup.submit("job-1", 1, 3).await;
     setup.results(0, "job-1", 3).await;
     assert_eq!((second.total_runs(), setup.engines[0].total_runs()), (0, 0));
-    *setup.service.run_time.lock().unwrap() = Duration::from_millis(300);
+    // 24 requests at once, 12 at each host, for the six slots of the warm target.
+    *setup.service.run_time.lock().unwrap() = Duration::from_millis(600);
     let setup = Arc::new(setup);
     let tally = call(&setup, "many", 40, Duration::from_secs(1)).await;
     assert!(second.total_runs() > 0, "it was not used when the warm one was full: {tally:?}");
