Log which targets limit what they take, and what they get in spite of it

Change: the last statement of each target is kept (cold::Statements) by every host that sends. A log line says when a limit begins, moves and ends, and how many requests this host sent meanwhile; two counters count sends to limited targets. No decision uses it yet.

--- a/crates/catkinlatch-entry/src/cold.rs
+++ b/crates/catkinlatch-entry/src/cold.rs
@@ -10,7 +10,7 @@
     cold::{self, Bound, Entrance, Start},
 };
 use catkinlatch_platform::{decode_cold_limits, header};
-use catkinlatch_route::cold::{Holder, Limit};
+use catkinlatch_route::cold::{Change, Holder, Limit};
 use catkinlatch_runtime::{
     Message, Reply,
     message::{ColdDemand, Guidance},
@@ -90,10 +90,13 @@
     /// Takes one request from the share of a target just before it is sent; returns whether it may
     /// be sent.
     pub fn admit(&self, target: &Target, now: Instant) -> bool {
+        let mut table = self.lock();
+        if table.targets.count_sent(target).is_some() {
+            metrics::counter!("catkinlatch_entry_limited_sent").increment(1);
+        }
         if !self.is_on() {
             return true;
         }
-        let mut table = self.lock();
         let start = cold::start(target);
         let is_admitted = match table.targets.bound(target, now) {
             Bound::Free => true,
@@ -119,16 +122,21 @@
         sent: Option<Instant>,
         now: Instant,
     ) {
-        if !self.is_on() {
-            return;
-        }
         let mut table = self.lock();
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
-            if let Some(sent) = sent {
+            if let Some(sent) = sent.filter(|_| self.is_on()) {
                 table.holder.refund(&cold::start(target), sent);
             }
             return;
         }
+        let rate = header::limit(response.headers());
+        if rate.is_some() || response.status().is_success() {
+            let change = table.targets.observe_rate(target, rate, sent.unwrap_or(now), now);
+            log_change(target, change);
+        }
+        if !self.is_on() {
+            return;
+        }
         let left = Duration::from_millis(header::cold_ms(response.headers()).unwrap_or(0));
         if table.targets.observe(target, left, now) {
             table.found.insert(cold::start(target));
@@ -188,6 +196,21 @@
     }
 }
 
+/// Logs that a target limits what it takes, or no longer does.
+fn log_change(target: &Target, change: Change) {
+    match change {
+        Change::Unchanged => {}
+        Change::Limited(rate) => info!(
+            target_id:% = target.id, born_ms = target.born_ms, per_second:% = rate;
+            "entry: a target limits what it takes"
+        ),
+        Change::Lifted { sent } => info!(
+            target_id:% = target.id, born_ms = target.born_ms, sent = sent;
+            "entry: a target no longer limits what it takes"
+        ),
+    }
+}
+
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/catkinlatch-ledger/src/cold.rs
+++ b/crates/catkinlatch-ledger/src/cold.rs
@@ -5,8 +5,8 @@
 pub use self::pick::{Entrance, Pick, pick};
 
 use crate::{Target, registry::Phase};
-use catkinlatch_base::{Instant, ServiceId, TargetId};
-use catkinlatch_route::cold::{Limit, Phases, Stage};
+use catkinlatch_base::{Instant, Rate, ServiceId, TargetId};
+use catkinlatch_route::cold::{Change, Limit, Phases, Stage, Statements};
 use std::{collections::BTreeMap, time::Duration};
 
 /// One start of a target: its id, and when it started in milliseconds since the Unix epoch.
@@ -38,6 +38,7 @@
 pub struct ColdTargets {
     limits: Option<BTreeMap<ServiceId, Limit>>,
     phases: Phases<Start>,
+    statements: Statements<Start>,
 }
 
 impl ColdTargets {
@@ -51,6 +52,26 @@
         self.phases.observe(&start(target), left, now) && self.bound(target, now) != Bound::Free
     }
 
+    /// Records the rate that a target states to take in the answer to a request that was sent at
+    /// `sent`; `None` if it names none.
+    pub fn observe_rate(
+        &mut self,
+        target: &Target,
+        rate: Option<Rate>,
+        sent: Instant,
+        now: Instant,
+    ) -> Change {
+        self.statements.observe(&start(target), rate, sent, now)
+    }
+
+    /// Counts a request to a target; returns the rate that the target states to take, if it does.
+    pub fn count_sent(&mut self, target: &Target) -> Option<Rate> {
+        if self.statements.is_empty() {
+            return None;
+        }
+        self.statements.count_sent(&start(target))
+    }
+
     /// Records what the registrations of targets state.
     pub fn observe_all<'a>(&mut self, targets: impl Iterator<Item = &'a Target>, now: Instant) {
         for target in targets.filter(|target| target.cold_ms > 0) {
--- a/crates/catkinlatch-route/src/cold.rs
+++ b/crates/catkinlatch-route/src/cold.rs
@@ -8,12 +8,14 @@
 mod division;
 mod holder;
 mod phase;
+mod statement;
 mod window;
 
 pub use self::{
     division::{Asked, Division},
     holder::{Demand, Holder},
     phase::{Phases, Stage},
+    statement::{Change, Statement, Statements},
     window::{SPAN, Window},
 };
 
--- a/crates/catkinlatch-store/src/cold.rs
+++ b/crates/catkinlatch-store/src/cold.rs
@@ -9,7 +9,7 @@
     cold::{self, Bound, Entrance, Start},
 };
 use catkinlatch_platform::{ColdLimit, decode_cold_limits, header};
-use catkinlatch_route::cold::{Asked, Division, Limit};
+use catkinlatch_route::cold::{Asked, Change, Division, Limit};
 use catkinlatch_runtime::{
     http::{Body, Exchange, Failure},
     message::{ColdDemand, ColdShare, Guidance, Report},
@@ -152,10 +152,13 @@
     /// Takes one request of this host, which holds the lease of `term`, just before it is sent;
     /// returns whether it may be sent.
     fn admit(&self, target: &Target, term: Option<Term>, now: Instant) -> bool {
+        let mut table = self.lock();
+        if table.targets.count_sent(target).is_some() {
+            metrics::counter!("catkinlatch_store_limited_sent").increment(1);
+        }
         if self.settings.is_none() {
             return true;
         }
-        let mut table = self.lock();
         let start = cold::start(target);
         let is_admitted = match table.targets.bound(target, now) {
             Bound::Free => true,
@@ -248,6 +251,13 @@
 /// A misdirected request was answered by another target, and does not count.
 fn record_response<B>(host: &Host, target: &Target, response: &Response<B>, sent: Option<Instant>) {
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        let rate = header::limit(response.headers());
+        if rate.is_some() || response.status().is_success() {
+            let now = host.clock.now();
+            let mut table = host.cold.lock();
+            let change = table.targets.observe_rate(target, rate, sent.unwrap_or(now), now);
+            log_change(target, change);
+        }
         let left = Duration::from_millis(header::cold_ms(response.headers()).unwrap_or(0));
         observe(host, target, left);
     } else if let Some(sent) = sent.filter(|_| host.cold.settings.is_some()) {
@@ -255,6 +265,21 @@
     }
 }
 
+/// Logs that a target limits what it takes, or no longer does.
+fn log_change(target: &Target, change: Change) {
+    match change {
+        Change::Unchanged => {}
+        Change::Limited(rate) => info!(
+            target_id:% = target.id, born_ms = target.born_ms, per_second:% = rate;
+            "targets: a target limits what it takes"
+        ),
+        Change::Lifted { sent } => info!(
+            target_id:% = target.id, born_ms = target.born_ms, sent = sent;
+            "targets: a target no longer limits what it takes"
+        ),
+    }
+}
+
 /// Records how long a target states to be cold, and passes it on if it has turned cold.
 pub fn observe(host: &Host, target: &Target, left: Duration) {
     if host.cold.observe(target, left, host.clock.now()) {
