--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -7,6 +7,7 @@
 mod flood;
 mod host;
 mod lifecycle;
+mod limit;
 mod platform;
 mod relay;
 mod service;
@@ -20,6 +21,7 @@
     flood::{Flood, Pace, Place},
     host::Host,
     lifecycle::{CRASHING_BODY, Lifecycle, SILENCING_BODY},
+    limit::Limit,
     platform::Platform,
     relay::Relay,
     service::{Arrival, FLOODED, Flaw, Headers, Service},
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -203,6 +203,7 @@
         if text("expect-instance").is_some_and(|expected| expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, "");
         }
+        self.target.limit.arrive();
         if self.target.cold.arrive() {
             self.crash(FLOODED);
             std::future::pending::<()>().await;
--- /dev/null
+++ b/crates/catkinlatch-standin/src/site/limit.rs
@@ -0,0 +1,75 @@
+//! The limit that a stand-in target names in its answers while it is in need.
+
+use catkinlatch_base::Rate;
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// The span for which requests to a limited target are counted.
+const SPAN: Duration = Duration::from_secs(4);
+
+/// The limit of a target, and what the target got in spite of it.
+#[derive(Clone, Debug, Default)]
+pub struct Limit {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rate: Option<Rate>,
+    counted_from: Option<Instant>,
+    arrivals: VecDeque<Instant>,
+    total: usize,
+    most: usize,
+}
+
+impl Limit {
+    /// Names `rate` in all answers from now on, or no limit; counts what arrives more than `notice`
+    /// later.
+    pub fn set(&self, rate: Option<Rate>, notice: Duration) {
+        let counted_from = rate.map(|_| Instant::now() + notice);
+        *self.lock() = State { rate, counted_from, ..State::default() };
+    }
+
+    /// Returns the rate to name in an answer.
+    pub fn rate(&self) -> Option<Rate> {
+        self.lock().rate
+    }
+
+    /// Counts a request that has arrived.
+    pub fn arrive(&self) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if state.counted_from.is_none_or(|from| now < from) {
+            return;
+        }
+        while state.arrivals.front().is_some_and(|at| now - *at > SPAN) {
+            state.arrivals.pop_front();
+        }
+        state.arrivals.push_back(now);
+        state.total += 1;
+        state.most = state.most.max(state.arrivals.len());
+    }
+
+    /// Returns the most requests in a span of four seconds since the limit counts.
+    pub fn most(&self) -> usize {
+        self.lock().most
+    }
+
+    /// Returns how many requests arrived since the limit counts.
+    pub fn total(&self) -> usize {
+        self.lock().total
+    }
+
+    /// Returns the most requests in four seconds that a limit allows: 1.5 times the rate, and 5.
+    pub fn allowed(rate: Rate) -> usize {
+        (rate.per_second() * SPAN.as_secs_f64() * 1.5 + 5.0) as usize
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -280,6 +280,7 @@
         if headers.get("expect-instance").is_some_and(|expected| *expected != self.target.id) {
             return respond(StatusCode::MISDIRECTED_REQUEST, &id, "");
         }
+        self.target.limit.arrive();
         if self.target.cold.arrive() {
             self.crash(FLOODED);
             std::future::pending::<()>().await;
--- a/crates/catkinlatch-standin/src/site/target.rs
+++ b/crates/catkinlatch-standin/src/site/target.rs
@@ -1,6 +1,6 @@
 //! Registration, heartbeats and draining, which all stand-in targets share.
 
-use super::Cold;
+use super::{Cold, Limit};
 use catkinlatch_runtime::http::{Client, full};
 use http::{HeaderValue, Request, Response};
 use serde_json::{Value, json};
@@ -38,6 +38,8 @@
     pub is_silent: Arc<AtomicBool>,
     /// The target's cold phase.
     pub cold: Cold,
+    /// The limit that the target names.
+    pub limit: Limit,
     /// The pace of the target's machine in percent, which its answers state unless it is 0.
     pub pace: Arc<AtomicU32>,
     /// Number of heartbeats that were acknowledged while the target was draining.
@@ -60,6 +62,7 @@
             says_leaving,
             is_silent,
             cold,
+            limit: Limit::default(),
             pace,
             acknowledged,
         }
@@ -78,6 +81,10 @@
         if let Some(left) = self.cold.stated() {
             response.headers_mut().insert("cold-ms", HeaderValue::from(left as u64));
         }
+        if let Some(rate) = self.limit.rate() {
+            let rate = HeaderValue::from_str(&rate.to_string());
+            response.headers_mut().insert("server-limit", rate.expect("a number is valid"));
+        }
         let pace = self.pace.load(Ordering::Relaxed);
         if let Some(load) = (pace > 0).then(|| format!("0,0,{},{pace}", self.slots)) {
             let load = HeaderValue::from_str(&load).expect("digits are valid in a header");
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -24,6 +24,8 @@
 mod key;
 #[path = "site/leaving.rs"]
 mod leaving;
+#[path = "site/limit.rs"]
+mod limit;
 #[path = "site/observations.rs"]
 mod observations;
 #[path = "site/stream.rs"]
--- a/tests/site/cold.rs
+++ b/tests/site/cold.rs
@@ -67,14 +67,14 @@
 
 /// What callers got.
 #[derive(Debug, Default)]
-struct Tally {
-    served: usize,
-    refused: Vec<String>,
-    other: Vec<Option<StatusCode>>,
+pub(super) struct Tally {
+    pub served: usize,
+    pub refused: Vec<String>,
+    pub other: Vec<Option<StatusCode>>,
 }
 
 /// Sends `rate` live requests a second to both entry hosts for a time.
-async fn call(setup: &Arc<Setup>, name: &str, rate: u64, duration: Duration) -> Tally {
+pub(super) async fn call(setup: &Arc<Setup>, name: &str, rate: u64, duration: Duration) -> Tally {
     let mut calls = JoinSet::new();
     let end = Instant::now() + duration;
     let mut pause = time::interval(Duration::from_micros(1_000_000 / rate));
--- a/tests/site/evacuation.rs
+++ b/tests/site/evacuation.rs
@@ -61,7 +61,7 @@
     setup.site.control("DELETE", "/evacuate/zone-0", "").await;
 }
 
-fn leader(setup: &Setup) -> usize {
+pub(super) fn leader(setup: &Setup) -> usize {
     let leads = |log: String| {
         log.matches("took over the duties").count() > log.matches("gave up the duties").count()
     };
