Bound what targets get that name a limit, over all senders

Cause: no decision read the figure. Change: the division that bounds cold targets bounds these too. A stated rate becomes a number of requests in a span; hosts pass statements on with their age, and a limit ends only with a newer answer without it. A host that hears no leader sends at most its part of half of the rate. The reserve for hosts that have not asked is rounded down, as one request of two is too much. Why it works: allowance is taken where each request is written to its connection, by leases of the leader, so the sum over all hosts is bounded, whoever learns of the limit when.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -125,14 +125,15 @@
         let now = host.clock.now();
         // Opening a connection can take longer than a target's work.
         shorten_deadline(request, now - started);
-        (sent, is_withheld) = (Some(now), !host.cold.admit(target, now));
+        (sent, is_withheld) =
+            (Some(now), !host.cold.admit(target, host.hosts_without_leader(), now));
         !is_withheld
     };
     let sending = host.client.send_prepared(&target.address, request, prepare);
     let exchange = match time::timeout(limit, sending).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(Failure::NotSent(_))) if is_withheld => {
-            return Err(Outcome::NotRun("the target is cold, and this host has no share of it"));
+            return Err(Outcome::NotRun("the target is limited, and this host has no share of it"));
         }
         Ok(Err(Failure::NotSent(_))) => {
             guard.verdict = Verdict::Failed;
--- a/crates/catkinlatch-entry/src/contact.rs
+++ b/crates/catkinlatch-entry/src/contact.rs
@@ -45,11 +45,15 @@
         last.is_some_and(|last| now < last + contact + MARGIN)
     }
 
+    /// Returns whether the leader has not answered for longer than an election usually takes.
+    pub fn is_leader_silent(&self, now: Instant) -> bool {
+        self.leader.is_some_and(|leader| now >= leader + SILENCE)
+    }
+
     /// Returns the hosts to be probed now, at most `count` of `hosts` in turn; none while the leader
     /// answers.
     pub fn next_probes(&mut self, hosts: &[HostId], count: usize, now: Instant) -> Vec<HostId> {
-        let is_silent = self.leader.is_some_and(|leader| now >= leader + SILENCE);
-        if !is_silent || hosts.is_empty() {
+        if !self.is_leader_silent(now) || hosts.is_empty() {
             return Vec::new();
         }
         let start = self.next % hosts.len();
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -127,6 +127,12 @@
         lock(&self.contact)
     }
 
+    /// Returns the number of entry hosts while this one hears no leader; `None` while it hears one.
+    pub fn hosts_without_leader(&self) -> Option<u32> {
+        let is_silent = self.contact().is_leader_silent(self.clock.now());
+        is_silent.then(|| lock(&self.view).entries.len().max(1) as u32)
+    }
+
     /// Records regularly that this process runs; never returns.
     pub async fn beat(&self) {
         loop {
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -27,7 +27,7 @@
 /// retried on another target.
 const ATTEMPT_OBJECTIVES: u32 = 3;
 
-/// Pause before cold targets are tried again.
+/// Pause before limited targets are tried again.
 pub const FULL_RETRY_PAUSE: Duration = Duration::from_millis(15);
 
 /// Share of the latency objective during which a request waits for a free slot.
@@ -147,9 +147,9 @@
         };
         let now = host.clock.now();
         let Some(mut target) = picked else {
-            let is_cold = cold::may_wait(host, inbound, &tried, now);
-            if sends == 0 && is_cold && now + FULL_RETRY_PAUSE < give_up_at {
-                // The targets left are cold, and this host lacks a share of them.
+            let is_limited = cold::may_wait(host, inbound, &tried, now);
+            if sends == 0 && is_limited && now + FULL_RETRY_PAUSE < give_up_at {
+                // The targets left are limited, and this host lacks a share of them.
                 time::sleep(FULL_RETRY_PAUSE).await;
                 continue;
             }
@@ -162,9 +162,9 @@
                 sends = 0;
                 continue;
             }
-            if is_cold {
+            if is_limited {
                 metrics::counter!("catkinlatch_entry_cold_refused").increment(1);
-                attempt_log.push("only cold targets without a share are left".to_owned());
+                attempt_log.push("only limited targets without a share are left".to_owned());
             }
             let after = if sends == 0 { NO_TARGET_RETRY_AFTER } else { FULL_RETRY_AFTER };
             return if may_have_run { End::MayHaveRun } else { End::NotRun(after) };
@@ -401,7 +401,7 @@
         let staying = view.targets(service).filter(|target| !leaving.contains(target));
         let admitted: Vec<&Target> = staying.filter(admits).collect();
         drop(balancer);
-        if admitted.iter().any(|target| host.cold.limits(target, now)) {
+        if host.cold.any_limited(&admitted, now) {
             return cold::pick(host, admitted.into_iter(), left_out, now).cloned();
         }
         observation::pick(host, service, admitted.into_iter(), left_out, now)
--- a/crates/catkinlatch-ledger/src/cold/pick.rs
+++ b/crates/catkinlatch-ledger/src/cold/pick.rs
@@ -28,7 +28,7 @@
 pub fn pick<'a>(
     balancer: &Balancer,
     targets: impl Iterator<Item = &'a Target>,
-    entrance: impl Fn(&Target) -> Entrance,
+    mut entrance: impl FnMut(&Target) -> Entrance,
     zone: &ZoneId,
     tried: &BTreeSet<TargetId>,
     now: Instant,
--- a/crates/catkinlatch-ledger/src/registry/target.rs
+++ b/crates/catkinlatch-ledger/src/registry/target.rs
@@ -1,6 +1,6 @@
 //! The registration of a target.
 
-use catkinlatch_base::{BootId, ModelId, ServiceId, TargetId, Version, ZoneId, derive_value};
+use catkinlatch_base::{BootId, ModelId, Rate, ServiceId, TargetId, Version, ZoneId, derive_value};
 use std::collections::BTreeMap;
 
 /// Largest part of a target's id in the id of a start, so that both fit in an id.
@@ -41,6 +41,8 @@
         pub phase: Phase,
         /// The remaining time of the slow phase after the target's start, in milliseconds.
         pub cold_ms: u64,
+        /// The rate that the target states to take, as the leader knows it; registrations have none.
+        pub rate: Option<Rate>,
         /// Whether the target is a spot instance, which may be reclaimed along with its zone.
         pub is_spot: bool,
         /// The version of the weights that the target has loaded, by model.
--- a/crates/catkinlatch-ledger/tests/cold.rs
+++ b/crates/catkinlatch-ledger/tests/cold.rs
@@ -9,7 +9,7 @@
     cold::{Bound, Entrance, pick},
     registry::Phase,
 };
-use catkinlatch_route::cold::Limit;
+use catkinlatch_route::cold::{Limit, SPAN};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -28,6 +28,7 @@
         slots: 6,
         phase: Phase::Ready,
         cold_ms,
+        rate: None,
         is_spot: false,
         models: BTreeMap::new(),
     }
@@ -73,10 +74,14 @@
     let (a, later) = (target("a", 3_000), Target { born_ms: 2, ..target("a", 0) });
     let other = Target { service: "other".parse().unwrap(), ..target("b", 3_000) };
     cold.observe_all([&a, &other].into_iter(), NOW);
-    assert_eq!(cold.bound(&a, NOW), Bound::Limited { planned: 1, factor: 1 });
+    assert_eq!(
+        cold.bound(&a, NOW),
+        Bound::Limited { limit: Limit { planned: 1, span: SPAN }, factor: 1 }
+    );
     let limit = Limit::new(14.0, 1.5, 5.0).unwrap();
+    assert_eq!(limit, Limit { planned: 14, span: SPAN });
     cold.set_limits(BTreeMap::from([(a.service.clone(), limit)]));
-    assert_eq!(cold.bound(&a, NOW), Bound::Limited { planned: 14, factor: 1 });
+    assert_eq!(cold.bound(&a, NOW), Bound::Limited { limit, factor: 1 });
     assert_eq!(cold.bound(&later, NOW), Bound::Warm);
     assert_eq!(cold.bound(&other, NOW), Bound::Free);
     assert!(!cold.observe(&a, Duration::from_millis(2_000), NOW), "it is cold already");
--- a/crates/catkinlatch-route/src/cold/division.rs
+++ b/crates/catkinlatch-route/src/cold/division.rs
@@ -1,6 +1,6 @@
-//! The division of what cold targets may get among the leader and other hosts.
+//! The division of what limited targets may get among the leader and other hosts.
 
-use super::{Window, window::SPAN};
+use super::{Limit, MAX_SPAN, Window};
 use catkinlatch_base::Instant;
 use std::{collections::BTreeMap, time::Duration};
 
@@ -15,15 +15,17 @@
 #[derive(Clone, Copy, Debug)]
 struct Grant {
     share: u32,
+    /// The span in which the host may use the share once.
+    span: Duration,
     /// End of the lease.
     until: Instant,
 }
 
 impl Grant {
-    /// Returns whether requests under this share may lie in the second that ends at `now`, or come
+    /// Returns whether requests under this share may lie in the span that ends at `now`, or come
     /// later.
     fn counts(&self, now: Instant) -> bool {
-        now <= self.until + SPAN
+        now <= self.until + self.span
     }
 }
 
@@ -36,19 +38,19 @@
 }
 
 impl Held {
-    /// Returns the largest share that the host may have used in the last second or may still use.
+    /// Returns the largest share that the host may have used in the last span or may still use.
     fn share(&self, now: Instant) -> u32 {
         let counting = self.grants.iter().filter(|grant| grant.counts(now));
         counting.map(|grant| grant.share).max().unwrap_or(0)
     }
 
-    /// Ends all shares: the host has given them back, after `used` requests in the last second, the
+    /// Ends all shares: the host has given them back, after `used` requests in the last span, the
     /// last of them `idle` ago.
     fn end(&mut self, used: u32, idle: Duration, now: Instant) {
         let idle = u64::try_from(idle.as_nanos()).unwrap_or(u64::MAX);
         let last = Instant::from_nanos(now.as_nanos().saturating_sub(idle));
         for grant in &mut self.grants {
-            *grant = Grant { share: grant.share.min(used), until: grant.until.min(last) };
+            (grant.share, grant.until) = (grant.share.min(used), grant.until.min(last));
         }
     }
 }
@@ -58,9 +60,9 @@
 pub struct Asked {
     /// Number of the report, counted since the host's process started.
     pub number: u64,
-    /// Number of requests a second that the host needs; 0 if it has given its share back.
+    /// Number of requests in a span that the host needs; 0 if it has given its share back.
     pub wanted: u32,
-    /// Number of requests that the host sent in the last second.
+    /// Number of requests that the host sent in the last span.
     pub used: u32,
     /// Time since the host's last request.
     pub idle: Duration,
@@ -97,14 +99,14 @@
     at.is_some_and(|at| now < at + DEMAND_MEMORY)
 }
 
-/// The leader's division of what cold targets may get, by start of a target and by host.
+/// The leader's division of what limited targets may get, by start of a target and by host.
 ///
-/// A share counts as used until one second after its lease, so that requests of two holders of the
-/// same part never lie in one span of a second.
+/// A share counts as used until one span after its lease, so that requests of two holders of the
+/// same part never lie in one span.
 #[derive(Clone, Debug)]
 pub struct Division<K, H> {
-    /// Until then, shares that an earlier leader granted may be in use.
-    held_until: Instant,
+    /// When the last lease that an earlier leader granted ends; `None` if there was none.
+    held_until: Option<Instant>,
     targets: BTreeMap<K, Shares<H>>,
 }
 
@@ -114,31 +116,34 @@
     /// `lease` is the duration of the shares that an earlier leader may have granted until now, or
     /// `None` if there was none.
     pub fn new(lease: Option<Duration>, now: Instant) -> Self {
-        let held_until = lease.map_or(Instant::ZERO, |lease| now + lease + SPAN);
+        let held_until = lease.map(|lease| now + lease);
         Self { held_until, targets: BTreeMap::new() }
     }
 
-    /// Returns how many requests the leader itself could send now; `planned` is the target's limit
-    /// and `factor` that of its stage.
-    pub fn own_room(&self, start: &K, planned: u32, factor: u32, now: Instant) -> u32 {
-        if now <= self.held_until {
+    /// Returns whether shares that an earlier leader granted may have been used in the last `span`.
+    fn is_held(&self, span: Duration, now: Instant) -> bool {
+        self.held_until.is_some_and(|until| now <= until + span)
+    }
+
+    /// Returns how many requests the leader itself could send now; `limit` is that of the target and
+    /// `factor` that of its stage.
+    pub fn own_room(&self, start: &K, limit: Limit, factor: u32, now: Instant) -> u32 {
+        let Limit { planned, span } = limit;
+        if self.is_held(span, now) {
             return 0;
         }
         let Some(shares) = self.targets.get(start) else { return planned.saturating_mul(factor) };
-        let kept = if is_recent(shares.asked_at, now) {
-            planned / 2
-        } else {
-            planned.div_ceil(RESERVE_DIVISOR).min(planned - 1)
-        };
+        let kept =
+            if is_recent(shares.asked_at, now) { planned / 2 } else { planned / RESERVE_DIVISOR };
         let own = planned.saturating_sub(shares.reserved(now).max(kept));
-        own.saturating_mul(factor).saturating_sub(shares.own.count(now))
+        own.saturating_mul(factor).saturating_sub(shares.own.count(span, now))
     }
 
     /// Takes one request of the leader itself; returns whether it may be sent.
-    pub fn admit_own(&mut self, start: &K, planned: u32, factor: u32, now: Instant) -> bool {
+    pub fn admit_own(&mut self, start: &K, limit: Limit, factor: u32, now: Instant) -> bool {
         let shares = self.targets.entry(start.clone()).or_default();
         shares.own_demand_at = Some(now);
-        let has_room = self.own_room(start, planned, factor, now) > 0;
+        let has_room = self.own_room(start, limit, factor, now) > 0;
         if has_room {
             self.record_own(start, now);
         }
@@ -169,10 +174,12 @@
         start: &K,
         host: &H,
         asked: Asked,
-        (planned, factor): (u32, u32),
+        (limit, factor): (Limit, u32),
         lease: Duration,
         now: Instant,
     ) -> u32 {
+        let Limit { planned, span } = limit;
+        let is_held = self.is_held(span, now);
         let shares = self.targets.entry(start.clone()).or_default();
         let reserved = shares.reserved(now);
         let held = shares.held.entry(host.clone()).or_default();
@@ -183,11 +190,11 @@
         if asked.wanted == 0 {
             held.end(asked.used, asked.idle, now);
         }
-        if now <= self.held_until || asked.wanted == 0 {
+        if is_held || asked.wanted == 0 {
             return 0;
         }
         shares.asked_at = Some(now);
-        let own = shares.own.count(now).div_ceil(factor.max(1));
+        let own = shares.own.count(span, now).div_ceil(factor.max(1));
         let own_part =
             if is_recent(shares.own_demand_at, now) { own.max(planned / 2) } else { own };
         let own_share = held.share(now);
@@ -196,7 +203,7 @@
         let share = asked.wanted.min(kept + (free - kept).div_ceil(2));
         held.grants.retain(|grant| grant.counts(now));
         if share > 0 {
-            held.grants.push(Grant { share, until: now + lease });
+            held.grants.push(Grant { share, span, until: now + lease });
         } else {
             shares.refused_at = Some(now);
         }
@@ -212,7 +219,7 @@
     pub fn expire(&mut self, now: Instant) {
         self.targets.retain(|_, shares| {
             shares.held.retain(|_, held| held.grants.iter().any(|grant| grant.counts(now)));
-            let is_in_use = !shares.held.is_empty() || shares.own.count(now) > 0;
+            let is_in_use = !shares.held.is_empty() || shares.own.count(MAX_SPAN, now) > 0;
             is_in_use || is_recent(shares.own_demand_at.max(shares.asked_at), now)
         });
     }
--- a/crates/catkinlatch-route/tests/cold/world.rs
+++ b/crates/catkinlatch-route/tests/cold/world.rs
@@ -1,12 +1,15 @@
 //! A simulation of senders to one cold target: hosts with shares, and leaders that grant them.
 
 use catkinlatch_base::Instant;
-use catkinlatch_route::cold::{Asked, Division, Holder};
+use catkinlatch_route::cold::{Asked, Division, Holder, Limit, SPAN};
 use std::time::Duration;
 
 /// The planned limit of the target.
 pub const PLANNED: u32 = 14;
 
+/// The limit of the target.
+pub const LIMIT: Limit = Limit { planned: PLANNED, span: SPAN };
+
 const LEASE: Duration = Duration::from_millis(1_500);
 const START: &str = "target";
 
@@ -51,6 +54,7 @@
     /// Requests a second of the leader's own.
     pub leader_rate: f64,
     pub is_faulty: bool,
+    pub limit: Limit,
     /// When each request was sent, in milliseconds, and whether by a leader.
     pub sends: Vec<(u64, bool)>,
     leaders: Vec<Leader>,
@@ -67,6 +71,7 @@
             hosts: (0..hosts).map(|_| Host::default()).collect(),
             leader_rate: 0.0,
             is_faulty: true,
+            limit: LIMIT,
             sends: Vec::new(),
             leaders: vec![leader],
             messages: Vec::new(),
@@ -87,7 +92,7 @@
             let is_leading = self.is_leading(self.leaders.len() - 1);
             if is_leading && self.random.f64() < self.leader_rate / 1_000.0 {
                 let leader = self.leaders.last_mut().expect("there is a leader");
-                if leader.division.admit_own(&START, PLANNED, 1, Instant::from_millis(now)) {
+                if leader.division.admit_own(&START, self.limit, 1, Instant::from_millis(now)) {
                     self.sends.push((now, true));
                 }
             }
@@ -154,7 +159,7 @@
                 } else if self.is_leading(message.term) {
                     let at = Instant::from_millis(now);
                     let key = (message.host, message.incarnation);
-                    let (asked, planned) = (message.asked, (PLANNED, 1));
+                    let (asked, planned) = (message.asked, (self.limit, 1));
                     let division = &mut self.leaders[message.term].division;
                     let share = division.grant(&START, &key, asked, planned, LEASE, at);
                     self.post(Message { share: Some(share), ..message });
@@ -169,7 +174,7 @@
             {
                 // A reply that comes after the next report was sent is not waited for any more.
                 let until = Instant::from_millis(message.sent_at) + LEASE;
-                host.holder.accept(&START, share, until);
+                host.holder.accept(&START, share, self.limit.span, until);
             }
         }
     }
@@ -205,8 +210,13 @@
 
 /// Returns the most requests in any span of one second of sorted times in milliseconds.
 pub fn most_in_a_second(sorted: &[u64]) -> usize {
+    most_in(1_000, sorted)
+}
+
+/// Returns the most requests in any span of sorted times, all in milliseconds.
+pub fn most_in(span: u64, sorted: &[u64]) -> usize {
     let in_span = |(index, start): (usize, &u64)| {
-        sorted[index..].iter().take_while(|sent| **sent <= start + 1_000).count()
+        sorted[index..].iter().take_while(|sent| **sent <= start + span).count()
     };
     sorted.iter().enumerate().map(in_span).max().unwrap_or(0)
 }
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -7,7 +7,7 @@
 pub use self::{
     exchange::{
         ColdDemand, ColdShare, Cooldown, Demand, Durations, Guidance, Observation, Places, Report,
-        Scope,
+        Scope, Stated,
     },
     follow::{Entry, Follow, Role, View, ViewVersion},
     results::Results,
--- a/crates/catkinlatch-runtime/src/message/exchange.rs
+++ b/crates/catkinlatch-runtime/src/message/exchange.rs
@@ -2,7 +2,9 @@
 
 pub use catkinlatch_ledger::observation::{Cooldown, Durations, Observation, Scope};
 
-use catkinlatch_base::{HostId, Incarnation, ServiceId, TargetId, Term, ZoneId, derive_value};
+use catkinlatch_base::{
+    HostId, Incarnation, Rate, ServiceId, TargetId, Term, ZoneId, derive_value,
+};
 
 derive_value! {
     /// What an entry host tells the leader about itself and the targets that it calls.
@@ -19,7 +21,7 @@
         pub demands: Vec<Demand>,
         /// What the host has seen of targets since its last report.
         pub observations: Vec<Observation>,
-        /// What the host needs of cold targets, and which ones it has found cold.
+        /// What the host needs of limited targets, and which ones it has found limited.
         pub cold: Vec<ColdDemand>,
         /// How long answered requests took since the last report.
         pub durations: Vec<Durations>,
@@ -45,7 +47,7 @@
 }
 
 derive_value! {
-    /// What a host needs of one start of a cold target.
+    /// What a host needs of one start of a limited target, and knows of it.
     #[derive(Eq)]
     pub struct ColdDemand {
         /// Number of the report, counted since the host's process started.
@@ -56,14 +58,27 @@
         pub born_ms: u64,
         /// The remaining time of the cold phase as the host knows it, in milliseconds.
         pub cold_ms: u32,
-        /// Number of requests a second that the host needs. With 0, the host has given its share
+        /// Number of requests in a span that the host needs. With 0, the host has given its share
         /// back before it sent the report.
         pub wanted: u32,
-        /// Number of requests that the host sent to the target in the last second.
+        /// Number of requests that the host sent to the target in the last span.
         pub used: u32,
         /// Time since the host's last request to the target, in milliseconds, rounded down; 0 if
-        /// it sent none in the last second.
+        /// it sent none in the last span.
         pub idle_ms: u32,
+        /// What the target last stated about the rate that it takes; `None` if it never named one.
+        pub stated: Option<Stated>,
+    }
+}
+
+derive_value! {
+    /// What a target stated about the rate that it takes from all senders together.
+    #[derive(Copy, Eq)]
+    pub struct Stated {
+        /// The rate; `None` if the target no longer limits what it takes.
+        pub rate: Option<Rate>,
+        /// Time since the target stated it, in milliseconds.
+        pub age_ms: u32,
     }
 }
 
@@ -80,7 +95,7 @@
         pub lease_ms: u32,
         /// The host's shares of the places of services.
         pub places: Vec<Places>,
-        /// The host's shares of what cold targets may get.
+        /// The host's shares of what limited targets may get.
         pub cold: Vec<ColdShare>,
         /// What all senders have seen of the targets that changed most.
         pub observations: Vec<Observation>,
@@ -108,16 +123,20 @@
 }
 
 derive_value! {
-    /// A host's share of what a cold target may get.
+    /// A host's share of what a limited target may get.
     #[derive(Eq)]
     pub struct ColdShare {
         /// The target.
         pub target: TargetId,
         /// The start of the target, in milliseconds since the Unix epoch.
         pub born_ms: u64,
-        /// The most requests that the host may send in any span of one second.
-        pub per_second: u32,
+        /// The most requests that the host may send in any span.
+        pub share: u32,
+        /// Duration of the span, in milliseconds.
+        pub span_ms: u32,
         /// The remaining time of the slow phase, in milliseconds.
         pub cold_ms: u32,
+        /// The rate that the target states to take; `None` if it states none.
+        pub rate: Option<Rate>,
     }
 }
--- a/crates/catkinlatch-store/src/cold.rs
+++ b/crates/catkinlatch-store/src/cold.rs
@@ -1,6 +1,7 @@
-//! Cold targets: what this host may send to them as the leader, and what it grants to other hosts.
+//! Limited targets: what this host may send to them as the leader, and what it grants to other hosts.
 //!
-//! Nothing here has any effect where the settings name no bounds.
+//! Cold targets are limited only where the settings name bounds, and others while they state the
+//! rate that they take.
 
 use crate::{exchange, host::Host};
 use catkinlatch_base::{HostId, Incarnation, Instant, TargetId, Term, ZoneId};
@@ -9,10 +10,10 @@
     cold::{self, Bound, Entrance, Start},
 };
 use catkinlatch_platform::{ColdLimit, decode_cold_limits, header};
-use catkinlatch_route::cold::{Asked, Change, Division, Limit};
+use catkinlatch_route::cold::{Asked, Change, Division, Limit, Statement};
 use catkinlatch_runtime::{
     http::{Body, Exchange, Failure},
-    message::{ColdDemand, ColdShare, Guidance, Report},
+    message::{ColdDemand, ColdShare, Guidance, Report, Stated},
     settings,
 };
 use derive_more::Display;
@@ -36,14 +37,14 @@
 /// Why a request was not sent, or got no response.
 #[derive(Debug, Display)]
 pub enum SendError {
-    /// The target is cold, and the leader has no allowance left for it; nothing was sent.
-    #[display("the target is cold")]
+    /// The target is limited, and the leader has no allowance left for it; nothing was sent.
+    #[display("the target is limited")]
     Withheld,
     /// The request failed.
     Failed(Failure),
 }
 
-/// Cold targets as this host knows them, and the division of what they may get.
+/// Limited targets as this host knows them, and the division of what they may get.
 pub struct Cold {
     settings: Option<settings::Cold>,
     table: Mutex<Table>,
@@ -63,7 +64,11 @@
     /// are not limited.
     pub fn new(settings: Option<settings::Cold>) -> Self {
         let division = Division::new(None, Instant::ZERO);
-        let table = Table { targets: ColdTargets::default(), version: None, term: None, division };
+        let targets = match settings {
+            Some(_) => ColdTargets::default(),
+            None => ColdTargets::without_cold_limits(),
+        };
+        let table = Table { targets, version: None, term: None, division };
         Self { settings, table: Mutex::new(table) }
     }
 
@@ -79,13 +84,20 @@
         (table.term, table.division) = (Some(term), Division::new(lease, now));
     }
 
-    /// Records what the registrations in a view of the leader state.
+    /// Records what targets state according to a view of the leader.
     pub fn observe_view(&self, targets: &[Target], now: Instant) {
+        let mut table = self.lock();
         if self.settings.is_some() {
-            let mut table = self.lock();
             table.targets.observe_all(targets.iter(), now);
-            table.targets.expire(now);
         }
+        for target in targets {
+            if target.rate != table.targets.rate(target) {
+                let statement = Statement { rate: target.rate, at: now };
+                table.targets.adopt(&cold::start(target), statement);
+            }
+        }
+        let find = |id: &TargetId| targets.iter().find(|target| target.id == *id);
+        table.targets.expire(find, now);
     }
 
     /// Records how long a target states to be cold; returns whether it has turned cold, which other
@@ -104,32 +116,30 @@
         turned_cold
     }
 
-    /// Replaces the remaining times of cold phases by those of now: registrations that only renew a
-    /// target start no new view.
-    pub fn update_left(&self, targets: &mut [Target], now: Instant) {
-        if self.settings.is_some() {
-            let table = self.lock();
-            for target in targets {
-                if table.targets.bound(target, now) != Bound::Free {
-                    target.cold_ms = table.targets.left(target, now).as_millis() as u64;
-                }
+    /// Replaces the remaining times of cold phases and the stated rates by those of now: registrations
+    /// that only renew a target start no new view.
+    pub fn update_stated(&self, targets: &mut [Target], now: Instant) {
+        let table = self.lock();
+        for target in targets {
+            target.rate = table.targets.rate(target);
+            if self.settings.is_some() && table.targets.bound(target, now) != Bound::Free {
+                target.cold_ms = table.targets.left(target, now).as_millis() as u64;
             }
         }
     }
 
     /// Returns how many requests this host may send to a target now; `None` if it is not limited.
     pub fn room(&self, target: &Target, now: Instant) -> Option<u32> {
-        self.settings?;
         let table = self.lock();
         match table.targets.bound(target, now) {
             Bound::Free | Bound::Warm => None,
-            Bound::Limited { planned, factor } => {
-                Some(table.division.own_room(&cold::start(target), planned, factor, now))
+            Bound::Limited { limit, factor } => {
+                Some(table.division.own_room(&cold::start(target), limit, factor, now))
             }
         }
     }
 
-    /// Picks a target; a cold one only with allowance, and if no warm one has room.
+    /// Picks a target; a limited one only with allowance, and if no other one has room.
     pub fn pick<'a>(
         &self,
         balancer: &Balancer,
@@ -138,9 +148,6 @@
         tried: &BTreeSet<TargetId>,
         now: Instant,
     ) -> Option<&'a Target> {
-        if self.settings.is_none() {
-            return balancer.pick(targets, zone, tried, now);
-        }
         let entrance = |target: &Target| match self.room(target, now) {
             None => Entrance::Warm,
             Some(0) => Entrance::Closed,
@@ -153,12 +160,6 @@
     /// returns whether it may be sent.
     fn admit(&self, target: &Target, term: Option<Term>, now: Instant) -> bool {
         let mut table = self.lock();
-        if table.targets.count_sent(target).is_some() {
-            metrics::counter!("catkinlatch_store_limited_sent").increment(1);
-        }
-        if self.settings.is_none() {
-            return true;
-        }
         let start = cold::start(target);
         let is_admitted = match table.targets.bound(target, now) {
             Bound::Free => true,
@@ -166,15 +167,17 @@
                 table.division.record_own(&start, now);
                 true
             }
-            Bound::Limited { planned, factor } => {
+            Bound::Limited { limit, factor } => {
                 // A leader that was frozen may have lost its lease without having noticed it.
                 term.is_some()
                     && term == table.term
-                    && table.division.admit_own(&start, planned, factor, now)
+                    && table.division.admit_own(&start, limit, factor, now)
             }
         };
         if !is_admitted {
             metrics::counter!("catkinlatch_store_cold_not_sent").increment(1);
+        } else if table.targets.count_sent(target).is_some() {
+            metrics::counter!("catkinlatch_store_limited_sent").increment(1);
         }
         is_admitted
     }
@@ -202,7 +205,7 @@
     }
 }
 
-/// Sends a request to a target unless that is cold and this host has no allowance for it.
+/// Sends a request to a target unless that is limited and this host has no allowance for it.
 ///
 /// # Errors
 ///
@@ -250,31 +253,41 @@
 ///
 /// A misdirected request was answered by another target, and does not count.
 fn record_response<B>(host: &Host, target: &Target, response: &Response<B>, sent: Option<Instant>) {
-    if response.status() != StatusCode::MISDIRECTED_REQUEST {
-        let rate = header::limit(response.headers());
-        if rate.is_some() || response.status().is_success() {
-            let now = host.clock.now();
-            let mut table = host.cold.lock();
-            let change = table.targets.observe_rate(target, rate, sent.unwrap_or(now), now);
-            log_change(target, change);
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        if let Some(sent) = sent {
+            host.cold.lock().division.refund_own(&cold::start(target), sent);
         }
-        let left = Duration::from_millis(header::cold_ms(response.headers()).unwrap_or(0));
-        observe(host, target, left);
-    } else if let Some(sent) = sent.filter(|_| host.cold.settings.is_some()) {
-        host.cold.lock().division.refund_own(&cold::start(target), sent);
+        return;
+    }
+    let rate = header::limit(response.headers());
+    if rate.is_some() || response.status().is_success() {
+        let now = host.clock.now();
+        let change = host.cold.lock().targets.observe_rate(target, rate, sent.unwrap_or(now), now);
+        publish_change(host, &cold::start(target), change);
+    }
+    let left = Duration::from_millis(header::cold_ms(response.headers()).unwrap_or(0));
+    observe(host, target, left);
+}
+
+/// Passes on that a target limits what it takes, or no longer does.
+fn publish_change(host: &Host, start: &Start, change: Change) {
+    log_change(start, change);
+    if change != Change::Unchanged {
+        host.soft_state().revision += 1;
+        host.publish_soon();
     }
 }
 
 /// Logs that a target limits what it takes, or no longer does.
-fn log_change(target: &Target, change: Change) {
+fn log_change((target, born_ms): &Start, change: Change) {
     match change {
         Change::Unchanged => {}
         Change::Limited(rate) => info!(
-            target_id:% = target.id, born_ms = target.born_ms, per_second:% = rate;
+            target_id:% = target, born_ms = born_ms, per_second:% = rate;
             "targets: a target limits what it takes"
         ),
         Change::Lifted { sent } => info!(
-            target_id:% = target.id, born_ms = target.born_ms, sent = sent;
+            target_id:% = target, born_ms = born_ms, sent = sent;
             "targets: a target no longer limits what it takes"
         ),
     }
@@ -288,18 +301,23 @@
     }
 }
 
+/// Takes over what a host states of limited targets.
+fn adopt(host: &Host, demand: &ColdDemand) {
+    let target = host.soft_state().registry.target(&demand.target).cloned();
+    let Some(target) = target.filter(|target| target.born_ms == demand.born_ms) else { return };
+    observe(host, &target, Duration::from_millis(demand.cold_ms.into()));
+    let Some(Stated { rate, age_ms }) = demand.stated else { return };
+    let age = u64::from(age_ms) * 1_000_000;
+    let at = Instant::from_nanos(host.clock.now().as_nanos().saturating_sub(age));
+    let start = cold::start(&target);
+    let change = host.cold.lock().targets.adopt(&start, Statement { rate, at });
+    publish_change(host, &start, change);
+}
+
 /// Adds to the answer to a report which targets are limited, and the shares of them that the
 /// reporting host gets.
 pub fn guide(host: &Host, term: Term, report: &Report, guidance: &mut Guidance) {
-    if host.cold.settings.is_none() {
-        return;
-    }
-    for demand in &report.cold {
-        let target = host.soft_state().registry.target(&demand.target).cloned();
-        if let Some(target) = target.filter(|target| target.born_ms == demand.born_ms) {
-            observe(host, &target, Duration::from_millis(demand.cold_ms.into()));
-        }
-    }
+    report.cold.iter().for_each(|demand| adopt(host, demand));
     let now = host.clock.now();
     let soft = host.soft_state();
     let find = |demand: &ColdDemand| {
@@ -308,41 +326,47 @@
     };
     let mut table = host.cold.lock();
     let Table { targets, division, term: own_term, .. } = &mut *table;
-    if *own_term != Some(term) {
+    if *own_term != Some(term) || (report.cold.is_empty() && targets.is_free()) {
         return;
     }
-    targets.expire(now);
-    division.expire(now);
     let find_id = |id: &TargetId| soft.registry.target(id);
+    targets.expire(find_id, now);
+    division.expire(now);
     let limited: Vec<&Target> = targets.limited(find_id, now).take(MAX_SHARES).collect();
     metrics::gauge!("catkinlatch_cold_targets").set(limited.len() as f64);
-    if limited.is_empty() {
-        return;
+    if !limited.is_empty() {
+        guidance.interval_ms = guidance.interval_ms.min(BUSY_INTERVAL_MS);
     }
-    guidance.interval_ms = guidance.interval_ms.min(BUSY_INTERVAL_MS);
     let holder: Holder = (report.host.clone(), report.incarnation);
+    let without_share = |target: &Target| {
+        let (id, born_ms) = cold::start(target);
+        let cold_ms = targets.left(target, now).as_millis() as u32;
+        let rate = targets.rate(target);
+        ColdShare { target: id, born_ms, share: 0, span_ms: 0, cold_ms, rate }
+    };
     let mut grant = |target: &Target, demand: &ColdDemand, wanted: u32| {
-        let Bound::Limited { planned, factor } = targets.bound(target, now) else { return None };
+        let mut share = without_share(target);
+        let Bound::Limited { limit, factor } = targets.bound(target, now) else { return share };
         let idle = Duration::from_millis(demand.idle_ms.into());
         let asked = Asked { number: demand.number, wanted, used: demand.used, idle };
-        let (start, bound) = (cold::start(target), (planned, factor));
-        let per_second = division.grant(&start, &holder, asked, bound, exchange::LEASE, now);
-        let cold_ms = targets.left(target, now).as_millis() as u32;
-        Some(ColdShare { target: start.0, born_ms: start.1, per_second, cold_ms })
+        let (start, bound) = (cold::start(target), (limit, factor));
+        share.share = division.grant(&start, &holder, asked, bound, exchange::LEASE, now);
+        share.span_ms = limit.span.as_millis() as u32 + 1;
+        share
     };
     for demand in &report.cold {
         let Some(target) = find(demand) else { continue };
         let share = grant(target, demand, demand.wanted);
-        let is_refused = share.as_ref().is_some_and(|share| share.per_second == 0);
-        guidance.cold.extend(share);
-        if is_refused && demand.wanted > 0 {
+        let is_refused = share.share == 0 && demand.wanted > 0;
+        guidance.cold.push(share);
+        if is_refused {
             // Another target of the service may have allowance left.
             let others = limited.iter().filter(|other| {
                 other.service == target.service && report.cold.iter().all(|d| d.target != other.id)
             });
             let demand = ColdDemand { used: 0, idle_ms: 0, ..demand.clone() };
-            let mut shares = others.filter_map(|other| grant(other, &demand, 1));
-            guidance.cold.extend(shares.find(|share| share.per_second > 0));
+            let mut shares = others.map(|other| grant(other, &demand, 1));
+            guidance.cold.extend(shares.find(|share| share.share > 0));
         }
     }
     let reserved: u32 =
@@ -352,9 +376,7 @@
         if guidance.cold.len() < MAX_SHARES
             && guidance.cold.iter().all(|share| share.target != target.id)
         {
-            let cold_ms = targets.left(target, now).as_millis() as u32;
-            let (target, born_ms) = cold::start(target);
-            guidance.cold.push(ColdShare { target, born_ms, per_second: 0, cold_ms });
+            guidance.cold.push(without_share(target));
         }
     }
 }
--- a/crates/catkinlatch-store/src/view.rs
+++ b/crates/catkinlatch-store/src/view.rs
@@ -50,7 +50,7 @@
     let soft = host.soft_state();
     let own = host.settings.host.clone();
     let mut targets: Vec<_> = soft.registry.targets().cloned().collect();
-    host.cold.update_left(&mut targets, host.clock.now());
+    host.cold.update_stated(&mut targets, host.clock.now());
     View {
         view_version: key.view_version,
         configuration,
--- a/tests/site/limit.rs
+++ b/tests/site/limit.rs
@@ -106,3 +106,20 @@
     expect_limit(&setup.service.target, 0.0);
     assert!(tally.refused.is_empty() && tally.other.is_empty(), "{tally:?}");
 }
+
+/// Guards against hosts without a leader that refuse all requests, or send them without a limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hosts_without_a_leader_keep_the_limit_and_serve() {
+    let mut setup = Setup::start().await;
+    setup.service.target.limit.set(Some(rate(4.0)), NOTICE);
+    let shared = Arc::new(setup);
+    call(&shared, "before", 20, NOTICE).await;
+    setup = Arc::into_inner(shared).unwrap();
+    let stores = setup.site.stores().len();
+    setup.site.hosts[..stores].iter_mut().for_each(|host| host.kill().unwrap());
+    let setup = Arc::new(setup);
+    call(&setup, "shares end", 20, NOTICE).await;
+    let tally = call(&setup, "without", 20, HELD).await;
+    expect_limit(&setup.service.target, 4.0);
+    assert!(tally.served >= 6, "{tally:?}");
+}
