Log the builds of targets that a stream meets

Change: a registration keeps the build (BuildId); a log line names it at each end of a stream's run, and another says when a caller takes a stream up. No decision uses it yet.

--- a/crates/catkinlatch-base/src/id.rs
+++ b/crates/catkinlatch-base/src/id.rs
@@ -1,7 +1,7 @@
 //! Typed ids: text ids assigned by people or programs, and numeric ids assigned by the system.
 
 use derive_more::{Display, Error};
-use std::{str::FromStr, sync::Arc};
+use std::{convert::Infallible, str::FromStr, sync::Arc};
 
 /// Maximum length of a text id, in bytes.
 pub const MAX_TEXT_BYTES: usize = 128;
@@ -152,6 +152,32 @@
     pub struct Incarnation(u128);
 }
 
+crate::derive_key! {
+    /// Identifies a build of a target's software: a text that the target chooses.
+    #[derive(Display)]
+    pub struct BuildId(Arc<str>);
+}
+
+impl BuildId {
+    /// Creates the id with this text.
+    pub fn new(text: &str) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for BuildId {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(Self::new(text))
+    }
+}
+
 impl Incarnation {
     /// Generates a random nonzero incarnation.
     pub fn generate(random: &mut fastrand::Rng) -> Self {
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -9,7 +9,7 @@
     suspect::{self, Permit},
 };
 use bytes::Bytes;
-use catkinlatch_base::{Instant, TargetId};
+use catkinlatch_base::{BuildId, Instant, TargetId};
 use catkinlatch_ledger::Target;
 use catkinlatch_platform::{EventParser, Parsed, header};
 use catkinlatch_runtime::http::{Body, BodyError, record_end, streamed};
@@ -106,6 +106,14 @@
         let limit = limit.min(attempts.deadline - host.clock.now());
         return Err(attempt::read_answer(host, call, limit).await);
     }
+    let resumed = header::text(&inbound.head.headers, &header::RESUMED);
+    if inbound.head.headers.contains_key(header::LAST_EVENT) {
+        info!(
+            request = inbound.id().unwrap_or_default(), resumed = resumed.unwrap_or_default(),
+            target_id:% = target.id, build = target.build.as_ref().map_or("", BuildId::as_str);
+            "entry: a caller takes a stream up"
+        );
+    }
     let head = &call.exchange.response;
     let (status, headers) = (head.status(), header::forwardable(head.headers()));
     let relay = Relay {
@@ -320,6 +328,7 @@
     fn log(&self, outcome: &str) {
         info!(
             request = self.inbound.id().unwrap_or_default(), target_id:% = self.target.id,
+            build = self.target.build.as_ref().map_or("", BuildId::as_str),
             last_event = self.last_event.unwrap_or_default(), sends = self.attempts.sends,
             outcome = outcome;
             "entry: stream"
--- a/crates/catkinlatch-ledger/src/registry/target.rs
+++ b/crates/catkinlatch-ledger/src/registry/target.rs
@@ -1,6 +1,8 @@
 //! The registration of a target.
 
-use catkinlatch_base::{BootId, ModelId, Rate, ServiceId, TargetId, Version, ZoneId, derive_value};
+use catkinlatch_base::{
+    BootId, BuildId, ModelId, Rate, ServiceId, TargetId, Version, ZoneId, derive_value,
+};
 use std::collections::BTreeMap;
 
 /// Largest part of a target's id in the id of a start, so that both fit in an id.
@@ -29,6 +31,8 @@
         pub born_ms: u64,
         /// The sequence number of the registration since that start.
         pub sequence: u64,
+        /// The build of the target's software; `None` if the target names none.
+        pub build: Option<BuildId>,
         /// The service that the target provides.
         pub service: ServiceId,
         /// The address that the target listens on, as `IP:port`.
@@ -52,11 +56,12 @@
 
 impl Target {
     /// Returns whether both describe the same start of a target, with the same address, phase,
-    /// slots and service. Loaded versions are not compared, as only the leader uses them.
+    /// slots, build and service. Loaded versions are not compared, as only the leader uses them.
     pub fn has_same_routing(&self, other: &Self) -> bool {
         let key = |target: &Self| {
             let place = (target.id.clone(), target.born_ms, target.address.clone());
-            (place, target.phase, target.slots, target.service.clone())
+            let software = (target.service.clone(), target.build.clone());
+            (place, target.phase, target.slots, software)
         };
         key(self) == key(other)
     }
--- a/crates/catkinlatch-ledger/tests/evacuation.rs
+++ b/crates/catkinlatch-ledger/tests/evacuation.rs
@@ -147,6 +147,7 @@
             slots: 6,
             phase,
             cold_ms: 0,
+            build: None,
             rate: None,
             is_spot: false,
             models: BTreeMap::new(),
