Tests of streams and texts whose targets run two builds, which fail

Change: stand-in engines of another build, whose events name it, and five tests of real processes, listed in KNOWN-RED.txt; a sixth, which passes, guards against refusals where one build serves.

--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -1,6 +1,6 @@
 //! A stand-in model engine of a site.
 
-use super::{CRASHING_BODY, Cold, Lifecycle, Target, service::FLOODED};
+use super::{CRASHING_BODY, Cold, Lifecycle, Target, service::FLOODED, target::FIRST_BUILD};
 use bytes::Bytes;
 use catkinlatch_runtime::http::{Body, collect, full, serve};
 use http::{Request, Response, StatusCode};
@@ -125,6 +125,23 @@
         Self::start_as("zone-0", id, service, controls, cold).await
     }
 
+    /// Like [`Self::start`], but the engine runs another build of its software, which the data of its
+    /// events names.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start_build(
+        id: &str,
+        service: &'static str,
+        controls: Vec<String>,
+        build: &str,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let target = Target::new(id, service, listener.local_addr()?, 4).with_build(build);
+        Ok(Self::launch(target, listener, controls))
+    }
+
     /// Starts the engine in a zone, cold for a time after each start.
     ///
     /// # Errors
@@ -140,10 +157,14 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let mut target = Target::new(id, service, listener.local_addr()?, 4).with_zone(zone);
         target.cold = Cold::new(cold);
+        Ok(Self::launch(target, listener, controls))
+    }
+
+    fn launch(target: Target, listener: TcpListener, controls: Vec<String>) -> Self {
         let state = Arc::new(Mutex::new(State::default()));
         let engine = Self { target, state, lifecycle: Lifecycle::new(controls) };
         engine.run(listener);
-        Ok(engine)
+        engine
     }
 
     /// Serves and announces a start of the engine.
@@ -261,10 +282,12 @@
         };
         let (mut sender, body) = Channel::<Bytes, io::Error>::new(4);
         let item = id.clone();
+        let build = self.target.build.as_str();
+        let by = if build == FIRST_BUILD { String::new() } else { format!(" by {build}") };
         tokio::spawn(async move {
             for event in last + 1..=events {
                 time::sleep(event_time).await;
-                let text = format!("id: {event}\ndata: {item} event {event}\n\n");
+                let text = format!("id: {event}\ndata: {item} event {event}{by}\n\n");
                 if breaks && event == last + 3 {
                     sender.abort(io::Error::other("the stand-in engine broke the connection"));
                     return;
--- a/crates/catkinlatch-standin/src/site/target.rs
+++ b/crates/catkinlatch-standin/src/site/target.rs
@@ -17,6 +17,9 @@
 /// Interval between the heartbeats of a target.
 const HEARTBEAT: Duration = Duration::from_millis(300);
 
+/// The build of the software that targets run unless a test chooses another one.
+pub const FIRST_BUILD: &str = "v1";
+
 /// One start of a target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -38,6 +41,8 @@
     pub is_silent: Arc<AtomicBool>,
     /// The target's cold phase.
     pub cold: Cold,
+    /// The build of the target's software, which its heartbeats name.
+    pub build: String,
     /// The limit that the target names.
     pub limit: Limit,
     /// The pace of the target's machine in percent, which its answers state unless it is 0.
@@ -62,6 +67,7 @@
             says_leaving,
             is_silent,
             cold,
+            build: FIRST_BUILD.to_owned(),
             limit: Limit::default(),
             pace,
             acknowledged,
@@ -73,6 +79,11 @@
         Self { zone, ..self }
     }
 
+    /// Lets the target run a build of its software.
+    pub fn with_build(self, build: &str) -> Self {
+        Self { build: build.to_owned(), ..self }
+    }
+
     /// Adds the headers that say that the target leaves, is cold, and how fast it is, if they apply.
     pub fn finish<B>(&self, mut response: Response<B>) -> Response<B> {
         if self.says_leaving.load(Ordering::Relaxed) {
@@ -102,7 +113,7 @@
             let is_draining = self.is_draining.load(Ordering::Relaxed);
             let body = json!({
                 "service": self.service, "address": self.address, "zone": self.zone,
-                "version": "v1", "slots": self.slots,
+                "version": self.build, "slots": self.slots,
                 "cold_left_ms": self.cold.left().as_millis() as u64, "stage": "both",
                 "state": if is_draining { "draining" } else { "ready" },
                 "models": models(), "seq": sequence, "born": started_ms as u64,
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -12,6 +12,8 @@
 mod answer;
 #[path = "site/attempt.rs"]
 mod attempt;
+#[path = "site/build.rs"]
+mod build;
 #[path = "site/cold.rs"]
 mod cold;
 #[path = "site/directory.rs"]
--- a/tests/site/stream.rs
+++ b/tests/site/stream.rs
@@ -15,15 +15,75 @@
 impl Stream {
     /// Requests a stream from the first entry host and waits for the response headers.
     pub async fn open(setup: &Setup, path: &str, id: &str) -> Self {
-        let address = setup.site.entries()[0].address(setup.site.ports.callers);
-        let request = site::request("POST", path, id, Duration::from_secs(20));
-        let request = request.body(full("ask")).unwrap();
-        let exchange = Client::new().send(&address, request).await.unwrap();
+        let exchange = Self::request(setup, 0, path, id, &[]).await;
         assert_eq!(exchange.response.status(), StatusCode::OK);
         assert_eq!(exchange.response.headers()["server-seal"], format!("seal-of-{id}"));
         Self { exchange, text: String::new() }
     }
 
+    /// Takes a stream up at an entry host after event `last`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the status if the response is no stream.
+    pub async fn take_up(
+        setup: &Setup,
+        entry: usize,
+        (id, resumed): (&str, &str),
+        last: u64,
+    ) -> Result<Self, StatusCode> {
+        let headers = [("last-event-id", &*last.to_string()), ("resumes", resumed)];
+        let exchange = Self::request(setup, entry, "/chat/1", id, &headers).await;
+        match exchange.response.status() {
+            StatusCode::OK => Ok(Self { exchange, text: String::new() }),
+            status => Err(status),
+        }
+    }
+
+    async fn request(
+        setup: &Setup,
+        entry: usize,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> Exchange {
+        let address = setup.site.entries()[entry].address(setup.site.ports.callers);
+        let mut request = site::request("POST", path, id, Duration::from_secs(20));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        Client::new().send(&address, request.body(full("ask")).unwrap()).await.unwrap()
+    }
+
+    /// Reads until the stream has this number of events.
+    pub async fn read_events(&mut self, count: usize) {
+        while self.events().len() < count {
+            assert!(self.read().await.unwrap(), "the stream ended early");
+        }
+    }
+
+    /// Reads to the end of the stream; returns whether it is complete.
+    pub async fn read_to_end(&mut self) -> bool {
+        loop {
+            match self.read().await {
+                Ok(true) => {}
+                Ok(false) => return true,
+                Err(_) => return false,
+            }
+        }
+    }
+
+    /// Returns whether any event is of a build of the target's software other than the first one.
+    pub fn is_of_other_build(&self) -> bool {
+        self.text.contains(" by ")
+    }
+
+    /// Returns whether the events received so far are of one build of the target's software.
+    pub fn is_of_one_build(&self) -> bool {
+        let data = || self.text.lines().filter(|line| line.starts_with("data: "));
+        !self.is_of_other_build() || data().all(|line| line.contains(" by "))
+    }
+
     /// Reads the next part; returns false at the end of the stream.
     ///
     /// # Errors
