Let a stream go on only at the build that began it

Callers got streams whose events came from two builds of a target's software, which do not fit together; trainers got such texts. Change: within one answer a host resumes only at the build of the first event. For a caller's next try at another host, the build is recorded by the attempt that it will name, with two copies on hosts with a disk; where nobody knows it and several builds may have begun the stream, it is refused at once. Items go on at their build, or begin anew where no engine of it has room. Why it works: every place that sends a stream on asks for the build first, and not knowing is a refusal. Records are not waited for, since a lost one costs a refusal.

--- a/crates/catkinlatch-base/src/id.rs
+++ b/crates/catkinlatch-base/src/id.rs
@@ -153,8 +153,8 @@
 }
 
 crate::derive_key! {
-    /// Identifies a build of a target's software: a text that the target chooses.
-    #[derive(Display)]
+    /// Identifies a build of a target's software: a text that the target chooses, or an empty one.
+    #[derive(Default, Display)]
     pub struct BuildId(Arc<str>);
 }
 
--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -38,6 +38,7 @@
             Answer::Reply(Reply::Followed(view)) => {
                 let before = host.view().version();
                 host.cold.observe_view(&view.targets, host.clock.now());
+                host.builds().observe(view.targets.iter(), host.clock.now());
                 host.view_mut().update(&view);
                 host.ramp().observe(&evacuated_zones(view.targets.iter()), host.clock.now());
                 host.leader_client.set_hosts(&view.stores);
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -5,7 +5,12 @@
     view::View,
 };
 use catkinlatch_base::{TeamId, WindowId};
-use catkinlatch_ledger::{Balancer, observation::Guide, registry::Leaving};
+use catkinlatch_ledger::{
+    Balancer,
+    build::{Builds, Origins},
+    observation::Guide,
+    registry::Leaving,
+};
 use catkinlatch_route::{Budget, Ramp};
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
 use std::{
@@ -39,6 +44,8 @@
     leaving: Mutex<Leaving>,
     ramp: Mutex<Ramp>,
     contact: Mutex<Contact>,
+    builds: Mutex<Builds>,
+    origins: Mutex<Origins>,
     pulse: Mutex<arrival::Pulse>,
     draining: watch::Sender<bool>,
 }
@@ -71,6 +78,8 @@
             leaving: Mutex::default(),
             ramp: Mutex::default(),
             contact: Mutex::default(),
+            builds: Mutex::default(),
+            origins: Mutex::default(),
             pulse: Mutex::default(),
             draining: watch::channel(false).0,
         }
@@ -127,6 +136,16 @@
         lock(&self.contact)
     }
 
+    /// Locks the builds of targets' software. The guard must not be held across an `await`.
+    pub fn builds(&self) -> MutexGuard<'_, Builds> {
+        lock(&self.builds)
+    }
+
+    /// Locks the records of which builds began streams. The guard must not be held across an `await`.
+    pub fn origins(&self) -> MutexGuard<'_, Origins> {
+        lock(&self.origins)
+    }
+
     /// Returns the number of entry hosts while this one hears no leader; `None` while it hears one.
     pub fn hosts_without_leader(&self) -> Option<u32> {
         let is_silent = self.contact().is_leader_silent(self.clock.now());
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod arrival;
 mod attempt;
 mod batch;
+mod build;
 mod cold;
 pub mod contact;
 mod directory;
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -3,6 +3,7 @@
 use crate::{
     admission, answer,
     attempt::{self, Outcome},
+    build::{self, Required},
     cold,
     front::InboundRequest,
     host::Host,
@@ -126,6 +127,12 @@
     let is_stream = inbound.route.kind == Kind::Stream;
     let is_idempotent = inbound.route.may_repeat();
     observation::refresh(host, &inbound.route).await;
+    let required = build::required(host, inbound).await;
+    if !build::is_served(host, inbound, &required) {
+        attempt_log.push("no target may go on with the stream".to_owned());
+        metrics::counter!("catkinlatch_entry_streams_without_build").increment(1);
+        return End::NotRun(NO_TARGET_RETRY_AFTER);
+    }
     let mut tried = BTreeSet::new();
     // Full targets are tried again, but all tries together reach `max_attempts` targets.
     let mut reached = BTreeSet::new();
@@ -142,7 +149,10 @@
             Err(end) => return end,
         };
         let picked = match sends < inbound.route.max_attempts {
-            true => next_target(host, inbound, place, sends, &tried, &reached).await,
+            true => {
+                let left_out = left_out(host, inbound, &tried, &reached, &required);
+                next_target(host, inbound, place, sends, &left_out).await
+            }
             false => None,
         };
         let now = host.clock.now();
@@ -204,7 +214,7 @@
         let is_trial = permit == Permit::Trial;
         let outcome = if is_stream {
             let attempts = Attempts { sends, tried: tried.clone(), arrived, deadline, is_trial };
-            match stream::open(host, inbound, &target, attempts, limit).await {
+            match stream::open(host, inbound, &target, attempts, &required, limit).await {
                 Ok(response) => {
                     attempt_log.push(format!("{} streams", target.id));
                     return End::Answered(response);
@@ -341,29 +351,30 @@
     inbound: &InboundRequest,
     place: Option<&admission::Place>,
     sends: u32,
-    tried: &BTreeSet<TargetId>,
-    reached: &BTreeSet<TargetId>,
+    left_out: &BTreeSet<TargetId>,
 ) -> Option<Target> {
-    let left_out = left_out(host, inbound, tried, reached);
-    if let Some(target) = observation::request_retry(host, inbound, &left_out).await {
+    if let Some(target) = observation::request_retry(host, inbound, left_out).await {
         return Some(target);
     }
     let now = host.clock.now();
     match (sends, place) {
-        (0, Some(place)) => pick_from(host, place.service(), &left_out, now),
-        _ => pick_target(host, inbound, &left_out, now),
+        (0, Some(place)) => pick_from(host, place.service(), left_out, now),
+        _ => pick_target(host, inbound, left_out, now),
     }
 }
 
 /// Returns the targets that a request must not be sent to now: those that were tried in this round,
-/// and all others once it has reached as many as its route allows.
+/// those whose build may not go on with the stream, and all others once it has reached as many as its
+/// route allows.
 fn left_out(
     host: &Host,
     inbound: &InboundRequest,
     tried: &BTreeSet<TargetId>,
     reached: &BTreeSet<TargetId>,
+    required: &Required,
 ) -> BTreeSet<TargetId> {
     let mut left_out = tried.clone();
+    left_out.extend(build::excluded(host, required));
     if reached.len() >= inbound.route.max_attempts as usize {
         let view = host.view();
         let others = view.targets.iter().filter(|target| !reached.contains(&target.id));
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     attempt::{self, Call, Outcome},
+    build::{self, Required},
     cold,
     front::InboundRequest,
     host::Host,
@@ -9,7 +10,7 @@
     suspect::{self, Permit},
 };
 use bytes::Bytes;
-use catkinlatch_base::{BuildId, Instant, TargetId};
+use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::Target;
 use catkinlatch_platform::{EventParser, Parsed, header};
 use catkinlatch_runtime::http::{Body, BodyError, record_end, streamed};
@@ -60,6 +61,8 @@
     last_event: Option<u64>,
     /// Whether an event has been received for this request.
     has_begun: bool,
+    /// The builds at which the stream may go on.
+    required: Required,
 }
 
 /// Outcome of a read from the target.
@@ -97,6 +100,7 @@
     inbound: &Arc<InboundRequest>,
     target: &Target,
     attempts: Attempts,
+    required: &Required,
     limit: Duration,
 ) -> Result<Response<Body>, Outcome> {
     let left = attempts.deadline - host.clock.now();
@@ -110,7 +114,7 @@
     if inbound.head.headers.contains_key(header::LAST_EVENT) {
         info!(
             request = inbound.id().unwrap_or_default(), resumed = resumed.unwrap_or_default(),
-            target_id:% = target.id, build = target.build.as_ref().map_or("", BuildId::as_str);
+            target_id:% = target.id, build:% = target.build;
             "entry: a caller takes a stream up"
         );
     }
@@ -128,6 +132,7 @@
         waited: Duration::ZERO,
         last_event: header::number(&inbound.head.headers, &header::LAST_EVENT),
         has_begun: false,
+        required: required.clone(),
     };
     let body = streamed(relay, async |mut relay| {
         let part = relay.next().await?;
@@ -214,6 +219,8 @@
                 if !self.has_begun {
                     let elapsed = self.host.clock.now() - call.guard.started();
                     call.guard.record_answer(elapsed);
+                    build::record(&self.host, &self.inbound, &self.target.build);
+                    self.required = Required::Only(self.target.build.clone());
                 }
                 (self.last_event, self.has_begun) = (Some(id), true);
                 self.waited = Duration::ZERO;
@@ -259,10 +266,10 @@
                 return false;
             }
             self.attempts.tried.insert(self.target.id.clone());
-            let Some(target) =
-                proxy::pick_target(&self.host, &self.inbound, &self.attempts.tried, now)
-            else {
-                let may_wait = cold::may_wait(&self.host, &self.inbound, &self.attempts.tried, now);
+            let mut left_out = self.attempts.tried.clone();
+            left_out.extend(build::excluded(&self.host, &self.required));
+            let Some(target) = proxy::pick_target(&self.host, &self.inbound, &left_out, now) else {
+                let may_wait = cold::may_wait(&self.host, &self.inbound, &left_out, now);
                 if may_wait && now < give_up_at {
                     time::sleep(proxy::FULL_RETRY_PAUSE).await;
                     continue;
@@ -328,7 +335,7 @@
     fn log(&self, outcome: &str) {
         info!(
             request = self.inbound.id().unwrap_or_default(), target_id:% = self.target.id,
-            build = self.target.build.as_ref().map_or("", BuildId::as_str),
+            build:% = self.target.build,
             last_event = self.last_event.unwrap_or_default(), sends = self.attempts.sends,
             outcome = outcome;
             "entry: stream"
--- a/crates/catkinlatch-entry/src/view.rs
+++ b/crates/catkinlatch-entry/src/view.rs
@@ -1,6 +1,6 @@
 //! The cluster state that an entry host receives from the leader.
 
-use catkinlatch_base::{ServiceId, TargetId};
+use catkinlatch_base::{HostId, ServiceId, TargetId};
 use catkinlatch_ledger::{Configuration, Target, registry::Phase};
 use catkinlatch_runtime::message::{self, Entry};
 use std::sync::Arc;
@@ -14,6 +14,8 @@
     pub targets: Arc<Vec<Target>>,
     /// All entry hosts, ready or not.
     pub entries: Arc<Vec<Entry>>,
+    /// The hosts that store the replicated state.
+    pub stores: Arc<Vec<HostId>>,
 }
 
 impl View {
@@ -21,6 +23,7 @@
     pub fn update(&mut self, view: &message::View) {
         self.targets = Arc::new(view.targets.clone());
         self.entries = Arc::new(view.entries.clone());
+        self.stores = Arc::new(view.stores.clone());
         if let Some(newer) = &view.configuration
             && self.version() < Some(newer.version)
         {
--- a/crates/catkinlatch-entry/tests/suspect.rs
+++ b/crates/catkinlatch-entry/tests/suspect.rs
@@ -106,7 +106,7 @@
         slots: 4,
         phase: Phase::Ready,
         cold_ms: 0,
-        build: None,
+        build: Default::default(),
         rate: None,
         is_spot: false,
         models: BTreeMap::new(),
--- a/crates/catkinlatch-ledger/src/lib.rs
+++ b/crates/catkinlatch-ledger/src/lib.rs
@@ -8,6 +8,7 @@
 //! socket or a thread.
 
 pub mod balancer;
+pub mod build;
 pub mod cold;
 mod command;
 pub mod config;
--- a/crates/catkinlatch-ledger/src/registry/target.rs
+++ b/crates/catkinlatch-ledger/src/registry/target.rs
@@ -31,8 +31,8 @@
         pub born_ms: u64,
         /// The sequence number of the registration since that start.
         pub sequence: u64,
-        /// The build of the target's software; `None` if the target names none.
-        pub build: Option<BuildId>,
+        /// The build of the target's software.
+        pub build: BuildId,
         /// The service that the target provides.
         pub service: ServiceId,
         /// The address that the target listens on, as `IP:port`.
--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -23,7 +23,7 @@
     Job, Outcome, Record,
     job::{self, Progress},
 };
-use catkinlatch_base::{GroupId, JobId, ModelId, RunId, TargetId, Version};
+use catkinlatch_base::{BuildId, GroupId, JobId, ModelId, RunId, ServiceId, TargetId, Version};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -84,7 +84,10 @@
 
 impl Schedule {
     /// Adds the items of a job that are still to be run, unless the job was added before.
-    pub fn add(&mut self, record: &Record) {
+    ///
+    /// Items go on after what earlier leaders recorded of them if `build`, the only one that may have
+    /// generated it, is known.
+    pub fn add(&mut self, record: &Record, build: Option<&BuildId>) {
         let job = &record.job;
         if record.is_done() || !self.known_jobs.insert(job.id.clone()) {
             return;
@@ -99,7 +102,7 @@
             let mut task = Task::new(job.clone(), position, is_carried);
             task.is_long = item.expected_tokens > mean;
             if let Some(progress) = record.progress(position) {
-                task.resume(progress.clone());
+                task.resume(progress.clone(), build.cloned());
             }
             self.tasks.insert((job.id.clone(), position), task);
         }
@@ -111,8 +114,17 @@
 
     /// Adds new jobs, and returns the jobs of the schedule that are done or no longer exist, for
     /// the caller to [remove](Self::remove).
-    pub fn sync_jobs(&mut self, jobs: &BTreeMap<JobId, Record>) -> Vec<JobId> {
-        jobs.values().for_each(|record| self.add(record));
+    ///
+    /// `only_build` returns the only build that the engines of a service have run lately, if there is
+    /// one.
+    pub fn sync_jobs<'a>(
+        &mut self,
+        jobs: &BTreeMap<JobId, Record>,
+        only_build: impl Fn(&ServiceId) -> Option<&'a BuildId>,
+    ) -> Vec<JobId> {
+        for record in jobs.values() {
+            self.add(record, only_build(&record.job.service));
+        }
         let is_over = |job: &&JobId| jobs.get(*job).is_none_or(Record::is_done);
         self.known_jobs.iter().filter(is_over).cloned().collect()
     }
@@ -149,10 +161,9 @@
             }
             let Some(task) = self.tasks.get_mut(&key) else { continue };
             task.runs_alone = runs_alone;
-            let Some(engine) = placement.best_engine(task, wall_ms).map(|engine| engine.id.clone())
-            else {
-                continue;
-            };
+            let Some(best) = placement.best_engine(task, wall_ms) else { continue };
+            task.prepare(&best.build);
+            let engine = best.id.clone();
             placement.add(task, &engine);
             self.last_run = self.last_run.next();
             let run = self.last_run;
@@ -190,6 +201,7 @@
                     && free.get(&engine.id).is_some_and(|free| *free > 0)
                     && engine.service == task.job.service
                     && task.accepts(engine.version(task.job.model.as_ref()))
+                    && task.build.as_ref() == Some(&engine.build)
             });
             if let Some(engine) = faster.min_by(|a, b| a.slowness.total_cmp(&b.slowness)) {
                 *free.entry(&engine.id).or_default() -= 1;
--- a/crates/catkinlatch-ledger/src/schedule/engine.rs
+++ b/crates/catkinlatch-ledger/src/schedule/engine.rs
@@ -1,6 +1,6 @@
 //! The attributes of an engine that the schedule depends on.
 
-use catkinlatch_base::{ModelId, ServiceId, TargetId, Version};
+use catkinlatch_base::{BuildId, ModelId, ServiceId, TargetId, Version};
 use std::collections::BTreeMap;
 
 /// An engine that currently accepts new items.
@@ -10,6 +10,8 @@
     pub id: TargetId,
     /// The service that the engine provides.
     pub service: ServiceId,
+    /// The build of the engine's software.
+    pub build: BuildId,
     /// The maximum number of items that the engine runs concurrently.
     pub slots: u32,
     /// The engine's mean latency, as a multiple of the median of all engines.
--- a/crates/catkinlatch-ledger/src/schedule/placement.rs
+++ b/crates/catkinlatch-ledger/src/schedule/placement.rs
@@ -55,7 +55,8 @@
     ///
     /// Short items go to the engine with the lowest load relative to its speed, with a preference
     /// for engines that have processed the prompt of the item's group. Cold engines come last. Long items, which their
-    /// training step waits for, go to the engine that is expected to finish them first.
+    /// training step waits for, go to the engine that is expected to finish them first. An item with
+    /// output prefers engines that may go on after it.
     pub fn best_engine(&self, task: &Task, wall_ms: u64) -> Option<&'a Engine> {
         let model = task.job.model.as_ref();
         let fits = |engine: &&Engine| {
@@ -78,7 +79,10 @@
             ((share - saved) * 1e6) as i64
         };
         let engines = self.engines.iter().filter(fits);
-        engines.min_by_key(|engine| (engine.is_cold, cost(engine), Reverse(engine.version(model))))
+        engines.min_by_key(|engine| {
+            let begins_anew = !task.may_go_on(&engine.build);
+            (begins_anew, engine.is_cold, cost(engine), Reverse(engine.version(model)))
+        })
     }
 
     fn running(&self, engine: &Engine) -> u32 {
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -5,7 +5,7 @@
     Item, Job,
     job::{Advance, Progress},
 };
-use catkinlatch_base::{GroupId, RunId, TargetId, TeamId, Version};
+use catkinlatch_base::{BuildId, GroupId, RunId, TargetId, TeamId, Version};
 use catkinlatch_state::suspect::Fingerprint;
 use std::{
     collections::BTreeSet,
@@ -44,6 +44,9 @@
     pub is_long: bool,
     /// The output generated so far, as of the end of the last run.
     pub progress: Progress,
+    /// The build of the engines that generated the output so far; `None` if there is no output, or it
+    /// is not known since an earlier leader ran the item.
+    pub build: Option<BuildId>,
     /// The id of the last event whose progress was proposed for the replicated state, where the
     /// next leader finds it.
     pub recorded_event: u64,
@@ -77,6 +80,7 @@
             is_carried,
             is_long: false,
             progress: Progress::default(),
+            build: None,
             recorded_event: 0,
             runs_alone: false,
             is_generated: false,
@@ -134,10 +138,25 @@
         self.item().expected_tokens
     }
 
-    /// Continues from the progress that an earlier leader recorded.
-    pub fn resume(&mut self, progress: Progress) {
+    /// Continues from the progress that an earlier leader recorded; `build` is that of the engines
+    /// that generated it, if it is known.
+    pub fn resume(&mut self, progress: Progress, build: Option<BuildId>) {
         self.recorded_event = progress.last_event;
-        self.progress = progress;
+        (self.progress, self.build) = (progress, build);
+    }
+
+    /// Returns whether engines of a build may go on after the output so far.
+    pub fn may_go_on(&self, build: &BuildId) -> bool {
+        self.progress.last_event == 0 || self.build.as_ref() == Some(build)
+    }
+
+    /// Prepares a run on an engine of a build, which begins anew if another build generated the output
+    /// so far.
+    pub(super) fn prepare(&mut self, build: &BuildId) {
+        if !self.may_go_on(build) {
+            self.restart();
+        }
+        self.build = Some(build.clone());
     }
 
     /// Drops the progress, so that the next run starts from the beginning.
--- /dev/null
+++ b/crates/catkinlatch-ledger/tests/build.rs
@@ -0,0 +1,68 @@
+//! Tests of what is known of the builds of targets' software.
+
+#![allow(clippy::unwrap_used, reason = "a failed test may panic")]
+
+use catkinlatch_base::{BuildId, Instant, RequestId, ServiceId};
+use catkinlatch_ledger::{
+    Target,
+    build::{Builds, Origins},
+    registry::Phase,
+};
+use std::iter;
+
+fn at(seconds: u64) -> Instant {
+    Instant::from_millis(seconds * 1_000)
+}
+
+fn target(service: &str, build: &str) -> Target {
+    Target {
+        id: build.parse().unwrap(),
+        born_ms: 1,
+        sequence: 1,
+        build: BuildId::new(build),
+        service: service.parse().unwrap(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "zone-a".parse().unwrap(),
+        slots: 6,
+        phase: Phase::Ready,
+        cold_ms: 0,
+        rate: None,
+        is_spot: false,
+        models: Default::default(),
+    }
+}
+
+/// Guards against a build that counts as the only one while streams of another may still go on, and
+/// against one that counts for ever after it has gone.
+#[test]
+fn a_build_is_the_only_one_once_streams_of_the_others_are_over() {
+    let (mut builds, survey) = (Builds::default(), "survey".parse::<ServiceId>().unwrap());
+    let only = |builds: &Builds, now| builds.only(iter::once(&survey), at(now)).cloned();
+    assert_eq!(only(&builds, 0), None);
+    builds.observe([target("survey", "v1"), target("drafts", "v9")].iter(), at(0));
+    assert_eq!(only(&builds, 0), Some(BuildId::new("v1")));
+    builds.observe([target("survey", "v1"), target("survey", "v2")].iter(), at(1_000));
+    assert_eq!(only(&builds, 1_000), None);
+    builds.observe([target("survey", "v2")].iter(), at(2_000));
+    assert_eq!(only(&builds, 2_119), None, "v1 has served until just before");
+    assert_eq!(only(&builds, 2_120), Some(BuildId::new("v2")));
+}
+
+/// Guards against records that pile up, and against one that is renewed and dropped with its first
+/// entry.
+#[test]
+fn the_build_of_a_stream_is_known_while_it_goes_on() {
+    let mut origins = Origins::default();
+    let id = |number: u64| format!("attempt-{number}").parse::<RequestId>().unwrap();
+    let build = BuildId::new("v1");
+    origins.record(id(0), build.clone(), at(0));
+    origins.record(id(1), build.clone(), at(50));
+    origins.record(id(0), build.clone(), at(100));
+    origins.record(id(2), build.clone(), at(190));
+    assert_eq!(origins.find(&id(0), at(190)), Some(&build));
+    assert_eq!(origins.find(&id(1), at(190)), None);
+    (0..40_000).for_each(|number| origins.record(id(10 + number), build.clone(), at(200)));
+    assert_eq!(origins.find(&id(2), at(200)), None, "the oldest is dropped");
+    assert_eq!(origins.find(&id(40_009), at(200)), Some(&build));
+    assert_eq!(origins.find(&id(40_009), at(320)), None);
+}
--- a/crates/catkinlatch-ledger/tests/cold.rs
+++ b/crates/catkinlatch-ledger/tests/cold.rs
@@ -28,7 +28,7 @@
         slots: 6,
         phase: Phase::Ready,
         cold_ms,
-        build: None,
+        build: Default::default(),
         rate: None,
         is_spot: false,
         models: BTreeMap::new(),
--- a/crates/catkinlatch-ledger/tests/evacuation.rs
+++ b/crates/catkinlatch-ledger/tests/evacuation.rs
@@ -147,7 +147,7 @@
             slots: 6,
             phase,
             cold_ms: 0,
-            build: None,
+            build: Default::default(),
             rate: None,
             is_spot: false,
             models: BTreeMap::new(),
--- a/crates/catkinlatch-ledger/tests/random/model.rs
+++ b/crates/catkinlatch-ledger/tests/random/model.rs
@@ -67,6 +67,7 @@
     Engine {
         id: format!("engine-{number}").parse().unwrap(),
         service: "drafts".parse().unwrap(),
+        build: Default::default(),
         slots,
         slowness: 1.0,
         is_cold: false,
--- a/crates/catkinlatch-ledger/tests/registry.rs
+++ b/crates/catkinlatch-ledger/tests/registry.rs
@@ -28,7 +28,7 @@
         slots: 8,
         phase: Phase::Ready,
         cold_ms: 0,
-        build: None,
+        build: Default::default(),
         rate: None,
         is_spot: false,
         models: BTreeMap::new(),
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -15,7 +15,8 @@
 
 use bytes::Bytes;
 use catkinlatch_base::{
-    HostId, JobId, ModelId, ServiceId, TargetId, TeamId, Version, ZoneId, derive_value,
+    BuildId, HostId, JobId, ModelId, RequestId, ServiceId, TargetId, TeamId, Version, ZoneId,
+    derive_value,
 };
 use catkinlatch_ledger::{Command, Job, Target, config::Document, suspect::Change};
 use catkinlatch_log::Frame;
@@ -23,11 +24,11 @@
 use std::sync::Arc;
 
 derive_value! {
-    /// A message from one process to another; all but the first two are for the leader.
+    /// A message from one process to another; all are for the leader, unless they say otherwise.
     pub enum Message {
-        /// First message of a session; needs no answer.
+        /// First message of a session with any process; needs no answer.
         Greeting,
-        /// Carries a frame of the replicated log; not answered.
+        /// Carries a frame of the replicated log to any process; not answered.
         Log(Box<Frame<Command>>),
         /// Reports the state of a process and waits for a newer view of the leader.
         Follow(Follow),
@@ -116,6 +117,15 @@
             /// The target.
             target: TargetId,
         },
+        /// Has a host with a disk, leader or not, keep a record of which build began a stream.
+        RecordOrigin {
+            /// The attempt of a caller that brought the first event.
+            attempt: RequestId,
+            /// The build of the target that generated it.
+            build: BuildId,
+        },
+        /// Asks a host with a disk, leader or not, which build began a stream.
+        FindOrigin(RequestId),
     }
 }
 
@@ -160,5 +170,7 @@
         Place(bool),
         /// Whether the host may retry the target with one request.
         Retry(bool),
+        /// The build that began a stream, if it is known.
+        Origin(Option<BuildId>),
     }
 }
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -134,6 +134,7 @@
         | Reply::Suspects { .. }
         | Reply::Exchanged(_)
         | Reply::Place(_)
-        | Reply::Retry(_) => status(StatusCode::SERVICE_UNAVAILABLE),
+        | Reply::Retry(_)
+        | Reply::Origin(_) => status(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -59,6 +59,14 @@
             host.replica.receive(frame).await;
             return Reply::Nothing;
         }
+        Message::RecordOrigin { attempt, build } => {
+            host.origins().record(attempt, build, host.clock.now());
+            return Reply::Done;
+        }
+        Message::FindOrigin(attempt) => {
+            let now = host.clock.now();
+            return Reply::Origin(host.origins().find(&attempt, now).cloned());
+        }
         _ => {}
     }
     let Some(term) = host.replica.fencing_token() else {
@@ -68,6 +76,8 @@
         // Only other processes follow, and get their answers encoded.
         Message::Greeting
         | Message::Log(_)
+        | Message::RecordOrigin { .. }
+        | Message::FindOrigin(_)
         | Message::Follow(_)
         | Message::FollowSuspects { .. } => Reply::Nothing,
         Message::Suspect(change) => suspect::change(host, &change),
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -11,7 +11,7 @@
 };
 use bytes::Bytes;
 use catkinlatch_base::{BootId, HostId, TargetId, Term};
-use catkinlatch_ledger::{Target, suspect::Change};
+use catkinlatch_ledger::{Target, build::Origins, suspect::Change};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::{
     Answer, CallError, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
@@ -62,6 +62,7 @@
     pub observations: observation::Shared,
     /// The last time this host may have acted as the holder of the duties; `None` if it never has.
     last_turn: Mutex<Option<Turn>>,
+    origins: Mutex<Origins>,
     soft_state: Mutex<SoftState>,
     revision: watch::Sender<u64>,
     /// Version of the configuration as applied on this host.
@@ -103,6 +104,7 @@
             places: Places::default(),
             observations,
             last_turn,
+            origins: Mutex::default(),
             soft_state,
             revision,
             configuration_version,
@@ -148,6 +150,11 @@
         }
     }
 
+    /// Locks the records of which builds began streams; the guard must not be held across an await.
+    pub fn origins(&self) -> MutexGuard<'_, Origins> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the soft state; the guard must not be held across an await.
     pub fn soft_state(&self) -> MutexGuard<'_, SoftState> {
         self.soft_state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -9,9 +9,10 @@
     pace::pause_after_pass,
     run::{self, SharedProgress, Summary},
     shared::Shared,
+    soft_state::SoftState,
     workload::Workload,
 };
-use catkinlatch_base::{Instant, JobId, RunId, TargetId};
+use catkinlatch_base::{Instant, JobId, RunId, ServiceId, TargetId};
 use catkinlatch_ledger::{
     Schedule, Target,
     balancer::Verdict,
@@ -21,7 +22,7 @@
 use log::{info, warn};
 use std::{
     collections::BTreeMap,
-    future,
+    future, iter,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -82,6 +83,8 @@
     sender: mpsc::Sender<Completion>,
     completions: mpsc::Receiver<Completion>,
     last_recorded: Instant,
+    /// The revision of the soft state whose builds of engines were observed last.
+    observed: Option<u64>,
 }
 
 impl Runner {
@@ -100,6 +103,7 @@
             sender,
             completions,
             last_recorded,
+            observed: None,
         }
     }
 
@@ -136,7 +140,17 @@
     /// Adds new jobs to the schedule, and stops jobs that are done or were ended.
     fn sync_jobs(&mut self) {
         let schedule = &mut self.schedule;
-        for job in self.host.replica.read(|state| schedule.sync_jobs(&state.jobs)) {
+        let now = self.host.clock.now();
+        let ended = {
+            let mut soft = self.host.soft_state();
+            let SoftState { registry, builds, revision, .. } = &mut *soft;
+            if self.observed.replace(*revision) != Some(*revision) {
+                builds.observe(registry.targets(), now);
+            }
+            let only_build = |service: &ServiceId| builds.only(iter::once(service), now);
+            self.host.replica.read(|state| schedule.sync_jobs(&state.jobs, only_build))
+        };
+        for job in ended {
             self.stop_job(&job);
         }
     }
@@ -240,6 +254,7 @@
             Engine {
                 id: target.id.clone(),
                 service: target.service.clone(),
+                build: target.build.clone(),
                 slots: room.map_or(slots, |room| slots.min(running + room)),
                 slowness,
                 is_cold: room.is_some(),
@@ -254,7 +269,8 @@
         let Assignment { job, item, engine, run } = assignment;
         let target = self.host.soft_state().registry.target(engine).cloned();
         let Some(task) = self.schedule.task_mut(job, *item) else { return };
-        let Some(target) = target else {
+        // The engine may have started again with another build since it was chosen.
+        let Some(target) = target.filter(|target| task.may_go_on(&target.build)) else {
             task.requeue(task.progress.clone());
             return;
         };
--- a/crates/catkinlatch-store/src/soft_state.rs
+++ b/crates/catkinlatch-store/src/soft_state.rs
@@ -2,7 +2,7 @@
 
 use crate::workload::Workload;
 use catkinlatch_base::{HostId, Incarnation, Instant, ModelId, TargetId, WindowId};
-use catkinlatch_ledger::{Count, Registry, State, Tally};
+use catkinlatch_ledger::{Count, Registry, State, Tally, build::Builds};
 use catkinlatch_runtime::message::{Entry, Follow, Role, View, ViewVersion};
 use std::{collections::BTreeMap, time::Duration};
 
@@ -35,6 +35,8 @@
 pub struct SoftState {
     /// The registered targets.
     pub registry: Registry,
+    /// The builds of the targets' software.
+    pub builds: Builds,
     /// Incremented with each change that followers must receive.
     pub revision: u64,
     /// The items that wait and run, as of the last scheduling round.
@@ -180,6 +182,7 @@
     /// take over.
     pub fn adopt(&mut self, view: &View, now: Instant) {
         self.registry.adopt(view.targets.clone(), view.tombstones.clone(), now);
+        self.builds.observe(view.targets.iter(), now);
         for entry in &view.entries {
             let follower = Follower {
                 name: entry.host.to_string(),
--- a/crates/catkinlatch-store/tests/busy_leader.rs
+++ b/crates/catkinlatch-store/tests/busy_leader.rs
@@ -46,7 +46,7 @@
         slots: 6,
         phase: Phase::Ready,
         cold_ms: 0,
-        build: None,
+        build: Default::default(),
         rate: None,
         is_spot: false,
         models: BTreeMap::new(),
