Run an item again however often engines crashed under it

A trainer's step lacked a sound item for good once five engines had crashed while they ran it, though all was calm afterwards and engines had room. Change: the pauses are 1, 2, then 3 s, and from 4 s after the last crash the item may run beside another such item, so it runs within 5 s. Copies of it in several jobs run one at a time. Why it works: no state of the guard is without an end.

--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -154,14 +154,24 @@
         });
         let mut waiting: Vec<_> = waiting.collect();
         waiting.sort();
+        // The same item may be part of several jobs.
+        let running_alone =
+            self.tasks.values().filter(|task| task.run.is_some() && task.runs_alone);
+        let mut running_alone: BTreeSet<_> = running_alone.map(Task::fingerprint).collect();
         let mut assignments = Vec::new();
         for (_, key, runs_alone) in waiting {
             if assignments.len() >= limit || !placement.has_free_slot() {
                 break;
             }
             let Some(task) = self.tasks.get_mut(&key) else { continue };
+            if runs_alone && running_alone.contains(&task.fingerprint()) {
+                continue;
+            }
             task.runs_alone = runs_alone;
             let Some(best) = placement.best_engine(task, wall_ms) else { continue };
+            if runs_alone {
+                running_alone.insert(task.fingerprint());
+            }
             task.prepare(&best.build);
             let engine = best.id.clone();
             placement.add(task, &engine);
--- a/crates/catkinlatch-ledger/src/schedule/crash.rs
+++ b/crates/catkinlatch-ledger/src/schedule/crash.rs
@@ -9,13 +9,19 @@
 /// crash is put down to one of them.
 const ALONE_CRASHES: usize = 2;
 
-/// Number of crashes after which an item is not run again.
-const MAX_CRASHES: usize = 5;
+/// Largest number of starts that are remembered of an item.
+const MAX_STARTS: usize = 8;
 
-/// Pause after the second crash; doubles with each further one. A step may lack an item for 5 s
-/// only if it can't be run.
+/// Pause after the second crash; doubles with each further one.
 const PAUSE_MS: u64 = 1_000;
 
+/// The longest pause. Engines may crash by chance, so an item is owed however often they did.
+const MAX_PAUSE_MS: u64 = 3_000;
+
+/// Time after the last crash from which an item may run beside another such item, so that it runs
+/// again within 5 s if engines have room.
+const MAX_ALONE_MS: u64 = 4_000;
+
 /// Largest number of items that are remembered; the one with the oldest crash is dropped first.
 const MAX_ITEMS: usize = 4_096;
 
@@ -58,7 +64,8 @@
         self.items.is_empty()
     }
 
-    /// Records that the connection to an engine broke under an item; returns the number of crashes.
+    /// Records that the connection to an engine broke under an item; returns the number of crashes
+    /// that are remembered.
     pub fn record(&mut self, fingerprint: Fingerprint, start: BootId, wall_ms: u64) -> usize {
         if self.items.len() >= MAX_ITEMS && !self.items.contains_key(&fingerprint) {
             let oldest = self.items.iter().min_by_key(|(_, crashed)| crashed.last_ms);
@@ -72,6 +79,8 @@
             crashed.starts.push(start);
             crashed.last_ms = wall_ms;
         }
+        let excess = crashed.starts.len().saturating_sub(MAX_STARTS);
+        crashed.starts.drain(..excess);
         crashed.starts.len()
     }
 
@@ -98,10 +107,12 @@
         if count < ALONE_CRASHES {
             return Permit::Any;
         }
-        let pause_ms = PAUSE_MS << (count - ALONE_CRASHES).min(MAX_CRASHES);
-        if count >= MAX_CRASHES || wall_ms < crashed.last_ms + pause_ms {
-            return Permit::Wait;
+        let doublings = (count - ALONE_CRASHES).min(MAX_STARTS);
+        let pause_ms = (PAUSE_MS << doublings).min(MAX_PAUSE_MS);
+        match wall_ms.saturating_sub(crashed.last_ms) {
+            elapsed_ms if elapsed_ms < pause_ms => Permit::Wait,
+            elapsed_ms if elapsed_ms < MAX_ALONE_MS => Permit::Alone,
+            _ => Permit::Any,
         }
-        Permit::Alone
     }
 }
