Follow a new leader as soon as it is known

Callers got 503 for 0.8 s after a leader froze within 0.1 s of its election: entry hosts took over the view of the next leader, which lacked a target that the first one had registered. Cause: a store looked for a leader to follow every 100 ms, so nothing that a leader learned in this time was known elsewhere. Evidence: the logs of the known red test show configuration 2 obeyed at once and refusals for lack of a target until that registered again. Change: stores wait for the change of the leader in place of the interval.

--- a/crates/catkinlatch-store/src/follow.rs
+++ b/crates/catkinlatch-store/src/follow.rs
@@ -29,10 +29,13 @@
 /// Polls the leader for changes of its view; never returns.
 pub async fn run(host: Arc<Host>) {
     let mut view_version = ViewVersion::default();
+    let mut status = host.replica.status();
     loop {
+        status.mark_unchanged();
         let Some(leader) = host.other_leader() else {
             view_version = ViewVersion::default();
-            time::sleep(RETRY_INTERVAL).await;
+            // What a new leader learns is lost with it until another host has polled it.
+            let _ = time::timeout(RETRY_INTERVAL, status.changed()).await;
             continue;
         };
         host.leader_client.set_leader(Some(&leader));
