Wait for both targets on a restarted host in the test of a killed leader

Cause: the test waited for the engine's announcement at the restarted host and then sent a request for the service, whose announcement comes on its own time. Trace: with the service started 0.5 s after the engine the test fails with the outcome that is listed, not_run for the first request. Change: the test waits for both, 3 s at most, and the refusals meanwhile join the outcomes that are checked for not having run, so it checks more than before.

--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -18,11 +18,19 @@
 use std::{
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
+    time::{Duration, Instant},
 };
 use tempfile::TempDir;
+use tokio::time;
 
 const HOSTS: usize = 6;
 
+/// Pause between two requests that wait for a target.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The time in which a target announces itself to a host that has restarted: it does so every second.
+const ANNOUNCED_WITHIN: Duration = Duration::from_secs(3);
+
 /// A running cluster with stand-ins for an engine, a service and the platform, and a configuration
 /// in force.
 struct Setup {
@@ -71,12 +79,21 @@
         Caller::new(&self.cluster, &self.secret, name)
     }
 
-    /// Waits until restarted hosts can reach a target, which has to register there again.
-    async fn wait_for_targets(&self, caller: &Caller, hosts: &[usize]) {
-        for host in hosts {
+    /// Waits until restarted hosts can reach both targets, which announce themselves there again one
+    /// after the other; returns the outcomes of the service's requests meanwhile.
+    async fn wait_for_targets(&self, caller: &mut Caller, hosts: &[usize]) -> Outcomes {
+        let mut outcomes = Outcomes::default();
+        for (served, host) in hosts.iter().enumerate() {
             let is_served = async || caller.chat(*host).await == Some(StatusCode::OK);
-            self.cluster.wait("a target on a restarted host", is_served).await.unwrap();
+            self.cluster.wait("the engine on a restarted host", is_served).await.unwrap();
+            let end = Instant::now() + ANNOUNCED_WITHIN;
+            while outcomes.answered.len() <= served {
+                assert!(Instant::now() < end, "no service on restarted host {host}");
+                caller.send_request(*host, &mut outcomes).await;
+                time::sleep(POLL_INTERVAL).await;
+            }
         }
+        outcomes
     }
 
     async fn stop(mut self) {
@@ -157,7 +174,7 @@
     let mut outcomes = expect_responses(&mut caller, &rest).await;
     setup.cluster.process(leader).start().unwrap();
     setup.cluster.wait_until_serving(&[leader], setup.revision).await.unwrap();
-    setup.wait_for_targets(&caller, &[leader]).await;
+    outcomes.add(setup.wait_for_targets(&mut caller, &[leader]).await);
     outcomes.add(expect_responses(&mut caller, &[leader]).await);
     assert_eq!(outcomes.violations(&setup.service.runs()), no_violations());
     setup.stop().await;
@@ -206,8 +223,8 @@
     let all: Vec<usize> = (0..HOSTS).collect();
     setup.cluster.wait_until_serving(&all, setup.revision).await.unwrap();
     let mut caller = setup.caller("restarted");
-    setup.wait_for_targets(&caller, &all).await;
-    let outcomes = expect_responses(&mut caller, &all).await;
+    let mut outcomes = setup.wait_for_targets(&mut caller, &all).await;
+    outcomes.add(expect_responses(&mut caller, &all).await);
     assert_eq!(outcomes.violations(&setup.service.runs()), no_violations());
     setup.stop().await;
 }
@@ -237,8 +254,8 @@
     let left: Vec<usize> = (0..HOSTS).filter(|host| *host != second && *host != third).collect();
     setup.cluster.wait_until_serving(&left, setup.revision).await.unwrap();
     let mut caller = setup.caller("repaired");
-    setup.wait_for_targets(&caller, &left).await;
-    let outcomes = expect_responses(&mut caller, &left).await;
+    let mut outcomes = setup.wait_for_targets(&mut caller, &left).await;
+    outcomes.add(expect_responses(&mut caller, &left).await);
     assert_eq!(outcomes.violations(&setup.service.runs()), no_violations());
     setup.stop().await;
 }
@@ -262,8 +279,8 @@
         .unwrap();
     setup.cluster.wait_until_serving(&[2, 4, 5], setup.revision).await.unwrap();
     let mut caller = setup.caller("overridden");
-    setup.wait_for_targets(&caller, &[2, 4, 5]).await;
-    let outcomes = expect_responses(&mut caller, &[2, 4, 5]).await;
+    let mut outcomes = setup.wait_for_targets(&mut caller, &[2, 4, 5]).await;
+    outcomes.add(expect_responses(&mut caller, &[2, 4, 5]).await);
     assert_eq!(outcomes.violations(&setup.service.runs()), no_violations());
     setup.stop().await;
 }
