Let the soak draw limits, run two builds and take streams up

Cause: no part of the soak knew of targets that name a limit, of engines of several builds, or of callers that take a broken stream up at another host. Change: a fault lets a target name a limit of up to 10 a second while others go on, and checks what it got; the last engine runs another build, whose events name it, and texts and streams have to be of one build; callers take a stream up twice at random hosts.

--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -125,20 +125,22 @@
         Self::start_as("zone-0", id, service, controls, cold).await
     }
 
-    /// Like [`Self::start`], but the engine runs another build of its software, which the data of its
+    /// Like [`Self::start_in`], but the engine runs another build of its software, which the data of its
     /// events names.
     ///
     /// # Errors
     ///
     /// Returns an error if no port can be opened.
     pub async fn start_build(
+        zone: &'static str,
         id: &str,
         service: &'static str,
         controls: Vec<String>,
         build: &str,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-        let target = Target::new(id, service, listener.local_addr()?, 4).with_build(build);
+        let target = Target::new(id, service, listener.local_addr()?, 4);
+        let target = target.with_zone(zone).with_build(build);
         Ok(Self::launch(target, listener, controls))
     }
 
@@ -282,12 +284,12 @@
         };
         let (mut sender, body) = Channel::<Bytes, io::Error>::new(4);
         let item = id.clone();
-        let build = self.target.build.as_str();
-        let by = if build == FIRST_BUILD { String::new() } else { format!(" by {build}") };
+        let build = self.target.build.clone();
         tokio::spawn(async move {
             for event in last + 1..=events {
                 time::sleep(event_time).await;
-                let text = format!("id: {event}\ndata: {item} event {event}{by}\n\n");
+                let data = event_data(&item, event, &build);
+                let text = format!("id: {event}\ndata: {data}\n\n");
                 if breaks && event == last + 3 {
                     sender.abort(io::Error::other("the stand-in engine broke the connection"));
                     return;
@@ -321,6 +323,12 @@
     }
 }
 
+/// Returns the data of an event of an item or a stream, which names any build but the first one.
+pub fn event_data(id: &str, event: u64, build: &str) -> String {
+    let by = if build == FIRST_BUILD { String::new() } else { format!(" by {build}") };
+    format!("{id} event {event}{by}")
+}
+
 impl State {
     fn models(&self) -> Value {
         json!([{"name": MODEL, "version": self.version, "adapters": []}])
--- a/crates/catkinlatch-standin/src/site/lifecycle.rs
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -1,6 +1,6 @@
 //! Starts and crashes of stand-in targets.
 
-use super::Target;
+use super::{Limit, Target};
 use catkinlatch_runtime::http::Server;
 use std::{
     future::Future,
@@ -141,6 +141,7 @@
         target.id = format!("{first}.{}", self.crashes.len());
         (target.says_leaving, target.is_draining, target.is_silent) = Default::default();
         target.cold = target.cold.next(DOWNTIME);
+        target.limit = Limit::default();
     }
 }
 
--- a/crates/catkinlatch-standin/src/site/soak.rs
+++ b/crates/catkinlatch-standin/src/site/soak.rs
@@ -22,7 +22,7 @@
     route::configuration,
     trainer::train,
 };
-use super::{Engine, FLOODED, Flood, Service, Site};
+use super::{Engine, FLOODED, Flood, Service, Site, target::FIRST_BUILD};
 use serde_json::json;
 use std::{
     io,
@@ -38,6 +38,9 @@
 /// Number of engines, which run items and streams.
 const ENGINES: usize = 3;
 
+/// The build of the last engine's software; the others run the first one.
+const NEWER_BUILD: &str = "v2";
+
 /// Number of services, which run live requests and score samples.
 const SERVICES: usize = 2;
 
@@ -83,7 +86,9 @@
         for number in 0..ENGINES {
             let id = format!("engine-{number}");
             let zone = ZONES[number % ZONES.len()];
-            engines.push(Engine::start_in(zone, &id, "drafts", controls.clone()).await?);
+            let build = if number + 1 < ENGINES { FIRST_BUILD } else { NEWER_BUILD };
+            let engine = Engine::start_build(zone, &id, "drafts", controls.clone(), build);
+            engines.push(engine.await?);
         }
         for number in 0..SERVICES {
             let id = format!("survey-{number}");
--- a/crates/catkinlatch-standin/src/site/soak/caller.rs
+++ b/crates/catkinlatch-standin/src/site/soak/caller.rs
@@ -1,12 +1,15 @@
 //! Callers that send live requests and read streams.
 
-use super::context::Context;
-use crate::site::CRASHING_BODY;
+use super::{NEWER_BUILD, context::Context};
+use crate::site::{CRASHING_BODY, engine::event_data, target::FIRST_BUILD};
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use std::{sync::Arc, time::Duration};
 use tokio::time;
 
+/// How often a caller tries to get a stream to its end.
+const STREAM_ATTEMPTS: u32 = 3;
+
 /// Pause of a caller after a request.
 const PAUSE: Duration = Duration::from_millis(15);
 
@@ -86,19 +89,58 @@
     }
 }
 
-/// Reads one stream and records its outcome.
-///
-/// It is a violation if events are missing, repeated or out of order, or if the stream ends
-/// regularly before its last event.
+/// A stream over a caller's attempts.
+struct Stream<'a> {
+    id: &'a str,
+    /// The attempt that brought the first event.
+    begun_by: String,
+    /// The last event received.
+    last: u64,
+    /// The build that generated the first event.
+    build: Option<&'static str>,
+}
+
+/// What an attempt at a stream came to.
+enum Attempt {
+    /// The stream was refused, or its end is known.
+    Ended,
+    /// The connection broke, and the stream may be taken up.
+    Broken,
+}
+
+/// Reads one stream, which is taken up at any host when its connection breaks.
 async fn read_stream(context: &Context, id: &str, random: &mut fastrand::Rng) {
-    let Some(mut exchange) = context.open(random, ("POST", "/chat/1"), id, "ask").await else {
-        return;
-    };
+    let mut stream = Stream { id, begun_by: id.to_owned(), last: 0, build: None };
+    for attempt in 0..STREAM_ATTEMPTS {
+        match read_attempt(context, &mut stream, attempt, random).await {
+            Attempt::Ended => return,
+            Attempt::Broken => time::sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Makes one attempt at a stream and records its outcome.
+///
+/// It is a violation if events are missing, repeated or out of order, or of another build than the
+/// first one, or if the stream ends regularly before its last event.
+async fn read_attempt(
+    context: &Context,
+    stream: &mut Stream<'_>,
+    attempt: u32,
+    random: &mut fastrand::Rng,
+) -> Attempt {
+    let id = if attempt == 0 { stream.id.to_owned() } else { format!("{}-{attempt}", stream.id) };
+    let last = stream.last.to_string();
+    let headers = [("last-event-id", last.as_str()), ("resumes", stream.begun_by.as_str())];
+    let headers = if stream.last > 0 { &headers[..] } else { &[] };
+    let opened = context.open_with(random, ("POST", "/chat/1"), &id, "ask", headers).await;
+    let Some(mut exchange) = opened else { return Attempt::Broken };
     if exchange.response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        context.record().refused.insert(id.to_owned());
+        context.record().refused.insert(id);
+        return Attempt::Ended;
     }
     if exchange.response.status() != StatusCode::OK {
-        return;
+        return Attempt::Ended;
     }
     let mut text = String::new();
     let is_whole = loop {
@@ -108,12 +150,24 @@
             Err(_) => break false,
         }
     };
-    let event = |number: u64| format!("id: {number}\ndata: {id} event {number}\n\n");
-    let count = text.matches("\n\n").count() as u64;
-    let expected: String = (1..=count).map(event).collect();
+    let first = stream.last + 1;
+    stream.last += text.matches("\n\n").count() as u64;
+    if stream.last >= first {
+        let is_newer = text.contains(&event_data(&id, first, NEWER_BUILD));
+        stream.build.get_or_insert(if is_newer { NEWER_BUILD } else { FIRST_BUILD });
+        if first == 1 {
+            stream.begun_by.clone_from(&id);
+        }
+    }
+    let build = stream.build.unwrap_or(FIRST_BUILD);
+    let event = |number: u64| format!("id: {number}\ndata: {}\n\n", event_data(&id, number, build));
+    let expected: String = (first..=stream.last).map(event).collect();
     let events = context.engines[0].state().events;
     let mut record = context.record();
     record.streams += u64::from(is_whole);
-    record.check(text == expected, || format!("{id} got {text:?}"));
-    record.check(!is_whole || count == events, || format!("{id} ended after {count} events"));
+    record.streams_taken_up += u64::from(is_whole && attempt > 0);
+    record.check(text == expected, || format!("{id} got {text:?} of {build}"));
+    let last = stream.last;
+    record.check(!is_whole || last == events, || format!("{id} ended after {last} events"));
+    if is_whole { Attempt::Ended } else { Attempt::Broken }
 }
--- a/crates/catkinlatch-standin/src/site/soak/context.rs
+++ b/crates/catkinlatch-standin/src/site/soak/context.rs
@@ -82,8 +82,22 @@
         (method, path): (&str, &str),
         id: &str,
         body: &str,
+    ) -> Option<Exchange> {
+        self.open_with(random, (method, path), id, body, &[]).await
+    }
+
+    /// Like [`Self::open`], with further headers.
+    pub async fn open_with(
+        &self,
+        random: &mut fastrand::Rng,
+        (method, path): (&str, &str),
+        id: &str,
+        body: &str,
+        headers: &[(&str, &str)],
     ) -> Option<Exchange> {
         let request = site::request(method, path, id, CALL_TIMEOUT).header("wait-ms", "200");
+        let request =
+            headers.iter().fold(request, |request, (name, value)| request.header(*name, *value));
         let request = request.body(full(body.to_owned())).ok()?;
         let address = &self.callers[random.usize(..self.callers.len())];
         time::timeout(CALL_TIMEOUT, self.client.send_new(address, request)).await.ok()?.ok()
--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -1,7 +1,8 @@
 //! Randomly injected faults of a site.
 
 use super::{caller, context::Context};
-use crate::site::{Engine, Pace, Place, Service, Site, Target};
+use crate::site::{Engine, Limit, Pace, Place, Service, Site, Target};
+use catkinlatch_base::Rate;
 use std::{
     io,
     sync::{Arc, atomic::Ordering},
@@ -20,6 +21,15 @@
 /// must not run more than once.
 const LOST_ANSWERS: u32 = 25;
 
+/// The highest rate that a target in need names, per second.
+const MAX_NAMED_RATE: f64 = 10.0;
+
+/// The time in which all hosts learn of a limit, also a host that was down or paused.
+const LIMIT_NOTICE: Duration = Duration::from_secs(3);
+
+/// How long a target that names a limit is watched after that.
+const LIMIT_TIME: Duration = Duration::from_secs(5);
+
 /// The drain time of the settings: how long a target that leaves may still get requests.
 const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 
@@ -178,13 +188,35 @@
         format!("{} answered {requests} requests without end: {place:?} {pace:?}", flood.target.id)
     }
 
+    /// Lets a target name a limit while other faults go on.
+    ///
+    /// It is a violation if it gets more from all hosts together once they know of the limit.
+    fn limit(&mut self, context: &Arc<Context>) -> String {
+        let services = context.services.iter().map(Service::current);
+        let targets = services.chain(context.engines.iter().map(Engine::current)).flatten();
+        let targets: Vec<Target> = targets.collect();
+        let Some(target) = self.random.choice(targets) else { return "no target runs".to_owned() };
+        let rate = Rate::new(self.random.f64() * MAX_NAMED_RATE).expect("the rate is valid");
+        let (id, context) = (target.id.clone(), context.clone());
+        target.limit.set(Some(rate), LIMIT_NOTICE);
+        tokio::spawn(async move {
+            time::sleep(LIMIT_NOTICE + LIMIT_TIME).await;
+            let (most, allowed) = (target.limit.most(), Limit::allowed(rate));
+            context.record().check(most <= allowed, || {
+                format!("{} named {rate} a second and got {most} requests in 4 s", target.id)
+            });
+            target.limit.set(None, LIMIT_NOTICE);
+        });
+        format!("{id} names a limit of {rate} a second")
+    }
+
     async fn inject(&mut self, context: &Arc<Context>) -> io::Result<String> {
         let number = self.random.usize(..self.site.hosts.len());
         let downtime = Duration::from_millis(self.random.u64(..1_200));
         let is_store = number < self.site.stores().len();
         let name = self.site.hosts[number].name.clone();
         let is_stable = self.last_store_fault.elapsed() > MIN_FAULT_FREE_TIME;
-        let fault = match self.random.u8(..19) {
+        let fault = match self.random.u8(..21) {
             0..4 => {
                 self.site.hosts[number].kill()?;
                 time::sleep(downtime).await;
@@ -242,6 +274,7 @@
                 return Ok(format!("{} turns cold", start.id));
             }
             15 => return Ok(self.fill(context, downtime).await),
+            18 | 19 => return Ok(self.limit(context)),
             _ => {
                 let engine = self.random.usize(..context.engines.len());
                 context.engines[engine].state().runs_to_break += 3;
--- a/crates/catkinlatch-standin/src/site/soak/trainer.rs
+++ b/crates/catkinlatch-standin/src/site/soak/trainer.rs
@@ -1,6 +1,7 @@
 //! Trainers that submit jobs and read their results.
 
-use super::context::Context;
+use super::{NEWER_BUILD, context::Context};
+use crate::site::{engine::event_data, target::FIRST_BUILD};
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use serde_json::{Value, json};
@@ -157,16 +158,21 @@
     }
 
     /// Returns a description of the violation if a result is wrong: it must have the complete text
-    /// of its item, the item's score, and only versions that are new enough.
+    /// of its item by one build, the item's score, and only versions that are new enough.
     fn violation(&self, result: &Value, events: u64) -> Option<String> {
         let id = result["id"].as_str().unwrap_or_default();
-        let text: Vec<String> = (1..=events).map(|event| format!("{id} event {event}")).collect();
+        let text_of = |build: &str| -> String {
+            let data: Vec<String> =
+                (1..=events).map(|event| event_data(id, event, build)).collect();
+            data.join("\n")
+        };
+        let texts = [FIRST_BUILD, NEWER_BUILD].map(text_of);
         let versions = result["versions"].as_array().cloned().unwrap_or_default();
         let is_fresh =
             |version: &Value| version.as_u64().is_some_and(|made| made >= self.min_version);
         let holds = id.starts_with(&format!("{}-", self.id))
             && result["state"] == "completed"
-            && result["text"] == text.join("\n")
+            && texts.iter().any(|text| result["text"] == *text)
             && result["score"] == format!("seal-of-{id}-score")
             && !versions.is_empty()
             && versions.iter().all(is_fresh);
--- a/tests/site/build.rs
+++ b/tests/site/build.rs
@@ -21,8 +21,8 @@
     let controls: Vec<String> =
         setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect();
     for id in ["engine-3", "engine-4"] {
-        let engine = Engine::start_build(id, "drafts", controls.clone(), NEWER).await.unwrap();
-        setup.engines.push(engine);
+        let engine = Engine::start_build("zone-0", id, "drafts", controls.clone(), NEWER);
+        setup.engines.push(engine.await.unwrap());
     }
     for engine in &setup.engines {
         engine.state().events = 10;
