Name the bounds on limited targets after what they allow

Cause: the modules were called cold, after the first reason to limit a target; targets that state a rate are limited by the same code. Change: cold becomes allowance in route, ledger, entry and store (Bounds, Allowance, AllowanceDemand, AllowanceShare), Entrance and Engine say limited, and the exchange between hosts moves to files of its own. Settings, metrics and the words of cold phases stay.

--- a/crates/catkinlatch-entry/src/cold.rs
+++ b/crates/catkinlatch-entry/src/allowance.rs
@@ -4,23 +4,21 @@
 //! nothing to it. Cold targets are limited only where the settings name bounds, and others while
 //! they state the rate that they take.
 
+mod exchange;
+
 use crate::{front::InboundRequest, host::Host};
 use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::{
-    ColdTargets, Target,
-    cold::{self, Bound, Entrance, Start},
+    Bounds, Target,
+    allowance::{self, Bound, Entrance, Start},
 };
 use catkinlatch_platform::{decode_cold_limits, header};
-use catkinlatch_route::cold::{Change, Demand, Holder, Limit, Statement};
-use catkinlatch_runtime::{
-    Message, Reply,
-    message::{ColdDemand, Guidance, Stated},
-    settings,
-};
+use catkinlatch_route::allowance::{Change, Holder, Limit, Statement};
+use catkinlatch_runtime::{Message, Reply, settings};
 use http::{Response, StatusCode};
 use log::info;
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -32,11 +30,8 @@
 /// Timeout of a request for the configuration.
 const LIMITS_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Largest number of targets in a report.
-const MAX_DEMANDS: usize = 64;
-
 /// Limited targets as this host knows them, and its shares.
-pub struct Cold {
+pub struct Allowance {
     settings: Option<settings::Cold>,
     table: Mutex<Table>,
     /// Notified when a request lacks allowance, so that the next report is sent at once.
@@ -45,7 +40,7 @@
 
 #[derive(Default)]
 struct Table {
-    targets: ColdTargets,
+    targets: Bounds,
     holder: Holder<Start>,
     /// Number of reports so far.
     reports: u64,
@@ -67,13 +62,13 @@
     }
 }
 
-impl Cold {
+impl Allowance {
     /// Creates the table of a host that knows no targets; `settings` is `None` where cold targets
     /// are not limited.
     pub fn new(settings: Option<settings::Cold>) -> Self {
         let targets = match settings {
-            Some(_) => ColdTargets::default(),
-            None => ColdTargets::without_cold_limits(),
+            Some(_) => Bounds::default(),
+            None => Bounds::without_cold_limits(),
         };
         let table = Mutex::new(Table { targets, ..Table::default() });
         Self { settings, table, shortage: Notify::new() }
@@ -102,7 +97,7 @@
             table.targets.observe_all(targets.iter(), now);
         }
         for target in targets.iter().filter(|target| target.rate.is_some()) {
-            let start = cold::start(target);
+            let start = allowance::start(target);
             if table.targets.statements().all(|(known, _)| *known != start) {
                 let statement = Statement { rate: target.rate, at: now };
                 log_change(&start, table.targets.adopt(&start, statement));
@@ -127,7 +122,7 @@
     /// `hosts` is the number of entry hosts if this one hears no leader.
     pub fn admit(&self, target: &Target, hosts: Option<u32>, now: Instant) -> bool {
         let mut table = self.lock();
-        let start = cold::start(target);
+        let start = allowance::start(target);
         let is_admitted = match table.targets.bound(target, now) {
             Bound::Free => true,
             Bound::Warm => {
@@ -160,7 +155,7 @@
         now: Instant,
     ) {
         let mut table = self.lock();
-        let start = cold::start(target);
+        let start = allowance::start(target);
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             if let Some(sent) = sent {
                 table.holder.refund(&start, sent);
@@ -181,7 +176,7 @@
         }
         let left = Duration::from_millis(header::cold_ms(response.headers()).unwrap_or(0));
         if table.targets.observe(target, left, now) {
-            table.found.insert(cold::start(target));
+            table.found.insert(allowance::start(target));
             info!(
                 target_id:% = target.id, born_ms = target.born_ms, cold_ms = left.as_millis() as u64;
                 "entry: a target is cold"
@@ -189,73 +184,6 @@
             self.shortage.notify_one();
         }
     }
-
-    /// Returns what to tell the leader about limited targets, in a report that is sent now.
-    ///
-    /// It contains all statements about rates, since a new leader may know none.
-    pub fn report(&self, now: Instant) -> Vec<ColdDemand> {
-        let mut table = self.lock();
-        if !self.is_on() && table.targets.is_free() {
-            return Vec::new();
-        }
-        table.reports += 1;
-        let number = table.reports;
-        let demands = table.holder.take_demands(now);
-        let found = std::mem::take(&mut table.found);
-        let stated: BTreeMap<Start, Stated> = table
-            .targets
-            .statements()
-            .map(|(start, Statement { rate, at })| {
-                (start.clone(), Stated { rate, age_ms: millis(now - at) })
-            })
-            .collect();
-        let idle = |start: &Start| Demand {
-            start: start.clone(),
-            wanted: 0,
-            used: 0,
-            idle: Duration::ZERO,
-        };
-        let asked: BTreeSet<Start> = demands.iter().map(|demand| demand.start.clone()).collect();
-        let limited = stated.iter().filter(|(_, stated)| stated.rate.is_some());
-        let others: BTreeSet<&Start> = limited.map(|(start, _)| start).chain(&found).collect();
-        let others = others.into_iter().filter(|start| !asked.contains(start)).map(idle);
-        let demand = |demand: Demand<Start>| ColdDemand {
-            number,
-            cold_ms: millis(table.targets.left_of(&demand.start, now)),
-            stated: stated.get(&demand.start).copied(),
-            target: demand.start.0,
-            born_ms: demand.start.1,
-            wanted: demand.wanted,
-            used: demand.used,
-            idle_ms: millis(demand.idle),
-        };
-        demands.into_iter().chain(others).map(demand).take(MAX_DEMANDS).collect()
-    }
-
-    /// Takes over the shares that the leader has granted in answer to a report sent at `sent`, and what
-    /// it knows of the targets.
-    pub fn accept(&self, guidance: &Guidance, targets: &[Target], sent: Instant, now: Instant) {
-        let until = sent + Duration::from_millis(guidance.lease_ms.into());
-        let mut table = self.lock();
-        table.holder.record_leader();
-        for share in &guidance.cold {
-            let start = (share.target.clone(), share.born_ms);
-            let target = targets.iter().find(|target| cold::start(target) == start);
-            if let Some(target) = target {
-                if self.is_on() {
-                    let left = Duration::from_millis(share.cold_ms.into());
-                    table.targets.observe(target, left, now);
-                }
-                let statement = Statement { rate: share.rate, at: sent };
-                log_change(&start, table.targets.adopt(&start, statement));
-            }
-            if share.share > 0 {
-                let span = Duration::from_millis(share.span_ms.into());
-                table.holder.accept(&start, share.share, span, until);
-            }
-        }
-        metrics::gauge!("catkinlatch_entry_cold_shares").set(f64::from(table.holder.shares(now)));
-    }
 }
 
 /// Logs that a target limits what it takes, or no longer does.
@@ -273,10 +201,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Picks a target among `targets`; a limited one only with allowance, and if no other one has room.
 ///
 /// If only limited targets without allowance could take the request, the leader is asked at once.
@@ -288,24 +212,24 @@
 ) -> Option<&'a Target> {
     let zone = &host.settings.zone;
     let hosts = host.hosts_without_leader();
-    let mut table = host.cold.lock();
+    let mut table = host.allowance.lock();
     let table = &mut *table;
     let entrance = |target: &Target| match table.targets.bound(target, now) {
-        Bound::Free | Bound::Warm => Entrance::Warm,
+        Bound::Free | Bound::Warm => Entrance::Free,
         Bound::Limited { limit, factor } => {
-            let start = cold::start(target);
+            let start = allowance::start(target);
             let has_room = table.holder.has_room(&start, factor, now)
                 || table.pause_without_leader(target, limit, hosts).is_some_and(|pause| {
                     table.holder.has_room_without_leader(&start, pause, fastrand::f64(), now)
                 });
-            if has_room { Entrance::Cold } else { Entrance::Closed }
+            if has_room { Entrance::Limited } else { Entrance::Closed }
         }
     };
-    let pick = cold::pick(&host.balancer(), targets, entrance, zone, tried, now);
+    let pick = allowance::pick(&host.balancer(), targets, entrance, zone, tried, now);
     if let Some(closed) = pick.closed
-        && table.holder.want(&cold::start(closed))
+        && table.holder.want(&allowance::start(closed))
     {
-        host.cold.shortage.notify_one();
+        host.allowance.shortage.notify_one();
     }
     pick.target
 }
@@ -318,14 +242,14 @@
     tried: &BTreeSet<TargetId>,
     now: Instant,
 ) -> bool {
-    if host.cold.lock().targets.is_free() {
+    if host.allowance.lock().targets.is_free() {
         return false;
     }
     let view = host.view();
     let leaving = host.leaving();
     let services = inbound.route.shares.iter().map(|share| &share.service);
     let mut targets = services.flat_map(|service| view.targets(service));
-    let table = host.cold.lock();
+    let table = host.allowance.lock();
     targets.any(|target| {
         target.is_ready()
             && !tried.contains(&target.id)
@@ -355,7 +279,7 @@
                     Some((service, limit))
                 };
                 let limits = limits.into_iter().filter_map(limit).collect();
-                host.cold.lock().targets.set_limits(limits);
+                host.allowance.lock().targets.set_limits(limits);
                 known = version;
             }
         }
--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -126,7 +126,7 @@
         // Opening a connection can take longer than a target's work.
         shorten_deadline(request, now - started);
         (sent, is_withheld) =
-            (Some(now), !host.cold.admit(target, host.hosts_without_leader(), now));
+            (Some(now), !host.allowance.admit(target, host.hosts_without_leader(), now));
         !is_withheld
     };
     let sending = host.client.send_prepared(&target.address, request, prepare);
@@ -155,7 +155,7 @@
     };
     suspect::record_response(host, target, started);
     leaving::record_response(host, target, &exchange.response);
-    host.cold.record_response(target, &exchange.response, sent, host.clock.now());
+    host.allowance.record_response(target, &exchange.response, sent, host.clock.now());
     if let Some(load) = header::target_load(exchange.response.headers()) {
         host.balancer().report(&target.id, load.running, load.waiting, host.clock.now());
         observation::record_load(host, target, load);
--- a/crates/catkinlatch-entry/src/exchange.rs
+++ b/crates/catkinlatch-entry/src/exchange.rs
@@ -52,7 +52,7 @@
         }
         tokio::select! {
             () = next_report(&host, interval) => {}
-            () = host.cold.shortage() => time::sleep(SHORTAGE_PAUSE).await,
+            () = host.allowance.shortage() => time::sleep(SHORTAGE_PAUSE).await,
         }
     }
 }
@@ -92,7 +92,7 @@
 /// Takes over the guidance that answers a report sent at `sent_at`.
 fn adopt(host: &Arc<Host>, guidance: &Guidance, sent_at: Instant) {
     let (targets, now) = (host.view().targets, host.clock.now());
-    host.cold.accept(guidance, &targets, sent_at, now);
+    host.allowance.accept(guidance, &targets, sent_at, now);
     admission::adopt(host, guidance, sent_at);
     observation::adopt(host, guidance, sent_at);
 }
@@ -106,7 +106,7 @@
         zone: host.settings.zone.clone(),
         demands: host.admission.demands(now),
         observations: news.observations,
-        cold: host.cold.report(now),
+        allowances: host.allowance.report(now),
         durations: news.durations,
     }
 }
--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -37,7 +37,7 @@
         match answer {
             Answer::Reply(Reply::Followed(view)) => {
                 let before = host.view().version();
-                host.cold.observe_view(&view.targets, host.clock.now());
+                host.allowance.observe_view(&view.targets, host.clock.now());
                 host.builds().observe(view.targets.iter(), host.clock.now());
                 host.view_mut().update(&view);
                 host.ramp().observe(&evacuated_zones(view.targets.iter()), host.clock.now());
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -1,8 +1,8 @@
 //! State that the tasks of an entry host share.
 
 use crate::{
-    admission::Admission, arrival, cold::Cold, contact::Contact, second, suspect, usage::Usage,
-    view::View,
+    admission::Admission, allowance::Allowance, arrival, contact::Contact, second, suspect,
+    usage::Usage, view::View,
 };
 use catkinlatch_base::{TeamId, WindowId};
 use catkinlatch_ledger::{
@@ -31,8 +31,8 @@
     pub leader_client: LeaderClient,
     /// The HTTP client with its connections to targets.
     pub client: Client,
-    /// What this host may send to cold targets.
-    pub cold: Cold,
+    /// What this host may send to limited targets.
+    pub allowance: Allowance,
     /// The queues of live requests for the slots of services.
     pub admission: Admission,
     view: Mutex<View>,
@@ -59,7 +59,7 @@
         leader_client: LeaderClient,
         client: Client,
     ) -> Self {
-        let cold = Cold::new(settings.cold);
+        let allowance = Allowance::new(settings.cold);
         let second_budget = Mutex::new(Budget::new(second::SHARE, clock.now()));
         Self {
             settings,
@@ -67,7 +67,7 @@
             peers,
             leader_client,
             client,
-            cold,
+            allowance,
             admission: Admission::default(),
             view: Mutex::default(),
             balancer: Mutex::default(),
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -2,12 +2,12 @@
 //! submits batch jobs to the leader.
 
 mod admission;
+mod allowance;
 mod answer;
 pub mod arrival;
 mod attempt;
 mod batch;
 mod build;
-mod cold;
 pub mod contact;
 mod directory;
 mod exchange;
@@ -91,7 +91,7 @@
     tokio::spawn(exchange::run(host.clone()));
     let beating = host.clone();
     tokio::spawn(async move { beating.beat().await });
-    tokio::spawn(cold::follow_limits(host.clone()));
+    tokio::spawn(allowance::follow_limits(host.clone()));
     tokio::spawn(suspect::follow(host.clone()));
     info!(name = host.settings.name.as_str(), callers:% = callers; "entry: started");
 
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -1,10 +1,9 @@
 //! Proxying of live requests to targets.
 
 use crate::{
-    admission, answer,
+    admission, allowance, answer,
     attempt::{self, Outcome},
     build::{self, Required},
-    cold,
     front::InboundRequest,
     host::Host,
     observation,
@@ -157,7 +156,7 @@
         };
         let now = host.clock.now();
         let Some(mut target) = picked else {
-            let is_limited = cold::may_wait(host, inbound, &tried, now);
+            let is_limited = allowance::may_wait(host, inbound, &tried, now);
             if sends == 0 && is_limited && now + FULL_RETRY_PAUSE < give_up_at {
                 // The targets left are limited, and this host lacks a share of them.
                 time::sleep(FULL_RETRY_PAUSE).await;
@@ -412,8 +411,8 @@
         let staying = view.targets(service).filter(|target| !leaving.contains(target));
         let admitted: Vec<&Target> = staying.filter(admits).collect();
         drop(balancer);
-        if host.cold.any_limited(&admitted, now) {
-            return cold::pick(host, admitted.into_iter(), left_out, now).cloned();
+        if host.allowance.any_limited(&admitted, now) {
+            return allowance::pick(host, admitted.into_iter(), left_out, now).cloned();
         }
         observation::pick(host, service, admitted.into_iter(), left_out, now)
     };
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -1,9 +1,9 @@
 //! Forwarding of event streams as they arrive.
 
 use crate::{
+    allowance,
     attempt::{self, Call, Outcome},
     build::{self, Required},
-    cold,
     front::InboundRequest,
     host::Host,
     proxy,
@@ -269,7 +269,7 @@
             let mut left_out = self.attempts.tried.clone();
             left_out.extend(build::excluded(&self.host, &self.required));
             let Some(target) = proxy::pick_target(&self.host, &self.inbound, &left_out, now) else {
-                let may_wait = cold::may_wait(&self.host, &self.inbound, &left_out, now);
+                let may_wait = allowance::may_wait(&self.host, &self.inbound, &left_out, now);
                 if may_wait && now < give_up_at {
                     time::sleep(proxy::FULL_RETRY_PAUSE).await;
                     continue;
--- a/crates/catkinlatch-ledger/src/cold.rs
+++ b/crates/catkinlatch-ledger/src/allowance.rs
@@ -7,7 +7,7 @@
 
 use crate::{Target, registry::Phase};
 use catkinlatch_base::{Instant, Rate, ServiceId, TargetId};
-use catkinlatch_route::cold::{Change, Limit, Phases, SPAN, Stage, Statement, Statements};
+use catkinlatch_route::allowance::{Change, Limit, Phases, SPAN, Stage, Statement, Statements};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -39,13 +39,13 @@
 
 /// The limits of services, the cold phases of their targets, and the rates that targets state.
 #[derive(Clone, Debug, Default)]
-pub struct ColdTargets {
+pub struct Bounds {
     limits: Option<BTreeMap<ServiceId, Limit>>,
     phases: Phases<Start>,
     statements: Statements<Start>,
 }
 
-impl ColdTargets {
+impl Bounds {
     /// Creates the table of a host whose settings do not limit what cold targets get.
     pub fn without_cold_limits() -> Self {
         Self { limits: Some(BTreeMap::new()), ..Self::default() }
--- a/crates/catkinlatch-ledger/src/lib.rs
+++ b/crates/catkinlatch-ledger/src/lib.rs
@@ -7,9 +7,9 @@
 //! shares what senders learn of targets. Everything here is free of I/O: nothing has a clock, a
 //! socket or a thread.
 
+pub mod allowance;
 pub mod balancer;
 pub mod build;
-pub mod cold;
 mod command;
 pub mod config;
 pub mod job;
@@ -22,8 +22,8 @@
 mod usage;
 
 pub use self::{
+    allowance::Bounds,
     balancer::Balancer,
-    cold::ColdTargets,
     command::Command,
     config::Configuration,
     job::{Item, Job, Outcome, Record},
--- a/crates/catkinlatch-ledger/src/schedule/engine.rs
+++ b/crates/catkinlatch-ledger/src/schedule/engine.rs
@@ -16,8 +16,8 @@
     pub slots: u32,
     /// The engine's mean latency, as a multiple of the median of all engines.
     pub slowness: f64,
-    /// Whether the engine is cold, so that items are placed on it only if no other one has room.
-    pub is_cold: bool,
+    /// Whether the engine is limited in what it may get, so that items are placed on it only if no other one has room.
+    pub is_limited: bool,
     /// The version of the weights that the engine has loaded, by model.
     pub models: BTreeMap<ModelId, Version>,
 }
--- a/crates/catkinlatch-ledger/src/schedule/placement.rs
+++ b/crates/catkinlatch-ledger/src/schedule/placement.rs
@@ -54,7 +54,7 @@
     /// sufficiently new weights is available.
     ///
     /// Short items go to the engine with the lowest load relative to its speed, with a preference
-    /// for engines that have processed the prompt of the item's group. Cold engines come last. Long items, which their
+    /// for engines that have processed the prompt of the item's group. Limited engines come last. Long items, which their
     /// training step waits for, go to the engine that is expected to finish them first. An item with
     /// output prefers engines that may go on after it.
     pub fn best_engine(&self, task: &Task, wall_ms: u64) -> Option<&'a Engine> {
@@ -81,7 +81,7 @@
         let engines = self.engines.iter().filter(fits);
         engines.min_by_key(|engine| {
             let begins_anew = !task.may_go_on(&engine.build);
-            (begins_anew, engine.is_cold, cost(engine), Reverse(engine.version(model)))
+            (begins_anew, engine.is_limited, cost(engine), Reverse(engine.version(model)))
         })
     }
 
--- a/crates/catkinlatch-ledger/tests/cold.rs
+++ b/crates/catkinlatch-ledger/tests/allowance.rs
@@ -4,12 +4,12 @@
 
 use catkinlatch_base::Instant;
 use catkinlatch_ledger::{
-    Balancer, ColdTargets, Target,
+    Balancer, Bounds, Target,
+    allowance::{Bound, Entrance, pick},
     balancer::Verdict,
-    cold::{Bound, Entrance, pick},
     registry::Phase,
 };
-use catkinlatch_route::cold::{Limit, SPAN};
+use catkinlatch_route::allowance::{Limit, SPAN};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -39,8 +39,8 @@
 /// allowance.
 fn picked(balancer: &Balancer, targets: &[Target]) -> (Option<String>, Option<String>) {
     let entrance = |target: &Target| match (target.cold_ms, target.id.as_str()) {
-        (0, _) => Entrance::Warm,
-        (_, "open") => Entrance::Cold,
+        (0, _) => Entrance::Free,
+        (_, "open") => Entrance::Limited,
         _ => Entrance::Closed,
     };
     let zone = "zone-a".parse().unwrap();
@@ -71,7 +71,7 @@
 /// before the limits are known, and against a later start that inherits the phase of an earlier one.
 #[test]
 fn only_starts_that_are_cold_of_services_with_a_limit_are_limited() {
-    let mut cold = ColdTargets::default();
+    let mut cold = Bounds::default();
     let (a, later) = (target("a", 3_000), Target { born_ms: 2, ..target("a", 0) });
     let other = Target { service: "other".parse().unwrap(), ..target("b", 3_000) };
     cold.observe_all([&a, &other].into_iter(), NOW);
--- a/crates/catkinlatch-ledger/tests/random/model.rs
+++ b/crates/catkinlatch-ledger/tests/random/model.rs
@@ -70,7 +70,7 @@
         build: Default::default(),
         slots,
         slowness: 1.0,
-        is_cold: false,
+        is_limited: false,
         models: BTreeMap::from([(model(), Version::new(1))]),
     }
 }
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -22,7 +22,7 @@
         build: Default::default(),
         slots,
         slowness: 1.0,
-        is_cold: false,
+        is_limited: false,
         models: BTreeMap::from([(model, Version::new(version))]),
     }
 }
@@ -106,7 +106,7 @@
 #[test]
 fn a_cold_engine_gets_items_only_if_no_other_has_a_free_slot() {
     let mut schedule = schedule(&[job("job", 3)]);
-    let cold = Engine { is_cold: true, ..engine("cold", 8, 1) };
+    let cold = Engine { is_limited: true, ..engine("cold", 8, 1) };
     let slow = Engine { slowness: 9.0, ..engine("slow", 2, 1) };
     let engines: Vec<String> = schedule
         .assign(0, &[cold, slow], usize::MAX)
--- a/crates/catkinlatch-route/src/cold.rs
+++ b/crates/catkinlatch-route/src/allowance.rs
@@ -44,7 +44,7 @@
     /// `None` if `per_second` is not above 0, which means that cold targets are not limited.
     ///
     /// ```
-    /// use catkinlatch_route::cold::Limit;
+    /// use catkinlatch_route::allowance::Limit;
     ///
     /// assert_eq!(Limit::new(14.0, 1.5, 5.0).map(|limit| limit.planned), Some(14));
     /// assert_eq!(Limit::new(0.4, 1.5, 5.0).map(|limit| limit.planned), Some(1));
@@ -64,7 +64,7 @@
     /// answers show that the limit has ended.
     ///
     /// ```
-    /// use catkinlatch_route::cold::Limit;
+    /// use catkinlatch_route::allowance::Limit;
     /// use std::time::Duration;
     ///
     /// let limit = Limit::of_rate("2.5".parse()?);
--- a/crates/catkinlatch-route/src/cold/window.rs
+++ b/crates/catkinlatch-route/src/allowance/window.rs
@@ -16,7 +16,7 @@
 ///
 /// ```
 /// use catkinlatch_base::Instant;
-/// use catkinlatch_route::cold::{SPAN, Window};
+/// use catkinlatch_route::allowance::{SPAN, Window};
 ///
 /// let mut window = Window::default();
 /// assert!(window.admit(1, SPAN, Instant::from_millis(0)));
--- a/crates/catkinlatch-route/src/lib.rs
+++ b/crates/catkinlatch-route/src/lib.rs
@@ -4,7 +4,7 @@
 //! generator.
 
 pub mod admission;
-pub mod cold;
+pub mod allowance;
 pub mod places;
 pub mod ramp;
 pub mod retry;
--- a/crates/catkinlatch-route/tests/cold.rs
+++ b/crates/catkinlatch-route/tests/allowance.rs
@@ -1,10 +1,10 @@
 //! Tests of the bounds on cold targets: the window, the ramp, and the division under faults.
 
-#[path = "cold/world.rs"]
+#[path = "allowance/world.rs"]
 mod world;
 
 use catkinlatch_base::{Instant, Rate};
-use catkinlatch_route::cold::{
+use catkinlatch_route::allowance::{
     Asked, Change, Division, Holder, Limit, Phases, SPAN, Stage, Statement, Statements, Window,
 };
 use std::time::Duration;
--- a/crates/catkinlatch-route/tests/cold/world.rs
+++ b/crates/catkinlatch-route/tests/allowance/world.rs
@@ -1,7 +1,7 @@
 //! A simulation of senders to one cold target: hosts with shares, and leaders that grant them.
 
 use catkinlatch_base::Instant;
-use catkinlatch_route::cold::{Asked, Division, Holder, Limit, SPAN};
+use catkinlatch_route::allowance::{Asked, Division, Holder, Limit, SPAN};
 use std::time::Duration;
 
 /// The planned limit of the target.
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -6,8 +6,8 @@
 
 pub use self::{
     exchange::{
-        ColdDemand, ColdShare, Cooldown, Demand, Durations, Guidance, Observation, Places, Report,
-        Scope, Stated,
+        AllowanceDemand, AllowanceShare, Cooldown, Demand, Durations, Guidance, Observation,
+        Places, Report, Scope, Stated,
     },
     follow::{Entry, Follow, Role, View, ViewVersion},
     results::Results,
--- a/crates/catkinlatch-runtime/src/message/exchange.rs
+++ b/crates/catkinlatch-runtime/src/message/exchange.rs
@@ -22,7 +22,7 @@
         /// What the host has seen of targets since its last report.
         pub observations: Vec<Observation>,
         /// What the host needs of limited targets, and which ones it has found limited.
-        pub cold: Vec<ColdDemand>,
+        pub allowances: Vec<AllowanceDemand>,
         /// How long answered requests took since the last report.
         pub durations: Vec<Durations>,
     }
@@ -49,7 +49,7 @@
 derive_value! {
     /// What a host needs of one start of a limited target, and knows of it.
     #[derive(Eq)]
-    pub struct ColdDemand {
+    pub struct AllowanceDemand {
         /// Number of the report, counted since the host's process started.
         pub number: u64,
         /// The target.
@@ -96,7 +96,7 @@
         /// The host's shares of the places of services.
         pub places: Vec<Places>,
         /// The host's shares of what limited targets may get.
-        pub cold: Vec<ColdShare>,
+        pub allowances: Vec<AllowanceShare>,
         /// What all senders have seen of the targets that changed most.
         pub observations: Vec<Observation>,
         /// The targets in cooldown.
@@ -125,7 +125,7 @@
 derive_value! {
     /// A host's share of what a limited target may get.
     #[derive(Eq)]
-    pub struct ColdShare {
+    pub struct AllowanceShare {
         /// The target.
         pub target: TargetId,
         /// The start of the target, in milliseconds since the Unix epoch.
--- a/crates/catkinlatch-store/src/cold.rs
+++ b/crates/catkinlatch-store/src/allowance.rs
@@ -3,17 +3,20 @@
 //! Cold targets are limited only where the settings name bounds, and others while they state the
 //! rate that they take.
 
+mod guide;
+
+pub use self::guide::guide;
+
 use crate::{exchange, host::Host};
 use catkinlatch_base::{HostId, Incarnation, Instant, TargetId, Term, ZoneId};
 use catkinlatch_ledger::{
-    Balancer, ColdTargets, Target,
-    cold::{self, Bound, Entrance, Start},
+    Balancer, Bounds, Target,
+    allowance::{self, Bound, Entrance, Start},
 };
 use catkinlatch_platform::{ColdLimit, decode_cold_limits, header};
-use catkinlatch_route::cold::{Asked, Change, Division, Limit, Statement};
+use catkinlatch_route::allowance::{Change, Division, Limit, Statement};
 use catkinlatch_runtime::{
     http::{Body, Exchange, Failure},
-    message::{ColdDemand, ColdShare, Guidance, Report, Stated},
     settings,
 };
 use derive_more::Display;
@@ -25,12 +28,6 @@
     time::Duration,
 };
 
-/// Interval of reports while a target is limited, in milliseconds.
-const BUSY_INTERVAL_MS: u32 = 500;
-
-/// The most limited targets that an answer names.
-const MAX_SHARES: usize = 64;
-
 /// Identifies a process that holds shares.
 type Holder = (HostId, Incarnation);
 
@@ -45,13 +42,13 @@
 }
 
 /// Limited targets as this host knows them, and the division of what they may get.
-pub struct Cold {
+pub struct Allowance {
     settings: Option<settings::Cold>,
     table: Mutex<Table>,
 }
 
 struct Table {
-    targets: ColdTargets,
+    targets: Bounds,
     /// Version of the configuration from which the limits are.
     version: Option<u64>,
     /// The term that this host leads; `None` while it does not.
@@ -59,14 +56,14 @@
     division: Division<Start, Holder>,
 }
 
-impl Cold {
+impl Allowance {
     /// Creates the table of a host that knows no targets; `settings` is `None` where cold targets
     /// are not limited.
     pub fn new(settings: Option<settings::Cold>) -> Self {
         let division = Division::new(None, Instant::ZERO);
         let targets = match settings {
-            Some(_) => ColdTargets::default(),
-            None => ColdTargets::without_cold_limits(),
+            Some(_) => Bounds::default(),
+            None => Bounds::without_cold_limits(),
         };
         let table = Table { targets, version: None, term: None, division };
         Self { settings, table: Mutex::new(table) }
@@ -93,7 +90,7 @@
         for target in targets {
             if target.rate != table.targets.rate(target) {
                 let statement = Statement { rate: target.rate, at: now };
-                table.targets.adopt(&cold::start(target), statement);
+                table.targets.adopt(&allowance::start(target), statement);
             }
         }
         let find = |id: &TargetId| targets.iter().find(|target| target.id == *id);
@@ -134,7 +131,7 @@
         match table.targets.bound(target, now) {
             Bound::Free | Bound::Warm => None,
             Bound::Limited { limit, factor } => {
-                Some(table.division.own_room(&cold::start(target), limit, factor, now))
+                Some(table.division.own_room(&allowance::start(target), limit, factor, now))
             }
         }
     }
@@ -149,18 +146,18 @@
         now: Instant,
     ) -> Option<&'a Target> {
         let entrance = |target: &Target| match self.room(target, now) {
-            None => Entrance::Warm,
+            None => Entrance::Free,
             Some(0) => Entrance::Closed,
-            Some(_) => Entrance::Cold,
+            Some(_) => Entrance::Limited,
         };
-        cold::pick(balancer, targets, entrance, zone, tried, now).target
+        allowance::pick(balancer, targets, entrance, zone, tried, now).target
     }
 
     /// Takes one request of this host, which holds the lease of `term`, just before it is sent;
     /// returns whether it may be sent.
     fn admit(&self, target: &Target, term: Option<Term>, now: Instant) -> bool {
         let mut table = self.lock();
-        let start = cold::start(target);
+        let start = allowance::start(target);
         let is_admitted = match table.targets.bound(target, now) {
             Bound::Free => true,
             Bound::Warm => {
@@ -185,9 +182,9 @@
 
 /// Updates the limits of the services if the configuration has changed.
 pub fn update_limits(host: &Host) {
-    let Some(settings) = host.cold.settings else { return };
+    let Some(settings) = host.allowance.settings else { return };
     let version = host.configuration_version().borrow().to_owned();
-    if std::mem::replace(&mut host.cold.lock().version, version) == version {
+    if std::mem::replace(&mut host.allowance.lock().version, version) == version {
         return;
     }
     let source = host.replica.read(|state| state.document.as_ref().map(|d| d.source.clone()));
@@ -198,7 +195,7 @@
                 let ColdLimit { per_second, .. } = limit;
                 Some((service, Limit::new(per_second, settings.excess, settings.slack)?))
             });
-            let mut table = host.cold.lock();
+            let mut table = host.allowance.lock();
             table.targets.set_limits(limits.collect());
         }
         Err(error) => warn!(error:% = error; "targets: cannot decode the limits of cold targets"),
@@ -235,7 +232,7 @@
             return false;
         }
         let now = host.clock.now();
-        is_withheld = !host.cold.admit(target, host.replica.fencing_token(), now);
+        is_withheld = !host.allowance.admit(target, host.replica.fencing_token(), now);
         sent = Some(now);
         !is_withheld
     };
@@ -255,15 +252,16 @@
 fn record_response<B>(host: &Host, target: &Target, response: &Response<B>, sent: Option<Instant>) {
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         if let Some(sent) = sent {
-            host.cold.lock().division.refund_own(&cold::start(target), sent);
+            host.allowance.lock().division.refund_own(&allowance::start(target), sent);
         }
         return;
     }
     let rate = header::limit(response.headers());
     if rate.is_some() || response.status().is_success() {
         let now = host.clock.now();
-        let change = host.cold.lock().targets.observe_rate(target, rate, sent.unwrap_or(now), now);
-        publish_change(host, &cold::start(target), change);
+        let change =
+            host.allowance.lock().targets.observe_rate(target, rate, sent.unwrap_or(now), now);
+        publish_change(host, &allowance::start(target), change);
     }
     let left = Duration::from_millis(header::cold_ms(response.headers()).unwrap_or(0));
     observe(host, target, left);
@@ -295,88 +293,8 @@
 
 /// Records how long a target states to be cold, and passes it on if it has turned cold.
 pub fn observe(host: &Host, target: &Target, left: Duration) {
-    if host.cold.observe(target, left, host.clock.now()) {
+    if host.allowance.observe(target, left, host.clock.now()) {
         host.soft_state().revision += 1;
         host.publish_soon();
     }
 }
-
-/// Takes over what a host states of limited targets.
-fn adopt(host: &Host, demand: &ColdDemand) {
-    let target = host.soft_state().registry.target(&demand.target).cloned();
-    let Some(target) = target.filter(|target| target.born_ms == demand.born_ms) else { return };
-    observe(host, &target, Duration::from_millis(demand.cold_ms.into()));
-    let Some(Stated { rate, age_ms }) = demand.stated else { return };
-    let age = u64::from(age_ms) * 1_000_000;
-    let at = Instant::from_nanos(host.clock.now().as_nanos().saturating_sub(age));
-    let start = cold::start(&target);
-    let change = host.cold.lock().targets.adopt(&start, Statement { rate, at });
-    publish_change(host, &start, change);
-}
-
-/// Adds to the answer to a report which targets are limited, and the shares of them that the
-/// reporting host gets.
-pub fn guide(host: &Host, term: Term, report: &Report, guidance: &mut Guidance) {
-    report.cold.iter().for_each(|demand| adopt(host, demand));
-    let now = host.clock.now();
-    let soft = host.soft_state();
-    let find = |demand: &ColdDemand| {
-        let target = soft.registry.target(&demand.target);
-        target.filter(|target| target.born_ms == demand.born_ms)
-    };
-    let mut table = host.cold.lock();
-    let Table { targets, division, term: own_term, .. } = &mut *table;
-    if *own_term != Some(term) || (report.cold.is_empty() && targets.is_free()) {
-        return;
-    }
-    let find_id = |id: &TargetId| soft.registry.target(id);
-    targets.expire(find_id, now);
-    division.expire(now);
-    let limited: Vec<&Target> = targets.limited(find_id, now).take(MAX_SHARES).collect();
-    metrics::gauge!("catkinlatch_cold_targets").set(limited.len() as f64);
-    if !limited.is_empty() {
-        guidance.interval_ms = guidance.interval_ms.min(BUSY_INTERVAL_MS);
-    }
-    let holder: Holder = (report.host.clone(), report.incarnation);
-    let without_share = |target: &Target| {
-        let (id, born_ms) = cold::start(target);
-        let cold_ms = targets.left(target, now).as_millis() as u32;
-        let rate = targets.rate(target);
-        ColdShare { target: id, born_ms, share: 0, span_ms: 0, cold_ms, rate }
-    };
-    let mut grant = |target: &Target, demand: &ColdDemand, wanted: u32| {
-        let mut share = without_share(target);
-        let Bound::Limited { limit, factor } = targets.bound(target, now) else { return share };
-        let idle = Duration::from_millis(demand.idle_ms.into());
-        let asked = Asked { number: demand.number, wanted, used: demand.used, idle };
-        let (start, bound) = (cold::start(target), (limit, factor));
-        share.share = division.grant(&start, &holder, asked, bound, exchange::LEASE, now);
-        share.span_ms = limit.span.as_millis() as u32 + 1;
-        share
-    };
-    for demand in &report.cold {
-        let Some(target) = find(demand) else { continue };
-        let share = grant(target, demand, demand.wanted);
-        let is_refused = share.share == 0 && demand.wanted > 0;
-        guidance.cold.push(share);
-        if is_refused {
-            // Another target of the service may have allowance left.
-            let others = limited.iter().filter(|other| {
-                other.service == target.service && report.cold.iter().all(|d| d.target != other.id)
-            });
-            let demand = ColdDemand { used: 0, idle_ms: 0, ..demand.clone() };
-            let mut shares = others.map(|other| grant(other, &demand, 1));
-            guidance.cold.extend(shares.find(|share| share.share > 0));
-        }
-    }
-    let reserved: u32 =
-        limited.iter().map(|target| division.reserved(&cold::start(target), now)).sum();
-    metrics::gauge!("catkinlatch_cold_shares").set(f64::from(reserved));
-    for target in limited {
-        if guidance.cold.len() < MAX_SHARES
-            && guidance.cold.iter().all(|share| share.target != target.id)
-        {
-            guidance.cold.push(without_share(target));
-        }
-    }
-}
--- a/crates/catkinlatch-store/src/exchange.rs
+++ b/crates/catkinlatch-store/src/exchange.rs
@@ -1,6 +1,6 @@
 //! The leader's side of the exchange with entry hosts about load and targets.
 
-use crate::{cold, host::Host, observation, places};
+use crate::{allowance, host::Host, observation, places};
 use catkinlatch_base::Term;
 use catkinlatch_runtime::message::{Guidance, Report};
 use std::time::Duration;
@@ -24,12 +24,12 @@
         interval_ms: if is_idle { IDLE_INTERVAL_MS } else { ACTIVE_INTERVAL_MS },
         lease_ms: LEASE.as_millis() as u32,
         places,
-        cold: Vec::new(),
+        allowances: Vec::new(),
         observations: digest.observations,
         cooldowns: digest.cooldowns,
         scopes: digest.scopes,
         refresh_ms: digest.refresh_ms,
     };
-    cold::guide(host, term, report, &mut guidance);
+    allowance::guide(host, term, report, &mut guidance);
     guidance
 }
--- a/crates/catkinlatch-store/src/follow.rs
+++ b/crates/catkinlatch-store/src/follow.rs
@@ -51,7 +51,7 @@
             Answer::Reply(Reply::Followed(view)) => {
                 if view.view_version != view_version && host.other_leader().is_some() {
                     host.soft_state().adopt(&view, host.clock.now());
-                    host.cold.observe_view(&view.targets, host.clock.now());
+                    host.allowance.observe_view(&view.targets, host.clock.now());
                     host.leader_client.set_hosts(&view.stores);
                     host.publish_soon();
                 }
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -5,7 +5,7 @@
 mod suspect;
 
 use self::propagation::{await_propagation, await_propagation_to_most, leads};
-use crate::{cold, exchange, host::Host, observation, view};
+use crate::{allowance, exchange, host::Host, observation, view};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
 use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry};
@@ -224,7 +224,7 @@
         change
     };
     if let Some(target) = stated.filter(|_| change != registry::Change::Outdated) {
-        cold::observe(host, &target, Duration::from_millis(target.cold_ms));
+        allowance::observe(host, &target, Duration::from_millis(target.cold_ms));
     }
     match change {
         registry::Change::Changed => {
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -1,7 +1,7 @@
 //! The state and connections that all tasks of this host's process share.
 
 use crate::{
-    cold::Cold,
+    allowance::Allowance,
     duty::{Rule, Turn},
     handler, observation,
     places::Places,
@@ -54,8 +54,8 @@
     pub client: Client,
     /// The requests that may crash targets.
     pub suspects: suspect::Shared,
-    /// What this host may send to cold targets.
-    pub cold: Cold,
+    /// What this host may send to limited targets.
+    pub allowance: Allowance,
     /// The division of services' places among hosts while this one leads.
     pub places: Places,
     /// What senders observe of targets.
@@ -89,7 +89,7 @@
         let soft_state = Mutex::new(SoftState::default().with_follower_timeout(contact));
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
-        let cold = Cold::new(settings.cold);
+        let allowance = Allowance::new(settings.cold);
         let (gathered, encoded_view) = (Notify::new(), Mutex::default());
         let observations = observation::Shared::new(settings.host.clone());
         Self {
@@ -100,7 +100,7 @@
             leader_client,
             client,
             suspects: suspect::Shared::default(),
-            cold,
+            allowance,
             places: Places::default(),
             observations,
             last_turn,
--- a/crates/catkinlatch-store/src/lead.rs
+++ b/crates/catkinlatch-store/src/lead.rs
@@ -18,7 +18,7 @@
         evacuation::apply(&host);
         host.soft_state().reset_timeouts(host.clock.now());
         host.suspects.lock().watch_all(host.clock.now());
-        host.cold.begin_term(term, host.clock.now());
+        host.allowance.begin_term(term, host.clock.now());
         let mut duties = JoinSet::new();
         duties.spawn(Runner::new(host.clone()).run());
         duties.spawn(weights::run(host.clone(), term));
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -1,8 +1,8 @@
 //! The role of hosts with a disk. They hold the replicated state; the leader among them runs batch
 //! jobs, loads weights onto engines and reports usage.
 
+mod allowance;
 mod cleanup;
-mod cold;
 pub mod concurrency;
 mod control;
 pub mod duty;
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -1,7 +1,7 @@
 //! Runs one item of a job on an engine.
 
 use crate::{
-    cold::{self, SendError},
+    allowance::{self, SendError},
     host::Host,
     shared::Shared,
 };
@@ -75,7 +75,7 @@
     let mut summary = Summary::new(progress);
     let began = host.clock.now();
     let request = request(job, item, &summary.progress, engine);
-    let sent = time::timeout(FIRST_EVENT_TIMEOUT, cold::send(host, engine, request)).await;
+    let sent = time::timeout(FIRST_EVENT_TIMEOUT, allowance::send(host, engine, request)).await;
     let exchange = match sent {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(SendError::Withheld)) => {
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -244,7 +244,7 @@
             |target: &Target| target.is_ready() && !balancer.is_backing_off(&target.id, now);
         let load = self.schedule.load();
         let engine = |(target, slowness): (&Target, f64)| {
-            let room = self.host.cold.room(target, now);
+            let room = self.host.allowance.room(target, now);
             let slots = soft.registry.usable_slots(target, now);
             let running = load.get(&target.id).copied().unwrap_or_default();
             let mut models = target.models.clone();
@@ -257,7 +257,7 @@
                 build: target.build.clone(),
                 slots: room.map_or(slots, |room| slots.min(running + room)),
                 slowness,
-                is_cold: room.is_some(),
+                is_limited: room.is_some(),
                 models,
             }
         };
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -1,7 +1,7 @@
 //! Calls the scoring service for a generated sample.
 
 use crate::{
-    cold::{self, SendError},
+    allowance::{self, SendError},
     host::Host,
     observation, places,
     shared::Shared,
@@ -178,8 +178,10 @@
     let targets = soft.registry.targets().filter(|target| target.service == *service);
     let available = targets.filter(has_room);
     let available: Vec<&Target> = available.collect();
-    let target = if available.iter().any(|target| host.cold.room(target, now).is_some()) {
-        host.cold.pick(&balancer, available.into_iter(), &host.settings.zone, tried, now)?.clone()
+    let target = if available.iter().any(|target| host.allowance.room(target, now).is_some()) {
+        host.allowance
+            .pick(&balancer, available.into_iter(), &host.settings.zone, tried, now)?
+            .clone()
     } else {
         observation::pick(host, &balancer, service, available.into_iter(), tried, now)?.clone()
     };
@@ -232,7 +234,7 @@
     target: &Target,
     request: Request<Body>,
 ) -> Result<Response<bytes::Bytes>, Attempt> {
-    let sent = cold::send(host, target, request).await;
+    let sent = allowance::send(host, target, request).await;
     let exchange = sent.map_err(|failure| match failure {
         SendError::Withheld => Attempt::Full,
         SendError::Failed(Failure::NotSent(_) | Failure::Malformed(_)) => Attempt::Unanswered,
--- a/crates/catkinlatch-store/src/view.rs
+++ b/crates/catkinlatch-store/src/view.rs
@@ -1,6 +1,6 @@
 //! The view that the leader sends to its followers.
 
-use crate::{cold, host::Host};
+use crate::{allowance, host::Host};
 use bytes::Bytes;
 use catkinlatch_runtime::{
     Reply,
@@ -50,7 +50,7 @@
     let soft = host.soft_state();
     let own = host.settings.host.clone();
     let mut targets: Vec<_> = soft.registry.targets().cloned().collect();
-    host.cold.update_stated(&mut targets, host.clock.now());
+    host.allowance.update_stated(&mut targets, host.clock.now());
     View {
         view_version: key.view_version,
         configuration,
@@ -67,7 +67,7 @@
     loop {
         applied.mark_unchanged();
         host.publish_configuration_version();
-        cold::update_limits(&host);
+        allowance::update_limits(&host);
         if applied.changed().await.is_err() {
             return;
         }
--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -196,7 +196,7 @@
         };
         target.models.contains_key(model)
             && target.is_ready()
-            && self.host.cold.room(target, self.host.clock.now()) != Some(0)
+            && self.host.allowance.room(target, self.host.clock.now()) != Some(0)
             && (self.allotment.contains(&target.id, model) || has_room())
     }
 }
--- a/crates/catkinlatch-store/src/weights/order.rs
+++ b/crates/catkinlatch-store/src/weights/order.rs
@@ -1,6 +1,6 @@
 //! Orders a load from an engine and waits for its completion.
 
-use crate::{cold, host::Host};
+use crate::{allowance, host::Host};
 use catkinlatch_base::{ModelId, TargetId, Term, Version};
 use catkinlatch_ledger::Target;
 use catkinlatch_platform::{
@@ -135,7 +135,7 @@
 async fn report(host: &Host, target: &Target) -> Option<EngineReport> {
     let request = request(target, Method::GET, REPORT_PATH, empty());
     let answer = async {
-        let exchange = cold::send(host, target, request).await.ok()?;
+        let exchange = allowance::send(host, target, request).await.ok()?;
         exchange.read_body(MAX_ANSWER_BYTES).await.ok()
     };
     let answer = time::timeout(ORDER_TIMEOUT, answer).await.ok().flatten()?;
@@ -158,7 +158,7 @@
         is_ready && host.replica.fencing_token() == Some(term)
     };
     let answer = async {
-        let exchange = cold::send_if(host, target, request, may_send).await.ok()?;
+        let exchange = allowance::send_if(host, target, request, may_send).await.ok()?;
         host.record_response(target, &exchange.response);
         exchange.read_body(MAX_ANSWER_BYTES).await.ok()
     };
