Keep what an earlier leader recorded of an item if all processes were killed

Trainers lost the output of long items when all processes of a deployment were killed: they began anew. Change: recorded output waits until the builds of the engines are known, at a fresh leader two heartbeats, and is kept if there is one build.

--- a/crates/catkinlatch-entry/src/build.rs
+++ b/crates/catkinlatch-entry/src/build.rs
@@ -5,7 +5,7 @@
 
 use crate::{front::InboundRequest, host::Host};
 use catkinlatch_base::{BuildId, HostId, RequestId, TargetId};
-use catkinlatch_ledger::config::Kind;
+use catkinlatch_ledger::{build::RETENTION, config::Kind};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::{Message, Reply};
 use log::info;
@@ -67,7 +67,7 @@
         builds
             .only(services, now)
             .filter(|_| hears_leader)
-            .map(|build| (build.clone(), builds.is_settled(now)))
+            .map(|build| (build.clone(), builds.is_settled(RETENTION, now)))
     };
     if let Some((_, true)) = only {
         return Required::Any;
--- a/crates/catkinlatch-ledger/src/build.rs
+++ b/crates/catkinlatch-ledger/src/build.rs
@@ -11,11 +11,23 @@
 use catkinlatch_base::{BuildId, Instant, ServiceId};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    iter,
     time::Duration,
 };
 
-/// How long a build may have begun a stream that still goes on, after its last target has gone.
-const RETENTION: Duration = Duration::from_secs(120);
+/// How long a stream may go on after the last target of the build that began it has gone.
+pub const RETENTION: Duration = Duration::from_secs(120);
+
+/// The builds that the targets of a service have run lately, as far as a host has seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// The host has not seen the targets for long enough to tell.
+    Unsettled,
+    /// One build.
+    Only(BuildId),
+    /// Several builds.
+    Several,
+}
 
 /// The builds of each service's targets that a host has seen lately.
 #[derive(Clone, Debug, Default)]
@@ -29,11 +41,11 @@
 impl Builds {
     /// Records the targets that are registered now.
     pub fn observe<'a>(&mut self, targets: impl Iterator<Item = &'a Target>, now: Instant) {
-        self.since.get_or_insert(now);
         for gone in self.seen.values_mut().flat_map(BTreeMap::values_mut) {
             gone.get_or_insert(now);
         }
         for target in targets {
+            self.since.get_or_insert(now);
             let builds = self.seen.entry(target.service.clone()).or_default();
             builds.insert(target.build.clone(), None);
         }
@@ -56,9 +68,17 @@
         builds.first().copied().filter(|_| builds.len() == 1)
     }
 
-    /// Returns whether this host has seen targets for as long as any stream may last.
-    pub fn is_settled(&self, now: Instant) -> bool {
-        self.since.is_some_and(|since| now >= since + RETENTION)
+    /// Returns whether this host has seen targets for `duration`.
+    pub fn is_settled(&self, duration: Duration, now: Instant) -> bool {
+        self.since.is_some_and(|since| now >= since + duration)
+    }
+
+    /// Returns the builds of a service once this host has seen targets for `duration`.
+    pub fn seen(&self, service: &ServiceId, duration: Duration, now: Instant) -> Seen {
+        if !self.is_settled(duration, now) {
+            return Seen::Unsettled;
+        }
+        self.only(iter::once(service), now).map_or(Seen::Several, |build| Seen::Only(build.clone()))
     }
 }
 
--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -21,9 +21,10 @@
 use self::{crash::Permit, placement::Placement};
 use crate::{
     Job, Outcome, Record,
+    build::Seen,
     job::{self, Progress},
 };
-use catkinlatch_base::{BuildId, GroupId, JobId, ModelId, RunId, ServiceId, TargetId, Version};
+use catkinlatch_base::{GroupId, JobId, ModelId, RunId, ServiceId, TargetId, Version};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -84,10 +85,7 @@
 
 impl Schedule {
     /// Adds the items of a job that are still to be run, unless the job was added before.
-    ///
-    /// Items go on after what earlier leaders recorded of them if `build`, the only one that may have
-    /// generated it, is known.
-    pub fn add(&mut self, record: &Record, build: Option<&BuildId>) {
+    pub fn add(&mut self, record: &Record) {
         let job = &record.job;
         if record.is_done() || !self.known_jobs.insert(job.id.clone()) {
             return;
@@ -102,7 +100,7 @@
             let mut task = Task::new(job.clone(), position, is_carried);
             task.is_long = item.expected_tokens > mean;
             if let Some(progress) = record.progress(position) {
-                task.resume(progress.clone(), build.cloned());
+                task.resume(progress.clone());
             }
             self.tasks.insert((job.id.clone(), position), task);
         }
@@ -114,21 +112,25 @@
 
     /// Adds new jobs, and returns the jobs of the schedule that are done or no longer exist, for
     /// the caller to [remove](Self::remove).
-    ///
-    /// `only_build` returns the only build that the engines of a service have run lately, if there is
-    /// one.
-    pub fn sync_jobs<'a>(
-        &mut self,
-        jobs: &BTreeMap<JobId, Record>,
-        only_build: impl Fn(&ServiceId) -> Option<&'a BuildId>,
-    ) -> Vec<JobId> {
-        for record in jobs.values() {
-            self.add(record, only_build(&record.job.service));
-        }
+    pub fn sync_jobs(&mut self, jobs: &BTreeMap<JobId, Record>) -> Vec<JobId> {
+        jobs.values().for_each(|record| self.add(record));
         let is_over = |job: &&JobId| jobs.get(*job).is_none_or(Record::is_done);
         self.known_jobs.iter().filter(is_over).cloned().collect()
     }
 
+    /// Decides whether items go on after the output that an earlier leader recorded, which names no
+    /// build: only if the engines of their service ran a single one. `seen` returns the builds of a
+    /// service; items wait until they are settled.
+    pub fn resolve_builds(&mut self, seen: impl Fn(&ServiceId) -> Seen) {
+        for task in self.tasks.values_mut().filter(|task| task.has_unknown_build()) {
+            match seen(&task.job.service) {
+                Seen::Unsettled => {}
+                Seen::Only(build) => task.build = Some(build),
+                Seen::Several => task.restart(),
+            }
+        }
+    }
+
     /// Removes a job with all its items.
     pub fn remove(&mut self, job: &JobId) {
         self.known_jobs.remove(job);
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -114,7 +114,8 @@
 
     /// Returns whether the item is ready to run and waits for an engine.
     pub fn is_waiting(&self, wall_ms: u64) -> bool {
-        self.engine.is_none() && !self.is_generated && wall_ms >= self.retry_at_ms
+        let is_ready = self.engine.is_none() && !self.is_generated && !self.has_unknown_build();
+        is_ready && wall_ms >= self.retry_at_ms
     }
 
     /// Returns whether the item left the engine so recently that another one is preferred.
@@ -138,11 +139,15 @@
         self.item().expected_tokens
     }
 
-    /// Continues from the progress that an earlier leader recorded; `build` is that of the engines
-    /// that generated it, if it is known.
-    pub fn resume(&mut self, progress: Progress, build: Option<BuildId>) {
+    /// Continues from the progress that an earlier leader recorded, once its build is known.
+    pub fn resume(&mut self, progress: Progress) {
         self.recorded_event = progress.last_event;
-        (self.progress, self.build) = (progress, build);
+        self.progress = progress;
+    }
+
+    /// Returns whether there is output of which the build is not known.
+    pub(super) fn has_unknown_build(&self) -> bool {
+        self.progress.last_event > 0 && self.build.is_none()
     }
 
     /// Returns whether engines of a build may go on after the output so far.
@@ -160,7 +165,7 @@
     }
 
     /// Drops the progress, so that the next run starts from the beginning.
-    fn restart(&mut self) {
+    pub(super) fn restart(&mut self) {
         self.progress = Progress::default();
         self.recorded_event = 0;
     }
--- a/crates/catkinlatch-ledger/tests/random/leader.rs
+++ b/crates/catkinlatch-ledger/tests/random/leader.rs
@@ -4,6 +4,7 @@
 use catkinlatch_base::{JobId, RunId, TargetId};
 use catkinlatch_ledger::{
     Command, Item, Outcome, Schedule, State,
+    build::Seen,
     job::{Advance, Progress},
     schedule::{End, Engine, Loss, Next},
 };
@@ -42,8 +43,9 @@
 impl Leader {
     /// Adds new jobs, and stops those that ended.
     pub fn sync_jobs(&mut self, state: &State) {
-        let build = Default::default();
-        for id in self.schedule.sync_jobs(&state.jobs, |_| Some(&build)) {
+        let over = self.schedule.sync_jobs(&state.jobs);
+        self.schedule.resolve_builds(|_| Seen::Only(Default::default()));
+        for id in over {
             self.schedule.remove(&id);
             self.runs.retain(|(job, _), _| *job != id);
             self.scoring.retain(|(job, _)| *job != id);
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -7,6 +7,7 @@
 use catkinlatch_base::{BuildId, TargetId, Version};
 use catkinlatch_ledger::{
     Job, Record, Schedule,
+    build::Seen,
     job::{Advance, Progress},
     schedule::{Assignment, End, Engine, Loss, Next},
 };
@@ -29,7 +30,7 @@
 
 fn schedule(jobs: &[Arc<Job>]) -> Schedule {
     let mut schedule = Schedule::default();
-    jobs.iter().for_each(|job| schedule.add(&Record::new(job.clone()), None));
+    jobs.iter().for_each(|job| schedule.add(&Record::new(job.clone())));
     schedule
 }
 
@@ -85,7 +86,7 @@
     let mut second = (*job("second", 4)).clone();
     // The items of group 0 are carried over, and are last in the list.
     second.items.rotate_left(2);
-    schedule.add(&Record::new(Arc::new(second)), None);
+    schedule.add(&Record::new(Arc::new(second)));
     let first = schedule.next(0, &[engine("a", 1, 1)]).unwrap();
     assert_eq!(first.item, 2);
 }
@@ -194,7 +195,7 @@
     let advance = Advance { job: job_id("job"), item: 1, after: 0, progress: events(10) };
     assert!(record.advance(&advance));
     let mut schedule = Schedule::default();
-    schedule.add(&record, None);
+    schedule.add(&record);
     assert_eq!(schedule.task(&job_id("job"), 0).unwrap().progress, Progress::default());
     let task = schedule.task_mut(&job_id("job"), 1).unwrap();
     assert_eq!(task.progress, events(10));
@@ -290,11 +291,11 @@
     let mut schedule = Schedule::default();
     let record = Record::new(job("job", 2));
     let jobs = BTreeMap::from([(job_id("job"), record)]);
-    assert!(schedule.sync_jobs(&jobs, |_| None).is_empty());
-    assert_eq!(schedule.sync_jobs(&BTreeMap::new(), |_| None), [job_id("job")]);
+    assert!(schedule.sync_jobs(&jobs).is_empty());
+    assert_eq!(schedule.sync_jobs(&BTreeMap::new()), [job_id("job")]);
     schedule.remove(&job_id("job"));
     assert!(assign_all(&mut schedule, &[engine("a", 4, 1)]).is_empty());
-    assert!(schedule.sync_jobs(&BTreeMap::new(), |_| None).is_empty());
+    assert!(schedule.sync_jobs(&BTreeMap::new()).is_empty());
 }
 
 /// Runs the first item of a job until `runs` connections broke under it, and returns when each run
@@ -327,7 +328,7 @@
     assert!(pauses[1..].iter().all(|pause| (1_000..5_000).contains(pause)), "{pauses:?}");
     assert!(pauses[3..].iter().all(|pause| *pause >= 3_000), "{pauses:?}");
     assert!(began.last().is_some_and(|last| *last > 35_000), "it is owed to the end: {began:?}");
-    schedule.add(&Record::new(job("next", 1)), None);
+    schedule.add(&Record::new(job("next", 1)));
     assert!(schedule.next(60_000, &engines).is_some(), "it came again in another job");
 }
 
@@ -413,9 +414,13 @@
     let advance = Advance { job: job_id("job"), item: 0, after: 0, progress: events(10) };
     assert!(record.advance(&advance));
     let first = engine("first", 1, 1);
-    for (build, expected) in [(Some(&first.build), events(10)), (None, Progress::default())] {
+    let only = Seen::Only(first.build.clone());
+    for (seen, expected) in [(only, events(10)), (Seen::Several, Progress::default())] {
         let mut schedule = Schedule::default();
-        schedule.add(&record, build);
+        schedule.add(&record);
+        schedule.resolve_builds(|_| Seen::Unsettled);
+        assert!(schedule.next(0, slice::from_ref(&first)).is_none(), "it waits");
+        schedule.resolve_builds(|_| seen.clone());
         assert!(schedule.next(0, slice::from_ref(&first)).is_some());
         assert_eq!(schedule.task(&job_id("job"), 0).unwrap().progress, expected);
     }
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -12,7 +12,7 @@
     soft_state::SoftState,
     workload::Workload,
 };
-use catkinlatch_base::{Instant, JobId, RunId, ServiceId, TargetId};
+use catkinlatch_base::{Instant, JobId, RunId, TargetId};
 use catkinlatch_ledger::{
     Schedule, Target,
     balancer::Verdict,
@@ -22,7 +22,7 @@
 use log::{info, warn};
 use std::{
     collections::BTreeMap,
-    future, iter,
+    future,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -141,15 +141,16 @@
     fn sync_jobs(&mut self) {
         let schedule = &mut self.schedule;
         let now = self.host.clock.now();
-        let ended = {
-            let mut soft = self.host.soft_state();
-            let SoftState { registry, builds, revision, .. } = &mut *soft;
-            if self.observed.replace(*revision) != Some(*revision) {
-                builds.observe(registry.targets(), now);
-            }
-            let only_build = |service: &ServiceId| builds.only(iter::once(service), now);
-            self.host.replica.read(|state| schedule.sync_jobs(&state.jobs, only_build))
-        };
+        let ended = self.host.replica.read(|state| schedule.sync_jobs(&state.jobs));
+        let mut soft = self.host.soft_state();
+        let SoftState { registry, builds, revision, .. } = &mut *soft;
+        if self.observed.replace(*revision) != Some(*revision) {
+            builds.observe(registry.targets(), now);
+        }
+        // Targets announce themselves to a leader without a predecessor one after the other.
+        let settling = Duration::from_millis(self.host.settings.times.heartbeat_ms) * 2;
+        schedule.resolve_builds(|service| builds.seen(service, settling, now));
+        drop(soft);
         for job in ended {
             self.stop_job(&job);
         }
