--- a/crates/catkinlatch-entry/src/build.rs
+++ b/crates/catkinlatch-entry/src/build.rs
@@ -60,16 +60,14 @@
         return Required::Any;
     }
     let now = host.clock.now();
-    let only = {
+    let (is_only, is_settled) = {
         let builds = host.builds();
         let services = inbound.route.shares.iter().map(|share| &share.service);
-        let hears_leader = !host.contact().is_leader_silent(now);
-        builds
-            .only(services, now)
-            .filter(|_| hears_leader)
-            .map(|build| (build.clone(), builds.is_settled(RETENTION, now)))
+        (builds.only(services, now).is_some(), builds.is_settled(RETENTION, now))
     };
-    if let Some((_, true)) = only {
+    // A host that hears no leader may have missed a build.
+    let is_only = is_only && !host.contact().is_leader_silent(now);
+    if is_only && is_settled {
         return Required::Any;
     }
     let attempt = header::text(headers, &header::RESUMED).and_then(|id| id.parse().ok());
@@ -77,10 +75,10 @@
         Some(attempt) => find(host, attempt).await,
         None => None,
     };
-    match (origin, only) {
-        (Some(build), _) => Required::Only(build),
-        (None, Some(_)) => Required::Any,
-        (None, None) => {
+    match origin {
+        Some(build) => Required::Only(build),
+        None if is_only => Required::Any,
+        None => {
             info!(
                 request = inbound.id().unwrap_or_default(),
                 attempt:? = attempt.as_ref().map(RequestId::as_str);
@@ -93,6 +91,9 @@
 
 /// Returns the targets at which a request may not run because of their build.
 pub fn excluded(host: &Host, required: &Required) -> Vec<TargetId> {
+    if *required == Required::Any {
+        return Vec::new();
+    }
     let view = host.view();
     let targets = view.targets.iter().filter(|target| !required.allows(&target.build));
     targets.map(|target| target.id.clone()).collect()
--- a/crates/catkinlatch-store/src/allowance/guide.rs
+++ b/crates/catkinlatch-store/src/allowance/guide.rs
@@ -23,7 +23,7 @@
     let Some(target) = target.filter(|target| target.born_ms == demand.born_ms) else { return };
     observe(host, &target, Duration::from_millis(demand.cold_ms.into()));
     let Some(Stated { rate, age_ms }) = demand.stated else { return };
-    let age = u64::from(age_ms) * 1_000_000;
+    let age = Duration::from_millis(age_ms.into()).as_nanos() as u64;
     let at = Instant::from_nanos(host.clock.now().as_nanos().saturating_sub(age));
     let start = allowance::start(&target);
     let change = host.allowance.lock().targets.adopt(&start, Statement { rate, at });
