--- a/crates/catkinlatch-entry/src/allowance.rs
+++ b/crates/catkinlatch-entry/src/allowance.rs
@@ -40,7 +40,7 @@
 
 #[derive(Default)]
 struct Table {
-    targets: Bounds,
+    bounds: Bounds,
     holder: Holder<Start>,
     /// Number of reports so far.
     reports: u64,
@@ -57,7 +57,7 @@
         limit: Limit,
         hosts: Option<u32>,
     ) -> Option<Duration> {
-        let is_stated = self.targets.rate(target).is_some_and(|rate| limit == Limit::of_rate(rate));
+        let is_stated = self.bounds.rate(target).is_some_and(|rate| limit == Limit::of_rate(rate));
         hosts.filter(|_| is_stated).map(|hosts| limit.pause_without_leader(hosts))
     }
 }
@@ -66,11 +66,11 @@
     /// Creates the table of a host that knows no targets; `settings` is `None` where cold targets
     /// are not limited.
     pub fn new(settings: Option<settings::Cold>) -> Self {
-        let targets = match settings {
+        let bounds = match settings {
             Some(_) => Bounds::default(),
             None => Bounds::without_cold_limits(),
         };
-        let table = Mutex::new(Table { targets, ..Table::default() });
+        let table = Mutex::new(Table { bounds, ..Table::default() });
         Self { settings, table, shortage: Notify::new() }
     }
 
@@ -94,17 +94,17 @@
     pub fn observe_view(&self, targets: &[Target], now: Instant) {
         let mut table = self.lock();
         if self.is_on() {
-            table.targets.observe_all(targets.iter(), now);
+            table.bounds.observe_all(targets.iter(), now);
         }
         for target in targets.iter().filter(|target| target.rate.is_some()) {
             let start = allowance::start(target);
-            if table.targets.statements().all(|(known, _)| *known != start) {
+            if table.bounds.statements().all(|(known, _)| *known != start) {
                 let statement = Statement { rate: target.rate, at: now };
-                log_change(&start, table.targets.adopt(&start, statement));
+                log_change(&start, table.bounds.adopt(&start, statement));
             }
         }
         let find = |id: &TargetId| targets.iter().find(|target| target.id == *id);
-        table.targets.expire(find, now);
+        table.bounds.expire(find, now);
         table.holder.expire(now);
     }
 
@@ -112,8 +112,8 @@
     /// get.
     pub fn any_limited(&self, targets: &[&Target], now: Instant) -> bool {
         let table = self.lock();
-        let is_limited = |target: &&Target| table.targets.is_limited(target, now);
-        !table.targets.is_free() && targets.iter().any(is_limited)
+        let is_limited = |target: &&Target| table.bounds.is_limited(target, now);
+        !table.bounds.is_free() && targets.iter().any(is_limited)
     }
 
     /// Takes one request from the share of a target just before it is sent; returns whether it may
@@ -123,7 +123,7 @@
     pub fn admit(&self, target: &Target, hosts: Option<u32>, now: Instant) -> bool {
         let mut table = self.lock();
         let start = allowance::start(target);
-        let is_admitted = match table.targets.bound(target, now) {
+        let is_admitted = match table.bounds.bound(target, now) {
             Bound::Free => true,
             Bound::Warm => {
                 table.holder.record(&start, now);
@@ -138,7 +138,7 @@
         };
         if !is_admitted {
             metrics::counter!("catkinlatch_entry_cold_not_sent").increment(1);
-        } else if table.targets.count_sent(target).is_some() {
+        } else if table.bounds.count_sent(target).is_some() {
             metrics::counter!("catkinlatch_entry_limited_sent").increment(1);
         }
         is_admitted
@@ -164,7 +164,7 @@
         }
         let rate = header::limit(response.headers());
         if rate.is_some() || response.status().is_success() {
-            let change = table.targets.observe_rate(target, rate, sent.unwrap_or(now), now);
+            let change = table.bounds.observe_rate(target, rate, sent.unwrap_or(now), now);
             log_change(&start, change);
             if change != Change::Unchanged {
                 table.found.insert(start);
@@ -175,7 +175,7 @@
             return;
         }
         let left = Duration::from_millis(header::cold_ms(response.headers()).unwrap_or(0));
-        if table.targets.observe(target, left, now) {
+        if table.bounds.observe(target, left, now) {
             table.found.insert(allowance::start(target));
             info!(
                 target_id:% = target.id, born_ms = target.born_ms, cold_ms = left.as_millis() as u64;
@@ -214,7 +214,7 @@
     let hosts = host.hosts_without_leader();
     let mut table = host.allowance.lock();
     let table = &mut *table;
-    let entrance = |target: &Target| match table.targets.bound(target, now) {
+    let entrance = |target: &Target| match table.bounds.bound(target, now) {
         Bound::Free | Bound::Warm => Entrance::Free,
         Bound::Limited { limit, factor } => {
             let start = allowance::start(target);
@@ -242,7 +242,7 @@
     tried: &BTreeSet<TargetId>,
     now: Instant,
 ) -> bool {
-    if host.allowance.lock().targets.is_free() {
+    if host.allowance.lock().bounds.is_free() {
         return false;
     }
     let view = host.view();
@@ -254,7 +254,7 @@
         target.is_ready()
             && !tried.contains(&target.id)
             && !leaving.contains(target)
-            && table.targets.is_limited(target, now)
+            && table.bounds.is_limited(target, now)
     })
 }
 
@@ -279,7 +279,7 @@
                     Some((service, limit))
                 };
                 let limits = limits.into_iter().filter_map(limit).collect();
-                host.allowance.lock().targets.set_limits(limits);
+                host.allowance.lock().bounds.set_limits(limits);
                 known = version;
             }
         }
--- a/crates/catkinlatch-entry/src/allowance/exchange.rs
+++ b/crates/catkinlatch-entry/src/allowance/exchange.rs
@@ -23,7 +23,7 @@
     /// It contains all statements about rates, since a new leader may know none.
     pub fn report(&self, now: Instant) -> Vec<AllowanceDemand> {
         let mut table = self.lock();
-        if !self.is_on() && table.targets.is_free() {
+        if !self.is_on() && table.bounds.is_free() {
             return Vec::new();
         }
         table.reports += 1;
@@ -31,7 +31,7 @@
         let demands = table.holder.take_demands(now);
         let found = mem::take(&mut table.found);
         let stated: BTreeMap<Start, Stated> = table
-            .targets
+            .bounds
             .statements()
             .map(|(start, Statement { rate, at })| {
                 (start.clone(), Stated { rate, age_ms: millis(now - at) })
@@ -49,7 +49,7 @@
         let others = others.into_iter().filter(|start| !asked.contains(start)).map(idle);
         let demand = |demand: Demand<Start>| AllowanceDemand {
             number,
-            cold_ms: millis(table.targets.left_of(&demand.start, now)),
+            cold_ms: millis(table.bounds.left_of(&demand.start, now)),
             stated: stated.get(&demand.start).copied(),
             target: demand.start.0,
             born_ms: demand.start.1,
@@ -72,10 +72,10 @@
             if let Some(target) = target {
                 if self.is_on() {
                     let left = Duration::from_millis(share.cold_ms.into());
-                    table.targets.observe(target, left, now);
+                    table.bounds.observe(target, left, now);
                 }
                 let statement = Statement { rate: share.rate, at: sent };
-                log_change(&start, table.targets.adopt(&start, statement));
+                log_change(&start, table.bounds.adopt(&start, statement));
             }
             if share.share > 0 {
                 let span = Duration::from_millis(share.span_ms.into());
--- a/crates/catkinlatch-entry/src/build.rs
+++ b/crates/catkinlatch-entry/src/build.rs
@@ -1,7 +1,7 @@
 //! Which build of the targets' software a stream must go on at.
 //!
 //! The host that brings the first event of a stream records its build, and has two hosts with a disk
-//! keep a copy, since a caller may take the stream up at any other host.
+//! keep a copy, since a caller may resume the stream at any other host.
 
 use crate::{front::InboundRequest, host::Host};
 use catkinlatch_base::{BuildId, HostId, RequestId, TargetId};
@@ -52,7 +52,7 @@
 
 /// Returns the builds at which a request may run.
 ///
-/// A caller that takes a stream up names the attempt that brought the first event. If nobody knows
+/// A caller that resumes a stream names the attempt that brought the first event. If nobody knows
 /// that attempt, the stream may go on only if no other build can have begun it.
 pub async fn required(host: &Host, inbound: &InboundRequest) -> Required {
     let headers = &inbound.head.headers;
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -115,7 +115,7 @@
         info!(
             request = inbound.id().unwrap_or_default(), resumed = resumed.unwrap_or_default(),
             target_id:% = target.id, build:% = target.build;
-            "entry: a caller takes a stream up"
+            "entry: a caller resumes a stream"
         );
     }
     let head = &call.exchange.response;
--- a/crates/catkinlatch-ledger/src/build.rs
+++ b/crates/catkinlatch-ledger/src/build.rs
@@ -1,7 +1,7 @@
 //! The builds of targets' software, which may not go on with each other's streams.
 //!
-//! Targets of several builds may serve side by side. What two builds generate does not fit together,
-//! and targets do not check it.
+//! Targets of several builds may serve side by side. A stream that one build began cannot be continued
+//! by another one, and targets do not check it.
 
 mod origin;
 
--- a/crates/catkinlatch-route/src/allowance/statement.rs
+++ b/crates/catkinlatch-route/src/allowance/statement.rs
@@ -1,4 +1,4 @@
-//! The rates that targets in need state to take from all senders together.
+//! The rates that overloaded targets state to accept from all senders together.
 
 use catkinlatch_base::{Instant, Rate};
 use std::{collections::BTreeMap, mem, time::Duration};
--- a/crates/catkinlatch-standin/src/site/limit.rs
+++ b/crates/catkinlatch-standin/src/site/limit.rs
@@ -1,4 +1,4 @@
-//! The limit that a stand-in target names in its answers while it is in need.
+//! The limit that a stand-in target names in its answers while it is overloaded.
 
 use catkinlatch_base::Rate;
 use std::{
--- a/crates/catkinlatch-standin/src/site/soak/caller.rs
+++ b/crates/catkinlatch-standin/src/site/soak/caller.rs
@@ -104,11 +104,11 @@
 enum Attempt {
     /// The stream was refused, or its end is known.
     Ended,
-    /// The connection broke, and the stream may be taken up.
+    /// The connection broke, and the stream may be resumed.
     Broken,
 }
 
-/// Reads one stream, which is taken up at any host when its connection breaks.
+/// Reads one stream, which is resumed at any host when its connection breaks.
 async fn read_stream(context: &Context, id: &str, random: &mut fastrand::Rng) {
     let mut stream = Stream { id, begun_by: id.to_owned(), last: 0, build: None };
     for attempt in 0..STREAM_ATTEMPTS {
@@ -165,7 +165,7 @@
     let events = context.engines[0].state().events;
     let mut record = context.record();
     record.streams += u64::from(is_whole);
-    record.streams_taken_up += u64::from(is_whole && attempt > 0);
+    record.resumed_streams += u64::from(is_whole && attempt > 0);
     record.check(text == expected, || format!("{id} got {text:?} of {build}"));
     let last = stream.last;
     record.check(!is_whole || last == events, || format!("{id} ended after {last} events"));
--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -21,7 +21,7 @@
 /// must not run more than once.
 const LOST_ANSWERS: u32 = 25;
 
-/// The highest rate that a target in need names, per second.
+/// The highest rate that a target names, per second.
 const MAX_NAMED_RATE: f64 = 10.0;
 
 /// The time in which all hosts learn of a limit, also a host that was down or paused.
--- a/crates/catkinlatch-standin/src/site/soak/record.rs
+++ b/crates/catkinlatch-standin/src/site/soak/record.rs
@@ -11,8 +11,8 @@
     pub served: u64,
     /// Number of streams that were read to their regular end.
     pub streams: u64,
-    /// Number of these that a caller had taken up.
-    pub streams_taken_up: u64,
+    /// Number of these that a caller had resumed.
+    pub resumed_streams: u64,
     /// Number of jobs that were accepted.
     pub jobs: u64,
     /// Number of results that were read, each counted once.
--- a/crates/catkinlatch-standin/src/site/soak/report.rs
+++ b/crates/catkinlatch-standin/src/site/soak/report.rs
@@ -72,7 +72,7 @@
             ("served", record.served),
             ("refused", record.refused.len() as u64),
             ("streams", record.streams),
-            ("streams taken up", record.streams_taken_up),
+            ("resumed streams", record.resumed_streams),
             ("jobs", record.jobs),
             ("refused jobs", record.refused_jobs.len() as u64),
             ("results", record.results),
--- a/crates/catkinlatch-store/src/allowance.rs
+++ b/crates/catkinlatch-store/src/allowance.rs
@@ -48,7 +48,7 @@
 }
 
 struct Table {
-    targets: Bounds,
+    bounds: Bounds,
     /// Version of the configuration from which the limits are.
     version: Option<u64>,
     /// The term that this host leads; `None` while it does not.
@@ -61,11 +61,11 @@
     /// are not limited.
     pub fn new(settings: Option<settings::Cold>) -> Self {
         let division = Division::new(None, Instant::ZERO);
-        let targets = match settings {
+        let bounds = match settings {
             Some(_) => Bounds::default(),
             None => Bounds::without_cold_limits(),
         };
-        let table = Table { targets, version: None, term: None, division };
+        let table = Table { bounds, version: None, term: None, division };
         Self { settings, table: Mutex::new(table) }
     }
 
@@ -85,16 +85,16 @@
     pub fn observe_view(&self, targets: &[Target], now: Instant) {
         let mut table = self.lock();
         if self.settings.is_some() {
-            table.targets.observe_all(targets.iter(), now);
+            table.bounds.observe_all(targets.iter(), now);
         }
         for target in targets {
-            if target.rate != table.targets.rate(target) {
+            if target.rate != table.bounds.rate(target) {
                 let statement = Statement { rate: target.rate, at: now };
-                table.targets.adopt(&allowance::start(target), statement);
+                table.bounds.adopt(&allowance::start(target), statement);
             }
         }
         let find = |id: &TargetId| targets.iter().find(|target| target.id == *id);
-        table.targets.expire(find, now);
+        table.bounds.expire(find, now);
     }
 
     /// Records how long a target states to be cold; returns whether it has turned cold, which other
@@ -103,7 +103,7 @@
         if self.settings.is_none() || left.is_zero() {
             return false;
         }
-        let turned_cold = self.lock().targets.observe(target, left, now);
+        let turned_cold = self.lock().bounds.observe(target, left, now);
         if turned_cold {
             info!(
                 target_id:% = target.id, born_ms = target.born_ms, cold_ms = left.as_millis() as u64;
@@ -118,9 +118,9 @@
     pub fn update_stated(&self, targets: &mut [Target], now: Instant) {
         let table = self.lock();
         for target in targets {
-            target.rate = table.targets.rate(target);
-            if self.settings.is_some() && table.targets.bound(target, now) != Bound::Free {
-                target.cold_ms = table.targets.left(target, now).as_millis() as u64;
+            target.rate = table.bounds.rate(target);
+            if self.settings.is_some() && table.bounds.bound(target, now) != Bound::Free {
+                target.cold_ms = table.bounds.left(target, now).as_millis() as u64;
             }
         }
     }
@@ -128,7 +128,7 @@
     /// Returns how many requests this host may send to a target now; `None` if it is not limited.
     pub fn room(&self, target: &Target, now: Instant) -> Option<u32> {
         let table = self.lock();
-        match table.targets.bound(target, now) {
+        match table.bounds.bound(target, now) {
             Bound::Free | Bound::Warm => None,
             Bound::Limited { limit, factor } => {
                 Some(table.division.own_room(&allowance::start(target), limit, factor, now))
@@ -158,7 +158,7 @@
     fn admit(&self, target: &Target, term: Option<Term>, now: Instant) -> bool {
         let mut table = self.lock();
         let start = allowance::start(target);
-        let is_admitted = match table.targets.bound(target, now) {
+        let is_admitted = match table.bounds.bound(target, now) {
             Bound::Free => true,
             Bound::Warm => {
                 table.division.record_own(&start, now);
@@ -173,7 +173,7 @@
         };
         if !is_admitted {
             metrics::counter!("catkinlatch_store_cold_not_sent").increment(1);
-        } else if table.targets.count_sent(target).is_some() {
+        } else if table.bounds.count_sent(target).is_some() {
             metrics::counter!("catkinlatch_store_limited_sent").increment(1);
         }
         is_admitted
@@ -196,7 +196,7 @@
                 Some((service, Limit::new(per_second, settings.excess, settings.slack)?))
             });
             let mut table = host.allowance.lock();
-            table.targets.set_limits(limits.collect());
+            table.bounds.set_limits(limits.collect());
         }
         Err(error) => warn!(error:% = error; "targets: cannot decode the limits of cold targets"),
     }
@@ -260,7 +260,7 @@
     if rate.is_some() || response.status().is_success() {
         let now = host.clock.now();
         let change =
-            host.allowance.lock().targets.observe_rate(target, rate, sent.unwrap_or(now), now);
+            host.allowance.lock().bounds.observe_rate(target, rate, sent.unwrap_or(now), now);
         publish_change(host, &allowance::start(target), change);
     }
     let left = Duration::from_millis(header::cold_ms(response.headers()).unwrap_or(0));
--- a/crates/catkinlatch-store/src/allowance/guide.rs
+++ b/crates/catkinlatch-store/src/allowance/guide.rs
@@ -17,7 +17,7 @@
 /// The most limited targets that an answer names.
 const MAX_SHARES: usize = 64;
 
-/// Takes over what a host states of limited targets.
+/// Takes over what a host states of limited bounds.
 fn adopt(host: &Host, demand: &AllowanceDemand) {
     let target = host.soft_state().registry.target(&demand.target).cloned();
     let Some(target) = target.filter(|target| target.born_ms == demand.born_ms) else { return };
@@ -26,7 +26,7 @@
     let age = Duration::from_millis(age_ms.into()).as_nanos() as u64;
     let at = Instant::from_nanos(host.clock.now().as_nanos().saturating_sub(age));
     let start = allowance::start(&target);
-    let change = host.allowance.lock().targets.adopt(&start, Statement { rate, at });
+    let change = host.allowance.lock().bounds.adopt(&start, Statement { rate, at });
     publish_change(host, &start, change);
 }
 
@@ -41,14 +41,14 @@
         target.filter(|target| target.born_ms == demand.born_ms)
     };
     let mut table = host.allowance.lock();
-    let Table { targets, division, term: own_term, .. } = &mut *table;
-    if *own_term != Some(term) || (report.allowances.is_empty() && targets.is_free()) {
+    let Table { bounds, division, term: own_term, .. } = &mut *table;
+    if *own_term != Some(term) || (report.allowances.is_empty() && bounds.is_free()) {
         return;
     }
     let find_id = |id: &TargetId| soft.registry.target(id);
-    targets.expire(find_id, now);
+    bounds.expire(find_id, now);
     division.expire(now);
-    let limited: Vec<&Target> = targets.limited(find_id, now).take(MAX_SHARES).collect();
+    let limited: Vec<&Target> = bounds.limited(find_id, now).take(MAX_SHARES).collect();
     metrics::gauge!("catkinlatch_cold_targets").set(limited.len() as f64);
     if !limited.is_empty() {
         guidance.interval_ms = guidance.interval_ms.min(BUSY_INTERVAL_MS);
@@ -56,13 +56,13 @@
     let holder: Holder = (report.host.clone(), report.incarnation);
     let without_share = |target: &Target| {
         let (id, born_ms) = allowance::start(target);
-        let cold_ms = targets.left(target, now).as_millis() as u32;
-        let rate = targets.rate(target);
+        let cold_ms = bounds.left(target, now).as_millis() as u32;
+        let rate = bounds.rate(target);
         AllowanceShare { target: id, born_ms, share: 0, span_ms: 0, cold_ms, rate }
     };
     let mut grant = |target: &Target, demand: &AllowanceDemand, wanted: u32| {
         let mut share = without_share(target);
-        let Bound::Limited { limit, factor } = targets.bound(target, now) else { return share };
+        let Bound::Limited { limit, factor } = bounds.bound(target, now) else { return share };
         let idle = Duration::from_millis(demand.idle_ms.into());
         let asked = Asked { number: demand.number, wanted, used: demand.used, idle };
         let (start, bound) = (allowance::start(target), (limit, factor));
--- a/tests/site/build.rs
+++ b/tests/site/build.rs
@@ -74,7 +74,7 @@
 
 /// Guards against a caller's next try that goes on at any target, at another host as well.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_stream_that_a_caller_takes_up_goes_on_at_its_build() {
+async fn a_stream_that_a_caller_resumes_goes_on_at_its_build() {
     let mut setup = start().await;
     slow_down(&setup);
     let streams = begin(&setup, 8).await;
@@ -83,7 +83,7 @@
     let mut served = 0;
     for (id, begun) in streams.iter().rev() {
         let next = format!("{id}-again");
-        let Ok(mut stream) = Stream::take_up(&setup, 1, (&next, id), 2).await else { continue };
+        let Ok(mut stream) = Stream::resume(&setup, 1, (&next, id), 2).await else { continue };
         stream.read_events(2).await;
         assert_eq!(stream.is_of_other_build(), begun.is_of_other_build(), "{id}");
         served += 1;
@@ -109,8 +109,8 @@
     .await;
     for id in begun {
         let (next, asked) = (format!("{id}-again"), Instant::now());
-        let taken_up = Stream::take_up(&setup, 1, (&next, id), 2).await;
-        assert_eq!(taken_up.err(), Some(StatusCode::SERVICE_UNAVAILABLE));
+        let resumed = Stream::resume(&setup, 1, (&next, id), 2).await;
+        assert_eq!(resumed.err(), Some(StatusCode::SERVICE_UNAVAILABLE));
         assert!(asked.elapsed() < AT_ONCE, "refused after {:?}", asked.elapsed());
         let runs = setup.engines.iter().filter(|engine| engine.state().runs.contains_key(&next));
         assert_eq!(runs.count(), 0);
@@ -123,8 +123,8 @@
     let setup = start().await;
     for number in 0..4 {
         let id = format!("unknown-{number}");
-        let taken_up = Stream::take_up(&setup, number % 2, (&id, "nobody"), 2).await;
-        assert_eq!(taken_up.err(), Some(StatusCode::SERVICE_UNAVAILABLE));
+        let resumed = Stream::resume(&setup, number % 2, (&id, "nobody"), 2).await;
+        assert_eq!(resumed.err(), Some(StatusCode::SERVICE_UNAVAILABLE));
     }
 }
 
@@ -132,7 +132,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_of_an_unknown_build_goes_on_while_one_build_serves() {
     let setup = Setup::start().await;
-    let mut stream = Stream::take_up(&setup, 0, ("unknown", "nobody"), 2).await.unwrap();
+    let mut stream = Stream::resume(&setup, 0, ("unknown", "nobody"), 2).await.unwrap();
     assert!(stream.read_to_end().await);
     assert_eq!(stream.events(), [3, 4, 5]);
 }
--- a/tests/site/stream.rs
+++ b/tests/site/stream.rs
@@ -21,12 +21,12 @@
         Self { exchange, text: String::new() }
     }
 
-    /// Takes a stream up at an entry host after event `last`.
+    /// Resumes a stream at an entry host after event `last`.
     ///
     /// # Errors
     ///
     /// Returns the status if the response is no stream.
-    pub async fn take_up(
+    pub async fn resume(
         setup: &Setup,
         entry: usize,
         (id, resumed): (&str, &str),
