Answer requests that were sent just before a planned stop

What callers saw: a connection that was opened, or a request that was sent on an open one, in the moment in which a host closed its listener ended without an answer.

Cause: the server dropped its listener at once, which resets the connections that wait to be accepted, and closed connections on which it had read nothing yet.

Change: a stopping server accepts what is in its backlog first, and reads requests for 100 ms more before it closes idle connections.

--- a/crates/catkinlatch-runtime/src/http/server.rs
+++ b/crates/catkinlatch-runtime/src/http/server.rs
@@ -9,8 +9,16 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinSet,
+    time,
 };
 
+/// Time without a further connection after which a stopping server has accepted all that were
+/// opened before.
+const BACKLOG_TIME: Duration = Duration::from_millis(10);
+
+/// How long a stopping server still reads requests that clients may just have sent.
+const LINGER: Duration = Duration::from_millis(100);
+
 /// Delay after a failed `accept` before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -25,8 +33,8 @@
 
 /// Accepts connections and passes their requests to `handler`.
 ///
-/// Once `server.stop` becomes true, accepts no further connections or requests, and returns when
-/// all requests in progress have been answered. If a client closes its connection, the future of
+/// Once `server.stop` becomes true, accepts no further connections than those that clients have
+/// opened, reads requests for [`LINGER`] more, and returns when all have been answered. If a client closes its connection, the future of
 /// its request is dropped.
 pub async fn serve<H, F>(server: Server, listener: TcpListener, handler: H)
 where
@@ -48,10 +56,13 @@
             }
             Err(error) => {
                 warn!("http: cannot accept a connection: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    while let Ok(Ok((socket, _))) = time::timeout(BACKLOG_TIME, listener.accept()).await {
+        connections.spawn(connection(server.clone(), socket, handler.clone()));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
@@ -74,10 +85,13 @@
     let mut stop = server.stop;
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stopped(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+        () = stopped(&mut stop) => match time::timeout(LINGER, connection.as_mut()).await {
+            Ok(ended) => ended,
+            Err(_) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        },
     };
     if let Err(error) = ended {
         debug!("http: a connection ended: {error}");
