Decide whether a host reaches targets itself, and who relays for it

A host that reaches no target cannot tell whether it is cut off or the targets are gone. reach::Reach decides when that is in doubt (a connection that cannot be opened, a request without an answer, while no other target answers), what a check of both ways shows, and how to open the next connection: directly, through another host, or not at all.

--- a/crates/catkinlatch-route/src/lib.rs
+++ b/crates/catkinlatch-route/src/lib.rs
@@ -7,12 +7,14 @@
 pub mod allowance;
 pub mod places;
 pub mod ramp;
+pub mod reach;
 pub mod retry;
 pub mod target;
 
 pub use self::{
     admission::Gate,
     ramp::Ramp,
+    reach::Reach,
     retry::Budget,
     target::{Announcement, Key, Table},
 };
