Serve callers of hosts that are cut off from all targets

What callers saw: an entry host that had lost its links to all targets, and nothing else, tried one target after the other for as long as the cut lasted.

Cause: a host's only way to a target was its own connection. The class: a role that takes work without holding all links that the work needs, and that cannot tell the loss of its own links from the loss of what is behind them.

Only bytes cross; attempts, budgets, limits, deadlines and usage stay with the host that took the request. The same cause stood in two more places and is mended there too: items and scoring calls of a leader that is cut off from targets, and the product's own nodes. Orders and calls to the platform are not relayed, since their holder is one host. Failures that may be the path's are no longer reported to other hosts.

--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -5,7 +5,7 @@
 use catkinlatch_base::Instant;
 use catkinlatch_ledger::{Target, balancer::Verdict, observation::Event};
 use catkinlatch_platform::header;
-use catkinlatch_runtime::http::{Body, BodyError, Exchange, Failure, full};
+use catkinlatch_runtime::http::{Body, BodyError, Exchange, Failure, Repeatable, full};
 use derive_more::Display;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use log::info;
@@ -31,6 +31,9 @@
     /// The connection broke while the target may have run the request, as it does when the target
     /// crashes; holds the reason for the log.
     Broken(String),
+    /// The path to the target was lost, which shows nothing about the target; it may have run the
+    /// request. Holds the reason for the log.
+    Lost(String),
 }
 
 /// Counts an attempt as in flight until dropped, including when the caller disconnects.
@@ -41,6 +44,8 @@
     verdict: Verdict,
     /// What the attempt shows other senders, if that is not what the verdict says.
     event: Option<Event>,
+    /// Whether the attempt shows other senders nothing, since the path may have failed.
+    is_private: bool,
 }
 
 impl Guard {
@@ -57,16 +62,24 @@
         self.verdict = Verdict::Answered(elapsed);
     }
 
-    /// Records that the target failed.
+    /// Records that the target failed, as far as this host can tell the target from the path.
     pub fn record_failure(&mut self) {
-        self.verdict = Verdict::Failed;
+        let is_direct = self.host.client.dialer().is_none_or(|dialer| dialer.is_direct());
+        (self.verdict, self.is_private) = (Verdict::Failed, !is_direct);
+    }
+
+    /// Records that the path to the target was lost.
+    pub fn record_loss(&mut self) {
+        self.verdict = Verdict::Unknown;
     }
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
         self.host.balancer().end(&self.target.id, self.verdict, self.host.clock.now());
-        observation::record(&self.host, &self.target, self.verdict, self.event);
+        if !self.is_private {
+            observation::record(&self.host, &self.target, self.verdict, self.event);
+        }
     }
 }
 
@@ -119,7 +132,14 @@
     host.balancer().begin(&target.id);
     let verdict = Verdict::Unknown;
     let (held_host, held_target) = (host.clone(), target.clone());
-    let mut guard = Guard { host: held_host, target: held_target, started, verdict, event: None };
+    let mut guard = Guard {
+        host: held_host,
+        target: held_target,
+        started,
+        verdict,
+        event: None,
+        is_private: false,
+    };
     let (mut sent, mut is_withheld) = (None, false);
     let prepare = |request: &mut Request<Body>| {
         let now = host.clock.now();
@@ -136,19 +156,20 @@
             return Err(Outcome::NotRun("the target is limited, and this host has no share of it"));
         }
         Ok(Err(Failure::NotSent(_))) => {
-            guard.verdict = Verdict::Failed;
+            guard.record_failure();
             return Err(Outcome::NotRun(NO_CONNECTION));
         }
         Ok(Err(Failure::Unknown(reason))) => {
-            guard.verdict = Verdict::Failed;
+            guard.record_failure();
             return Err(Outcome::Broken(reason));
         }
         Ok(Err(failure @ Failure::Malformed(_))) => {
-            guard.verdict = Verdict::Failed;
+            guard.record_failure();
             return Err(Outcome::MayHaveRun(failure.to_string()));
         }
+        Ok(Err(Failure::Lost(reason))) => return Err(Outcome::Lost(reason)),
         Err(_) => {
-            guard.verdict = Verdict::Failed;
+            guard.record_failure();
             guard.event = Some(Event::Silent);
             return Err(Outcome::Silent("no answer in time"));
         }
@@ -193,6 +214,10 @@
             return Outcome::Answer(answer);
         }
         Ok(Err(error @ BodyError::Broken(_))) => Outcome::Broken(error.to_string()),
+        Ok(Err(BodyError::Lost(reason))) => {
+            guard.record_loss();
+            return Outcome::Lost(reason);
+        }
         Ok(Err(error)) => Outcome::MayHaveRun(error.to_string()),
         Err(_) => {
             guard.event = Some(Event::Silent);
@@ -234,6 +259,9 @@
 /// Builds the request for the target: the caller's request without its API key.
 pub fn build_request(inbound: &InboundRequest, target: &Target, left: Duration) -> Request<Body> {
     let mut request = Request::new(full(inbound.body.clone()));
+    if inbound.route.may_repeat() {
+        request.extensions_mut().insert(Repeatable);
+    }
     *request.method_mut() = inbound.head.method.clone();
     *request.uri_mut() = inbound.head.uri.clone();
     *request.headers_mut() = header::forwardable(&inbound.head.headers);
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -35,7 +35,7 @@
     pub allowance: Allowance,
     /// The queues of live requests for the slots of services.
     pub admission: Admission,
-    view: Mutex<View>,
+    view: Arc<Mutex<View>>,
     balancer: Mutex<Balancer>,
     guide: Mutex<Guide>,
     second_budget: Mutex<Budget>,
@@ -51,13 +51,14 @@
 }
 
 impl Host {
-    /// Creates the state of a host that has no view yet and is not draining.
+    /// Creates the state of a host that is not draining; `view` is what it knows of the cluster.
     pub fn new(
         settings: Settings,
         clock: Clock,
         peers: Arc<Peers>,
         leader_client: LeaderClient,
         client: Client,
+        view: Arc<Mutex<View>>,
     ) -> Self {
         let allowance = Allowance::new(settings.cold);
         let second_budget = Mutex::new(Budget::new(second::SHARE, clock.now()));
@@ -69,7 +70,7 @@
             client,
             allowance,
             admission: Admission::default(),
-            view: Mutex::default(),
+            view,
             balancer: Mutex::default(),
             guide: Mutex::default(),
             second_budget,
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod probe;
 mod proxy;
 mod ready;
+mod relay;
 mod second;
 mod stream;
 pub mod suspect;
@@ -28,11 +29,20 @@
 use self::host::Host;
 use catkinlatch_runtime::{
     Clock, LeaderClient, Peers, Settings,
-    http::{Client, Limits, Server, serve},
+    http::{
+        Client, Limits, Server,
+        dialer::{self, Connect},
+        serve,
+    },
 };
 use derive_more::{Display, Error, From};
 use log::info;
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 use tokio::{net::TcpListener, sync::watch, time};
 
 /// How long a connection may be idle; callers reuse connections that have been idle for up to four
@@ -64,15 +74,34 @@
 /// # Errors
 ///
 /// Returns an error if a required setting is missing or an address cannot be listened on.
-pub async fn run(settings: Settings, mut stop: watch::Receiver<bool>) -> Result<(), Error> {
+pub async fn run(settings: Settings, stop: watch::Receiver<bool>) -> Result<(), Error> {
+    run_with(settings, dialer::tcp(false), stop).await
+}
+
+/// Like [`run`], but opens connections to targets with `connect`.
+///
+/// # Errors
+///
+/// Returns an error as [`run`] does.
+pub async fn run_with(
+    settings: Settings,
+    connect: Connect,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), Error> {
     let callers = settings.callers_address.ok_or(Error::Missing("callers_address"))?;
     let ready = settings.ready_address.ok_or(Error::Missing("ready_address"))?;
     let clock = Clock::new();
     let peers = Arc::new(Peers::new(&settings));
     let leader_client = LeaderClient::new(peers.clone(), settings.seed_hosts());
     let limits = Limits::new(settings.resources.memory_mb);
-    let client = Client::new().with_limits(limits);
-    let host = Arc::new(Host::new(settings, clock, peers, leader_client, client));
+    let view = Arc::new(Mutex::default());
+    let dialer = relay::dialer(&settings, clock, &peers, connect.clone(), &view);
+    let client = Client::new().with_limits(limits).with_dialer(Arc::new(dialer));
+    let host = Arc::new(Host::new(settings, clock, peers, leader_client, client, view));
+    let relay_server = Arc::new(relay::server(&host, connect));
+    let address = SocketAddr::new(callers.ip(), host.settings.peer_port);
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(relay::serve(host.clone(), listener, relay_server.clone()));
 
     let (close, closed) = watch::channel(false);
     let server = Server { idle_timeout: IDLE_TIMEOUT, stop: closed };
@@ -102,7 +131,11 @@
     let end = time::Instant::now() + grace.mul_f64(STOP_SHARE);
     time::sleep(grace.mul_f64(SERVING_SHARE)).await;
     close.send_replace(true);
-    let all_ended = time::timeout_at(end, front).await.is_ok();
+    let all_ended = time::timeout_at(end, async {
+        let _ = front.await;
+        relay::ended(&relay_server).await;
+    });
+    let all_ended = all_ended.await.is_ok();
     info!(all_ended = all_ended; "entry: stopped");
     Ok(())
 }
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -241,7 +241,8 @@
         if !matches!(outcome, Outcome::NotRun(attempt::NO_CONNECTION)) {
             reached.insert(target.id.clone());
         }
-        spends_retry = !matches!(outcome, Outcome::NotRun(_));
+        let is_lost = matches!(outcome, Outcome::Lost(_));
+        spends_retry = !is_lost && !matches!(outcome, Outcome::NotRun(_));
         match outcome {
             Outcome::Answer(answer) => {
                 attempt_log.push(format!("{} answered", target.id));
@@ -255,7 +256,10 @@
                 may_have_run = true;
             }
             Outcome::NotRun(reason) => attempt_log.push(format!("{} not run: {reason}", target.id)),
-            outcome @ (Outcome::MayHaveRun(_) | Outcome::Silent(_) | Outcome::Broken(_)) => {
+            outcome @ (Outcome::MayHaveRun(_)
+            | Outcome::Silent(_)
+            | Outcome::Broken(_)
+            | Outcome::Lost(_)) => {
                 attempt_log.push(format!("{} unknown: {outcome}", target.id));
                 may_have_run = true;
                 if !is_idempotent {
@@ -264,7 +268,9 @@
                 }
             }
         }
-        tried.insert(target.id.clone());
+        if !is_lost {
+            tried.insert(target.id.clone());
+        }
     }
 }
 
@@ -308,10 +314,12 @@
         Outcome::Answer(_) if permit == Permit::Trial => {
             suspect::record_answer(host, inbound);
         }
-        Outcome::NotRun(_) | Outcome::MayHaveRun(_) if permit == Permit::Trial => {
+        Outcome::NotRun(_) | Outcome::MayHaveRun(_) | Outcome::Lost(_)
+            if permit == Permit::Trial =>
+        {
             suspect::end_trial(host, inbound);
         }
-        Outcome::Answer(_) | Outcome::NotRun(_) | Outcome::MayHaveRun(_) => {}
+        Outcome::Answer(_) | Outcome::NotRun(_) | Outcome::MayHaveRun(_) | Outcome::Lost(_) => {}
     }
 }
 
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -75,18 +75,29 @@
     Failed {
         /// The reason for the log.
         reason: String,
-        /// Whether the connection broke, as it does when the target crashes.
-        is_break: bool,
+        /// What that shows about the target.
+        cause: Cause,
     },
 }
 
+/// What the failure of a stream shows about its target.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// The connection broke, as it does when the target crashes.
+    Break,
+    /// The path to the target was lost, which shows nothing about it.
+    Loss,
+    /// The target failed in another way.
+    Other,
+}
+
 impl Read {
     fn failed(reason: impl ToString) -> Self {
-        Self::Failed { reason: reason.to_string(), is_break: false }
+        Self::Failed { reason: reason.to_string(), cause: Cause::Other }
     }
 
     fn broken(reason: impl ToString) -> Self {
-        Self::Failed { reason: reason.to_string(), is_break: true }
+        Self::Failed { reason: reason.to_string(), cause: Cause::Break }
     }
 }
 
@@ -170,17 +181,20 @@
                     }
                     return None;
                 }
-                Read::Failed { reason, is_break } => {
-                    if is_break {
+                Read::Failed { reason, cause } => {
+                    if cause == Cause::Break {
                         self.record_break().await;
                     } else if self.attempts.is_trial {
                         suspect::end_trial(&self.host, &self.inbound);
                     }
                     if let Some(call) = &mut self.call {
-                        call.guard.record_failure();
+                        match cause {
+                            Cause::Loss => call.guard.record_loss(),
+                            Cause::Break | Cause::Other => call.guard.record_failure(),
+                        }
                     }
                     self.log(&reason);
-                    if !self.resume().await {
+                    if !self.resume(cause != Cause::Loss).await {
                         self.call = None;
                         self.failure = Some(reason);
                     }
@@ -207,6 +221,9 @@
             }
             Ok(Ok(None)) => return Read::End,
             Ok(Err(error @ BodyError::Broken(_))) => return Read::broken(error),
+            Ok(Err(error @ BodyError::Lost(_))) => {
+                return Read::Failed { reason: error.to_string(), cause: Cause::Loss };
+            }
             Ok(Err(error)) => return Read::failed(error),
             Err(_) => return Read::failed("timed out waiting for the next event"),
         };
@@ -251,12 +268,12 @@
     }
 
     /// Resumes the stream at another target after the last event, if the route allows it; returns
-    /// whether that succeeded.
-    async fn resume(&mut self) -> bool {
+    /// whether that succeeded. `spends_retry` says whether the first attempt counts against the
+    /// route's budget of retries.
+    async fn resume(&mut self, mut spends_retry: bool) -> bool {
         self.parser = EventParser::new(self.host.client.limits().event);
         self.waited = Duration::ZERO;
         let give_up_at = self.host.clock.now() + EVENT_TIMEOUT;
-        let mut spends_retry = true;
         while self.inbound.route.may_repeat()
             && self.attempts.sends < self.inbound.route.max_attempts
         {
@@ -314,6 +331,10 @@
                     spends_retry = false;
                     self.log(reason);
                 }
+                Err(Outcome::Lost(reason)) => {
+                    spends_retry = false;
+                    self.log(&reason);
+                }
                 Err(Outcome::MayHaveRun(reason)) => self.log(&reason),
                 Err(Outcome::Silent(reason)) => self.log(reason),
                 Err(Outcome::Broken(reason)) => {
--- a/crates/catkinlatch-node/src/entry/dispatch.rs
+++ b/crates/catkinlatch-node/src/entry/dispatch.rs
@@ -16,7 +16,7 @@
 use catkinlatch_base::{Instant, RequestId, Tokens, event};
 use catkinlatch_fleet::meter::Record;
 use catkinlatch_route::{admission::Class, retry::Effect, target::Selector};
-use catkinlatch_runtime::http::Exchange;
+use catkinlatch_runtime::http::{Exchange, Repeatable};
 use catkinlatch_state::config;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
@@ -109,7 +109,7 @@
         team: authorized.team.clone(),
         target: attempt.target.clone(),
     });
-    let sent = node.upstream.send(request);
+    let sent = node.target_upstream.send(request);
     let exchange = match tokio::time::timeout_at(node.clock.timer(authorized.deadline), sent).await
     {
         Ok(Ok(exchange)) => exchange,
@@ -311,6 +311,9 @@
         let credential = credential.expose();
         request = request.header(header::AUTHORIZATION, format!("Bearer {credential}"));
     }
+    if authorized.route.idempotent {
+        request = request.extension(Repeatable);
+    }
     request.body(Full::new(call.body.clone())).map_err(|_| invalid("the request").into())
 }
 
@@ -327,7 +330,7 @@
     let (ran, effect, broken) = match error {
         CallError::Connect => (Ran::No, Effect::Unsent, false),
         CallError::Broken => (Ran::Maybe, Effect::MayHaveRun, true),
-        CallError::Malformed => (Ran::Maybe, Effect::MayHaveRun, false),
+        CallError::Malformed | CallError::Lost => (Ran::Maybe, Effect::MayHaveRun, false),
         CallError::TooLong { .. } => (Ran::Yes, Effect::MayHaveRun, false),
     };
     let message = format!("the target failed: {error}");
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod order;
 pub mod peer;
 pub mod placement;
+mod relay;
 pub mod settings;
 mod targets;
 mod trainer;
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -5,13 +5,14 @@
     http_log::HttpLog,
     metric, operator, order,
     peer::{self, Peers},
-    placement, targets, trainer,
+    placement, relay, targets, trainer,
     upstream::Upstream,
     usage::{self, Usage},
 };
 use catkinlatch_base::{Incarnation, Timeline, event::Kind};
 use catkinlatch_fleet::{Meter, order::Dispatcher};
 use catkinlatch_route::Table;
+use catkinlatch_runtime::http::dialer::{self, Connect};
 use derive_more::{Display, Error};
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, BuildError, ConfigDropshot, HandlerTaskMode,
@@ -44,12 +45,15 @@
     pub timeline: Arc<Timeline>,
     /// The sessions with the other nodes.
     pub peers: Arc<Peers>,
+    /// Calls to the platform.
     pub(crate) upstream: Upstream,
+    /// Calls to targets, which other nodes may relay.
+    pub(crate) target_upstream: Upstream,
     pub(crate) trainers: trainer::Coordinators,
     pub(crate) admission: entry::Admission,
     /// Whether the node is draining.
     pub drain: Drain,
-    table: Mutex<Table>,
+    table: Arc<Mutex<Table>>,
     pub(crate) usage: Usage,
     dispatcher: Mutex<Dispatcher>,
     pub(crate) orders_wake: Notify,
@@ -120,6 +124,15 @@
     ///
     /// Returns an error if the data folder cannot be used or a port cannot be opened.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        Self::start_with(settings, dialer::tcp(false)).await
+    }
+
+    /// Like [`Self::start`], but opens connections to targets with `connect`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Self::start`] does.
+    pub async fn start_with(settings: Settings, connect: Connect) -> Result<Self, StartError> {
         metric::install();
         let storage = control::open_storage(&settings).map_err(StartError::Storage)?;
         let peer_listener = TcpListener::bind(settings.peer_listen).await;
@@ -133,6 +146,9 @@
         let control = Control::start(&settings, clock, peers.clone(), storage, &mut tasks);
         let usage = Usage::new(settings.host.clone());
         let timing = order::timing(&settings);
+        let table = Arc::default();
+        let dialer = relay::dialer(&settings, &peers, clock, connect, &table);
+        let target_upstream = Upstream::new().with_dialer(dialer);
         let node = Arc::new(Node {
             settings,
             incarnation,
@@ -141,10 +157,11 @@
             timeline,
             peers,
             upstream: Upstream::new(),
+            target_upstream,
             trainers: trainer::Coordinators::default(),
             admission: entry::Admission::new(),
             drain: Drain::new(),
-            table: Mutex::default(),
+            table,
             usage,
             dispatcher: Mutex::new(Dispatcher::new(timing)),
             orders_wake: Notify::new(),
--- a/crates/catkinlatch-node/src/peer/handler.rs
+++ b/crates/catkinlatch-node/src/peer/handler.rs
@@ -1,8 +1,8 @@
 //! Handles messages from other nodes.
 
 use super::{Message, Reply};
-use crate::{Node, operator::status, targets, trainer, usage};
-use catkinlatch_wire::{Frame, Hello, codec};
+use crate::{Node, operator::status, relay, targets, trainer, usage};
+use catkinlatch_wire::{Frame, Hello, Offer, codec};
 use log::warn;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -10,8 +10,13 @@
 /// Accepts sessions on `listener` and handles their messages while the node runs.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     let (local, secret) = (node.peers.local().clone(), node.peers.secret().clone());
+    let relay_server = Arc::new(relay::server(&node));
+    let tunnels = move |remote: Hello, frame: Frame, offer: Offer| {
+        let relay_server = relay_server.clone();
+        async move { relay_server.serve(remote, frame, offer).await }
+    };
     let handler = move |remote: Hello, frame: Frame| receive(node.clone(), remote, frame);
-    catkinlatch_wire::serve(listener, local, secret, handler).await;
+    catkinlatch_wire::serve_with_tunnels(listener, local, secret, handler, tunnels).await;
 }
 
 async fn receive(node: Arc<Node>, remote: Hello, frame: Frame) -> Option<Frame> {
--- a/crates/catkinlatch-node/src/upstream.rs
+++ b/crates/catkinlatch-node/src/upstream.rs
@@ -1,11 +1,12 @@
 //! HTTP client for calls from a node to targets and the platform.
 
 use bytes::Bytes;
-use catkinlatch_runtime::http::{BodyError, Client, Exchange, Failure};
+use catkinlatch_runtime::http::{BodyError, Client, Dialer, Exchange, Failure};
 use derive_more::{Display, Error};
 use http::{HeaderValue, Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use std::sync::Arc;
 
 /// Port of addresses that name none.
 const DEFAULT_PORT: u16 = 80;
@@ -19,6 +20,9 @@
     /// The connection failed after the request may have been sent, in part or whole.
     #[display("the connection broke")]
     Broken,
+    /// The path to the target was lost, which shows nothing about the target.
+    #[display("the path to the target was lost")]
+    Lost,
     /// The target sent bytes that are no response, or exceeded a limit other than the body's.
     #[display("the answer is malformed or has no end")]
     Malformed,
@@ -43,6 +47,16 @@
         Self::default()
     }
 
+    /// Opens connections with `dialer`, which may have other nodes relay them.
+    pub fn with_dialer(self, dialer: Dialer) -> Self {
+        Self { client: self.client.with_dialer(Arc::new(dialer)) }
+    }
+
+    /// Returns whether this node reached no target when it checked last.
+    pub fn is_cut_off(&self) -> bool {
+        self.client.dialer().is_some_and(|dialer| dialer.is_cut_off())
+    }
+
     /// Sends a request with an absolute URI and returns the response as soon as its head has
     /// arrived.
     ///
@@ -66,6 +80,7 @@
             Failure::NotSent(_) => CallError::Connect,
             Failure::Unknown(_) => CallError::Broken,
             Failure::Malformed(_) => CallError::Malformed,
+            Failure::Lost(_) => CallError::Lost,
         })
     }
 
@@ -98,6 +113,7 @@
     match error {
         BodyError::TooLong => CallError::TooLong { limit },
         BodyError::Broken(_) => CallError::Broken,
+        BodyError::Lost(_) => CallError::Lost,
         BodyError::Malformed(_) | BodyError::NoMemory => CallError::Malformed,
     }
 }
--- a/crates/catkinlatch-runtime/src/http.rs
+++ b/crates/catkinlatch-runtime/src/http.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod body;
 mod client;
+pub mod dialer;
 mod exchange;
 mod limits;
 pub mod memory;
@@ -13,7 +14,8 @@
 pub use self::{
     answer::{json, status, text},
     body::{Body, BodyError, collect, empty, full, streamed},
-    client::{Client, Failure, record_end},
+    client::{Client, Failure, Repeatable, record_end},
+    dialer::Dialer,
     exchange::Exchange,
     limits::Limits,
     meter::{MAX_HEAD_BYTES, Meter, Metered},
--- a/crates/catkinlatch-runtime/src/http/body.rs
+++ b/crates/catkinlatch-runtime/src/http/body.rs
@@ -62,6 +62,10 @@
     /// The connection failed before the end of the body; the text is the cause.
     #[display("the body ended early: {_0}")]
     Broken(String),
+    /// The path to the server was lost before the end of the body, which shows nothing about the
+    /// server itself; the text is the cause.
+    #[display("the path was lost: {_0}")]
+    Lost(String),
     /// The body is not encoded as HTTP demands, or takes too many bytes beside its content; the text
     /// is the cause.
     #[display("the body is malformed: {_0}")]
--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -2,11 +2,13 @@
 
 use super::{
     Body, Exchange, Limits,
+    dialer::{self, Connect, Dialer, Io},
     memory::Budget,
     meter::{MAX_HEAD_BYTES, Meter, Metered},
 };
 use bytes::Bytes;
-use derive_more::Display;
+use catkinlatch_route::reach::{Helper, Path};
+use derive_more::{Debug, Display};
 use hyper::{
     Request, Response,
     client::conn::http1::{self, SendRequest},
@@ -15,21 +17,26 @@
 use log::{debug, warn};
 use std::{
     collections::HashMap,
+    error::Error as _,
+    io,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 use tokio::{
-    net::TcpStream,
     task::JoinHandle,
     time::{self, Instant},
 };
 
-/// Timeout of opening a connection; to a live target this takes a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a relayed connection is used for further requests: the host that relays it may shut
+/// down, and finishes only what it relays by then.
+const RELAYED_TTL: Duration = Duration::from_secs(2);
 
 /// Maximum number of idle connections to an address.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// Why a repeatable request is given up early.
+pub(super) const CUT_OFF: &str = "this host is cut off from targets";
+
 /// Error of a request without a response.
 #[derive(Clone, Debug, Display)]
 pub enum Failure {
@@ -43,14 +50,26 @@
     /// may have been executed; the text is the cause.
     #[display("no valid response: {_0}")]
     Malformed(String),
+    /// The path to the server was lost, which shows nothing about the server itself. The request may
+    /// have been executed; the text is the cause.
+    #[display("the path was lost: {_0}")]
+    Lost(String),
 }
 
+/// Extension of a request that may be executed more than once.
+///
+/// The client gives such a request up as soon as this host turns out to be cut off.
+#[derive(Clone, Copy, Debug)]
+pub struct Repeatable;
+
 /// HTTP client that reuses connections; clones share the pool of idle connections and the limit on
 /// the memory of responses.
 #[derive(Clone, Debug)]
 pub struct Client {
     idle: Arc<Mutex<HashMap<String, Vec<Idle>>>>,
-    resets_on_close: bool,
+    #[debug(skip)]
+    connect: Connect,
+    dialer: Option<Arc<Dialer>>,
     limits: Limits,
     budget: Budget,
 }
@@ -74,6 +93,28 @@
     sender: SendRequest<Body>,
     driver: JoinHandle<()>,
     pub(super) meter: Meter,
+    /// The relay, if another host relays the connection.
+    relayed: Option<Relayed>,
+    /// How often this host had been cut off when the connection was opened.
+    cuts: u64,
+}
+
+/// The host that relays a connection.
+#[derive(Debug)]
+struct Relayed {
+    helper: Helper,
+    dialer: Arc<Dialer>,
+    until: Instant,
+    /// Whether a request on the connection has no answer yet.
+    is_waiting: bool,
+}
+
+impl Drop for Relayed {
+    fn drop(&mut self) {
+        if self.is_waiting {
+            self.dialer.relay.record_silence(&self.helper);
+        }
+    }
 }
 
 impl Drop for Connection {
@@ -82,12 +123,63 @@
     }
 }
 
+impl Connection {
+    /// Returns whether another host relays the connection.
+    pub(super) fn is_relayed(&self) -> bool {
+        self.relayed.is_some()
+    }
+
+    /// Records that a request is sent.
+    fn begin(&mut self) {
+        if let Some(relayed) = &mut self.relayed {
+            relayed.is_waiting = true;
+        }
+    }
+
+    /// Records that the head of a response has arrived; `dialer` is that of a direct connection.
+    fn record_answer(&mut self, address: &str, dialer: Option<&Arc<Dialer>>) {
+        if let Some(relayed) = &mut self.relayed {
+            relayed.is_waiting = false;
+            relayed.dialer.relay.record_success(&relayed.helper);
+        }
+        if let Some(dialer) = dialer {
+            dialer.record_answer(address);
+        }
+    }
+
+    /// Returns whether an error shows that the host which relays the connection was lost; that host
+    /// is then left out for a while.
+    pub(super) fn is_lost(&mut self, error: &hyper::Error) -> bool {
+        let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+        let is_lost = source.is_some_and(|e| e.kind() == io::ErrorKind::NetworkUnreachable);
+        let Some(relayed) = self.relayed.as_mut().filter(|_| is_lost) else { return false };
+        relayed.is_waiting = false;
+        relayed.dialer.relay.record_loss(&relayed.helper);
+        true
+    }
+}
+
 impl Client {
     /// Creates a client without idle connections, with the limits of a host with ample memory.
     pub fn new() -> Self {
         let limits = Limits::default();
         let budget = Budget::new(limits.in_flight);
-        Self { idle: Arc::default(), resets_on_close: false, limits, budget }
+        Self { idle: Arc::default(), connect: dialer::tcp(false), dialer: None, limits, budget }
+    }
+
+    /// Sets how direct connections are opened.
+    pub fn with_connect(self, connect: Connect) -> Self {
+        Self { connect, ..self }
+    }
+
+    /// Opens connections with `dialer`, which may have other hosts relay them.
+    pub fn with_dialer(self, dialer: Arc<Dialer>) -> Self {
+        Self { dialer: Some(dialer), ..self }
+    }
+
+    /// Returns the dialer, if the client has one.
+    pub fn dialer(&self) -> Option<&Arc<Dialer>> {
+        self.dialer.as_ref()
     }
 
     /// Sets the limits on responses.
@@ -108,7 +200,7 @@
     /// Resets connections when they are closed, so that what a cut or slow link has not yet taken
     /// is dropped instead of arriving later.
     pub fn with_reset_on_close(self) -> Self {
-        Self { resets_on_close: true, ..self }
+        Self { connect: dialer::tcp(true), ..self }
     }
 
     /// Sends a request, over an idle connection if there is one, and waits for the response's head.
@@ -148,16 +240,37 @@
         mut request: Request<Body>,
         prepare: impl FnOnce(&mut Request<Body>) -> bool,
     ) -> Result<Exchange, Failure> {
-        let mut connection = match self.take(address) {
+        let path = match &self.dialer {
+            Some(dialer) => dialer.path().await,
+            None => Path::Direct,
+        };
+        let mut connection = match self.take(address, path) {
             Some(connection) => connection,
-            None => connect(address, self.resets_on_close).await?,
+            None => self.open(address, path).await?,
         };
         if !prepare(&mut request) {
             return Err(Failure::NotSent("no longer permitted".to_owned()));
         }
+        let is_repeatable = request.extensions().get::<Repeatable>().is_some();
         connection.meter.begin();
-        match connection.sender.send_request(request).await {
-            Ok(response) => Ok(Exchange::new(response, connection, address, self)),
+        connection.begin();
+        let dialer = self.dialer.as_ref().filter(|_| connection.relayed.is_none());
+        let sending = connection.sender.send_request(request);
+        let sent = match dialer {
+            Some(dialer) => dialer.wait(address, is_repeatable, sending).await,
+            None => Some(sending.await),
+        };
+        let Some(sent) = sent else {
+            return Err(Failure::Lost(CUT_OFF.to_owned()));
+        };
+        match sent {
+            Ok(response) => {
+                connection.record_answer(address, dialer);
+                Ok(Exchange::new(response, connection, address, self, is_repeatable))
+            }
+            Err(error) if connection.is_lost(&error) => {
+                Err(Failure::Lost("the host that relayed the request was lost".to_owned()))
+            }
             Err(error) => {
                 let is_excess = connection.meter.is_exceeded() || error.is_parse_too_large();
                 if is_excess {
@@ -213,19 +326,46 @@
             list.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
             !list.is_empty()
         });
+        if let Some(dialer) = &self.dialer {
+            dialer.relay.prune();
+        }
     }
 
-    /// Removes and returns an idle connection that can be reused.
-    fn take(&self, address: &str) -> Option<Connection> {
+    /// Removes and returns an idle connection that can be reused on the given path.
+    fn take(&self, address: &str, path: Path) -> Option<Connection> {
         let now = Instant::now();
+        // A host that is cut off may still use what it opened before; one that has returned may not.
+        let cuts = self.dialer.as_ref().map(|dialer| dialer.cuts());
+        let is_relayed = path == Path::Relayed;
+        let is_alive = |connection: &Connection| {
+            path == Path::Closed || cuts.is_none_or(|cuts| cuts == connection.cuts)
+        };
+        let fits = |idle: &Idle| {
+            let connection = &idle.connection;
+            connection.relayed.is_some() == is_relayed && (is_relayed || is_alive(connection))
+        };
         let mut lock = self.lock();
         let list = lock.get_mut(address)?;
-        while let Some(idle) = list.pop() {
-            if now < idle.until && idle.connection.sender.is_ready() {
-                return Some(idle.connection);
-            }
-        }
-        None
+        list.retain(|idle| now < idle.until && idle.connection.sender.is_ready());
+        let position = list.iter().rposition(fits)?;
+        Some(list.remove(position).connection)
+    }
+
+    /// Opens a connection on the given path.
+    async fn open(&self, address: &str, path: Path) -> Result<Connection, Failure> {
+        let Some(dialer) = &self.dialer else {
+            let stream = dialer::open_direct(&self.connect, address).await;
+            return handshake(address, stream.map_err(Failure::NotSent)?, None, 0).await;
+        };
+        let cuts = dialer.cuts();
+        let (stream, helper) = dialer.open(address, path).await.map_err(Failure::NotSent)?;
+        let relayed = helper.map(|helper| Relayed {
+            helper,
+            dialer: dialer.clone(),
+            until: Instant::now() + RELAYED_TTL,
+            is_waiting: false,
+        });
+        handshake(address, stream, relayed, cuts).await
     }
 
     /// Adds an idle connection to the pool for the time `idle`, or closes it if there are too many.
@@ -233,7 +373,9 @@
         let mut lock = self.lock();
         let list = lock.entry(address).or_default();
         if list.len() < MAX_IDLE_CONNECTIONS {
-            list.push(Idle { connection, until: Instant::now() + idle });
+            let until = Instant::now() + idle;
+            let until = connection.relayed.as_ref().map_or(until, |relay| relay.until.min(until));
+            list.push(Idle { connection, until });
         }
     }
 
@@ -242,21 +384,17 @@
     }
 }
 
-async fn connect(address: &str, resets_on_close: bool) -> Result<Connection, Failure> {
-    let opening = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let socket = match opening.await {
-        Ok(Ok(socket)) => socket,
-        Ok(Err(error)) => return Err(Failure::NotSent(error.to_string())),
-        Err(_) => return Err(Failure::NotSent("no connection in time".to_owned())),
-    };
-    let _ = socket.set_nodelay(true);
-    if resets_on_close {
-        let _ = socket.set_zero_linger();
-    }
+/// Starts HTTP on an open stream of bytes.
+async fn handshake(
+    address: &str,
+    stream: Box<dyn Io>,
+    relayed: Option<Relayed>,
+    cuts: u64,
+) -> Result<Connection, Failure> {
     let meter = Meter::default();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(Metered::new(socket, meter.clone())))
+        .handshake(TokioIo::new(Metered::new(stream, meter.clone())))
         .await
         .map_err(|error| Failure::NotSent(error.to_string()))?;
     let address = address.to_owned();
@@ -265,7 +403,7 @@
             debug!("http: a connection to {address} ended: {error}");
         }
     });
-    Ok(Connection { sender, driver, meter })
+    Ok(Connection { sender, driver, meter, relayed, cuts })
 }
 
 /// Records that a response from `address` was ended because it exceeded the limit on `what`.
--- a/crates/catkinlatch-runtime/src/http/exchange.rs
+++ b/crates/catkinlatch-runtime/src/http/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::{
     BodyError,
-    client::{Client, Connection, record_end},
+    client::{CUT_OFF, Client, Connection, record_end},
     memory::Share,
     segments::Segments,
 };
@@ -36,6 +36,8 @@
     address: String,
     client: Client,
     share: Share,
+    /// Whether the request may be executed again.
+    is_repeatable: bool,
 }
 
 /// A complete body, which counts as memory of responses in flight until it is dropped.
@@ -56,9 +58,11 @@
         connection: Connection,
         address: &str,
         client: &Client,
+        is_repeatable: bool,
     ) -> Self {
         let (client, share) = (client.clone(), client.budget().begin());
-        Self { response, connection, address: address.to_owned(), client, share }
+        let address = address.to_owned();
+        Self { response, connection, address, client, share, is_repeatable }
     }
 
     /// Reads the complete body of at most `limit` bytes; keeps the connection if it can be reused.
@@ -86,7 +90,7 @@
             segments.push(&part);
         }
         let bytes = segments.join();
-        let Self { response, connection, address, client, share } = self;
+        let Self { response, connection, address, client, share, .. } = self;
         let (head, _) = response.into_parts();
         if let Some(idle) = idle_time(&head) {
             client.keep(address, connection, idle);
@@ -103,13 +107,27 @@
     /// Returns an error if the connection failed before the end of the body, the body is malformed,
     /// or the response is ended to make room for an older one.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        let dialer = self.client.dialer().filter(|_| !self.connection.is_relayed()).cloned();
         loop {
-            let frame = tokio::select! {
+            let frame = self.response.body_mut().frame();
+            let received = async {
+                match &dialer {
+                    Some(dialer) => dialer.wait(&self.address, self.is_repeatable, frame).await,
+                    None => Some(frame.await),
+                }
+            };
+            let received = tokio::select! {
                 biased;
                 () = self.share.ended() => return Err(self.end("memory", BodyError::NoMemory)),
-                frame = self.response.body_mut().frame() => frame,
+                received = received => received,
+            };
+            let Some(received) = received else {
+                return Err(BodyError::Lost(CUT_OFF.to_owned()));
             };
-            match frame {
+            if let (Some(dialer), Some(Ok(_))) = (&dialer, &received) {
+                dialer.record_answer(&self.address);
+            }
+            match received {
                 None => return Ok(None),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
@@ -117,6 +135,10 @@
                         return Ok(Some(data));
                     }
                 }
+                Some(Err(error)) if self.connection.is_lost(&error) => {
+                    let reason = "the host that relayed the response was lost";
+                    return Err(BodyError::Lost(reason.to_owned()));
+                }
                 Some(Err(error)) => return Err(self.classify(&error)),
             }
         }
--- a/crates/catkinlatch-runtime/src/lib.rs
+++ b/crates/catkinlatch-runtime/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod message;
 pub mod metric;
 mod peers;
+pub mod relay;
 pub mod replica;
 pub mod settings;
 
--- a/crates/catkinlatch-runtime/tests/server.rs
+++ b/crates/catkinlatch-runtime/tests/server.rs
@@ -1,7 +1,5 @@
 //! A planned stop of the HTTP server cuts off no request that a client has sent.
 
-#![expect(clippy::unwrap_used, reason = "a failed test may panic")]
-
 use catkinlatch_runtime::http::{Server, full, serve};
 use http::Response;
 use hyper::{Request, body::Incoming};
--- a/crates/catkinlatch-standin/src/lib.rs
+++ b/crates/catkinlatch-standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod capacity;
 pub mod client;
 pub mod cluster;
+pub mod cut;
 pub mod engine;
 pub mod platform;
 pub mod policy;
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -93,6 +93,11 @@
         format!("{}:{port}", self.ip)
     }
 
+    /// Returns the path of the settings file.
+    pub fn settings(&self) -> &Path {
+        &self.settings
+    }
+
     /// Starts the process.
     pub fn start(&mut self) -> io::Result<()> {
         self.process.start()
--- a/crates/catkinlatch-store/src/allowance.rs
+++ b/crates/catkinlatch-store/src/allowance.rs
@@ -16,7 +16,7 @@
 use catkinlatch_platform::{ColdLimit, decode_cold_limits, header};
 use catkinlatch_route::allowance::{Change, Division, Limit, Statement};
 use catkinlatch_runtime::{
-    http::{Body, Exchange, Failure},
+    http::{Body, Client, Exchange, Failure},
     settings,
 };
 use derive_more::Display;
@@ -202,7 +202,8 @@
     }
 }
 
-/// Sends a request to a target unless that is limited and this host has no allowance for it.
+/// Sends a request to a target unless that is limited and this host has no allowance for it. Another
+/// host may relay the connection.
 ///
 /// # Errors
 ///
@@ -212,10 +213,11 @@
     target: &Target,
     request: Request<Body>,
 ) -> Result<Exchange, SendError> {
-    send_if(host, target, request, || true).await
+    send_with(host, &host.work_client, target, request, || true).await
 }
 
-/// Like [`send`], but sends the request only if `may_send` allows it once a connection is open.
+/// Like [`send`], but only over a connection of this host, and only if `may_send` allows it once the
+/// connection is open.
 ///
 /// # Errors
 ///
@@ -225,6 +227,16 @@
     target: &Target,
     request: Request<Body>,
     may_send: impl FnOnce() -> bool,
+) -> Result<Exchange, SendError> {
+    send_with(host, &host.client, target, request, may_send).await
+}
+
+async fn send_with(
+    host: &Host,
+    client: &Client,
+    target: &Target,
+    request: Request<Body>,
+    may_send: impl FnOnce() -> bool,
 ) -> Result<Exchange, SendError> {
     let (mut sent, mut is_withheld) = (None, false);
     let may_send = || {
@@ -236,7 +248,7 @@
         sent = Some(now);
         !is_withheld
     };
-    match host.client.send_if(&target.address, request, may_send).await {
+    match client.send_if(&target.address, request, may_send).await {
         Ok(exchange) => {
             record_response(host, target, &exchange.response, sent);
             Ok(exchange)
--- a/crates/catkinlatch-store/src/cleanup.rs
+++ b/crates/catkinlatch-store/src/cleanup.rs
@@ -40,6 +40,7 @@
         drop_expired_jobs(&host).await;
         redundancy::report(&host, &mut monitor);
         host.client.prune();
+        host.work_client.prune();
         host.peers.prune();
     }
 }
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -5,7 +5,7 @@
 mod suspect;
 
 use self::propagation::{await_propagation, await_propagation_to_most, leads};
-use crate::{allowance, exchange, host::Host, observation, view};
+use crate::{allowance, exchange, host::Host, observation, relay, view};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
 use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry};
@@ -13,7 +13,7 @@
     Message, ProposeError, Reply,
     message::{Follow, Results, ViewVersion},
 };
-use catkinlatch_wire::{Frame, Hello, codec};
+use catkinlatch_wire::{Frame, Hello, Offer, codec};
 use log::{info, warn};
 use std::{sync::Arc, time::Duration};
 use tokio::{
@@ -30,8 +30,13 @@
 /// Accepts sessions from other processes and handles their messages.
 pub async fn serve(host: Arc<Host>, listener: TcpListener) {
     let (local, secret) = (host.peers.local().clone(), host.peers.secret().clone());
+    let relay_server = Arc::new(relay::server(&host));
+    let tunnels = move |remote: Hello, frame: Frame, offer: Offer| {
+        let relay_server = relay_server.clone();
+        async move { relay_server.serve(remote, frame, offer).await }
+    };
     let handler = move |remote: Hello, frame: Frame| receive(host.clone(), remote, frame);
-    catkinlatch_wire::serve(listener, local, secret, handler).await;
+    catkinlatch_wire::serve_with_tunnels(listener, local, secret, handler, tunnels).await;
 }
 
 async fn receive(host: Arc<Host>, remote: Hello, frame: Frame) -> Option<Frame> {
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -5,6 +5,7 @@
     duty::{Rule, Turn},
     handler, observation,
     places::Places,
+    relay,
     soft_state::SoftState,
     suspect,
     view::{self, EncodedView},
@@ -14,7 +15,8 @@
 use catkinlatch_ledger::{Target, build::Origins, suspect::Change};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::{
-    Answer, CallError, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings, http::Client,
+    Answer, CallError, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings,
+    http::{Client, Limits, dialer::Connect},
 };
 use catkinlatch_state::suspect::Reply as SuspectReply;
 use http::{Response, StatusCode};
@@ -50,8 +52,10 @@
     pub replica: Replica,
     /// Finds the leader and sends messages to it.
     pub leader_client: LeaderClient,
-    /// HTTP connections to targets and the platform.
+    /// HTTP connections that only this host may open: orders to targets, and the platform.
     pub client: Client,
+    /// HTTP connections to targets that other hosts may relay.
+    pub work_client: Client,
     /// The requests that may crash targets.
     pub suspects: suspect::Shared,
     /// What this host may send to limited targets.
@@ -63,7 +67,7 @@
     /// The last time this host may have acted as the holder of the duties; `None` if it never has.
     last_turn: Mutex<Option<Turn>>,
     origins: Mutex<Origins>,
-    soft_state: Mutex<SoftState>,
+    soft_state: Arc<Mutex<SoftState>>,
     revision: watch::Sender<u64>,
     /// Version of the configuration as applied on this host.
     configuration_version: watch::Sender<Option<u64>>,
@@ -80,13 +84,17 @@
         peers: Arc<Peers>,
         replica: Replica,
         leader_client: LeaderClient,
-        client: Client,
+        limits: Limits,
+        connect: Connect,
     ) -> Self {
         // An earlier process on this host may have acted until just now.
         let earlier = Turn { term: None, at: clock.now() };
         let last_turn = Mutex::new((!settings.is_first_start).then_some(earlier));
         let contact = settings.times.waits().contact;
-        let soft_state = Mutex::new(SoftState::default().with_follower_timeout(contact));
+        let soft_state = SoftState::default().with_follower_timeout(contact);
+        let soft_state = Arc::new(Mutex::new(soft_state));
+        let client = Client::new().with_reset_on_close().with_limits(limits);
+        let work_client = relay::client(&settings, clock, &peers, (limits, connect), &soft_state);
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
         let allowance = Allowance::new(settings.cold);
@@ -99,6 +107,7 @@
             replica,
             leader_client,
             client,
+            work_client,
             suspects: suspect::Shared::default(),
             allowance,
             places: Places::default(),
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod pace;
 mod places;
 pub mod redundancy;
+mod relay;
 mod run;
 mod runner;
 mod score;
@@ -30,7 +31,11 @@
 use self::host::Host;
 use catkinlatch_runtime::{
     Clock, LeaderClient, Peers, Replica, Settings,
-    http::{Client, Limits, Server, serve},
+    http::{
+        Limits, Server,
+        dialer::{self, Connect},
+        serve,
+    },
     replica,
 };
 use derive_more::{Display, Error, From};
@@ -65,7 +70,20 @@
 ///
 /// Returns an error if a required setting is missing, the data folder cannot be opened, or an
 /// address cannot be bound.
-pub async fn run(settings: Settings, mut stop: watch::Receiver<bool>) -> Result<(), Error> {
+pub async fn run(settings: Settings, stop: watch::Receiver<bool>) -> Result<(), Error> {
+    run_with(settings, dialer::tcp(true), stop).await
+}
+
+/// Like [`run`], but opens connections for items and scoring calls with `connect`.
+///
+/// # Errors
+///
+/// Returns an error as [`run`] does.
+pub async fn run_with(
+    settings: Settings,
+    connect: Connect,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), Error> {
     let folder = settings.data_folder.as_ref().ok_or(Error::Missing("data_folder"))?;
     let control = settings.control_address.ok_or(Error::Missing("control_address"))?;
     let opened = replica::open(folder)?;
@@ -73,9 +91,8 @@
     let peers = Arc::new(Peers::new(&settings));
     let replica = Replica::start(&settings, clock, peers.clone(), opened);
     let limits = Limits::new(settings.resources.memory_mb);
-    let client = Client::new().with_reset_on_close().with_limits(limits);
     let leader_client = LeaderClient::new(peers.clone(), settings.seed_hosts());
-    let host = Arc::new(Host::new(settings, clock, peers, replica, leader_client, client));
+    let host = Arc::new(Host::new(settings, clock, peers, replica, leader_client, limits, connect));
 
     let peer_address = SocketAddr::new(control.ip(), host.settings.peer_port);
     tokio::spawn(handler::serve(host.clone(), TcpListener::bind(peer_address).await?));
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -8,7 +8,7 @@
 use catkinlatch_base::{Instant, Version};
 use catkinlatch_ledger::{Job, Target, job::Progress, schedule::End};
 use catkinlatch_platform::{Event, EventParser, Parsed, header};
-use catkinlatch_runtime::http::{BodyError, Exchange, Failure, full, record_end};
+use catkinlatch_runtime::http::{BodyError, Exchange, Failure, Repeatable, full, record_end};
 use http::{HeaderName, HeaderValue, Request, StatusCode};
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -119,6 +119,7 @@
 ) -> Request<catkinlatch_runtime::http::Body> {
     let item = &job.items[item];
     let mut request = Request::new(full(item.body.clone()));
+    request.extensions_mut().insert(Repeatable);
     *request.method_mut() = http::Method::POST;
     if let Ok(uri) = item.path.parse() {
         *request.uri_mut() = uri;
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -11,7 +11,7 @@
     Configuration, Job, Target, balancer, job::Scorer, observation::Event, suspect::Change,
 };
 use catkinlatch_platform::header;
-use catkinlatch_runtime::http::{Body, BodyError, Failure, full};
+use catkinlatch_runtime::http::{Body, BodyError, Failure, Repeatable, full};
 use catkinlatch_state::suspect::{Fingerprint, Reply as Verdict};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use log::info;
@@ -237,19 +237,24 @@
     let sent = allowance::send(host, target, request).await;
     let exchange = sent.map_err(|failure| match failure {
         SendError::Withheld => Attempt::Full,
-        SendError::Failed(Failure::NotSent(_) | Failure::Malformed(_)) => Attempt::Unanswered,
+        SendError::Failed(Failure::NotSent(_) | Failure::Malformed(_) | Failure::Lost(_)) => {
+            Attempt::Unanswered
+        }
         SendError::Failed(Failure::Unknown(_)) => Attempt::Broken,
     })?;
     host.record_response(target, &exchange.response);
     let read = exchange.read_body(MAX_ANSWER_BYTES).await;
     read.map_err(|error| match error {
-        BodyError::TooLong | BodyError::Malformed(_) | BodyError::NoMemory => Attempt::Unanswered,
+        BodyError::TooLong | BodyError::Malformed(_) | BodyError::NoMemory | BodyError::Lost(_) => {
+            Attempt::Unanswered
+        }
         BodyError::Broken(_) => Attempt::Broken,
     })
 }
 
 fn request(scorer: &Scorer, target: &Target) -> Request<Body> {
     let mut request = Request::new(full(scorer.body.clone()));
+    request.extensions_mut().insert(Repeatable);
     *request.method_mut() = http::Method::POST;
     if let Ok(uri) = scorer.path.parse() {
         *request.uri_mut() = uri;
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -30,6 +30,8 @@
 mod limit;
 #[path = "site/observations.rs"]
 mod observations;
+#[path = "site/reach.rs"]
+mod reach;
 #[path = "site/stream.rs"]
 mod stream;
 #[path = "site/suspect.rs"]
@@ -149,6 +151,9 @@
         {"name": "score", "host": "site.example", "path_prefix": "/score/",
          "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2,
          "service": "survey", "max_attempts": 4, "public": true},
+        {"name": "file", "host": "site.example", "path_prefix": "/file/",
+         "kind": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2,
+         "service": "survey", "max_attempts": 4, "public": false},
         {"name": "chat", "host": "site.example", "path_prefix": "/chat/", "kind": "stream",
          "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1, "service": "drafts",
          "max_attempts": 3, "public": false, "resumable": true},
--- a/tests/site/stream.rs
+++ b/tests/site/stream.rs
@@ -15,7 +15,12 @@
 impl Stream {
     /// Requests a stream from the first entry host and waits for the response headers.
     pub async fn open(setup: &Setup, path: &str, id: &str) -> Self {
-        let exchange = Self::request(setup, 0, path, id, &[]).await;
+        Self::open_at(setup, 0, path, id).await
+    }
+
+    /// Requests a stream from an entry host and waits for the response headers.
+    pub async fn open_at(setup: &Setup, entry: usize, path: &str, id: &str) -> Self {
+        let exchange = Self::request(setup, entry, path, id, &[]).await;
         assert_eq!(exchange.response.status(), StatusCode::OK);
         assert_eq!(exchange.response.headers()["server-seal"], format!("seal-of-{id}"));
         Self { exchange, text: String::new() }
