Take the locks of a store in one order

Cause: the runner locked the load balancer and then the soft state; scoring calls and what hosts observe lock them the other way round. Hosts run on one thread, where that cannot block; a store that others embed in a runtime with several threads can stand still for good.

Evidence: items_run_while_the_leader_is_cut_off_from_targets runs three stores in one process on two threads. It hung in 3 of some 25 runs; a debugger showed one thread in Runner::engines that waits for the soft state, and one in observation::update that waits for the balancer.

Change: the runner locks the soft state first, and Host::soft_state says so.

--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -164,7 +164,8 @@
         self.origins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Locks the soft state; the guard must not be held across an await.
+    /// Locks the soft state; the guard must not be held across an await, and is taken before that of
+    /// the load balancer.
     pub fn soft_state(&self) -> MutexGuard<'_, SoftState> {
         self.soft_state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -235,8 +235,8 @@
     /// Returns the engines that accept new items.
     fn engines(&self) -> Vec<Engine> {
         let now = self.host.clock.now();
-        let balancer = self.shared.balancer();
         let soft = self.host.soft_state();
+        let balancer = self.shared.balancer();
         let all: Vec<&Target> =
             soft.registry.targets().filter(|target| !target.models.is_empty()).collect();
         let ids: Vec<TargetId> = all.iter().map(|target| target.id.clone()).collect();
