Do not add up the turns of a busy process as time that requests waited

Cause: a request's time counts from when its host may have received it. A process counted as standing still until it had run for 80 ms since, and a late beat as time in which it did not run at all. A busy process whose tasks take turns of 40 ms and more beats late each time, so it never caught up, and the time that requests were taken to have waited grew without bound.

Change: a process has caught up after four beats, late or not: tasks take turns, so each beat shows that all that were ready have run. The log line of a request names the time that it may have waited.

--- a/crates/catkinlatch-entry/src/arrival.rs
+++ b/crates/catkinlatch-entry/src/arrival.rs
@@ -13,9 +13,9 @@
 /// How late a beat must be for the process to count as having stood still.
 const LATE: Duration = Duration::from_millis(20);
 
-/// How long a process must have run since a standstill to have read all requests that arrived during
-/// it. Shorter standstills that follow do not count as running.
-const CATCH_UP: Duration = Duration::from_millis(80);
+/// Number of beats after a standstill by which a process has read all requests that arrived during
+/// it. Late beats count as well: tasks take turns, so each shows that all that were ready have run.
+const CATCH_UP_BEATS: u32 = 4;
 
 /// Beats of a process while it runs, and its last standstills.
 #[derive(Clone, Debug, Default)]
@@ -28,33 +28,29 @@
 #[derive(Clone, Copy, Debug)]
 struct Standstill {
     began: Instant,
-    /// When the process has caught up.
-    until: Instant,
+    /// Number of beats until the process has caught up.
+    beats_left: u32,
 }
 
 impl Pulse {
     /// Records that the process runs; called every [`INTERVAL`].
     pub fn beat(&mut self, now: Instant) {
-        if let Some((began, gap)) = self.gap(now) {
-            self.standstills.iter_mut().for_each(|past| past.until += gap);
-            self.standstills.push(Standstill { began, until: now + CATCH_UP });
+        self.standstills.iter_mut().for_each(|past| past.beats_left -= 1);
+        self.standstills.retain(|past| past.beats_left > 0);
+        if let Some(began) = self.gap(now) {
+            self.standstills.push(Standstill { began, beats_left: CATCH_UP_BEATS });
         }
-        self.standstills.retain(|past| now < past.until);
         self.last = Some(now);
     }
 
     /// Returns the longest time for which a request that is read now may have waited.
     pub fn waited(&self, now: Instant) -> Duration {
-        let current = self.gap(now);
-        let gap = current.map_or(Duration::ZERO, |(_, gap)| gap);
-        let past = self.standstills.iter().find(|past| now < past.until + gap);
-        let began = past.map(|past| past.began).or(current.map(|(began, _)| began));
-        began.map_or(Duration::ZERO, |began| now - began)
+        let past = self.standstills.first().map(|past| past.began);
+        past.or_else(|| self.gap(now)).map_or(Duration::ZERO, |began| now - began)
     }
 
-    /// Returns when the process stopped running and for how long, if the next beat is late.
-    fn gap(&self, now: Instant) -> Option<(Instant, Duration)> {
-        let last = self.last.filter(|last| now >= *last + INTERVAL + LATE)?;
-        Some((last, now - last))
+    /// Returns when the process stopped running, if the next beat is late.
+    fn gap(&self, now: Instant) -> Option<Instant> {
+        self.last.filter(|last| now >= *last + INTERVAL + LATE)
     }
 }
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -88,7 +88,8 @@
         info!(
             request = inbound.id().unwrap_or_default(),
             route = inbound.route.name.as_str(), status = response.status().as_u16(),
-            ms = elapsed.as_millis() as u64, tries = attempt_log.join("; ");
+            ms = elapsed.as_millis() as u64, waited_ms = inbound.waited.as_millis() as u64,
+            tries = attempt_log.join("; ");
             "entry: request"
         );
     }
--- a/crates/catkinlatch-entry/tests/arrival.rs
+++ b/crates/catkinlatch-entry/tests/arrival.rs
@@ -54,3 +54,13 @@
         assert!(pulse.waited(at(start + 105)) < Duration::from_millis(300));
     }
 }
+
+/// Guards against requests that are refused at once by a process that is busy, but reads them.
+#[test]
+fn turns_of_a_busy_process_do_not_add_up() {
+    let mut pulse = beating_until(1_000);
+    for turn in 1..=60 {
+        pulse.beat(at(1_000 + turn * 50));
+        assert!(pulse.waited(at(1_000 + turn * 50 + 30)) < Duration::from_millis(300));
+    }
+}
--- a/tests/site/stream.rs
+++ b/tests/site/stream.rs
@@ -21,7 +21,8 @@
     /// Requests a stream from an entry host and waits for the response headers.
     pub async fn open_at(setup: &Setup, entry: usize, path: &str, id: &str) -> Self {
         let exchange = Self::request(setup, entry, path, id, &[]).await;
-        assert_eq!(exchange.response.status(), StatusCode::OK);
+        let log = || setup.site.entries()[entry].log();
+        assert_eq!(exchange.response.status(), StatusCode::OK, "{id}: {}", log());
         assert_eq!(exchange.response.headers()["server-seal"], format!("seal-of-{id}"));
         Self { exchange, text: String::new() }
     }
