Let hosts that cannot relay find that out, and ask those with a disk in time

Cause: with all entry hosts cut off, those with a disk could relay, but each host asked four entry hosts first, which did not know yet that they reach no target and took 250 ms to say so.

Change: a host that cannot open a connection for another one checks its own path, so that it refuses at once from then on. Of the hosts with a disk two are asked after at most four others. Servers of relays open connections with the host's own dialer.

--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -95,10 +95,10 @@
     let leader_client = LeaderClient::new(peers.clone(), settings.seed_hosts());
     let limits = Limits::new(settings.resources.memory_mb);
     let view = Arc::new(Mutex::default());
-    let dialer = relay::dialer(&settings, clock, &peers, connect.clone(), &view);
-    let client = Client::new().with_limits(limits).with_dialer(Arc::new(dialer));
+    let dialer = Arc::new(relay::dialer(&settings, clock, &peers, connect, &view));
+    let client = Client::new().with_limits(limits).with_dialer(dialer.clone());
     let host = Arc::new(Host::new(settings, clock, peers, leader_client, client, view));
-    let relay_server = Arc::new(relay::server(&host, connect));
+    let relay_server = Arc::new(relay::server(&host, dialer));
     let address = SocketAddr::new(callers.ip(), host.settings.peer_port);
     let listener = TcpListener::bind(address).await?;
     tokio::spawn(relay::serve(host.clone(), listener, relay_server.clone()));
--- a/crates/catkinlatch-entry/src/relay.rs
+++ b/crates/catkinlatch-entry/src/relay.rs
@@ -45,12 +45,9 @@
 }
 
 /// Creates the server that relays connections for other hosts to known targets.
-pub fn server(host: &Arc<Host>, connect: Connect) -> relay::Server {
+pub fn server(host: &Arc<Host>, dialer: Arc<Dialer>) -> relay::Server {
     let host = host.clone();
-    relay::Server::new(connect, MAX_TUNNELS, move |address| {
-        if host.client.dialer().is_some_and(|dialer| dialer.is_cut_off()) {
-            return Some(Answer::CutOff);
-        }
+    relay::Server::new(dialer, MAX_TUNNELS, move |address| {
         if !host.is_ready() {
             return Some(Answer::Draining);
         }
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -12,7 +12,10 @@
 use catkinlatch_base::{Incarnation, Timeline, event::Kind};
 use catkinlatch_fleet::{Meter, order::Dispatcher};
 use catkinlatch_route::Table;
-use catkinlatch_runtime::http::dialer::{self, Connect};
+use catkinlatch_runtime::http::{
+    Dialer,
+    dialer::{self, Connect},
+};
 use derive_more::{Display, Error};
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, BuildError, ConfigDropshot, HandlerTaskMode,
@@ -49,6 +52,8 @@
     pub(crate) upstream: Upstream,
     /// Calls to targets, which other nodes may relay.
     pub(crate) target_upstream: Upstream,
+    /// Opens the connections of `target_upstream`, and those that this node relays.
+    pub(crate) dialer: Arc<Dialer>,
     pub(crate) trainers: trainer::Coordinators,
     pub(crate) admission: entry::Admission,
     /// Whether the node is draining.
@@ -147,8 +152,8 @@
         let usage = Usage::new(settings.host.clone());
         let timing = order::timing(&settings);
         let table = Arc::default();
-        let dialer = relay::dialer(&settings, &peers, clock, connect, &table);
-        let target_upstream = Upstream::new().with_dialer(dialer);
+        let dialer = Arc::new(relay::dialer(&settings, &peers, clock, connect, &table));
+        let target_upstream = Upstream::new().with_dialer(dialer.clone());
         let node = Arc::new(Node {
             settings,
             incarnation,
@@ -158,6 +163,7 @@
             peers,
             upstream: Upstream::new(),
             target_upstream,
+            dialer,
             trainers: trainer::Coordinators::default(),
             admission: entry::Admission::new(),
             drain: Drain::new(),
--- a/crates/catkinlatch-node/src/relay.rs
+++ b/crates/catkinlatch-node/src/relay.rs
@@ -3,10 +3,7 @@
 use crate::{Clock, Node, Settings, peer::Peers};
 use catkinlatch_route::{Table, reach::Helper};
 use catkinlatch_runtime::{
-    http::{
-        Dialer,
-        dialer::{self, Connect},
-    },
+    http::{Dialer, dialer::Connect},
     relay::{self, Answer},
 };
 use std::sync::{Arc, Mutex, PoisonError};
@@ -39,11 +36,8 @@
 
 /// Creates the server that relays connections for other nodes to known targets.
 pub fn server(node: &Arc<Node>) -> relay::Server {
-    let node = node.clone();
-    relay::Server::new(dialer::tcp(false), MAX_TUNNELS, move |address| {
-        if node.target_upstream.is_cut_off() {
-            return Some(Answer::CutOff);
-        }
+    let (node, dialer) = (node.clone(), node.dialer.clone());
+    relay::Server::new(dialer, MAX_TUNNELS, move |address| {
         if node.is_draining() {
             return Some(Answer::Draining);
         }
--- a/crates/catkinlatch-node/src/upstream.rs
+++ b/crates/catkinlatch-node/src/upstream.rs
@@ -48,13 +48,8 @@
     }
 
     /// Opens connections with `dialer`, which may have other nodes relay them.
-    pub fn with_dialer(self, dialer: Dialer) -> Self {
-        Self { client: self.client.with_dialer(Arc::new(dialer)) }
-    }
-
-    /// Returns whether this node reached no target when it checked last.
-    pub fn is_cut_off(&self) -> bool {
-        self.client.dialer().is_some_and(|dialer| dialer.is_cut_off())
+    pub fn with_dialer(self, dialer: Arc<Dialer>) -> Self {
+        Self { client: self.client.with_dialer(dialer) }
     }
 
     /// Sends a request with an absolute URI and returns the response as soon as its head has
--- a/crates/catkinlatch-runtime/src/http/dialer.rs
+++ b/crates/catkinlatch-runtime/src/http/dialer.rs
@@ -180,12 +180,7 @@
             }
             Err(error) => error,
         };
-        let is_in_doubt = {
-            let mut reach = self.reach();
-            reach.record_miss(address);
-            reach.is_miss_in_doubt(address, self.clock.now())
-        };
-        if is_in_doubt {
+        if self.is_miss_in_doubt(address) {
             self.check(address).await;
         }
         if self.reach().path(1.0) != Path::Relayed {
@@ -194,6 +189,31 @@
         self.open_relayed(address).await.map_err(|error| error.to_string())
     }
 
+    /// Opens a direct connection that is relayed for another host; `None` if that takes longer than
+    /// `limit` or fails, which is then checked so that the next request is answered at once.
+    pub async fn open_for_other(
+        self: &Arc<Self>,
+        address: &str,
+        limit: Duration,
+    ) -> Option<Box<dyn Io>> {
+        if let Ok(Ok(stream)) = time::timeout(limit, (self.connect)(address.to_owned())).await {
+            self.reach().record_open(address, self.clock.now());
+            return Some(stream);
+        }
+        if self.is_miss_in_doubt(address) {
+            self.begin_check(address);
+        }
+        None
+    }
+
+    /// Records that no direct connection to a target could be opened; returns whether that calls for
+    /// a check.
+    fn is_miss_in_doubt(&self, address: &str) -> bool {
+        let mut reach = self.reach();
+        reach.record_miss(address);
+        reach.is_miss_in_doubt(address, self.clock.now())
+    }
+
     async fn open_relayed(
         &self,
         address: &str,
--- a/crates/catkinlatch-runtime/src/relay/client.rs
+++ b/crates/catkinlatch-runtime/src/relay/client.rs
@@ -19,10 +19,11 @@
 /// Timeout of one host for opening a tunnel, including its connection to the target.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Number of hosts that are asked for one tunnel.
+/// Number of hosts that are asked for one tunnel, and of those in reserve that are asked then.
 const MAX_HELPERS: usize = 4;
+const MAX_RESERVES: usize = 2;
 
-/// Number of hosts that cannot connect to a target after which no other one is asked.
+/// Number of hosts that cannot connect to a target, after which only those in reserve are asked.
 const MAX_UNREACHABLE: usize = 2;
 
 /// How long a session without tunnels is kept.
@@ -101,7 +102,13 @@
         let ranked = self.helpers().rank(hosts, own, zone, fastrand::f64(), self.clock.now());
         let mut unreachable = 0;
         let asking = async {
-            for helper in ranked.into_iter().take(MAX_HELPERS) {
+            let (reserves, others): (Vec<_>, Vec<_>) =
+                ranked.into_iter().partition(|helper| helper.is_reserve);
+            let others = others.into_iter().take(MAX_HELPERS);
+            for helper in others.chain(reserves.into_iter().take(MAX_RESERVES)) {
+                if unreachable >= MAX_UNREACHABLE && !helper.is_reserve {
+                    continue;
+                }
                 let Some(at) = addresses.get(&helper.host) else { continue };
                 let asked = time::timeout(OPEN_TIMEOUT, self.ask(&helper.host, at, address)).await;
                 let (reason, setback) = match asked {
@@ -124,9 +131,6 @@
                 if let Some(setback) = setback {
                     self.helpers().record_setback(&helper, setback, self.clock.now());
                 }
-                if unreachable >= MAX_UNREACHABLE {
-                    break;
-                }
             }
             None
         };
--- a/crates/catkinlatch-runtime/src/relay/server.rs
+++ b/crates/catkinlatch-runtime/src/relay/server.rs
@@ -1,18 +1,18 @@
 //! Relays connections to targets for other hosts.
 
 use super::{Answer, Request};
-use crate::http::dialer::{Connect, Io};
+use crate::http::{Dialer, dialer::Io};
 use catkinlatch_wire::{Frame, Hello, Offer, Tunnel, codec};
 use log::{debug, info};
 use std::{
     io,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
-use tokio::{
-    io::{AsyncWriteExt as _, copy, split},
-    time,
-};
+use tokio::io::{AsyncWriteExt as _, copy, split};
 
 /// Timeout of the connection to a target: less than the other host waits for its answer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -22,7 +22,7 @@
 
 /// Relays connections for other hosts, up to a number at once.
 pub struct Server {
-    connect: Connect,
+    dialer: Arc<Dialer>,
     refusal: Refusal,
     max_tunnels: usize,
     tunnels: AtomicUsize,
@@ -38,14 +38,14 @@
 }
 
 impl Server {
-    /// Creates a server that relays at most `max_tunnels` connections at once, and none for which
-    /// `refusal` returns an answer.
+    /// Creates a server that relays at most `max_tunnels` connections at once, which it opens
+    /// directly with `dialer`, and none for which `refusal` returns an answer.
     pub fn new(
-        connect: Connect,
+        dialer: Arc<Dialer>,
         max_tunnels: usize,
         refusal: impl Fn(&str) -> Option<Answer> + Send + Sync + 'static,
     ) -> Self {
-        Self { connect, refusal: Box::new(refusal), max_tunnels, tunnels: AtomicUsize::new(0) }
+        Self { dialer, refusal: Box::new(refusal), max_tunnels, tunnels: AtomicUsize::new(0) }
     }
 
     /// Returns the number of tunnels that are open or being opened.
@@ -58,7 +58,11 @@
         let Ok(request) = codec::decode::<Request>(&frame.payload) else { return };
         let is_free = self.tunnels.fetch_add(1, Ordering::Relaxed) < self.max_tunnels;
         let _count = Count(&self.tunnels);
-        let refusal = (self.refusal)(&request.address).or((!is_free).then_some(Answer::Busy));
+        let refusal = if self.dialer.is_cut_off() {
+            Some(Answer::CutOff)
+        } else {
+            (self.refusal)(&request.address).or((!is_free).then_some(Answer::Busy))
+        };
         let opened = match refusal {
             Some(answer) => Err(answer),
             None => self.open(&request.address).await,
@@ -84,10 +88,7 @@
     }
 
     async fn open(&self, address: &str) -> Result<Box<dyn Io>, Answer> {
-        match time::timeout(CONNECT_TIMEOUT, (self.connect)(address.to_owned())).await {
-            Ok(Ok(target)) => Ok(target),
-            Ok(Err(_)) | Err(_) => Err(Answer::Unreachable),
-        }
+        self.dialer.open_for_other(address, CONNECT_TIMEOUT).await.ok_or(Answer::Unreachable)
     }
 }
 
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -16,7 +16,7 @@
 use catkinlatch_platform::header;
 use catkinlatch_runtime::{
     Answer, CallError, Clock, LeaderClient, Message, Peers, Replica, Reply, Settings,
-    http::{Client, Limits, dialer::Connect},
+    http::{Client, Dialer, Limits, dialer::Connect},
 };
 use catkinlatch_state::suspect::Reply as SuspectReply;
 use http::{Response, StatusCode};
@@ -56,6 +56,8 @@
     pub client: Client,
     /// HTTP connections to targets that other hosts may relay.
     pub work_client: Client,
+    /// Opens the connections of `work_client`, and those that this host relays.
+    pub dialer: Arc<Dialer>,
     /// The requests that may crash targets.
     pub suspects: suspect::Shared,
     /// What this host may send to limited targets.
@@ -94,7 +96,9 @@
         let soft_state = SoftState::default().with_follower_timeout(contact);
         let soft_state = Arc::new(Mutex::new(soft_state));
         let client = Client::new().with_reset_on_close().with_limits(limits);
-        let work_client = relay::client(&settings, clock, &peers, (limits, connect), &soft_state);
+        let dialer = relay::dialer(&settings, clock, &peers, connect, &soft_state);
+        let dialer = Arc::new(dialer);
+        let work_client = Client::new().with_limits(limits).with_dialer(dialer.clone());
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
         let allowance = Allowance::new(settings.cold);
@@ -108,6 +112,7 @@
             leader_client,
             client,
             work_client,
+            dialer,
             suspects: suspect::Shared::default(),
             allowance,
             places: Places::default(),
--- a/crates/catkinlatch-store/src/relay.rs
+++ b/crates/catkinlatch-store/src/relay.rs
@@ -3,10 +3,7 @@
 use crate::{host::Host, soft_state::SoftState};
 use catkinlatch_runtime::{
     Clock, Peers, Settings,
-    http::{
-        Client, Dialer, Limits,
-        dialer::{self, Connect},
-    },
+    http::{Dialer, dialer::Connect},
     relay::{self, Answer},
 };
 use std::sync::{Arc, Mutex, PoisonError};
@@ -14,15 +11,15 @@
 /// The most connections that this host relays at once: few, since the whole system depends on it.
 const MAX_TUNNELS: usize = 32;
 
-/// Creates the client for items, scoring calls and reports of targets, which other hosts may relay.
-/// Orders are never sent with it: each must come from the host that holds the duty.
-pub fn client(
+/// Creates the dialer for items, scoring calls and reports of targets, which other hosts may relay.
+/// Orders never use it: each must come from the host that holds the duty.
+pub fn dialer(
     settings: &Settings,
     clock: Clock,
     peers: &Peers,
-    (limits, connect): (Limits, Connect),
+    connect: Connect,
     soft_state: &Arc<Mutex<SoftState>>,
-) -> Client {
+) -> Dialer {
     let (known, port) = (soft_state.clone(), settings.peer_port);
     let candidates = move || {
         let soft = known.lock().unwrap_or_else(PoisonError::into_inner);
@@ -36,17 +33,13 @@
         let ready = soft.registry.targets().filter(|target| target.is_ready());
         ready.map(|target| target.address.clone()).collect()
     };
-    let dialer = Dialer::new(connect, clock, relay, targets);
-    Client::new().with_limits(limits).with_dialer(Arc::new(dialer))
+    Dialer::new(connect, clock, relay, targets)
 }
 
 /// Creates the server that relays connections for other hosts to known targets.
 pub fn server(host: &Arc<Host>) -> relay::Server {
-    let host = host.clone();
-    relay::Server::new(dialer::tcp(false), MAX_TUNNELS, move |address| {
-        if host.work_client.dialer().is_some_and(|dialer| dialer.is_cut_off()) {
-            return Some(Answer::CutOff);
-        }
+    let (host, dialer) = (host.clone(), host.dialer.clone());
+    relay::Server::new(dialer, MAX_TUNNELS, move |address| {
         let soft = host.soft_state();
         let is_known = soft.registry.targets().any(|target| target.address == address);
         (!is_known).then_some(Answer::UnknownTarget)
