Keep targets that left out after all stores were restarted

What callers saw: after all stores had been killed and started again, a target that had drained, or withdrawn, took requests once more if a heartbeat of it from before arrived late.

Cause: that a target leaves is soft state of the stores. Entry hosts outlive the stores, but replaced what they knew by the view of the new leader, whatever it said.

If all hosts lose their memory at one moment nobody remembers; a heartbeat that late then counts.

--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -1,6 +1,6 @@
 //! Long polling of the leader for its current view.
 
-use crate::host::Host;
+use crate::{host::Host, leaving};
 use catkinlatch_ledger::registry::evacuated_zones;
 use catkinlatch_runtime::{
     Answer, Message, Reply,
@@ -45,7 +45,7 @@
                 let known: BTreeSet<_> = view.targets.iter().map(|t| t.id.clone()).collect();
                 host.balancer().retain(&known);
                 host.guide().retain(|target| known.contains(target));
-                host.leaving().retain(view.targets.iter(), host.clock.now());
+                leaving::observe_view(&host, &view);
                 let version = host.view().version();
                 if version != before {
                     info!(version = version.unwrap_or_default(); "entry: configuration in force");
--- a/crates/catkinlatch-entry/src/leaving.rs
+++ b/crates/catkinlatch-entry/src/leaving.rs
@@ -1,9 +1,10 @@
-//! Targets that say in an answer that they leave.
+//! Targets that leave, as far as this host has heard.
 
 use crate::host::Host;
-use catkinlatch_ledger::Target;
+use catkinlatch_base::TargetId;
+use catkinlatch_ledger::{Target, registry::Phase};
 use catkinlatch_platform::header;
-use catkinlatch_runtime::Message;
+use catkinlatch_runtime::{Message, message::View};
 use http::{Response, StatusCode};
 use log::info;
 use std::{sync::Arc, time::Duration};
@@ -11,6 +12,26 @@
 /// Timeout of the report to the leader, which this host does not depend on.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Remembers the targets that leave or have withdrawn according to a view, and tells a leader that
+/// takes one of them to be ready. A leader whose predecessors all lost their memory may have that
+/// from a heartbeat that was delayed.
+pub fn observe_view(host: &Arc<Host>, view: &View) {
+    let now = host.clock.now();
+    let mut leaving = host.leaving();
+    let draining = view.targets.iter().filter(|target| target.phase == Phase::Draining);
+    for target in draining {
+        leaving.insert(&target.id, target.born_ms, now);
+    }
+    for tombstone in &view.tombstones {
+        leaving.insert(&tombstone.id, tombstone.born_ms, now);
+    }
+    leaving.retain(view.targets.iter(), now);
+    let mistaken = view.targets.iter().filter(|target| target.is_ready());
+    for target in mistaken.filter(|target| leaving.contains(target)) {
+        report(host, target.id.clone(), target.born_ms);
+    }
+}
+
 /// Sends nothing new to a target from now on if its response says that it leaves, and reports that
 /// to the leader.
 ///
@@ -26,9 +47,14 @@
     }
     info!(target_id:% = id, born_ms = born_ms; "entry: a target says that it leaves");
     host.client.forget(&target.address);
+    report(host, id, born_ms);
+}
+
+/// Tells the leader that a start of a target leaves.
+fn report(host: &Arc<Host>, target: TargetId, born_ms: u64) {
     let host = host.clone();
     tokio::spawn(async move {
-        let message = Message::Leaving { target: id, born_ms };
+        let message = Message::Leaving { target, born_ms };
         let _ = host.leader_client.call(&message, Duration::ZERO, REPORT_TIMEOUT).await;
     });
 }
--- a/tests/site/leaving.rs
+++ b/tests/site/leaving.rs
@@ -201,3 +201,49 @@
         assert_eq!(second.runs(&id), 0);
     }
 }
+
+/// Announces a target that sends no heartbeats itself.
+async fn announce(setup: &Setup, target: &Service, state: &str, sequence: u64) {
+    let body = serde_json::json!({
+        "service": "survey", "address": target.target.address, "zone": "zone-0", "version": "v1",
+        "slots": 6, "state": state, "cold_left_ms": 0, "stage": "both", "models": [],
+        "seq": sequence, "born": 1_700_000_000_000_u64,
+    });
+    let path = format!("/instances/{}", target.target.id);
+    setup.site.control("PUT", &path, &body.to_string()).await;
+}
+
+#[test_case(false; "that drains")]
+#[test_case(true; "that has withdrawn")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_heartbeat_after_all_stores_restarted_brings_back_no_target(is_withdrawn: bool) {
+    let mut setup = Setup::start().await;
+    let nowhere = vec!["127.0.0.1:1".to_owned()];
+    let second = Service::start("survey-2", "survey", nowhere).await.unwrap();
+    for entry in 0..2 {
+        let id = format!("warm-up-{entry}");
+        wait_until("the second target serves", || async {
+            announce(&setup, &second, "ready", 1).await;
+            setup.request(entry, "POST", "/survey/1", &id, "").await;
+            second.runs(&id) > 0
+        })
+        .await;
+    }
+    announce(&setup, &second, "draining", 3).await;
+    if is_withdrawn {
+        setup.site.control("DELETE", "/instances/survey-2", "").await;
+    }
+    let stores = setup.site.stores().len();
+    setup.site.hosts[..stores].iter_mut().for_each(|host| host.kill().unwrap());
+    setup.site.hosts[..stores].iter_mut().for_each(|host| host.start().unwrap());
+    announce(&setup, &second, "ready", 2).await;
+    for number in 0..40 {
+        let id = format!("restarted-{number}");
+        setup.request(number % 2, "POST", "/survey/1", &id, "").await;
+        assert_eq!(second.runs(&id), 0, "{id}");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    for entry in 0..2 {
+        expect_avoided(&setup, entry, &second, "restarted").await;
+    }
+}
