--- a/crates/catkinlatch-runtime/src/http/dialer.rs
+++ b/crates/catkinlatch-runtime/src/http/dialer.rs
@@ -68,7 +68,7 @@
     })
 }
 
-/// Opens a direct connection within [`CONNECT_TIMEOUT`].
+/// Opens a direct connection within a second.
 ///
 /// # Errors
 ///
--- a/crates/catkinlatch-runtime/src/http/server.rs
+++ b/crates/catkinlatch-runtime/src/http/server.rs
@@ -34,8 +34,8 @@
 /// Accepts connections and passes their requests to `handler`.
 ///
 /// Once `server.stop` becomes true, accepts no further connections than those that clients have
-/// opened, reads requests for [`LINGER`] more, and returns when all have been answered. If a client closes its connection, the future of
-/// its request is dropped.
+/// opened, reads requests for 100 ms more, and returns when all have been answered. If a client
+/// closes its connection, the future of its request is dropped.
 pub async fn serve<H, F>(server: Server, listener: TcpListener, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
