Ask for a share of a stated rate only if no target is left

Cause: an entry host asked for a share of a limited target whenever the other targets had no room, also where one of them took the request. A share is kept for its host until its lease and one span are over.

Change: where targets state their rate, a host asks only if no target is left for its request. Cold targets are asked for as before.

--- a/crates/catkinlatch-entry/src/allowance.rs
+++ b/crates/catkinlatch-entry/src/allowance.rs
@@ -226,7 +226,8 @@
         }
     };
     let pick = allowance::pick(&host.balancer(), targets, entrance, zone, tried, now);
-    if let Some(closed) = pick.closed
+    let states_rate = |target: &Target| table.bounds.rate(target).is_some();
+    if let Some(closed) = pick.wanted(states_rate)
         && table.holder.want(&allowance::start(closed))
     {
         host.allowance.shortage.notify_one();
--- a/crates/catkinlatch-ledger/src/allowance/pick.rs
+++ b/crates/catkinlatch-ledger/src/allowance/pick.rs
@@ -24,6 +24,16 @@
     pub closed: Option<&'a Target>,
 }
 
+impl<'a> Pick<'a> {
+    /// Returns the target that the sender should ask allowance for.
+    ///
+    /// A share is lost to all other senders until its lease ends, so where targets state the rate that
+    /// they take a sender asks only if no target is left for its request.
+    pub fn wanted(&self, states_rate: impl Fn(&Target) -> bool) -> Option<&'a Target> {
+        self.closed.filter(|closed| self.target.is_none() || !states_rate(closed))
+    }
+}
+
 /// Selects a target like [`Balancer::pick`], but a limited one only if no other one has room.
 pub fn pick<'a>(
     balancer: &Balancer,
--- a/crates/catkinlatch-ledger/tests/allowance.rs
+++ b/crates/catkinlatch-ledger/tests/allowance.rs
@@ -5,7 +5,7 @@
 use catkinlatch_base::Instant;
 use catkinlatch_ledger::{
     Balancer, Bounds, Target,
-    allowance::{Bound, Entrance, pick},
+    allowance::{Bound, Entrance, Pick, pick},
     balancer::Verdict,
     registry::Phase,
 };
@@ -67,6 +67,21 @@
     assert_eq!(picked(&balancer, &[closed]), (None, Some("closed".to_owned())));
 }
 
+/// Guards against shares of a stated rate that hosts hold and do not use.
+#[test]
+fn a_share_of_a_stated_rate_is_wanted_only_if_no_target_is_left() {
+    let (free, closed) = (target("free", 0), target("closed", 900));
+    for (other, is_stated, expected) in [
+        (Some(&free), true, None),
+        (Some(&free), false, Some(&closed)),
+        (None, true, Some(&closed)),
+        (None, false, Some(&closed)),
+    ] {
+        let pick = Pick { target: other, closed: Some(&closed) };
+        assert_eq!(pick.wanted(|_| is_stated), expected);
+    }
+}
+
 /// Guards against services without a limit being limited, against cold targets that are flooded
 /// before the limits are known, and against a later start that inherits the phase of an earlier one.
 #[test]
