Keep the first of two sessions with a host that relays

What callers saw: nothing in deployments, whose hosts run on one thread. `catkinlatch serve` runs on several: a connection to a target failed when another one was opened through the same host at the same moment, and the host that relays was left out for a second.

Cause: whether a session exists was checked under one lock and the new one was stored under another. Two tasks could both store theirs; the second replaced the first and ended its driver, with all tunnels in it.

Change: one lock for both, and a session that has ended removes itself only, not one that replaced it.

--- a/crates/catkinlatch-runtime/src/relay/client.rs
+++ b/crates/catkinlatch-runtime/src/relay/client.rs
@@ -14,7 +14,11 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::{net::lookup_host, task::AbortHandle, time};
+use tokio::{
+    net::lookup_host,
+    task::{self, AbortHandle},
+    time,
+};
 
 /// Timeout of one host for opening a tunnel, including its connection to the target.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(350);
@@ -52,6 +56,14 @@
     last_used: time::Instant,
 }
 
+impl Open {
+    /// Returns the session, which is kept for longer.
+    fn renew(&mut self) -> Session {
+        self.last_used = time::Instant::now();
+        self.session.clone()
+    }
+}
+
 impl Drop for Open {
     fn drop(&mut self) {
         self.driver.abort();
@@ -180,28 +192,34 @@
             return Err(Refused::protocol("another host answered"));
         }
         // Another request may have opened one meanwhile, which may carry tunnels.
-        if let Some(session) = self.open_session(host) {
-            return Ok(session);
+        let mut sessions = self.sessions();
+        if let Some(open) = sessions.get_mut(host) {
+            return Ok(open.renew());
         }
         let (client, driven) = (Arc::downgrade(self), host.clone());
         let task = tokio::spawn(async move {
             let error = driver.await;
             info!(host:% = driven, reason:% = error; "relay: a session ended");
             if let Some(client) = client.upgrade() {
-                client.sessions().remove(&driven);
+                client.remove_session(&driven, task::id());
             }
         });
         let last_used = time::Instant::now();
         let open = Open { session: session.clone(), driver: task.abort_handle(), last_used };
-        self.sessions().insert(host.clone(), open);
+        sessions.insert(host.clone(), open);
         Ok(session)
     }
 
-    fn open_session(&self, host: &HostId) -> Option<Session> {
+    /// Removes the session with a host that the given task drives.
+    fn remove_session(&self, host: &HostId, driver: task::Id) {
         let mut sessions = self.sessions();
-        let open = sessions.get_mut(host)?;
-        open.last_used = time::Instant::now();
-        Some(open.session.clone())
+        if sessions.get(host).is_some_and(|open| open.driver.id() == driver) {
+            sessions.remove(host);
+        }
+    }
+
+    fn open_session(&self, host: &HostId) -> Option<Session> {
+        self.sessions().get_mut(host).map(Open::renew)
     }
 
     /// Closes the sessions over which no tunnel was opened for a while.
