Soak: count against a limit from the first answer that names it

Another fault had the target lose its answers at that time, so no host had an answer with the limit; from the first one on, all hosts together sent 4.

The check counted from 3 s after the limit was set. It now counts from 3 s after the first answer that names the limit and is sent, and watches for the same 5 s from there. The tests of limits also require that an answer named the limit, so that none of them passes without one.

--- a/crates/catkinlatch-standin/src/site/service.rs
+++ b/crates/catkinlatch-standin/src/site/service.rs
@@ -1,6 +1,6 @@
 //! A stand-in plain service of a site.
 
-use super::{CRASHING_BODY, Cold, Lifecycle, SILENCING_BODY, Target};
+use super::{CRASHING_BODY, Cold, Lifecycle, SILENCING_BODY, Target, target::Lost};
 use catkinlatch_runtime::http::{Body, collect, full, serve, streamed};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -371,6 +371,7 @@
     Response::builder()
         .header("attempt-id", id)
         .header("server-seal", format!("seal-of-{id}"))
+        .extension(Lost)
         .body(body)
         .expect("the response is valid")
 }
--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -24,9 +24,13 @@
 /// The highest rate that a target names, per second.
 const MAX_NAMED_RATE: f64 = 10.0;
 
-/// The time in which all hosts learn of a limit, also a host that was down or paused.
+/// The time in which all hosts learn of a limit after the first answer that names it, also a host
+/// that was down or paused.
 const LIMIT_NOTICE: Duration = Duration::from_secs(3);
 
+/// Interval at which a limited target is checked for a first answer that names its limit.
+const NAMED_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long a target that names a limit is watched after that.
 const LIMIT_TIME: Duration = Duration::from_secs(5);
 
@@ -200,7 +204,14 @@
         let (id, context) = (target.id.clone(), context.clone());
         target.limit.set(Some(rate), LIMIT_NOTICE);
         tokio::spawn(async move {
-            time::sleep(LIMIT_NOTICE + LIMIT_TIME).await;
+            let naming = async {
+                while !target.limit.is_named() {
+                    time::sleep(NAMED_POLL_INTERVAL).await;
+                }
+            };
+            if time::timeout(LIMIT_NOTICE + LIMIT_TIME, naming).await.is_ok() {
+                time::sleep(LIMIT_NOTICE + LIMIT_TIME).await;
+            }
             let (most, allowed) = (target.limit.most(), Limit::allowed(rate));
             context.record().check(most <= allowed, || {
                 format!("{} named {rate} a second and got {most} requests in 4 s", target.id)
--- a/crates/catkinlatch-standin/src/site/target.rs
+++ b/crates/catkinlatch-standin/src/site/target.rs
@@ -20,6 +20,10 @@
 /// The build of the software that targets run unless a test chooses another one.
 pub const FIRST_BUILD: &str = "v1";
 
+/// Marks an answer that breaks off before any of it is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Lost;
+
 /// One start of a target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -93,6 +97,9 @@
             response.headers_mut().insert("cold-ms", HeaderValue::from(left as u64));
         }
         if let Some(rate) = self.limit.rate() {
+            if response.extensions().get::<Lost>().is_none() {
+                self.limit.record_named();
+            }
             let rate = HeaderValue::from_str(&rate.to_string());
             response.headers_mut().insert("server-limit", rate.expect("a number is valid"));
         }
--- a/tests/site/limit.rs
+++ b/tests/site/limit.rs
@@ -22,6 +22,7 @@
 }
 
 fn expect_limit(target: &Target, per_second: f64) {
+    assert!(target.limit.is_named(), "{} answered no request", target.id);
     let (most, allowed) = (target.limit.most(), Limit::allowed(rate(per_second)));
     assert!(most <= allowed, "{} got {most} requests in 4 s, allowed are {allowed}", target.id);
 }
