Soak: cut off hosts from targets

`cut_host` runs a host like `catkinlatch host`, with direct connections that a file beside its settings cuts.

Without `--cuts`, seeds draw the same faults as before.

--- a/crates/catkinlatch-standin/src/bin/soak.rs
+++ b/crates/catkinlatch-standin/src/bin/soak.rs
@@ -28,6 +28,9 @@
     /// run the deployment on the users' platform instead of the six processes
     #[argh(switch)]
     site: bool,
+    /// also cut off hosts from targets, with `--site` and the program `cut_host`
+    #[argh(switch)]
+    cuts: bool,
 }
 
 #[tokio::main]
@@ -36,9 +39,9 @@
     let arguments: Arguments = argh::from_env();
     std::fs::create_dir_all(&arguments.folder)?;
     let duration = Duration::from_secs(arguments.seconds);
-    let Arguments { program, folder, seed, site, .. } = arguments;
+    let Arguments { program, folder, seed, site, cuts: has_cuts, .. } = arguments;
     let result = if site {
-        let outcome = site::Soak { program, folder, duration, seed }.run().await;
+        let outcome = site::Soak { program, folder, duration, seed, has_cuts }.run().await;
         let outcome = outcome.map_err(|error| error.to_string());
         outcome.map(|report| (report.to_string(), report.violations.len()))
     } else {
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -1,7 +1,10 @@
 //! One host of a site.
 
 use super::{Ports, Shape};
-use crate::cluster::Process;
+use crate::{
+    cluster::Process,
+    cut::{self, Cut},
+};
 use serde_json::json;
 use std::{
     fs, io,
@@ -98,6 +101,12 @@
         &self.settings
     }
 
+    /// Cuts the host's connections to targets, also those of later processes, or ends a cut. Only
+    /// the program `cut_host` heeds it.
+    pub fn cut(&self, cut: Cut) -> io::Result<()> {
+        fs::write(cut::file(&self.settings), cut.to_string())
+    }
+
     /// Starts the process.
     pub fn start(&mut self) -> io::Result<()> {
         self.process.start()
--- a/crates/catkinlatch-standin/src/site/soak.rs
+++ b/crates/catkinlatch-standin/src/site/soak.rs
@@ -67,6 +67,8 @@
     pub duration: Duration,
     /// The seed of the random choices of faults and requests.
     pub seed: u64,
+    /// Whether hosts are cut off from targets, for which the program must be `cut_host`.
+    pub has_cuts: bool,
 }
 
 impl Soak {
@@ -113,7 +115,8 @@
         for number in 0..TRAINERS {
             tasks.spawn(train(context.clone(), number, random.fork()));
         }
-        let mut faults = Faults::new(site, random);
+        let faults = Faults::new(site, random);
+        let mut faults = if self.has_cuts { faults.with_cuts() } else { faults };
         let injected = faults.run(&context, self.duration).await?;
         context.stop();
         let ended = async { while tasks.join_next().await.is_some() {} };
--- a/crates/catkinlatch-standin/src/site/soak/context.rs
+++ b/crates/catkinlatch-standin/src/site/soak/context.rs
@@ -94,12 +94,25 @@
         id: &str,
         body: &str,
         headers: &[(&str, &str)],
+    ) -> Option<Exchange> {
+        let entry = random.usize(..self.callers.len());
+        self.open_at(entry, (method, path), id, body, headers).await
+    }
+
+    /// Like [`Self::open_with`], but sends the request to the given entry host.
+    pub async fn open_at(
+        &self,
+        entry: usize,
+        (method, path): (&str, &str),
+        id: &str,
+        body: &str,
+        headers: &[(&str, &str)],
     ) -> Option<Exchange> {
         let request = site::request(method, path, id, CALL_TIMEOUT).header("wait-ms", "200");
         let request =
             headers.iter().fold(request, |request, (name, value)| request.header(*name, *value));
         let request = request.body(full(body.to_owned())).ok()?;
-        let address = &self.callers[random.usize(..self.callers.len())];
+        let address = &self.callers[entry];
         time::timeout(CALL_TIMEOUT, self.client.send_new(address, request)).await.ok()?.ok()
     }
 
@@ -112,8 +125,19 @@
         id: &str,
         body: &str,
     ) -> Option<Response<Bytes>> {
-        let exchange = self.open(random, call, id, body).await?;
-        time::timeout(CALL_TIMEOUT, exchange.read_body(MAX_ANSWER_BYTES)).await.ok()?.ok()
+        read_body(self.open(random, call, id, body).await?).await
+    }
+
+    /// Sends a request of the team to the given entry host and returns the complete response, or
+    /// `None` on an error or timeout.
+    pub async fn fetch_at(
+        &self,
+        entry: usize,
+        call: (&str, &str),
+        id: &str,
+        body: &str,
+    ) -> Option<Response<Bytes>> {
+        read_body(self.open_at(entry, call, id, body, &[]).await?).await
     }
 
     /// Sends a control request to a random store host and returns the complete response, or
@@ -128,7 +152,10 @@
         let request = request.body(full(body.to_owned())).ok()?;
         let address = &self.controls[random.usize(..self.controls.len())];
         let exchange = time::timeout(CALL_TIMEOUT, self.client.send_new(address, request));
-        let exchange = exchange.await.ok()?.ok()?;
-        time::timeout(CALL_TIMEOUT, exchange.read_body(MAX_ANSWER_BYTES)).await.ok()?.ok()
+        read_body(exchange.await.ok()?.ok()?).await
     }
 }
+
+async fn read_body(exchange: Exchange) -> Option<Response<Bytes>> {
+    time::timeout(CALL_TIMEOUT, exchange.read_body(MAX_ANSWER_BYTES)).await.ok()?.ok()
+}
--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -1,5 +1,7 @@
 //! Randomly injected faults of a site.
 
+mod cut;
+
 use super::{caller, context::Context};
 use crate::site::{Engine, Limit, Pace, Place, Service, Site, Target};
 use catkinlatch_base::Rate;
@@ -84,6 +86,8 @@
 pub struct Faults {
     site: Site,
     random: fastrand::Rng,
+    /// Whether hosts are cut off from targets.
+    has_cuts: bool,
     /// When a store last had a fault.
     last_store_fault: Instant,
 }
@@ -91,7 +95,12 @@
 impl Faults {
     /// Creates the fault injection for a site that has just started.
     pub fn new(site: Site, random: fastrand::Rng) -> Self {
-        Self { site, random, last_store_fault: Instant::now() }
+        Self { site, random, has_cuts: false, last_store_fault: Instant::now() }
+    }
+
+    /// Also cuts off hosts, which must run the program `cut_host`.
+    pub fn with_cuts(self) -> Self {
+        Self { has_cuts: true, ..self }
     }
 
     /// Returns the site.
@@ -227,7 +236,8 @@
         let is_store = number < self.site.stores().len();
         let name = self.site.hosts[number].name.clone();
         let is_stable = self.last_store_fault.elapsed() > MIN_FAULT_FREE_TIME;
-        let fault = match self.random.u8(..21) {
+        let kinds = if self.has_cuts { 25 } else { 21 };
+        let fault = match self.random.u8(..kinds) {
             0..4 => {
                 self.site.hosts[number].kill()?;
                 time::sleep(downtime).await;
@@ -286,6 +296,8 @@
             }
             15 => return Ok(self.fill(context, downtime).await),
             18 | 19 => return Ok(self.limit(context)),
+            21..24 => return self.cut_off(),
+            24.. => return self.watch_cut_off(context).await,
             _ => {
                 let engine = self.random.usize(..context.engines.len());
                 context.engines[engine].state().runs_to_break += 3;
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -492,7 +492,8 @@
 async fn random_failures_violate_no_invariant() {
     let folder = tempfile::tempdir().unwrap();
     let program = PathBuf::from(env!("CARGO_BIN_EXE_catkinlatch"));
-    let soak = Soak { program, folder: folder.path().into(), duration: FAILURES, seed: 7 };
+    let folder_path = folder.path().into();
+    let soak = Soak { program, folder: folder_path, duration: FAILURES, seed: 7, has_cuts: false };
     let report = soak.run().await.unwrap();
     assert!(report.violations.is_empty(), "{report}\n{:#?}", report.faults);
     for name in ["served", "streams", "results", "configurations", "evacuations", "windows"] {
