--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -167,11 +167,6 @@
         Self { idle: Arc::default(), connect: dialer::tcp(false), dialer: None, limits, budget }
     }
 
-    /// Sets how direct connections are opened.
-    pub fn with_connect(self, connect: Connect) -> Self {
-        Self { connect, ..self }
-    }
-
     /// Opens connections with `dialer`, which may have other hosts relay them.
     pub fn with_dialer(self, dialer: Arc<Dialer>) -> Self {
         Self { dialer: Some(dialer), ..self }
