Never send requests of the same id one after the other on a connection

Operators of similar systems saw a second copy of an answer come late, on a connection that was in use again. Here each answer must repeat the id of its request, so a stray one of another id was always refused. But callers of `catkinlatch serve` choose the id: two of them that chose the same one got each other's answers.

On the platform's way a request that a target refused keeps its id for the next try at the same target.

Change: the client knows the header of the id and skips idle connections whose last request had the same one.

--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod view;
 
 use self::host::Host;
+use catkinlatch_platform::header;
 use catkinlatch_runtime::{
     Clock, LeaderClient, Peers, Settings,
     http::{
@@ -96,7 +97,8 @@
     let limits = Limits::new(settings.resources.memory_mb);
     let view = Arc::new(Mutex::default());
     let dialer = Arc::new(relay::dialer(&settings, clock, &peers, connect, &view));
-    let client = Client::new().with_limits(limits).with_dialer(dialer.clone());
+    let client = Client::new().with_id_header(header::REQUEST_ID);
+    let client = client.with_limits(limits).with_dialer(dialer.clone());
     let host = Arc::new(Host::new(settings, clock, peers, leader_client, client, view));
     let relay_server = Arc::new(relay::server(&host, dialer));
     let address = SocketAddr::new(callers.ip(), host.settings.peer_port);
--- a/crates/catkinlatch-node/src/upstream.rs
+++ b/crates/catkinlatch-node/src/upstream.rs
@@ -1,9 +1,10 @@
 //! HTTP client for calls from a node to targets and the platform.
 
+use crate::entry::REQUEST_ID;
 use bytes::Bytes;
 use catkinlatch_runtime::http::{BodyError, Client, Dialer, Exchange, Failure};
 use derive_more::{Display, Error};
-use http::{HeaderValue, Request, Response, Uri, header};
+use http::{HeaderName, HeaderValue, Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -36,15 +37,21 @@
 
 /// An HTTP client that never retries a request by itself; its responses stay within the limits of
 /// [`catkinlatch_runtime::http::Limits`].
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Upstream {
     client: Client,
 }
 
+impl Default for Upstream {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Upstream {
     /// Creates a client; connections are opened when requests are sent.
     pub fn new() -> Self {
-        Self::default()
+        Self { client: Client::new().with_id_header(HeaderName::from_static(REQUEST_ID)) }
     }
 
     /// Opens connections with `dialer`, which may have other nodes relay them.
--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use catkinlatch_route::reach::{Helper, Path};
 use derive_more::{Debug, Display};
+use http::{HeaderName, HeaderValue};
 use hyper::{
     Request, Response,
     client::conn::http1::{self, SendRequest},
@@ -70,6 +71,7 @@
     #[debug(skip)]
     connect: Connect,
     dialer: Option<Arc<Dialer>>,
+    id_header: Option<HeaderName>,
     limits: Limits,
     budget: Budget,
 }
@@ -97,6 +99,8 @@
     relayed: Option<Relayed>,
     /// How often this host had been cut off when the connection was opened.
     cuts: u64,
+    /// The id of the last request on the connection.
+    last_id: Option<HeaderValue>,
 }
 
 /// The host that relays a connection.
@@ -164,7 +168,16 @@
     pub fn new() -> Self {
         let limits = Limits::default();
         let budget = Budget::new(limits.in_flight);
-        Self { idle: Arc::default(), connect: dialer::tcp(false), dialer: None, limits, budget }
+        let (idle, connect) = (Arc::default(), dialer::tcp(false));
+        Self { idle, connect, dialer: None, id_header: None, limits, budget }
+    }
+
+    /// Sets the header with a request's id, which servers repeat in their answers.
+    ///
+    /// Requests with the same id then never follow each other on a connection: a late copy of the
+    /// first answer could not be told from the second one.
+    pub fn with_id_header(self, id_header: HeaderName) -> Self {
+        Self { id_header: Some(id_header), ..self }
     }
 
     /// Opens connections with `dialer`, which may have other hosts relay them.
@@ -239,10 +252,12 @@
             Some(dialer) => dialer.path().await,
             None => Path::Direct,
         };
-        let mut connection = match self.take(address, path) {
+        let id = self.id_header.as_ref().and_then(|name| request.headers().get(name)).cloned();
+        let mut connection = match self.take(address, path, id.as_ref()) {
             Some(connection) => connection,
             None => self.open(address, path).await?,
         };
+        connection.last_id = id;
         if !prepare(&mut request) {
             return Err(Failure::NotSent("no longer permitted".to_owned()));
         }
@@ -326,8 +341,9 @@
         }
     }
 
-    /// Removes and returns an idle connection that can be reused on the given path.
-    fn take(&self, address: &str, path: Path) -> Option<Connection> {
+    /// Removes and returns an idle connection that can be reused on the given path for a request
+    /// with an id.
+    fn take(&self, address: &str, path: Path, id: Option<&HeaderValue>) -> Option<Connection> {
         let now = Instant::now();
         // A host that is cut off may still use what it opened before; one that has returned may not.
         let cuts = self.dialer.as_ref().map(|dialer| dialer.cuts());
@@ -337,7 +353,9 @@
         };
         let fits = |idle: &Idle| {
             let connection = &idle.connection;
-            connection.relayed.is_some() == is_relayed && (is_relayed || is_alive(connection))
+            let is_repeated = id.is_some() && connection.last_id.as_ref() == id;
+            let is_reached = is_relayed || is_alive(connection);
+            connection.relayed.is_some() == is_relayed && is_reached && !is_repeated
         };
         let mut lock = self.lock();
         let list = lock.get_mut(address)?;
@@ -398,7 +416,7 @@
             debug!("http: a connection to {address} ended: {error}");
         }
     });
-    Ok(Connection { sender, driver, meter, relayed, cuts })
+    Ok(Connection { sender, driver, meter, relayed, cuts, last_id: None })
 }
 
 /// Records that a response from `address` was ended because it exceeded the limit on `what`.
--- a/crates/catkinlatch-runtime/tests/client.rs
+++ b/crates/catkinlatch-runtime/tests/client.rs
@@ -1,14 +1,18 @@
 //! Calls that must not be sent, or not arrive, after their permission has ended.
 
 use catkinlatch_runtime::http::{Client, empty, full};
-use http::Request;
+use http::{HeaderName, HeaderValue, Request};
 use std::{
+    io,
     net::Ipv4Addr,
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     time::Duration,
 };
 use tokio::{
-    io::AsyncReadExt,
+    io::{AsyncReadExt, AsyncWriteExt as _},
     net::{TcpListener, TcpSocket, TcpStream},
     time,
 };
@@ -99,3 +103,41 @@
     let (stream, _) = accepted.expect("a connection comes");
     assert_eq!(read_all(stream).await, None, "the connection is reset");
 }
+
+/// Serves a connection: answers each request with its number, and repeats the previous answer when
+/// the next request arrives.
+async fn answer_with_copies(mut stream: TcpStream, requests: Arc<AtomicU32>) -> io::Result<()> {
+    let (mut buffer, mut previous) = (vec![0; 1 << 12], None);
+    while stream.read(&mut buffer).await? > 0 {
+        if let Some(copy) = previous {
+            stream.write_all(copy).await?;
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        let number = requests.fetch_add(1, Ordering::SeqCst);
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}").leak();
+        stream.write_all(answer.as_bytes()).await?;
+        previous = Some(answer.as_bytes());
+    }
+    Ok(())
+}
+
+/// Guards against a late copy of an answer that passes for the answer to the next request, since
+/// both have the same id.
+#[tokio::test]
+async fn requests_with_the_same_id_do_not_follow_each_other_on_a_connection() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("the port is bound").to_string();
+    let requests = Arc::<AtomicU32>::default();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_with_copies(stream, requests.clone()));
+        }
+    });
+    let client = Client::new().with_id_header(HeaderName::from_static("id"));
+    for number in 0..5 {
+        let mut request = request(Vec::new());
+        request.headers_mut().insert("id", HeaderValue::from_static("same"));
+        let answer = client.fetch(&address, request, Duration::from_secs(5), 1 << 10).await;
+        assert_eq!(answer.expect("the server answers").body(), &number.to_string());
+    }
+}
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -98,7 +98,8 @@
         let client = Client::new().with_reset_on_close().with_limits(limits);
         let dialer = relay::dialer(&settings, clock, &peers, connect, &soft_state);
         let dialer = Arc::new(dialer);
-        let work_client = Client::new().with_limits(limits).with_dialer(dialer.clone());
+        let work_client = Client::new().with_id_header(header::REQUEST_ID);
+        let work_client = work_client.with_limits(limits).with_dialer(dialer.clone());
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
         let allowance = Allowance::new(settings.cold);
