Wait for a slow stream that no other target takes

Operators of similar systems saw slow but sound streams cut. Here a stream without an event for 0.8 s was resumed at another target, and failed where none took it: a test with two engines that take 1.1 s an event, on a resumable route, ended with a broken stream before its first event.

Cause: lateness ended the attempt before it was known whether another target would go on with the stream.

Change: a late stream is kept while another target is asked. If none takes it, it is read on, and fails after 2.4 s without an event, or at the caller's deadline; a second test holds that bound for targets that stop. Bytes that complete no event do not extend either wait. A request that may crash targets keeps the old rule, since its targets fall silent.

The stand-in engine takes up changes of its time an event while it runs.

--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -28,6 +28,9 @@
 /// pauses for a third of this, and callers disconnect after two seconds.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest pause between two events of a stream that no other target takes.
+const LATE_TIMEOUT: Duration = Duration::from_millis(2_400);
+
 /// Attempts of a request so far.
 pub struct Attempts {
     /// Number of attempts that count towards the limit of the route.
@@ -56,6 +59,8 @@
     failure: Option<String>,
     /// How long this host has waited for data since the last complete event.
     waited: Duration,
+    /// Whether events were late and no other target takes the stream.
+    is_patient: bool,
     /// Id of the last event received, or else of the last one that the caller had before this
     /// request.
     last_event: Option<u64>,
@@ -71,6 +76,8 @@
     Blocks,
     /// The stream ended between two events.
     End,
+    /// The next event is late.
+    Late,
     /// The stream failed.
     Failed {
         /// The reason for the log.
@@ -141,6 +148,7 @@
         ready: VecDeque::new(),
         failure: None,
         waited: Duration::ZERO,
+        is_patient: false,
         last_event: header::number(&inbound.head.headers, &header::LAST_EVENT),
         has_begun: false,
         required: required.clone(),
@@ -181,6 +189,7 @@
                     }
                     return None;
                 }
+                Read::Late => self.replace_late().await,
                 Read::Failed { reason, cause } => {
                     if cause == Cause::Break {
                         self.record_break().await;
@@ -208,7 +217,8 @@
         let left = self.remaining(self.host.clock.now());
         // Parts that complete no event do not extend the wait. The time that the caller takes for
         // events is left out.
-        let event_limit = EVENT_TIMEOUT.saturating_sub(self.waited);
+        let event_limit = if self.is_patient { LATE_TIMEOUT } else { EVENT_TIMEOUT };
+        let event_limit = event_limit.saturating_sub(self.waited);
         let limit = if self.inbound.route.may_repeat() { left.min(event_limit) } else { left };
         let Some(call) = &mut self.call else { return Read::End };
         let began = self.host.clock.now();
@@ -225,6 +235,9 @@
                 return Read::Failed { reason: error.to_string(), cause: Cause::Loss };
             }
             Ok(Err(error)) => return Read::failed(error),
+            Err(_) if limit < left && !self.is_patient && !self.attempts.is_trial => {
+                return Read::Late;
+            }
             Err(_) => return Read::failed("timed out waiting for the next event"),
         };
         let Parsed { list, fault } = self.parser.parse_raw(&part);
@@ -267,6 +280,25 @@
         caller.unwrap_or(proxy::DEFAULT_TIMEOUT.saturating_sub(self.waited))
     }
 
+    /// Resumes a late stream at another target, or waits on for this one if none takes it: it may be
+    /// slow.
+    async fn replace_late(&mut self) {
+        self.log("the next event is late");
+        let began = self.host.clock.now();
+        let (target, waited) = (self.target.clone(), self.waited);
+        let parser = EventParser::new(self.host.client.limits().event);
+        let (call, parser) = (self.call.take(), mem::replace(&mut self.parser, parser));
+        if self.resume(true).await {
+            if let Some(mut call) = call {
+                call.guard.record_failure();
+            }
+            return;
+        }
+        (self.target, self.call, self.parser) = (target, call, parser);
+        self.waited = waited + (self.host.clock.now() - began);
+        self.is_patient = true;
+    }
+
     /// Resumes the stream at another target after the last event, if the route allows it; returns
     /// whether that succeeded. `spends_retry` says whether the first attempt counts against the
     /// route's budget of retries.
@@ -323,7 +355,7 @@
             let limit = left.min(EVENT_TIMEOUT);
             match attempt::open(&self.host, request, self.inbound.id(), &target, limit).await {
                 Ok(call) if call.exchange.response.status() == StatusCode::OK => {
-                    self.call = Some(call);
+                    (self.call, self.is_patient) = (Some(call), false);
                     return true;
                 }
                 Ok(_) => self.log("the next target did not return a stream"),
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -275,18 +275,19 @@
     }
 
     fn generate(self, id: String, last: u64) -> Response<Body> {
-        let (version, breaks, events, event_time) = {
+        let (version, breaks, events) = {
             let mut state = self.state();
             state.runs.entry(id.clone()).or_default().push(last);
             let breaks = state.runs_to_break > 0;
             state.runs_to_break = state.runs_to_break.saturating_sub(1);
-            (state.version, breaks, state.events, state.event_time)
+            (state.version, breaks, state.events)
         };
         let (mut sender, body) = Channel::<Bytes, io::Error>::new(4);
         let item = id.clone();
         let build = self.target.build.clone();
         tokio::spawn(async move {
             for event in last + 1..=events {
+                let event_time = self.state().event_time;
                 time::sleep(event_time).await;
                 let data = event_data(&item, event, &build);
                 let text = format!("id: {event}\ndata: {data}\n\n");
@@ -303,6 +304,7 @@
             if breaks {
                 // Gives the events time to be transmitted; an abort discards what is still
                 // buffered.
+                let event_time = self.state().event_time;
                 time::sleep(event_time).await;
                 sender.abort(io::Error::other(
                     "the stand-in engine broke the connection after the last event",
--- a/tests/site/stream.rs
+++ b/tests/site/stream.rs
@@ -4,7 +4,7 @@
 use catkinlatch_runtime::http::{BodyError, Client, Exchange, full};
 use catkinlatch_standin::site;
 use http::StatusCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A caller's connection to a stream, with the text received so far.
 pub struct Stream {
@@ -107,3 +107,28 @@
         ids.map(|id| id.parse().unwrap()).collect()
     }
 }
+
+/// Guards against a slow stream that is cut off although no other target takes it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_whose_targets_are_all_slow_is_read_to_its_end() {
+    let setup = Setup::start().await;
+    for engine in &setup.engines {
+        engine.state().event_time = Duration::from_millis(1_100);
+    }
+    let mut stream = Stream::open(&setup, "/chat/1", "slow").await;
+    assert!(stream.read_to_end().await);
+    assert_eq!(stream.events(), [1, 2, 3, 4, 5]);
+}
+
+/// Guards against a stream that waits until its caller's deadline for a target that stopped.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_whose_targets_all_stop_ends_within_seconds() {
+    let setup = Setup::start().await;
+    let mut stream = Stream::open(&setup, "/chat/1", "stopped").await;
+    stream.read_events(1).await;
+    setup.engines.iter().for_each(|engine| engine.state().event_time = Duration::from_secs(60));
+    let began = Instant::now();
+    assert!(!stream.read_to_end().await);
+    let elapsed = began.elapsed();
+    assert!(elapsed > Duration::from_secs(2) && elapsed < Duration::from_secs(6), "{elapsed:?}");
+}
