Double the patience of items whose runs were late

With two engines that take 2 s an event, a job's items were lost at the end of its time (40 s): each run was given up before its first event, after 1.3 s.

Cause: the timeouts of a run are constants, and nothing in a run that was late made the next one wait longer.

Change: from the second late run of an item on, the timeouts of its runs double with each, up to 32 times. The first repeat keeps the usual ones, so an item whose engine stopped is not held up at the next. Bytes that complete no event do not extend the wait, as before.

--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -57,6 +57,8 @@
     pub is_generated: bool,
     /// The number of failed runs.
     pub failures: u32,
+    /// The number of runs that were given up since the next event was late.
+    pub late_runs: u32,
     /// The engines from which the item was moved away since a run of it last ended by itself.
     pub left_engines: BTreeSet<TargetId>,
     /// The number of times that the item was moved away from a slow engine.
@@ -85,6 +87,7 @@
             runs_alone: false,
             is_generated: false,
             failures: 0,
+            late_runs: 0,
             left_engines: BTreeSet::new(),
             moves: 0,
             began_ms: 0,
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -25,6 +25,31 @@
 /// Timeout between two events of a run. Slow engines take about a third of it.
 const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Number of late runs of an item from which on the timeouts double with each.
+const USUAL_LATE_RUNS: u32 = 2;
+
+/// The most times that the timeouts double.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// How long a run waits for events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// Timeout for the first event.
+    pub first: Duration,
+    /// Timeout between two events.
+    pub next: Duration,
+}
+
+impl Patience {
+    /// Returns the timeouts of a run after `late_runs` of the item were given up for lateness: if
+    /// all engines are slow, one of them must be waited for.
+    pub fn new(late_runs: u32) -> Self {
+        let doublings = late_runs.saturating_sub(USUAL_LATE_RUNS - 1).min(MAX_DOUBLINGS);
+        let factor = 1 << doublings;
+        Self { first: FIRST_EVENT_TIMEOUT * factor, next: NEXT_EVENT_TIMEOUT * factor }
+    }
+}
+
 /// The progress of a run, shared with the runner, which may cancel the run.
 pub type SharedProgress = Arc<Mutex<Progress>>;
 
@@ -45,6 +70,8 @@
     pub longest_gap: Duration,
     /// Whether the connection broke, as it does when the engine crashes.
     pub is_disconnect: bool,
+    /// Whether the run was given up since the next event was late.
+    pub is_late: bool,
 }
 
 impl Summary {
@@ -58,6 +85,7 @@
             first_event: Duration::ZERO,
             longest_gap: Duration::ZERO,
             is_disconnect: false,
+            is_late: false,
         }
     }
 }
@@ -70,12 +98,13 @@
     item: usize,
     engine: &Target,
     shared_progress: &SharedProgress,
+    patience: Patience,
 ) -> Summary {
     let progress = shared_progress.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let mut summary = Summary::new(progress);
     let began = host.clock.now();
     let request = request(job, item, &summary.progress, engine);
-    let sent = time::timeout(FIRST_EVENT_TIMEOUT, allowance::send(host, engine, request)).await;
+    let sent = time::timeout(patience.first, allowance::send(host, engine, request)).await;
     let exchange = match sent {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(SendError::Withheld)) => {
@@ -91,6 +120,7 @@
             return summary;
         }
         Err(_) => {
+            summary.is_late = true;
             summary.reason = "no answer in time".to_owned();
             return summary;
         }
@@ -103,7 +133,7 @@
             summary.reason = format!("status {}", exchange.response.status().as_u16());
         }
         None => {
-            let run = Run { host, shared, job, engine, shared_progress, began };
+            let run = Run { host, shared, job, engine, shared_progress, patience, began };
             run.read(exchange, &mut summary).await;
         }
     }
@@ -170,6 +200,7 @@
     job: &'a Job,
     engine: &'a Target,
     shared_progress: &'a SharedProgress,
+    patience: Patience,
     began: Instant,
 }
 
@@ -186,8 +217,8 @@
             }
             // Parts that complete no event do not extend the wait.
             let until = match last {
-                Some(last) => self.host.clock.timer(last + NEXT_EVENT_TIMEOUT),
-                None => opened + FIRST_EVENT_TIMEOUT,
+                Some(last) => self.host.clock.timer(last + self.patience.next),
+                None => opened + self.patience.first,
             };
             let part = match time::timeout_at(until, exchange.next()).await {
                 Ok(Ok(Some(part))) => part,
@@ -206,6 +237,7 @@
                     return;
                 }
                 Err(_) => {
+                    summary.is_late = true;
                     summary.reason = "timed out waiting for the next event".to_owned();
                     return;
                 }
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -284,10 +284,12 @@
         let progress = SharedProgress::new(Mutex::new(task.progress.clone()));
         let (shared_job, shared) = (task.job.clone(), self.shared.clone());
         let (host, sender, item, run) = (self.host.clone(), self.sender.clone(), *item, *run);
-        let run_progress = progress.clone();
+        let (run_progress, patience) = (progress.clone(), run::Patience::new(task.late_runs));
         let handle = self.runs.spawn(async move {
             let began = host.clock.now();
-            let summary = run::run(&host, &shared, &shared_job, item, &target, &run_progress).await;
+            let running =
+                run::run(&host, &shared, &shared_job, item, &target, &run_progress, patience);
+            let summary = running.await;
             let took = host.clock.now() - began;
             let job = shared_job.id.clone();
             let summary = Box::new(summary);
--- a/crates/catkinlatch-store/src/runner/end.rs
+++ b/crates/catkinlatch-store/src/runner/end.rs
@@ -68,6 +68,9 @@
         self.record_version(&job, engine, &summary);
         self.handles.remove(&(job.clone(), item));
         self.record_crash(&job, item, engine, &summary);
+        if let Some(task) = self.schedule.task_mut(&job, item) {
+            task.late_runs += u32::from(summary.is_late);
+        }
         let Summary { end, progress, .. } = summary;
         match self.schedule.end(&job, item, run, end, progress, self.host.clock.wall_ms()) {
             Next::Nothing | Next::Again => {}
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -22,6 +22,8 @@
 mod evacuation;
 #[path = "site/flood.rs"]
 mod flood;
+#[path = "site/item.rs"]
+mod item;
 #[path = "site/key.rs"]
 mod key;
 #[path = "site/leaving.rs"]
