Confirm the view after a long standstill before acting on it

What callers and operators would see: an entry host that stood still for some seconds ran requests of a key that had been taken away, and acknowledged as such, while it was paused. With the usual 2 s such requests were refused by chance, as their time had run out.

Cause: on its return the host read the waiting requests before its first poll of the leader, and went by the view from before the pause. The same held for requests in its queues and evacuated zones.

Change: a beat that is 1 s late or more marks a long standstill. Requests read then, and attempts sent then, wait until the leader has answered a poll that began after it; the poll is begun anew at once, with no waiting time. If no leader answers within 1 s the host goes on with its last view, as hosts out of touch do. Shorter standstills change nothing.

--- a/crates/catkinlatch-entry/src/arrival.rs
+++ b/crates/catkinlatch-entry/src/arrival.rs
@@ -17,11 +17,16 @@
 /// it. Late beats count as well: tasks take turns, so each shows that all that were ready have run.
 const CATCH_UP_BEATS: u32 = 4;
 
+/// Shortest standstill after which the last view must be confirmed: changes may have been
+/// acknowledged without this host.
+const LONG: Duration = Duration::from_millis(1_000);
+
 /// Beats of a process while it runs, and its last standstills.
 #[derive(Clone, Debug, Default)]
 pub struct Pulse {
     last: Option<Instant>,
     standstills: Vec<Standstill>,
+    resumed: Option<Instant>,
 }
 
 /// A time in which the process did not run.
@@ -38,6 +43,9 @@
         self.standstills.iter_mut().for_each(|past| past.beats_left -= 1);
         self.standstills.retain(|past| past.beats_left > 0);
         if let Some(began) = self.gap(now) {
+            if now >= began + LONG {
+                self.resumed = Some(now);
+            }
             self.standstills.push(Standstill { began, beats_left: CATCH_UP_BEATS });
         }
         self.last = Some(now);
@@ -49,6 +57,14 @@
         past.or_else(|| self.gap(now)).map_or(Duration::ZERO, |began| now - began)
     }
 
+    /// Returns when the process last ran again after a long standstill, also if that is now.
+    pub fn resumed(&mut self, now: Instant) -> Option<Instant> {
+        if self.gap(now).is_some() {
+            self.beat(now);
+        }
+        self.resumed
+    }
+
     /// Returns when the process stopped running, if the next beat is late.
     fn gap(&self, now: Instant) -> Option<Instant> {
         self.last.filter(|last| now >= *last + INTERVAL + LATE)
--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -124,6 +124,7 @@
     target: &Target,
     limit: Duration,
 ) -> Result<Call, Outcome> {
+    host.confirm_view().await;
     // The zone may have been evacuated while the request waited for a permit.
     if host.view().is_evacuated(&target.id) {
         return Err(Outcome::NotRun("the target's zone is evacuated"));
--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -23,15 +23,19 @@
     let waits = host.settings.times.waits();
     loop {
         let draining = *drain_watch.borrow_and_update();
+        let began = host.clock.now();
+        let wait = if host.is_view_confirmed() { waits.poll } else { Duration::ZERO };
         let follow = |wait| Message::Follow(follow_message(&host, view_version, wait));
-        let (message, probe) = (follow(waits.poll), follow(Duration::ZERO));
+        let (message, probe) = (follow(wait), follow(Duration::ZERO));
         let pending = host.leader_client.poll(&message, &probe, &waits, POLL_TIMEOUT);
         let answer = tokio::select! {
             answer = pending => answer,
             // Polls again at once so that the leader learns that this host is draining.
             _ = drain_watch.changed(), if !draining => continue,
+            () = host.resumed() => continue,
         };
-        if matches!(answer, Answer::Reply(Reply::Followed(_) | Reply::Nothing)) {
+        let is_answered = matches!(answer, Answer::Reply(Reply::Followed(_) | Reply::Nothing));
+        if is_answered {
             host.contact().record_leader(host.clock.now());
         }
         match answer {
@@ -58,6 +62,9 @@
                 time::sleep(RETRY_PAUSE).await;
             }
         }
+        if is_answered {
+            host.record_poll(began);
+        }
         host.client.prune();
         host.peers.prune();
     }
--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -78,6 +78,7 @@
 async fn respond(host: Arc<Host>, request: Request<Incoming>) -> Response<Body> {
     let (arrived, waited) = (host.clock.now(), host.waited());
     let (head, body) = request.into_parts();
+    host.confirm_view().await;
     let view = host.view();
     let Some(configuration) = view.configuration.clone() else {
         let after = retry_after(&head);
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -4,7 +4,7 @@
     admission::Admission, allowance::Allowance, arrival, contact::Contact, second, suspect,
     usage::Usage, view::View,
 };
-use catkinlatch_base::{TeamId, WindowId};
+use catkinlatch_base::{Instant, TeamId, WindowId};
 use catkinlatch_ledger::{
     Balancer,
     build::{Builds, Origins},
@@ -13,11 +13,19 @@
 };
 use catkinlatch_route::{Budget, Ramp};
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
+use log::info;
 use std::{
+    mem,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::{sync::watch, time};
+use tokio::{
+    sync::{Notify, watch},
+    time,
+};
+
+/// Timeout for the leader to confirm the view after a long standstill.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// State that the tasks of an entry host share.
 pub struct Host {
@@ -47,6 +55,10 @@
     builds: Mutex<Builds>,
     origins: Mutex<Origins>,
     pulse: Mutex<arrival::Pulse>,
+    /// When the last poll began that the leader answered.
+    polled: watch::Sender<Option<Instant>>,
+    /// Wakes the task that polls the leader after a long standstill.
+    resumed: Notify,
     draining: watch::Sender<bool>,
 }
 
@@ -82,6 +94,8 @@
             builds: Mutex::default(),
             origins: Mutex::default(),
             pulse: Mutex::default(),
+            polled: watch::channel(None).0,
+            resumed: Notify::new(),
             draining: watch::channel(false).0,
         }
     }
@@ -155,12 +169,46 @@
 
     /// Records regularly that this process runs; never returns.
     pub async fn beat(&self) {
+        let mut known = None;
         loop {
-            lock(&self.pulse).beat(self.clock.now());
+            let resumed = {
+                let mut pulse = lock(&self.pulse);
+                pulse.beat(self.clock.now());
+                pulse.resumed(self.clock.now())
+            };
+            if resumed != mem::replace(&mut known, resumed) {
+                info!("entry: stood still; asking the leader for the current view");
+                self.resumed.notify_one();
+            }
             time::sleep(arrival::INTERVAL).await;
         }
     }
 
+    /// Returns once this process runs again after a long standstill.
+    pub async fn resumed(&self) {
+        self.resumed.notified().await;
+    }
+
+    /// Records that the leader answered a poll that began at `began`.
+    pub fn record_poll(&self, began: Instant) {
+        self.polled.send_replace(Some(began));
+    }
+
+    /// Returns whether the leader has answered a poll that began after the last long standstill.
+    pub fn is_view_confirmed(&self) -> bool {
+        *self.polled.borrow() >= lock(&self.pulse).resumed(self.clock.now())
+    }
+
+    /// Waits for the leader to confirm the view after a long standstill; goes on with the last view
+    /// if that takes too long.
+    pub async fn confirm_view(&self) {
+        let Some(resumed) = lock(&self.pulse).resumed(self.clock.now()) else { return };
+        let mut polled = self.polled.subscribe();
+        let confirmed = polled.wait_for(|began| *began >= Some(resumed));
+        let until = self.clock.timer(resumed + CONFIRM_TIMEOUT);
+        let _ = time::timeout_at(until, confirmed).await;
+    }
+
     /// Returns the longest time for which a request that is read now may have waited for this
     /// process.
     pub fn waited(&self) -> Duration {
--- a/crates/catkinlatch-entry/tests/arrival.rs
+++ b/crates/catkinlatch-entry/tests/arrival.rs
@@ -64,3 +64,12 @@
         assert!(pulse.waited(at(1_000 + turn * 50 + 30)) < Duration::from_millis(300));
     }
 }
+
+/// Guards against a process that goes on by what it knew before a long standstill.
+#[test]
+fn a_long_standstill_is_known_to_the_first_request_that_is_read_after_it() {
+    let mut pulse = beating_until(1_000);
+    assert_eq!(pulse.resumed(at(1_300)), None, "after a short one");
+    assert_eq!(pulse.resumed(at(2_500)), Some(at(2_500)));
+    assert_eq!(pulse.resumed(at(2_510)), Some(at(2_500)));
+}
--- a/tests/site/key.rs
+++ b/tests/site/key.rs
@@ -1,7 +1,11 @@
 //! Keys that a new configuration takes away.
 
 use super::{Setup, configuration, ok, wait_until};
+use catkinlatch_runtime::http::{Client, full};
+use catkinlatch_standin::site;
 use http::StatusCode;
+use std::time::Duration;
+use tokio::{task::JoinSet, time};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_key_that_is_taken_away_runs_nothing_once_that_is_acknowledged() {
@@ -29,3 +33,36 @@
     })
     .await;
 }
+
+/// Guards against a host that stood still and goes on by what it knew before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_host_runs_nothing_for_a_key_that_was_taken_away_meanwhile() {
+    let setup = Setup::start().await;
+    let patient = configuration(2).replace("\"timeout_ms\":2000", "\"timeout_ms\":30000");
+    setup.site.control("PUT", "/config", &patient).await;
+    let paused = &setup.site.entries()[1];
+    paused.pause().unwrap();
+    let without = configuration(3).replace("key-of-the-team", "another-key");
+    setup.site.control("PUT", "/config", &without).await;
+    // The sessions with the stores end meanwhile.
+    time::sleep(Duration::from_secs(6)).await;
+    let address = paused.address(setup.site.ports.callers);
+    let mut callers = JoinSet::new();
+    for number in 0..8 {
+        let (id, address) = (format!("paused-{number}"), address.clone());
+        callers.spawn(async move {
+            let request = site::request("POST", "/survey/1", &id, Duration::from_secs(30));
+            let request = request.body(full("")).unwrap();
+            let client = Client::new();
+            let answer = client.fetch(&address, request, Duration::from_secs(30), 1 << 10).await;
+            (id, answer.map(|answer| answer.status()))
+        });
+    }
+    time::sleep(Duration::from_millis(200)).await;
+    paused.resume().unwrap();
+    while let Some(called) = callers.join_next().await {
+        let (id, status) = called.unwrap();
+        assert_eq!(status, Some(StatusCode::UNAUTHORIZED), "{id}");
+        assert_eq!(setup.service.runs(&id), 0, "{id}");
+    }
+}
