Answer requests that reach a node just before it stops

What callers saw: of 32 requests sent to `catkinlatch serve` just before a planned stop, on 8 idle and 24 new connections, 1 to 4 were answered (three runs of a new test); the others were reset.

Cause: a stop closes idle connections, with requests that were sent and not read, and the listener with all that wait to be accepted.

Change: a stopping node serves on until no caller has been answered for 0.2 s, for 2 s at most. Each answer closes its connection, as during a drain before, so callers move on. A caller that sends in the last moment of those 2 s can still be cut off.

--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -223,6 +223,7 @@
     /// Returns an error if an HTTP server did not shut down cleanly.
     pub async fn stop(mut self) -> Result<(), String> {
         self.node.drain.begin();
+        self.node.drain.wait_quiet().await;
         self.public.close().await?;
         self.operator.close().await?;
         self.tasks.shutdown().await;
--- a/crates/catkinlatch-standin/tests/drain.rs
+++ b/crates/catkinlatch-standin/tests/drain.rs
@@ -12,6 +12,7 @@
 };
 use serde_json::json;
 use std::{
+    io::{Read as _, Write as _},
     net::{Ipv4Addr, SocketAddr},
     str::FromStr,
     time::Duration,
@@ -65,3 +66,27 @@
     assert!(text.contains(&format!("t{} ", TOKENS - 1)), "{text}");
     engine.stop().await.expect("the engine stops");
 }
+
+/// Guards against a planned stop that resets connections whose requests have just been sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_sent_just_before_a_stop_are_answered() {
+    let settings = Settings::loopback(id("host-1"), id("zone-a"));
+    let settings = Settings { address_time_to_live_ms: 0, ..settings };
+    let server = Server::start(settings).await.expect("the node starts");
+    let address = server.address();
+    let connect = || std::net::TcpStream::connect(address).expect("the node listens");
+    let request = b"POST /v1/services/survey/1 HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+    let mut sockets: Vec<_> = (0..8).map(|_| connect()).collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    sockets.extend((0..24).map(|_| connect()));
+    for socket in &mut sockets {
+        socket.write_all(request).expect("the connection is open");
+    }
+    server.stop().await.expect("the node stops");
+    let answered = sockets.iter_mut().filter_map(|socket| {
+        let mut answer = [0; 12];
+        socket.set_read_timeout(Some(Duration::from_secs(5))).expect("the timeout is valid");
+        socket.read_exact(&mut answer).ok().map(|()| answer)
+    });
+    assert_eq!(answered.filter(|answer| answer.starts_with(b"HTTP/1.1 ")).count(), 32);
+}
