Play failing items and a failing platform with real processes

The stand-in engine answers chosen items with a status, and the stand-in platform can be down, fall silent, or take reports without answering. Five tests: an item that can never be done runs once and is lost, one that fails runs at most five times, the others of the job complete; after 4 s of each outage every request is reported once, without a contradiction.

--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -22,7 +22,7 @@
     host::Host,
     lifecycle::{CRASHING_BODY, Lifecycle, SILENCING_BODY},
     limit::Limit,
-    platform::Platform,
+    platform::{Outage, Platform},
     relay::Relay,
     service::{Arrival, FLOODED, Flaw, Headers, Service},
     soak::{Report, Soak},
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -55,6 +55,8 @@
     pub events: u64,
     /// Time per event.
     pub event_time: Duration,
+    /// The status that a run of an item or a stream is answered with in place of events.
+    pub statuses: BTreeMap<String, StatusCode>,
 }
 
 impl Default for State {
@@ -71,6 +73,7 @@
             abandoned_runs: 0,
             events: DEFAULT_EVENTS,
             event_time: DEFAULT_EVENT_TIME,
+            statuses: BTreeMap::new(),
         }
     }
 }
@@ -280,6 +283,10 @@
             state.runs.entry(id.clone()).or_default().push(last);
             let breaks = state.runs_to_break > 0;
             state.runs_to_break = state.runs_to_break.saturating_sub(1);
+            if let Some(status) = state.statuses.get(&id) {
+                let response = Response::builder().status(*status).header("attempt-id", &id);
+                return response.body(full("")).expect("the response is valid");
+            }
             (state.version, breaks, state.events)
         };
         let (mut sender, body) = Channel::<Bytes, io::Error>::new(4);
--- a/crates/catkinlatch-standin/src/site/platform.rs
+++ b/crates/catkinlatch-standin/src/site/platform.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use std::{
     collections::BTreeMap,
-    io,
+    future, io,
     net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -24,11 +24,23 @@
     pub is_contradicted: bool,
 }
 
+/// How the platform fails to answer reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// It answers 503 and takes no report.
+    Down,
+    /// It takes no report and never answers.
+    Silent,
+    /// It takes reports and never answers.
+    LosesAnswers,
+}
+
 /// A running stand-in for the part of the platform that receives usage reports.
 #[derive(Clone, Debug)]
 pub struct Platform {
     address: SocketAddr,
     reports: Arc<Mutex<BTreeMap<u64, Report>>>,
+    outage: watch::Sender<Option<Outage>>,
     _stop: watch::Sender<bool>,
 }
 
@@ -38,7 +50,12 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let (stop_sender, stop) = watch::channel(false);
         let address = listener.local_addr()?;
-        let platform = Self { address, reports: Arc::default(), _stop: stop_sender };
+        let platform = Self {
+            address,
+            reports: Arc::default(),
+            outage: watch::Sender::new(None),
+            _stop: stop_sender,
+        };
         let serving = platform.clone();
         let server = Server { idle_timeout: Duration::from_secs(10), stop };
         tokio::spawn(serve(server, listener, move |request| serving.clone().handle(request)));
@@ -50,6 +67,11 @@
         self.address
     }
 
+    /// Begins or ends an outage.
+    pub fn set_outage(&self, outage: Option<Outage>) {
+        self.outage.send_replace(outage);
+    }
+
     /// Returns the reports by the number of their window.
     pub fn reports(&self) -> BTreeMap<u64, Report> {
         self.reports.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -62,6 +84,25 @@
     }
 
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let outage = *self.outage.borrow();
+        match outage {
+            Some(Outage::Down) => {
+                let mut response = Response::new(empty());
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                return response;
+            }
+            Some(Outage::Silent) => future::pending().await,
+            Some(Outage::LosesAnswers) | None => {}
+        }
+        let response = self.take(request).await;
+        if outage == Some(Outage::LosesAnswers) {
+            future::pending::<()>().await;
+        }
+        response
+    }
+
+    /// Takes a report.
+    async fn take(&self, request: Request<Incoming>) -> Response<Body> {
         let body = collect(request.into_body(), 1 << 20).await.unwrap_or_default();
         let report: Value = serde_json::from_slice(&body).unwrap_or_default();
         let mut response = Response::new(empty());
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -38,6 +38,8 @@
 mod stream;
 #[path = "site/suspect.rs"]
 mod suspect;
+#[path = "site/usage.rs"]
+mod usage;
 #[path = "site/wire.rs"]
 mod wire;
 
