--- a/tests/site/item.rs
+++ b/tests/site/item.rs
@@ -1,7 +1,7 @@
 //! Items whose runs break off, or are slow.
 
-use super::{Setup, check, check_events};
-use catkinlatch_standin::site::Engine;
+use super::{Setup, check, check_events, wait_until};
+use catkinlatch_standin::site::{Engine, Target};
 use http::StatusCode;
 use serde_json::{Value, json};
 use std::{ops::RangeInclusive, time::Duration};
@@ -43,3 +43,74 @@
     let runs: usize = setup.engines.iter().map(runs).sum();
     assert!(expected.contains(&runs), "{runs} runs");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_continues_after_all_processes_are_killed() {
+    let mut setup = Setup::start().await;
+    setup.submit("job-1", 1, 40).await;
+    setup.site.hosts.iter_mut().for_each(|host| host.kill().unwrap());
+    setup.site.hosts.iter_mut().for_each(|host| host.start().unwrap());
+    check(&setup.results(0, "job-1", 40).await, &[1]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_item_resumes_from_its_recorded_progress() {
+    let mut setup = Setup::start().await;
+    for engine in &setup.engines {
+        engine.state().events = 60;
+        engine.state().event_time = Duration::from_millis(50);
+    }
+    setup.submit("job-1", 1, 2).await;
+    wait_until("progress is recorded", || async {
+        let is_recorded =
+            |line: &str| line.contains("recorded progress") && line.contains("Ok(Done)");
+        setup.site.hosts.iter().any(|host| host.log().lines().any(is_recorded))
+    })
+    .await;
+    setup.site.hosts.iter_mut().for_each(|host| host.kill().unwrap());
+    setup.site.hosts.iter_mut().for_each(|host| host.start().unwrap());
+    check_events(&setup.results(0, "job-1", 2).await, &[1], 60);
+    let runs = |id: &str| -> Vec<u64> {
+        let of = |engine: &Engine| engine.state().runs.get(id).cloned().unwrap_or_default();
+        setup.engines.iter().flat_map(of).collect()
+    };
+    for id in ["job-1-0", "job-1-1"] {
+        let runs = runs(id);
+        assert!(runs.len() > 1 && runs.iter().any(|last| *last >= 6), "{id}: {runs:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_run_interrupted_after_its_last_event_is_complete() {
+    let setup = Setup::start().await;
+    for engine in &setup.engines {
+        engine.state().events = 2;
+        engine.state().runs_to_break = 3;
+    }
+    setup.submit("job-1", 1, 4).await;
+    check_events(&setup.results(0, "job-1", 4).await, &[1], 2);
+    let runs =
+        |engine: &Engine| -> Vec<u64> { engine.state().runs.values().flatten().copied().collect() };
+    let runs: Vec<u64> = setup.engines.iter().flat_map(runs).collect();
+    assert!(runs.contains(&2), "no run was resumed after its last event: {runs:?}");
+    assert!(runs.len() <= 10, "six runs were interrupted, but {} were started", runs.len());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unreachable_engine_is_retried_with_backoff() {
+    let setup = Setup::start().await;
+    // A target that registers an address on which no process listens.
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let unreachable = Target::new("engine-gone", "drafts", closed, 4);
+    let controls: Vec<String> =
+        setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect();
+    tokio::spawn(unreachable.announce(controls, || json!([{"name": "model", "version": 1}])));
+    for engine in &setup.engines {
+        engine.state().event_time = Duration::from_millis(60);
+    }
+    setup.submit("job-1", 1, 60).await;
+    check(&setup.results(0, "job-1", 60).await, &[1]);
+    let logs: String = setup.site.stores().iter().map(|host| host.log()).collect();
+    let attempts = logs.lines().filter(|line| line.contains("Unreachable")).count();
+    assert!((1..=24).contains(&attempts), "{attempts} attempts in about 3 s");
+}
--- a/tests/site/stream.rs
+++ b/tests/site/stream.rs
@@ -1,8 +1,8 @@
 //! A caller's side of a stream.
 
-use super::Setup;
+use super::{Setup, wait_until};
 use catkinlatch_runtime::http::{BodyError, Client, Exchange, full};
-use catkinlatch_standin::site;
+use catkinlatch_standin::site::{self, Engine};
 use http::StatusCode;
 use std::time::{Duration, Instant};
 
@@ -132,3 +132,58 @@
     let elapsed = began.elapsed();
     assert!(elapsed > Duration::from_secs(2) && elapsed < Duration::from_secs(6), "{elapsed:?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn events_are_forwarded_as_they_arrive_until_the_caller_disconnects() {
+    let setup = Setup::start().await;
+    for engine in &setup.engines {
+        engine.state().events = 1_000;
+    }
+    let mut stream = Stream::open(&setup, "/chat/1", "talk").await;
+    while stream.events().is_empty() {
+        assert!(stream.read().await.unwrap());
+    }
+    let made = |engine: &Engine| engine.state().sent_events;
+    assert!(
+        setup.engines.iter().map(made).sum::<u64>() < 900,
+        "the first event was delivered only after most of the stream was generated"
+    );
+    drop(stream);
+    wait_until("the engine notices that its caller disconnected", || async {
+        setup.engines.iter().any(|engine| engine.state().abandoned_runs > 0)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_interrupted_stream_is_resumed_only_on_resumable_routes() {
+    let setup = Setup::start().await;
+    let break_one = || {
+        for engine in &setup.engines {
+            engine.state().runs_to_break = 1;
+        }
+    };
+    break_one();
+    let mut stream = Stream::open(&setup, "/chat/1", "talk").await;
+    setup.engines.iter().for_each(|engine| engine.state().runs_to_break = 0);
+    while stream.read().await.unwrap() {}
+    assert_eq!(stream.events(), [1, 2, 3, 4, 5]);
+    let runs = |id: &str| -> Vec<u64> {
+        let of = |engine: &Engine| engine.state().runs.get(id).cloned().unwrap_or_default();
+        let mut runs: Vec<u64> = setup.engines.iter().flat_map(of).collect();
+        runs.sort_unstable();
+        runs
+    };
+    assert_eq!(runs("talk"), [0, 2], "the stream must be resumed after its second event");
+
+    break_one();
+    let mut stream = Stream::open(&setup, "/once/1", "once").await;
+    let end = loop {
+        match stream.read().await {
+            Ok(true) => {}
+            other => break other,
+        }
+    };
+    assert!(end.is_err(), "a truncated stream ended without an error");
+    assert_eq!((stream.events(), runs("once")), (vec![1, 2], vec![0]));
+}
