--- a/tests/site/key.rs
+++ b/tests/site/key.rs
@@ -1,10 +1,10 @@
 //! Keys that a new configuration takes away.
 
-use super::{Setup, configuration, ok, wait_until};
+use super::{Setup, configuration, evacuation::leader, ok, wait_until};
 use catkinlatch_runtime::http::{Client, full};
 use catkinlatch_standin::site;
 use http::StatusCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::{task::JoinSet, time};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -66,3 +66,34 @@
         assert_eq!(setup.service.runs(&id), 0, "{id}");
     }
 }
+
+/// Guards against a restarted host that learns an old configuration from a leader that was paused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_host_runs_nothing_for_a_key_that_a_paused_leader_still_knows() {
+    let mut setup = Setup::start().await;
+    let entry = setup.site.stores().len() + 1;
+    for round in 0..2 {
+        let leader = leader(&setup);
+        setup.site.hosts[leader].pause().unwrap();
+        let without = configuration(2 * round + 2).replace("key-of-the-team", "another-key");
+        setup.site.control("PUT", "/config", &without).await;
+        setup.site.hosts[entry].kill().unwrap();
+        setup.site.hosts[leader].resume().unwrap();
+        setup.site.hosts[entry].start().unwrap();
+        let end = Instant::now() + Duration::from_secs(3);
+        for number in 0.. {
+            if Instant::now() > end {
+                break;
+            }
+            let id = format!("restarted-{round}-{number}");
+            let answer = setup.request(1, "POST", "/survey/1", &id, "").await;
+            assert_eq!(setup.service.runs(&id), 0, "{id}: {answer:?}");
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        setup.site.control("PUT", "/config", &configuration(2 * round + 3)).await;
+        wait_until("the key is back", || async {
+            setup.request(1, "POST", "/survey/1", "again", "").await.is_some_and(ok)
+        })
+        .await;
+    }
+}
