Double the patience of scoring calls that were late

With a scoring service that takes 2.5 s a call, none of four samples was scored in 60 s: each call was given up after 1.5 s, and its deadline said so.

Change: from the second late call for a sample on, the timeout of its calls and the deadline that they carry double with each; a 504 of the service counts as late. Items and scoring calls share the rule (patience.rs).

--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -14,6 +14,7 @@
 mod lead;
 mod observation;
 pub mod pace;
+mod patience;
 mod places;
 pub mod redundancy;
 mod relay;
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -3,6 +3,7 @@
 use crate::{
     allowance::{self, SendError},
     host::Host,
+    patience,
     shared::Shared,
 };
 use catkinlatch_base::{Instant, Version};
@@ -25,12 +26,6 @@
 /// Timeout between two events of a run. Slow engines take about a third of it.
 const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Number of late runs of an item from which on the timeouts double with each.
-const USUAL_LATE_RUNS: u32 = 2;
-
-/// The most times that the timeouts double.
-const MAX_DOUBLINGS: u32 = 5;
-
 /// How long a run waits for events.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Patience {
@@ -41,12 +36,12 @@
 }
 
 impl Patience {
-    /// Returns the timeouts of a run after `late_runs` of the item were given up for lateness: if
-    /// all engines are slow, one of them must be waited for.
+    /// Returns the timeouts of a run after `late_runs` of the item were given up as late.
     pub fn new(late_runs: u32) -> Self {
-        let doublings = late_runs.saturating_sub(USUAL_LATE_RUNS - 1).min(MAX_DOUBLINGS);
-        let factor = 1 << doublings;
-        Self { first: FIRST_EVENT_TIMEOUT * factor, next: NEXT_EVENT_TIMEOUT * factor }
+        Self {
+            first: patience::timeout(FIRST_EVENT_TIMEOUT, late_runs),
+            next: patience::timeout(NEXT_EVENT_TIMEOUT, late_runs),
+        }
     }
 }
 
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -3,7 +3,7 @@
 use crate::{
     allowance::{self, SendError},
     host::Host,
-    observation, places,
+    observation, patience, places,
     shared::Shared,
 };
 use catkinlatch_base::TargetId;
@@ -18,7 +18,8 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::time;
 
-/// Timeout for one scoring call. It is short because another target may answer sooner.
+/// Timeout for one scoring call until some were late. It is short because another target may answer
+/// sooner.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The largest share of a target's slots that scoring calls may use. The rest is reserved for live
@@ -52,6 +53,8 @@
     Failed,
     /// There was no answer, or an invalid one.
     Unanswered,
+    /// There was no answer in time.
+    Late,
     /// The connection broke, as it does when the target crashes.
     Broken,
     /// The target had no free slot and did not run the call.
@@ -64,7 +67,7 @@
     let max_failures = job.max_attempts;
     let fingerprint =
         Fingerprint::of_request(["", &scorer.host, "POST", &scorer.path], &scorer.body);
-    let mut failures = 0;
+    let (mut failures, mut late) = (0, 0);
     let mut tried = BTreeSet::new();
     let mut place = host.places.call(job.priority);
     loop {
@@ -79,8 +82,9 @@
             continue;
         };
         let id = scorer.id.as_str();
+        let limit = patience::timeout(CALL_TIMEOUT, late);
         let is_suspect = host.suspects.lock().suspects().get(&fingerprint).is_some();
-        if is_suspect && !start_trial(host, fingerprint, &target) {
+        if is_suspect && !start_trial(host, fingerprint, &target, limit) {
             place.end(host.clock.now());
             if !host.suspects.lock().suspects().is_refused(&fingerprint) {
                 time::sleep(RETRY_INTERVAL).await;
@@ -91,7 +95,7 @@
             }
             continue;
         }
-        let attempt = call(host, shared, scorer, &target).await;
+        let attempt = call(host, shared, scorer, &target, limit).await;
         place.end(host.clock.now());
         if is_suspect {
             host.change_suspects(&end_of_trial(host, fingerprint, &attempt));
@@ -125,18 +129,23 @@
                 info!(request = id, target_id:% = target.id; "score: no valid answer");
                 tried.insert(target.id);
             }
+            Attempt::Late => {
+                late += 1;
+                info!(request = id, target_id:% = target.id, late = late; "score: no answer in time");
+                tried.insert(target.id);
+            }
         }
         time::sleep(RETRY_INTERVAL).await;
     }
 }
 
 /// Asks to run a call that may crash targets alone on a target; returns whether it may run.
-fn start_trial(host: &Host, fingerprint: Fingerprint, target: &Target) -> bool {
+fn start_trial(host: &Host, fingerprint: Fingerprint, target: &Target, limit: Duration) -> bool {
     let start = Change::StartTrial {
         fingerprint,
         target: target.id.clone(),
         process: host.peers.local().incarnation,
-        for_ms: CALL_TIMEOUT.as_millis() as u64,
+        for_ms: limit.as_millis() as u64,
     };
     match host.change_suspects(&start) {
         Verdict::Granted | Verdict::NotSuspect => true,
@@ -148,7 +157,7 @@
 fn end_of_trial(host: &Host, fingerprint: Fingerprint, attempt: &Attempt) -> Change {
     match attempt {
         Attempt::Signed(_) | Attempt::Failed => Change::Clear { fingerprint },
-        Attempt::Unanswered | Attempt::Broken | Attempt::Full => {
+        Attempt::Unanswered | Attempt::Late | Attempt::Broken | Attempt::Full => {
             Change::EndTrial { fingerprint, process: host.peers.local().incarnation }
         }
     }
@@ -192,12 +201,18 @@
     Some((target, route.max_attempts))
 }
 
-async fn call(host: &Host, shared: &Shared, scorer: &Scorer, target: &Target) -> Attempt {
+async fn call(
+    host: &Host,
+    shared: &Shared,
+    scorer: &Scorer,
+    target: &Target,
+    limit: Duration,
+) -> Attempt {
     shared.balancer().begin(&target.id);
     let began = host.clock.now();
-    let request = request(scorer, target);
-    let answer = time::timeout(CALL_TIMEOUT, exchange(host, target, request)).await;
-    let (answer, attempt) = match answer.unwrap_or(Err(Attempt::Unanswered)) {
+    let request = request(scorer, target, limit);
+    let answer = time::timeout(limit, exchange(host, target, request)).await;
+    let (answer, attempt) = match answer.unwrap_or(Err(Attempt::Late)) {
         Ok(answer) => {
             let attempt = classify(scorer, &answer);
             (Some(answer), attempt)
@@ -209,7 +224,9 @@
         Attempt::Signed(_) => (balancer::Verdict::Answered(now - began), Event::Answered),
         Attempt::Failed => (balancer::Verdict::Answered(now - began), Event::Failed),
         Attempt::Full => (balancer::Verdict::Full, Event::Refused),
-        Attempt::Unanswered | Attempt::Broken => (balancer::Verdict::Failed, Event::Failed),
+        Attempt::Unanswered | Attempt::Late | Attempt::Broken => {
+            (balancer::Verdict::Failed, Event::Failed)
+        }
     };
     shared.slot_freed().notify_one();
     let mut balancer = shared.balancer();
@@ -252,14 +269,14 @@
     })
 }
 
-fn request(scorer: &Scorer, target: &Target) -> Request<Body> {
+fn request(scorer: &Scorer, target: &Target, limit: Duration) -> Request<Body> {
     let mut request = Request::new(full(scorer.body.clone()));
     request.extensions_mut().insert(Repeatable);
     *request.method_mut() = http::Method::POST;
     if let Ok(uri) = scorer.path.parse() {
         *request.uri_mut() = uri;
     }
-    let deadline = CALL_TIMEOUT.as_millis().to_string();
+    let deadline = limit.as_millis().to_string();
     let headers: [(HeaderName, &str); 4] = [
         (http::header::HOST, &scorer.host),
         (header::REQUEST_ID, scorer.id.as_str()),
@@ -285,6 +302,7 @@
         _ if headers.contains_key(&header::NOT_RUN) => Attempt::Full,
         (status, Some(signature)) if status.is_success() => Attempt::Signed(signature.to_owned()),
         (StatusCode::INTERNAL_SERVER_ERROR, _) => Attempt::Failed,
+        (StatusCode::GATEWAY_TIMEOUT, _) => Attempt::Late,
         _ => Attempt::Unanswered,
     }
 }
--- a/tests/site/item.rs
+++ b/tests/site/item.rs
@@ -19,6 +19,15 @@
     check_events(&setup.results(0, "job-1", 4).await, &[1], 2);
 }
 
+/// Guards against samples that are never scored, since each call is given up as late.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn items_are_completed_when_scoring_is_slow() {
+    let setup = Setup::start().await;
+    *setup.service.run_time.lock().unwrap() = Duration::from_millis(2_500);
+    setup.submit("job-1", 1, 4).await;
+    check(&setup.results(0, "job-1", 4).await, &[1]);
+}
+
 /// Guards against an item that is run again although it can never be done, and against others that
 /// fail with it.
 #[test_case(StatusCode::UNPROCESSABLE_ENTITY, 1..=1; "never possible")]
