--- a/crates/catkinlatch-standin/src/lib.rs
+++ b/crates/catkinlatch-standin/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod engine;
 pub mod platform;
 pub mod policy;
-pub mod raw;
 mod server;
 pub mod service;
 pub mod site;
--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod limit;
 mod platform;
+pub mod raw;
 mod relay;
 mod service;
 mod soak;
--- a/crates/catkinlatch-standin/tests/wire.rs
+++ b/crates/catkinlatch-standin/tests/wire.rs
@@ -8,8 +8,8 @@
 use catkinlatch_standin::{
     announce,
     client::Client,
-    raw::{self, Manner, Seen},
     service::boot_id,
+    site::raw::{self, Manner, Seen},
 };
 use catkinlatch_state::config::{Change, Edit, Key, Kind, Route, Secret, Team};
 use http::{Method, Response, StatusCode};
--- a/tests/site/wire.rs
+++ b/tests/site/wire.rs
@@ -1,9 +1,9 @@
 //! Targets whose connections behave in ways that an HTTP library would not show.
 
 use super::{Setup, ok, wait_until};
-use catkinlatch_standin::{
+use catkinlatch_standin::site::{
+    Target,
     raw::{self, Manner, Seen},
-    site::Target,
 };
 use http::StatusCode;
 use std::sync::{Arc, atomic::Ordering};
