Count the time of a confirmation against the target's deadline

An attempt that waits for the leader to confirm the view gave its target the time that was left before. Names and comments of the late rules are made plainer.

--- a/crates/catkinlatch-entry/src/arrival.rs
+++ b/crates/catkinlatch-entry/src/arrival.rs
@@ -19,13 +19,14 @@
 
 /// Shortest standstill after which the last view must be confirmed: changes may have been
 /// acknowledged without this host.
-const LONG: Duration = Duration::from_millis(1_000);
+const LONG_STANDSTILL: Duration = Duration::from_millis(1_000);
 
 /// Beats of a process while it runs, and its last standstills.
 #[derive(Clone, Debug, Default)]
 pub struct Pulse {
     last: Option<Instant>,
     standstills: Vec<Standstill>,
+    /// When the last long standstill ended.
     resumed: Option<Instant>,
 }
 
@@ -43,7 +44,7 @@
         self.standstills.iter_mut().for_each(|past| past.beats_left -= 1);
         self.standstills.retain(|past| past.beats_left > 0);
         if let Some(began) = self.gap(now) {
-            if now >= began + LONG {
+            if now >= began + LONG_STANDSTILL {
                 self.resumed = Some(now);
             }
             self.standstills.push(Standstill { began, beats_left: CATCH_UP_BEATS });
--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -124,12 +124,12 @@
     target: &Target,
     limit: Duration,
 ) -> Result<Call, Outcome> {
+    let started = host.clock.now();
     host.confirm_view().await;
     // The zone may have been evacuated while the request waited for a permit.
     if host.view().is_evacuated(&target.id) {
         return Err(Outcome::NotRun("the target's zone is evacuated"));
     }
-    let started = host.clock.now();
     host.balancer().begin(&target.id);
     let verdict = Verdict::Unknown;
     let (held_host, held_target) = (host.clone(), target.clone());
@@ -144,7 +144,8 @@
     let (mut sent, mut is_withheld) = (None, false);
     let prepare = |request: &mut Request<Body>| {
         let now = host.clock.now();
-        // Opening a connection can take longer than a target's work.
+        // Opening a connection can take longer than a target's work, and the view may have had to
+        // be confirmed.
         shorten_deadline(request, now - started);
         (sent, is_withheld) =
             (Some(now), !host.allowance.admit(target, host.hosts_without_leader(), now));
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -235,9 +235,7 @@
                 return Read::Failed { reason: error.to_string(), cause: Cause::Loss };
             }
             Ok(Err(error)) => return Read::failed(error),
-            Err(_) if limit < left && !self.is_patient && !self.attempts.is_trial => {
-                return Read::Late;
-            }
+            Err(_) if limit < left && self.may_be_late() => return Read::Late,
             Err(_) => return Read::failed("timed out waiting for the next event"),
         };
         let Parsed { list, fault } = self.parser.parse_raw(&part);
@@ -280,6 +278,12 @@
         caller.unwrap_or(proxy::DEFAULT_TIMEOUT.saturating_sub(self.waited))
     }
 
+    /// Returns whether a late event shows no more than a slow target. One that falls silent under a
+    /// request that may crash targets has failed.
+    fn may_be_late(&self) -> bool {
+        !self.is_patient && !self.attempts.is_trial
+    }
+
     /// Resumes a late stream at another target, or waits on for this one if none takes it: it may be
     /// slow.
     async fn replace_late(&mut self) {
