--- a/tests/site/item.rs
+++ b/tests/site/item.rs
@@ -1,11 +1,12 @@
 //! Items whose runs break off, or are slow.
 
-use super::{Setup, check, check_events, wait_until};
+use super::{Setup, check, check_events, evacuation::leader, ok, wait_until};
 use catkinlatch_standin::site::{Engine, Target};
 use http::StatusCode;
 use serde_json::{Value, json};
 use std::{ops::RangeInclusive, time::Duration};
 use test_case::test_case;
+use tokio::time;
 
 /// Guards against items that are never completed, since each run of them is given up as late.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -123,3 +124,23 @@
     let attempts = logs.lines().filter(|line| line.contains("Unreachable")).count();
     assert!((1..=24).contains(&attempts), "{attempts} attempts in about 3 s");
 }
+
+/// Guards against items of an ended job that a leader runs which was paused and has been replaced.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_that_was_paused_runs_no_items_of_a_job_that_ended_meanwhile() {
+    let setup = Setup::start().await;
+    setup.submit("job-1", 1, 200).await;
+    let runs = || setup.engines.iter().map(Engine::total_runs).sum::<usize>();
+    wait_until("items run", || async { runs() > 10 }).await;
+    let paused = leader(&setup);
+    setup.site.hosts[paused].pause().unwrap();
+    wait_until("the job is ended", || async {
+        setup.request(0, "DELETE", "/lots/job-1", "", "").await.is_some_and(ok)
+    })
+    .await;
+    time::sleep(Duration::from_millis(1_500)).await;
+    let before = runs();
+    setup.site.hosts[paused].resume().unwrap();
+    time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(runs() - before, 0);
+}
