Play refused writes with real processes

The tests lower the limit on file sizes of a running store, so that each write fails, for as long as three configurations take, and raise it again; then another store is killed. Configurations are acknowledged and a job runs, with the disk of a follower and of the leader.

This is the case of a write error, after which the host joins with an empty log; the errors of a full disk and of a sync are played by reopen.rs.

--- a/crates/catkinlatch-standin/src/cluster/process.rs
+++ b/crates/catkinlatch-standin/src/cluster/process.rs
@@ -75,6 +75,19 @@
         self.signal("CONT")
     }
 
+    /// Lets all writes to files fail from now on, or succeed again. The process must ignore `SIGXFSZ`.
+    pub fn refuse_writes(&self, refuses: bool) -> io::Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        let limit = if refuses { "--fsize=0:unlimited" } else { "--fsize=unlimited" };
+        let id = child.id().to_string();
+        let set = Command::new("prlimit").args(["--pid", &id, limit]).status()?;
+        if set.success() {
+            Ok(())
+        } else {
+            Err(io::Error::other("cannot limit the files of the process: `prlimit` failed"))
+        }
+    }
+
     /// Returns the id of the process; `None` if it is not running.
     pub fn id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -127,6 +127,12 @@
         self.process.resume()
     }
 
+    /// Lets all writes of the process to files fail from now on, as on a full disk, or succeed again.
+    /// The process must ignore `SIGXFSZ`.
+    pub fn refuse_writes(&self, refuses: bool) -> io::Result<()> {
+        self.process.refuse_writes(refuses)
+    }
+
     /// Kills the process and removes its data; the next start is not marked as the host's first.
     pub fn wipe(&mut self) -> io::Result<()> {
         self.process.kill()?;
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -18,6 +18,8 @@
 mod cold;
 #[path = "site/directory.rs"]
 mod directory;
+#[path = "site/disk.rs"]
+mod disk;
 #[path = "site/evacuation.rs"]
 mod evacuation;
 #[path = "site/flood.rs"]
@@ -65,8 +67,11 @@
 
 impl Setup {
     async fn start() -> Self {
-        let folder = tempfile::tempdir().unwrap();
         let program = PathBuf::from(env!("CARGO_BIN_EXE_catkinlatch"));
+        Self::start_program(program, tempfile::tempdir().unwrap()).await
+    }
+
+    async fn start_program(program: PathBuf, folder: TempDir) -> Self {
         let site = Site::start(&program, folder.path()).await.unwrap();
         let controls: Vec<String> =
             site.stores().iter().map(|host| host.address(site.ports.control)).collect();
