Count each store once when one is to be removed

Cause: a store polls the leader, and one that becomes the leader while it polls is among its own followers from then on. The count of remaining stores took the followers and the leader itself. Views listed it twice as well, without an effect.

Change: Host::stores returns each host once, for both.

--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -320,9 +320,8 @@
         return Reply::Done;
     }
     let Some(retiring) = find_store(host, name) else { return unknown_store(host) };
-    let stores = host.soft_state().stores().map(|(host, _)| host.clone()).collect::<Vec<_>>();
-    let all = stores.iter().chain([&host.settings.host]);
-    let remaining = all.filter(|store| **store != retiring && !retired.contains_key(store)).count();
+    let is_left = |store: &HostId| *store != retiring && !retired.contains_key(store);
+    let remaining = host.stores().into_iter().filter(is_left).count();
     if remaining < 2 * host.settings.losses + 1 {
         warn!(
             name = name, left = remaining;
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -22,7 +22,7 @@
 use http::{Response, StatusCode};
 use log::info;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -170,6 +170,14 @@
         self.origins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the hosts that hold the replicated state, this one included, each once: a leader that
+    /// followed another one before is among its own followers.
+    pub fn stores(&self) -> BTreeSet<HostId> {
+        let soft = self.soft_state();
+        let others = soft.stores().map(|(host, _)| host.clone());
+        others.chain([self.settings.host.clone()]).collect()
+    }
+
     /// Locks the soft state; the guard must not be held across an await, and is taken before that of
     /// the load balancer.
     pub fn soft_state(&self) -> MutexGuard<'_, SoftState> {
--- a/crates/catkinlatch-store/src/view.rs
+++ b/crates/catkinlatch-store/src/view.rs
@@ -47,8 +47,8 @@
         let configuration = state.document.as_ref().map(|document| &document.configuration);
         configuration.filter(|_| key.configuration.is_some()).cloned()
     });
+    let stores = host.stores().into_iter().collect();
     let soft = host.soft_state();
-    let own = host.settings.host.clone();
     let mut targets: Vec<_> = soft.registry.targets().cloned().collect();
     host.allowance.update_stated(&mut targets, host.clock.now());
     View {
@@ -57,7 +57,7 @@
         targets,
         tombstones: soft.registry.tombstones().collect(),
         entries: soft.entries().cloned().collect(),
-        stores: soft.stores().map(|(host, _)| host.clone()).chain([own]).collect(),
+        stores,
     }
 }
 
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -36,6 +36,8 @@
 mod observations;
 #[path = "site/reach.rs"]
 mod reach;
+#[path = "site/retire.rs"]
+mod retire;
 #[path = "site/stream.rs"]
 mod stream;
 #[path = "site/suspect.rs"]
@@ -73,6 +75,10 @@
 
     async fn start_program(program: PathBuf, folder: TempDir) -> Self {
         let site = Site::start(&program, folder.path()).await.unwrap();
+        Self::with_site(site, folder).await
+    }
+
+    async fn with_site(site: Site, folder: TempDir) -> Self {
         let controls: Vec<String> =
             site.stores().iter().map(|host| host.address(site.ports.control)).collect();
         let mut engines = Vec::new();
