--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -30,12 +30,12 @@
 /// that was down or paused.
 const LIMIT_NOTICE: Duration = Duration::from_secs(3);
 
-/// Interval at which a limited target is checked for a first answer that names its limit.
-const NAMED_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// How long a target that names a limit is watched after that.
 const LIMIT_TIME: Duration = Duration::from_secs(5);
 
+/// Interval at which a limited target is checked for a first answer that names its limit.
+const NAMED_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The drain time of the settings: how long a target that leaves may still get requests.
 const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 
