--- a/crates/catkinlatch-standin/src/site/raw.rs
+++ b/crates/catkinlatch-standin/src/site/raw.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     io,
     net::{Ipv4Addr, SocketAddr},
+    ops::ControlFlow,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
@@ -133,40 +134,58 @@
             self.seen.answers.fetch_add(1, Ordering::Relaxed);
             let text = format!("answer to {} {}", request.id, request.text());
             let answer = self.answer(&request.id, &text);
-            match self.manner {
-                Manner::ExtraAnswer => {
-                    let extra = self.answer("stray", "answer to stray");
-                    self.send(&(answer + &extra)).await?;
-                }
-                Manner::LateExtraAnswer => {
-                    self.send(&answer).await?;
-                    time::sleep(PAUSE).await;
-                    let extra = self.answer("stray", "answer to stray");
-                    self.send(&extra).await?;
-                }
-                Manner::LateCopy | Manner::LateCopyOfRefusal => {
-                    self.send(&answer).await?;
-                    copy = Some(answer);
-                }
-                Manner::NoLength => {
-                    let head = self.head(&request.id);
-                    self.send(&format!("{head}\r\n{text}")).await?;
-                    return self.socket.shutdown().await;
-                }
-                Manner::ResetWithoutLength => {
-                    let head = self.head(&request.id);
-                    let half = &text[..text.len() / 2];
-                    self.send(&format!("{head}\r\n{half}")).await?;
-                    time::sleep(PAUSE).await;
-                    return self.socket.set_zero_linger();
-                }
-                Manner::DropsIdle => return self.send(&answer).await,
-                Manner::EarlyRefusal => self.send(&answer).await?,
+            if self.send_answer(&request.id, &text, &answer).await?.is_break() {
+                return Ok(());
+            }
+            if matches!(self.manner, Manner::LateCopy | Manner::LateCopyOfRefusal) {
+                copy = Some(answer);
             }
         }
         Ok(())
     }
 
+    /// Sends an answer with this text, given whole as well; returns whether the connection goes on.
+    async fn send_answer(
+        &mut self,
+        id: &str,
+        text: &str,
+        whole: &str,
+    ) -> io::Result<ControlFlow<()>> {
+        match self.manner {
+            Manner::ExtraAnswer => {
+                let extra = self.answer("stray", "answer to stray");
+                self.send(&format!("{whole}{extra}")).await?;
+            }
+            Manner::LateExtraAnswer => {
+                self.send(whole).await?;
+                time::sleep(PAUSE).await;
+                let extra = self.answer("stray", "answer to stray");
+                self.send(&extra).await?;
+            }
+            Manner::NoLength => {
+                let head = self.head(id);
+                self.send(&format!("{head}\r\n{text}")).await?;
+                self.socket.shutdown().await?;
+                return Ok(ControlFlow::Break(()));
+            }
+            Manner::ResetWithoutLength => {
+                let (head, half) = (self.head(id), &text[..text.len() / 2]);
+                self.send(&format!("{head}\r\n{half}")).await?;
+                time::sleep(PAUSE).await;
+                self.socket.set_zero_linger()?;
+                return Ok(ControlFlow::Break(()));
+            }
+            Manner::DropsIdle => {
+                self.send(whole).await?;
+                return Ok(ControlFlow::Break(()));
+            }
+            Manner::LateCopy | Manner::LateCopyOfRefusal | Manner::EarlyRefusal => {
+                self.send(whole).await?;
+            }
+        }
+        Ok(ControlFlow::Continue(()))
+    }
+
     fn head(&self, id: &str) -> String {
         format!("HTTP/1.1 200 OK\r\n{}: {id}\r\nserver-seal: seal-of-{id}\r\n", self.id_header)
     }
