Review case 4: a planned stop cuts requests that were accepted late

Cause: a stopping entry host accepts requests for 0.72 of grace_s and ends at 0.95 of it, whatever is in flight.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,19 +1,22 @@
-"""A stream's worker turns slow, and the answer of the worker at which it goes on is lost."""
+"""An entry host is stopped as planned, while clients still use the address that they were given."""
 
+import json
 import os
+import signal
 import sys
 import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
-from deployment import HOST_NAME, MODEL, Worker, configuration, main, now, write_event  # noqa: E402
+from deployment import (  # noqa: E402
+    HOST_NAME, MODEL, Worker, call, configuration, main, now, stream_events,
+)
 
-PAUSE_S = 0.12  # between two events of a worker at its usual speed
-SLOW = 8  # how much longer a slow worker takes: srv_grey, how = slow
-EVENTS = 12
-OVERLAP_S = 0.4  # the rule's bound
-REQUESTS = 6
+GRACE_S = 8.0
+EVENTS, PAUSE_S = 25, 0.12  # a request of 3 s
+CACHE_TTLS = 3  # some clients keep an answer of the directory three times as long as it says
+FIRST_S, LAST_S, STEP_S = 3.2, 5.6, 0.2  # when requests are sent after the SIGTERM
 
 STREAMS = {
     "name": "r-streams",
@@ -21,112 +24,89 @@
     "path_prefix": "/stream7/",
     "kind": "stream",
     "timeout_ms": 10000,
-    "target_latency_ms": 400,
+    "target_latency_ms": 500,
     "priority": 1,
     "service": "huvo11a",
     "max_attempts": 3,
     "public": False,
-    "resumable": True,
+    "resumable": False,
     "sticky": True,
 }
 
 
-class Runs:
-    """The runs of each request at workers: when each began and ended, and how."""
-
-    def __init__(self, record, trouble):
-        self.record, self.trouble = record, trouble
-        self.runs, self.lock = {}, threading.Lock()
-
-    def respond(self, worker, handler, attempt, _):
-        last = int(handler.headers.get("Last-Event-Id", "0"))
-        with self.lock:
-            runs = self.runs.setdefault(attempt, [])
-            run = {"worker": worker.id, "after": last, "began": now(), "ended": None}
-            runs.append(run)
-            number = len(runs)
-        worker.begin(attempt, f"after event {last}, run {number}")
-        is_slow = self.trouble and number == 1
-        is_lost = self.trouble and number == 2
-        try:
-            self.stream(worker, handler, attempt, last, is_slow, is_lost)
-            run["how"] = "whole"
-        except OSError:
-            run["how"] = "closed by the other side"
-        run["ended"] = now()
-        self.record.write(f"worker {worker.id} ends run {number} of {attempt}: {run['how']}")
-
-    def stream(self, worker, handler, attempt, last, is_slow, is_lost):
-        if not is_lost:
-            handler.send_response_only(200)
-            for name, value in {
-                "Content-Type": "text/event-stream",
-                "Attempt-Id": attempt,
-                "Server-Seal": f"{attempt}.{worker.id}",
-                "Weight-Versions": "1",
-                "Transfer-Encoding": "chunked",
-            }.items():
-                handler.send_header(name, value)
-            handler.end_headers()
-        for number in range(last + 1, EVENTS + 1):
-            pause_s = PAUSE_S * (SLOW if is_slow and number > 4 else 1)
-            wait(handler, pause_s)
-            if not is_lost:
-                write_event(handler, number, f"{attempt}-{number}")
-        if not is_lost:
-            handler.wfile.write(b"0\r\n\r\n")
-            return
-        # What a lost answer leaves behind: a connection on which nothing comes.
-        wait(handler, 10.0)
-
-
-def wait(handler, pause_s):
-    """Works for a time; a worker drops the request when its connection closes."""
-    handler.connection.settimeout(pause_s)
-    try:
-        if not handler.connection.recv(1):
-            raise ConnectionResetError
-    except TimeoutError:
-        pass
-    handler.connection.settimeout(None)
+def resolve(site):
+    """Asks the directory for addresses; returns those of entry hosts and their time to live."""
+    query = f"/resolve?name={HOST_NAME}&region=wessex&zone=wessex-a"
+    for ip in site.entry_ips:
+        address = (ip, site.ports["directory"])
+        status, body, _ = call(address, "GET", query, {"Host": HOST_NAME}, None, 1.0)
+        if status == 200:
+            answer = json.loads(body)
+            return answer["addresses"], answer["ttl_s"]
+    return [], 0.0
 
 
 def case(site, record, trouble):
-    runs = Runs(record, trouble)
     site.start_all()
     status, _ = site.operator("PUT", "/config", configuration(1, [STREAMS]))
     if status != 200:
         raise RuntimeError("the configuration was not accepted")
-    for number in range(3):
-        Worker(site, number, f"i-engine{number}", "huvo11a", 8, {MODEL: 1}, runs.respond)
-    time.sleep(4)
-    headers = {"Model": MODEL, "Token-Count": "540,400", "Deadline-Ms": "12000"}
-    whole = 0
-    for number in range(REQUESTS):
+    workers = [
+        Worker(site, number, f"i-engine{number}", "huvo11a", 8, {MODEL: 1},
+               stream_events(EVENTS, PAUSE_S))
+        for number in range(3)
+    ]
+    time.sleep(5)
+    stopped = site.entry_ips[0]
+    addresses, ttl_s = resolve(site)
+    resolved = now()
+    record.write(f"directory: {addresses} for {ttl_s} s")
+    if not any(address.startswith(stopped + ":") for address in addresses):
+        raise RuntimeError("the directory does not name the host that is to be stopped")
+    began = now()
+    if trouble:
+        site.signal(stopped, signal.SIGTERM)
+    answers, threads, number = {}, [], 0
+    at = FIRST_S
+    while at <= LAST_S:
+        time.sleep(max(0.0, began + at - now()))
+        if now() > resolved + CACHE_TTLS * ttl_s:
+            break  # From now on no client uses the answer any more.
         attempt = f"9c41d07be2a35f{number:02x}"
-        status, body, _ = site.client(
-            "POST", "/stream7/2f", headers | {"Attempt-Id": attempt}, b"prompt", 14.0,
-            attempt=number,
-        )
-        events = [line for line in body.decode().splitlines() if line.startswith("id: ")]
-        is_whole = events == [f"id: {n}" for n in range(1, EVENTS + 1)]
-        whole += is_whole
-        record.write(f"client of {attempt}: {status}, {len(events)} events, whole: {is_whole}")
-    time.sleep(1)
-    overlaps = 0
-    for attempt, list_of_runs in sorted(runs.runs.items()):
-        for before, after in zip(list_of_runs, list_of_runs[1:]):
-            ended = before["ended"] or now()
-            if after["after"] > 0 and ended > after["began"] + OVERLAP_S:
-                overlaps += 1
-                record.write(
-                    f"{attempt} goes on at {after['worker']} from {after['began']:.3f}, while "
-                    f"{before['worker']} works on it until {ended:.3f}"
-                )
-    record.write(f"{overlaps} requests worked on by two workers for over {OVERLAP_S} s")
-    if not runs.runs:
-        raise RuntimeError("no request reached a worker")
-    return 1 if overlaps else 0
+        thread = threading.Thread(target=send, args=(site, record, stopped, attempt, answers))
+        thread.start()
+        threads.append(thread)
+        number, at = number + 1, at + STEP_S
+    if trouble:
+        while now() < began + GRACE_S and site.processes[stopped].poll() is None:
+            time.sleep(0.01)
+        is_over = site.processes[stopped].poll() is not None
+        record.write(f"{now() - began:.2f} s after the SIGTERM: ended by itself: {is_over}")
+        if not is_over:
+            site.kill(stopped)
+        site.start(stopped)
+    for thread in threads:
+        thread.join()
+    reached = {attempt for worker in workers for _, attempt, _ in worker.runs}
+    cut = sorted(a for a, is_whole in answers.items() if not is_whole and a in reached)
+    record.write(f"{len(answers)} requests read, {len(cut)} passed on and cut: {cut}")
+    if len(answers) < 5:
+        raise RuntimeError("too few requests were read")
+    return 1 if cut else 0
+
+
+def send(site, record, entry, attempt, answers):
+    """Sends one request over a new connection, and reads the answer to its end."""
+    headers = {"Model": MODEL, "Token-Count": "540,400", "Deadline-Ms": "12000"}
+    record.write(f"client sends {attempt} to {entry}")
+    status, body, _ = site.client(
+        "POST", "/stream7/2f", headers | {"Attempt-Id": attempt}, b"prompt", 13.0, entry=entry
+    )
+    events = body.decode().count("id: ")
+    # A refusal is an answer; without a status, the connection ended or was never accepted.
+    is_whole = status == 200 and events == EVENTS or status in (429, 503)
+    record.write(f"client of {attempt}: status {status}, {events} events, whole: {is_whole}")
+    answers[attempt] = is_whole
 
 
 main(case, FOLDER)
