--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,7 +8,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
+sys.path.insert(0, os.path.dirname(FOLDER))
 from deployment import (  # noqa: E402
     HOST_NAME, MODEL, Worker, call, configuration, main, now, stream_events,
 )
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 python3 - <<'PYTHON'
 import pathlib
 
-for path in sorted(pathlib.Path(".").glob("*/*.py")):
+for path in sorted(pathlib.Path(".").glob("**/*.py")):
     compile(path.read_text(), str(path), "exec")
 PYTHON
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -19,7 +19,7 @@
 import threading
 import time
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "target", "release", "catkinlatch")
 HOST_NAME = "ficu95.example"
 KEY = "3fexd9dnn2ctnfzs989a"
