Refuse requests that a stopping host would cut

Cause: a stopping host serves for 72% of the grace period and ends at 95%, with whatever is in flight. Nothing asked whether a request can end by then. The record of the case shows it: streams of 3 s that came up to 4.4 s after the signal end whole, later ones are cut at 7.6 s.

Change: `route::drain` accepts a request only if its limit, or 1.5 times the longest recent request of its route, fits in the time left; else it is refused at once with 503, which is true. 0.15 s before its end the host answers what it still holds: 502, 504 for calls about jobs, 503 for bodies that are not complete.

Why it works: what is accepted ends in time or is answered; only a stream that takes longer than expected can still be cut.

Evidence: tests/site/drain.rs, six tests of real processes.

--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -19,10 +19,9 @@
 /// Polls the leader until the process stops, and updates the shared view from its answers.
 pub async fn run(host: Arc<Host>) {
     let mut view_version = ViewVersion::default();
-    let mut drain_watch = host.watch_draining();
     let waits = host.settings.times.waits();
     loop {
-        let draining = *drain_watch.borrow_and_update();
+        let is_draining = host.is_draining();
         let began = host.clock.now();
         let wait = if host.is_view_confirmed() { waits.poll } else { Duration::ZERO };
         let follow = |wait| Message::Follow(follow_message(&host, view_version, wait));
@@ -31,7 +30,7 @@
         let answer = tokio::select! {
             answer = pending => answer,
             // Polls again at once so that the leader learns that this host is draining.
-            _ = drain_watch.changed(), if !draining => continue,
+            () = host.drain_begun(), if !is_draining => continue,
             () = host.resumed() => continue,
         };
         let is_answered = matches!(answer, Answer::Reply(Reply::Followed(_) | Reply::Nothing));
--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -1,6 +1,6 @@
 //! HTTP front end for callers: authorizes requests and dispatches them.
 
-use crate::{admission::Place, answer, batch, host::Host, proxy};
+use crate::{admission::Place, answer, batch, drain, host::Host, proxy};
 use catkinlatch_base::TeamId;
 use catkinlatch_ledger::config::{Configuration, Kind, Route};
 use catkinlatch_platform::{
@@ -103,7 +103,14 @@
         }
     };
     let (fingerprint, place) = (OnceLock::new(), OnceLock::new());
-    let body = match collect(body, configuration.limits.body_bytes).await {
+    let collected = tokio::select! {
+        collected = collect(body, configuration.limits.body_bytes) => collected,
+        () = host.last_answers() => {
+            info!(request = request_id(&head); "entry: refused, this host ends before the body does");
+            return answer::refusal(drain::RETRY_AFTER);
+        }
+    };
+    let body = match collected {
         Ok(body) => body,
         Err(BodyError::TooLong) => {
             info!(request = request_id(&head); "entry: refused, the body is too long");
@@ -120,10 +127,14 @@
     match (call, route) {
         (EntryCall::Results { job, after }, _) => {
             let wait = header::number(&head.headers, &header::WAIT).unwrap_or_default();
-            batch::results(&host, job, team, after, wait).await
+            drain::answer_job(&host, batch::results(&host, job, team, after, wait)).await
+        }
+        (EntryCall::ItemBody { job, item }, _) => {
+            drain::answer_job(&host, batch::item_body(&host, job, team, item)).await
+        }
+        (EntryCall::EndJob { job }, _) => {
+            drain::answer_job(&host, batch::end(&host, job, team)).await
         }
-        (EntryCall::ItemBody { job, item }, _) => batch::item_body(&host, job, team, item).await,
-        (EntryCall::EndJob { job }, _) => batch::end(&host, job, team).await,
         (EntryCall::Request, Some(route)) if route.kind == Kind::Rollout => {
             if head.method != Method::POST {
                 return answer::status(StatusCode::METHOD_NOT_ALLOWED);
@@ -131,7 +142,7 @@
             let priority = configuration.priority(&route, team.as_ref());
             let inbound =
                 InboundRequest { head, body, route, team, priority, waited, fingerprint, place };
-            batch::submit(&host, &inbound).await
+            drain::answer_job(&host, batch::submit(&host, &inbound)).await
         }
         (EntryCall::Request, Some(route)) => {
             let priority = configuration.priority(&route, team.as_ref());
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -11,7 +11,7 @@
     observation::Guide,
     registry::Leaving,
 };
-use catkinlatch_route::{Budget, Ramp};
+use catkinlatch_route::{Budget, Ramp, drain::Durations};
 use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
 use log::info;
 use std::{
@@ -27,6 +27,9 @@
 /// Timeout for the leader to confirm the view after a long standstill.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time before a draining host ends in which requests that have not ended are answered.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
+
 /// State that the tasks of an entry host share.
 pub struct Host {
     /// The settings of the process.
@@ -51,6 +54,7 @@
     suspects: Mutex<suspect::Table>,
     leaving: Mutex<Leaving>,
     ramp: Mutex<Ramp>,
+    durations: Mutex<Durations>,
     contact: Mutex<Contact>,
     builds: Mutex<Builds>,
     origins: Mutex<Origins>,
@@ -59,7 +63,8 @@
     polled: watch::Sender<Option<Instant>>,
     /// Wakes the task that polls the leader after a long standstill.
     resumed: Notify,
-    draining: watch::Sender<bool>,
+    /// When this host ends; `None` unless it drains.
+    end: watch::Sender<Option<Instant>>,
 }
 
 impl Host {
@@ -90,13 +95,14 @@
             suspects: Mutex::default(),
             leaving: Mutex::default(),
             ramp: Mutex::default(),
+            durations: Mutex::default(),
             contact: Mutex::default(),
             builds: Mutex::default(),
             origins: Mutex::default(),
             pulse: Mutex::default(),
             polled: watch::channel(None).0,
             resumed: Notify::new(),
-            draining: watch::channel(false).0,
+            end: watch::channel(None).0,
         }
     }
 
@@ -146,6 +152,11 @@
         lock(&self.ramp)
     }
 
+    /// Locks how long requests took. The guard must not be held across an `await`.
+    pub fn durations(&self) -> MutexGuard<'_, Durations> {
+        lock(&self.durations)
+    }
+
     /// Locks the signs of life of other hosts. The guard must not be held across an `await`.
     pub fn contact(&self) -> MutexGuard<'_, Contact> {
         lock(&self.contact)
@@ -222,20 +233,39 @@
         self.usage().count(window, team);
     }
 
-    /// Starts draining: the host reports itself as not ready from now on.
-    pub fn drain(&self) {
-        self.draining.send_replace(true);
+    /// Starts draining: the host reports itself as not ready from now on, and ends at `end`.
+    pub fn drain(&self, end: Instant) {
+        self.end.send_replace(Some(end));
+    }
+
+    /// Returns whether the host is draining.
+    pub fn is_draining(&self) -> bool {
+        self.end.borrow().is_some()
     }
 
-    /// Returns a receiver that holds whether the host is draining.
-    pub fn watch_draining(&self) -> watch::Receiver<bool> {
-        self.draining.subscribe()
+    /// Returns once the host drains.
+    pub async fn drain_begun(&self) {
+        let _ = self.end.subscribe().wait_for(Option::is_some).await;
+    }
+
+    /// Returns the time in which a draining host still answers requests; `None` unless it drains.
+    pub fn time_left(&self) -> Option<Duration> {
+        let end = *self.end.borrow();
+        end.map(|end| (end - self.clock.now()).saturating_sub(ANSWER_TIME))
+    }
+
+    /// Returns once this host drains and all requests have to be answered.
+    pub async fn last_answers(&self) {
+        self.drain_begun().await;
+        if let Some(left) = self.time_left() {
+            time::sleep(left).await;
+        }
     }
 
     /// Returns whether callers may be directed here: a configuration is known and the host is not
     /// draining.
     pub fn is_ready(&self) -> bool {
-        !*self.draining.borrow() && lock(&self.view).configuration.is_some()
+        !self.is_draining() && lock(&self.view).configuration.is_some()
     }
 }
 
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod build;
 pub mod contact;
 mod directory;
+mod drain;
 mod exchange;
 mod follow;
 mod front;
@@ -127,10 +128,10 @@
     info!(name = host.settings.name.as_str(), callers:% = callers; "entry: started");
 
     let _ = stop.wait_for(|stop| *stop).await;
-    host.drain();
-    info!("entry: draining; still serving callers with a cached address");
     let grace = host.settings.times.grace();
     let end = time::Instant::now() + grace.mul_f64(STOP_SHARE);
+    host.drain(host.clock.now() + grace.mul_f64(STOP_SHARE));
+    info!("entry: draining; still serving callers with a cached address");
     time::sleep(grace.mul_f64(SERVING_SHARE)).await;
     close.send_replace(true);
     let all_ended = time::timeout_at(end, async {
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -4,6 +4,7 @@
     admission, allowance, answer,
     attempt::{self, Outcome},
     build::{self, Required},
+    drain,
     front::InboundRequest,
     host::Host,
     observation,
@@ -14,6 +15,7 @@
 use catkinlatch_base::{Instant, ServiceId, TargetId};
 use catkinlatch_ledger::{Target, config::Kind};
 use catkinlatch_platform::header;
+use catkinlatch_route::drain::Step;
 use catkinlatch_runtime::http::{Body, full};
 use http::{Response, StatusCode};
 use log::info;
@@ -68,7 +70,10 @@
     let began_ms = host.clock.wall_ms();
     let mut attempt_log = Vec::new();
     let inbound = Arc::new(inbound);
-    let end = try_targets(host, &inbound, arrived, &mut attempt_log).await;
+    let end = tokio::select! {
+        end = try_targets(host, &inbound, arrived, &mut attempt_log) => end,
+        () = host.last_answers() => End::MayHaveRun,
+    };
     let has_run = !matches!(end, End::NotRun(_));
     if let Some(team) = inbound.team.as_ref().filter(|_| has_run) {
         host.count_request(team, began_ms);
@@ -81,6 +86,9 @@
         End::TimedOut => answer::status(StatusCode::GATEWAY_TIMEOUT),
     };
     let elapsed = host.clock.now() - arrived;
+    if response.status().is_success() && inbound.route.kind != Kind::Stream {
+        drain::record_duration(host, &inbound, arrived);
+    }
     let is_plain = response.status().is_success() && attempt_log.len() == 1;
     metrics::counter!("catkinlatch_entry_requests").increment(1);
     metrics::histogram!("catkinlatch_entry_seconds").record(elapsed.as_secs_f64());
@@ -126,6 +134,10 @@
     let trial_deadline = arrived + time_limit(inbound).mul_f64(TRIAL_WAIT_SHARE);
     let is_stream = inbound.route.kind == Kind::Stream;
     let is_idempotent = inbound.route.may_repeat();
+    if drain::next(host, inbound, arrived) == Step::Refuse {
+        drain::log_refusal(host, inbound);
+        return End::NotRun(drain::RETRY_AFTER);
+    }
     observation::refresh(host, &inbound.route).await;
     let required = build::required(host, inbound).await;
     if !build::is_served(host, inbound, &required) {
@@ -195,6 +207,13 @@
             }
         }
         // The request may have waited for a place, and a suspect for the leader's word.
+        if !may_have_run && drain::next(host, inbound, arrived) == Step::Refuse {
+            if permit == Permit::Trial {
+                suspect::end_trial(host, inbound);
+            }
+            drain::log_refusal(host, inbound);
+            return End::NotRun(drain::RETRY_AFTER);
+        }
         let now = host.clock.now();
         let left = deadline - now;
         if mem::take(&mut is_first) {
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -4,6 +4,7 @@
     allowance,
     attempt::{self, Call, Outcome},
     build::{self, Required},
+    drain,
     front::InboundRequest,
     host::Host,
     proxy,
@@ -183,6 +184,7 @@
                     if let Some(call) = self.call.take() {
                         call.exchange.release();
                         self.log("whole");
+                        drain::record_duration(&self.host, &self.inbound, self.attempts.arrived);
                     }
                     if mem::take(&mut self.attempts.is_trial) {
                         suspect::record_answer(&self.host, &self.inbound);
--- a/crates/catkinlatch-route/src/lib.rs
+++ b/crates/catkinlatch-route/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod drain;
 pub mod places;
 pub mod ramp;
 pub mod reach;
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Asks the process with `SIGTERM` to shut down, and does not wait for its end.
+    pub fn terminate(&self) -> io::Result<()> {
+        self.process.terminate()
+    }
+
     /// Shuts the process down gracefully with `SIGTERM` and returns its exit code.
     pub fn stop(&mut self) -> io::Result<Option<i32>> {
         self.process.terminate()?;
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -20,6 +20,8 @@
 mod directory;
 #[path = "site/disk.rs"]
 mod disk;
+#[path = "site/drain.rs"]
+mod drain;
 #[path = "site/evacuation.rs"]
 mod evacuation;
 #[path = "site/flood.rs"]
--- /dev/null
+++ b/tests/site/drain.rs
@@ -0,0 +1,141 @@
+//! Entry hosts that are stopped while callers still use their address.
+
+use super::{Setup, ok, stream::Stream};
+use catkinlatch_standin::site;
+use futures::future::join_all;
+use http::StatusCode;
+use std::time::Duration;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    time,
+};
+
+/// The deadline of requests that can end before a stopping host does, which takes 2.85 s.
+const SHORT: Duration = Duration::from_millis(400);
+
+/// Requests a stream over a new connection; returns its status and its events, or nothing if it was
+/// cut.
+async fn stream(setup: &Setup, path: &str, id: &str) -> Option<(StatusCode, Vec<u64>)> {
+    let address = setup.site.entries()[0].address(setup.site.ports.callers);
+    let request = site::request("POST", path, id, Duration::from_secs(12));
+    let answer = setup.site.call(&address, request.body(b"ask".to_vec()).unwrap()).await?;
+    let text = String::from_utf8(answer.body().to_vec()).unwrap();
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    Some((answer.status(), ids.map(|id| id.parse().unwrap()).collect()))
+}
+
+/// Runs enough short streams on a route that its duration is known.
+async fn warm_up(setup: &Setup, path: &str) {
+    for number in 0..20 {
+        let mut stream = Stream::open(setup, path, &format!("warm-up-{number}")).await;
+        assert!(stream.read_to_end().await);
+    }
+}
+
+/// Guards against streams that a stopping host accepts and cuts when it ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_host_cuts_no_stream_that_it_accepted() {
+    let setup = Setup::start().await;
+    for engine in &setup.engines {
+        (engine.state().events, engine.state().event_time) = (20, Duration::from_millis(100));
+    }
+    let first_entry = setup.site.stores().len();
+    setup.site.hosts[first_entry].terminate().unwrap();
+    let setup = &setup;
+    let streams = (0..8_u64).map(|number| async move {
+        time::sleep(Duration::from_millis(1_000 + 150 * number)).await;
+        let (path, id) = (format!("/once/{number}"), format!("late-{number}"));
+        (id.clone(), stream(setup, &path, &id).await)
+    });
+    for (id, answer) in join_all(streams).await {
+        let has_run = setup.engines.iter().any(|engine| engine.state().runs.contains_key(&id));
+        match answer {
+            Some((StatusCode::OK, events)) => assert_eq!(events.len(), 20, "{id}"),
+            other => assert!(!has_run, "{id} ran: {other:?}"),
+        }
+    }
+}
+
+/// Guards against a stopping host that refuses what can end in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_host_serves_streams_that_are_known_to_be_short() {
+    let setup = Setup::start().await;
+    warm_up(&setup, "/once/1").await;
+    let first_entry = setup.site.stores().len();
+    setup.site.hosts[first_entry].terminate().unwrap();
+    time::sleep(Duration::from_millis(1_500)).await;
+    for number in 0..4 {
+        let answer = stream(&setup, "/once/1", &format!("late-{number}")).await;
+        assert_eq!(answer, Some((StatusCode::OK, vec![1, 2, 3, 4, 5])));
+    }
+}
+
+/// Guards against a refusal for another reason than the end of the host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_host_serves_plain_requests_until_it_closes() {
+    let setup = Setup::start().await;
+    let first_entry = setup.site.stores().len();
+    setup.site.hosts[first_entry].terminate().unwrap();
+    for number in 0..8 {
+        let request = site::request("POST", "/survey/1", &format!("late-{number}"), SHORT);
+        let address = setup.site.entries()[0].address(setup.site.ports.callers);
+        let answer = setup.site.call(&address, request.body(Vec::new()).unwrap()).await;
+        assert!(answer.is_some_and(ok), "late-{number}");
+        time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// Guards against a request whose target has become slow and that is cut without an answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_outlasts_a_stopping_host_is_answered() {
+    let setup = Setup::start().await;
+    for number in 0..20 {
+        let answer = setup.request(0, "POST", "/file/1", &format!("warm-up-{number}"), "").await;
+        assert!(answer.is_some_and(ok));
+    }
+    *setup.service.run_time.lock().unwrap() = Duration::from_secs(10);
+    let first_entry = setup.site.stores().len();
+    setup.site.hosts[first_entry].terminate().unwrap();
+    time::sleep(Duration::from_millis(1_500)).await;
+    let answer = setup.request(0, "POST", "/file/1", "slow", "").await.unwrap();
+    assert!(answer.status().is_server_error(), "{answer:?}");
+}
+
+/// Guards against calls about jobs that are cut without an answer since no leader answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_about_a_job_that_outlasts_a_stopping_host_is_answered() {
+    let setup = Setup::start().await;
+    setup.submit("job-1", 1, 2).await;
+    setup.site.stores().iter().for_each(|store| store.pause().unwrap());
+    let first_entry = setup.site.stores().len();
+    setup.site.hosts[first_entry].terminate().unwrap();
+    time::sleep(Duration::from_millis(1_900)).await;
+    let job = super::job("job-2", 1, 2);
+    let (read, submitted) = tokio::join!(
+        setup.request(0, "GET", "/lots/job-1?after=2", "", ""),
+        setup.request(0, "POST", "/drafts/job-2", "job-2", &job),
+    );
+    for answer in [read, submitted] {
+        let status = answer.map(|answer| answer.status());
+        assert!(status.is_some_and(|status| status.is_server_error()), "{status:?}");
+    }
+}
+
+/// Guards against an upload that is cut without an answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_that_outlasts_a_stopping_host_is_refused() {
+    let setup = Setup::start().await;
+    let address = setup.site.entries()[0].address(setup.site.ports.callers);
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let first_entry = setup.site.stores().len();
+    setup.site.hosts[first_entry].terminate().unwrap();
+    let head = "POST /survey/1 HTTP/1.1\r\nhost: site.example\r\nx-api-key: key-of-the-team\r\n\
+                attempt-id: upload\r\ncontent-length: 1000\r\n\r\npart of the body";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let _ = time::timeout(Duration::from_secs(5), caller.read_to_end(&mut answer)).await.unwrap();
+    let answer = String::from_utf8(answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+    assert_eq!(setup.service.runs("upload"), 0);
+}
