Let no stream of unknown origin go on where its build may have left

Callers' streams, and texts of items, were joined from two builds after all hosts, or all stores, were killed and the build that began them had left (ORDER).

Cause: a host that sees one build took it for the only one, also if it had just started; a leader did so for items after two heartbeats. A host that had watched for two minutes did not ask for the record at all, although its view may be 1.5 s old (by reading; a paused process does not show it).

Change: hosts always ask for the record. Without one, a stream goes on only after a poll that began after the request, and if the host cannot have missed a target for two minutes or since the deployment's first start. Items go on only if that holds since their job was submitted. A third host keeps a copy of a record if one of two does not answer; missing copies are logged.

Why it works: the build in view counts as the only one only where none can have come and gone unseen. No message and no stored record changes.

Evidence: tests/site/build.rs.

--- a/crates/catkinlatch-entry/src/build.rs
+++ b/crates/catkinlatch-entry/src/build.rs
@@ -8,6 +8,7 @@
 use catkinlatch_ledger::{build::RETENTION, config::Kind};
 use catkinlatch_platform::header;
 use catkinlatch_runtime::{Message, Reply};
+use futures::future::join_all;
 use log::info;
 use std::{
     cmp::Reverse,
@@ -27,7 +28,7 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Timeout for the answers of all hosts that are asked.
-const FIND_TIMEOUT: Duration = Duration::from_millis(200);
+const FIND_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The builds at which a request may run.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,34 +60,33 @@
     if inbound.route.kind != Kind::Stream || !headers.contains_key(header::LAST_EVENT) {
         return Required::Any;
     }
-    let now = host.clock.now();
-    let (is_only, is_settled) = {
-        let builds = host.builds();
-        let services = inbound.route.shares.iter().map(|share| &share.service);
-        (builds.only(services, now).is_some(), builds.is_settled(RETENTION, now))
-    };
-    // A host that hears no leader may have missed a build.
-    let is_only = is_only && !host.contact().is_leader_silent(now);
-    if is_only && is_settled {
-        return Required::Any;
-    }
     let attempt = header::text(headers, &header::RESUMED).and_then(|id| id.parse().ok());
     let origin = match &attempt {
         Some(attempt) => find(host, attempt).await,
         None => None,
     };
-    match origin {
-        Some(build) => Required::Only(build),
-        None if is_only => Required::Any,
-        None => {
-            info!(
-                request = inbound.id().unwrap_or_default(),
-                attempt:? = attempt.as_ref().map(RequestId::as_str);
-                "entry: the build that began a stream is not known"
-            );
-            Required::Unknown
-        }
+    if let Some(build) = origin {
+        return Required::Only(build);
+    }
+    // Targets of another build may have begun the stream since the last poll.
+    if is_only(host, inbound) && host.refresh_view().await && is_only(host, inbound) {
+        return Required::Any;
     }
+    info!(
+        request = inbound.id().unwrap_or_default(),
+        attempt:? = attempt.as_ref().map(RequestId::as_str);
+        "entry: the build that began a stream is not known"
+    );
+    Required::Unknown
+}
+
+/// Returns whether the targets of a request's route have run a single build for as long as a stream
+/// may last, as of the last poll.
+fn is_only(host: &Host, inbound: &InboundRequest) -> bool {
+    let now = host.clock.now();
+    let builds = host.builds();
+    let services = inbound.route.shares.iter().map(|share| &share.service);
+    builds.is_complete(RETENTION, now) && builds.only(services, now).is_some()
 }
 
 /// Returns the targets at which a request may not run because of their build.
@@ -122,12 +122,32 @@
     };
     let Some(attempt) = attempt.and_then(|id| id.parse::<RequestId>().ok()) else { return };
     host.origins().record(attempt.clone(), build.clone(), host.clock.now());
-    for holder in holders(host, &attempt).into_iter().take(COPIES) {
-        let (host, build) = (host.clone(), build.clone());
-        let message = Message::RecordOrigin { attempt: attempt.clone(), build };
-        tokio::spawn(async move {
-            let _ = host.peers.call::<Reply>(&holder, &message, RECORD_TIMEOUT).await;
-        });
+    let (host, build) = (host.clone(), build.clone());
+    tokio::spawn(async move { pass_on(&host, &attempt, &build).await });
+}
+
+/// Has hosts with a disk keep copies of a record; the next one replaces one that does not answer.
+async fn pass_on(host: &Host, attempt: &RequestId, build: &BuildId) {
+    let message = Message::RecordOrigin { attempt: attempt.clone(), build: build.clone() };
+    let keep = async |holder: &HostId| {
+        let reply = host.peers.call::<Reply>(holder, &message, RECORD_TIMEOUT).await;
+        matches!(reply, Ok(Reply::Done))
+    };
+    let holders: Vec<HostId> = holders(host, attempt).into_iter().take(ASKED).collect();
+    let (first, others) = holders.split_at(holders.len().min(COPIES));
+    let kept = join_all(first.iter().map(&keep)).await;
+    let mut copies = kept.into_iter().filter(|is_kept| *is_kept).count();
+    for holder in others {
+        if copies < COPIES {
+            copies += usize::from(keep(holder).await);
+        }
+    }
+    if copies < COPIES {
+        metrics::counter!("catkinlatch_entry_origins_not_kept").increment(1);
+        info!(
+            attempt = attempt.as_str(), build:% = build, copies = copies;
+            "entry: too few hosts keep which build began a stream"
+        );
     }
 }
 
--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -32,6 +32,7 @@
             // Polls again at once so that the leader learns that this host is draining.
             () = host.drain_begun(), if !is_draining => continue,
             () = host.resumed() => continue,
+            () = host.refresh_needed(), if !wait.is_zero() => continue,
         };
         let is_answered = matches!(answer, Answer::Reply(Reply::Followed(_) | Reply::Nothing));
         if is_answered {
@@ -55,7 +56,7 @@
                 }
                 view_version = view.view_version;
             }
-            Answer::Reply(Reply::Nothing) => {}
+            Answer::Reply(Reply::Nothing) => host.builds().confirm(host.clock.now()),
             Answer::Reply(_) | Answer::NotDone | Answer::Unknown => {
                 info!("entry: no leader answered; continuing with the last known view");
                 time::sleep(RETRY_PAUSE).await;
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -27,6 +27,9 @@
 /// Timeout for the leader to confirm the view after a long standstill.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Timeout for the leader to answer a poll that a request needs.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time before a draining host ends in which requests that have not ended are answered.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
 
@@ -63,6 +66,8 @@
     polled: watch::Sender<Option<Instant>>,
     /// Wakes the task that polls the leader after a long standstill.
     resumed: Notify,
+    /// When a request last needed a view newer than itself.
+    needed: watch::Sender<Option<Instant>>,
     /// When this host ends; `None` unless it drains.
     end: watch::Sender<Option<Instant>>,
 }
@@ -79,6 +84,7 @@
     ) -> Self {
         let allowance = Allowance::new(settings.cold);
         let second_budget = Mutex::new(Budget::new(second::SHARE, clock.now()));
+        let builds = Mutex::new(Builds::default().with_first_start(settings.is_first_start));
         Self {
             settings,
             clock,
@@ -97,11 +103,12 @@
             ramp: Mutex::default(),
             durations: Mutex::default(),
             contact: Mutex::default(),
-            builds: Mutex::default(),
+            builds,
             origins: Mutex::default(),
             pulse: Mutex::default(),
             polled: watch::channel(None).0,
             resumed: Notify::new(),
+            needed: watch::channel(None).0,
             end: watch::channel(None).0,
         }
     }
@@ -205,9 +212,11 @@
         self.polled.send_replace(Some(began));
     }
 
-    /// Returns whether the leader has answered a poll that began after the last long standstill.
+    /// Returns whether the leader has answered a poll that began after the last long standstill, and
+    /// after the last request that needed one.
     pub fn is_view_confirmed(&self) -> bool {
-        *self.polled.borrow() >= lock(&self.pulse).resumed(self.clock.now())
+        let resumed = lock(&self.pulse).resumed(self.clock.now());
+        *self.polled.borrow() >= resumed.max(*self.needed.borrow())
     }
 
     /// Waits for the leader to confirm the view after a long standstill; goes on with the last view
@@ -220,6 +229,21 @@
         let _ = time::timeout_at(until, confirmed).await;
     }
 
+    /// Polls the leader anew; returns whether it has answered.
+    pub async fn refresh_view(&self) -> bool {
+        let now = self.clock.now();
+        let mut polled = self.polled.subscribe();
+        self.needed.send_replace(Some(now));
+        let refreshed = polled.wait_for(|began| *began >= Some(now));
+        time::timeout(REFRESH_TIMEOUT, refreshed).await.is_ok_and(|refreshed| refreshed.is_ok())
+    }
+
+    /// Returns once a request needs a newer view than that of the last poll.
+    pub async fn refresh_needed(&self) {
+        let polled = self.polled.subscribe();
+        let _ = self.needed.subscribe().wait_for(|needed| *needed > *polled.borrow()).await;
+    }
+
     /// Returns the longest time for which a request that is read now may have waited for this
     /// process.
     pub fn waited(&self) -> Duration {
--- a/crates/catkinlatch-ledger/src/build.rs
+++ b/crates/catkinlatch-ledger/src/build.rs
@@ -18,6 +18,13 @@
 /// How long a stream may go on after the last target of the build that began it has gone.
 pub const RETENTION: Duration = Duration::from_secs(120);
 
+/// The longest time without news of the targets in which none can have come and gone unseen: a target
+/// that leaves or crashes stays registered for longer.
+const MAX_GAP: Duration = Duration::from_secs(3);
+
+/// Time after the first start of a deployment by which each of its hosts has seen the targets.
+const START_TIME: Duration = Duration::from_secs(10);
+
 /// The builds that the targets of a service have run lately, as far as a host has seen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Seen {
@@ -25,22 +32,34 @@
     Unsettled,
     /// One build.
     Only(BuildId),
-    /// Several builds.
+    /// Several builds, or others may have left before the host saw the targets.
     Several,
 }
 
 /// The builds of each service's targets that a host has seen lately.
 #[derive(Clone, Debug, Default)]
 pub struct Builds {
+    /// Whether the deployment started with this process, so that there were no targets before.
+    is_first_start: bool,
     /// When this host first saw any targets.
     since: Option<Instant>,
+    /// Since when no target can have come and gone without this host.
+    complete_since: Option<Instant>,
+    /// When the targets were last known.
+    known: Option<Instant>,
     /// When the last target of each build was gone; `None` if there is one.
     seen: BTreeMap<ServiceId, BTreeMap<BuildId, Option<Instant>>>,
 }
 
 impl Builds {
+    /// Sets whether the deployment started with this process, at [`Instant::ZERO`].
+    pub fn with_first_start(self, is_first_start: bool) -> Self {
+        Self { is_first_start, ..self }
+    }
+
     /// Records the targets that are registered now.
     pub fn observe<'a>(&mut self, targets: impl Iterator<Item = &'a Target>, now: Instant) {
+        self.confirm(now);
         for gone in self.seen.values_mut().flat_map(BTreeMap::values_mut) {
             gone.get_or_insert(now);
         }
@@ -55,6 +74,16 @@
         });
     }
 
+    /// Records that the targets have not changed since they were last observed.
+    pub fn confirm(&mut self, now: Instant) {
+        let since = match self.known.replace(now) {
+            None if self.is_first_start && now < Instant::ZERO + START_TIME => Instant::ZERO,
+            Some(known) if now < known + MAX_GAP => return,
+            None | Some(_) => now,
+        };
+        self.complete_since = Some(since);
+    }
+
     /// Returns the build that all targets of these services run, and ran lately as far as this host
     /// has seen; `None` if there are several or none.
     pub fn only<'a>(
@@ -68,17 +97,28 @@
         builds.first().copied().filter(|_| builds.len() == 1)
     }
 
-    /// Returns whether this host has seen targets for `duration`.
-    pub fn is_settled(&self, duration: Duration, now: Instant) -> bool {
-        self.since.is_some_and(|since| now >= since + duration)
+    /// Returns whether this host has seen all targets of the last `duration`, also those that have
+    /// left since.
+    pub fn is_complete(&self, duration: Duration, now: Instant) -> bool {
+        let is_complete = |since: Instant| since == Instant::ZERO || now >= since + duration;
+        self.complete_since.is_some_and(is_complete)
     }
 
-    /// Returns the builds of a service once this host has seen targets for `duration`.
-    pub fn seen(&self, service: &ServiceId, duration: Duration, now: Instant) -> Seen {
-        if !self.is_settled(duration, now) {
+    /// Returns the builds of a service that may have generated output in the last `age`, once this
+    /// host has seen targets for `settling`.
+    pub fn seen(
+        &self,
+        service: &ServiceId,
+        age: Duration,
+        settling: Duration,
+        now: Instant,
+    ) -> Seen {
+        if self.since.is_none_or(|since| now < since + settling) {
             return Seen::Unsettled;
         }
-        self.only(iter::once(service), now).map_or(Seen::Several, |build| Seen::Only(build.clone()))
+        let only = self.only(iter::once(service), now);
+        let only = only.filter(|_| self.is_complete(age.min(RETENTION), now));
+        only.map_or(Seen::Several, |build| Seen::Only(build.clone()))
     }
 }
 
--- a/crates/catkinlatch-ledger/tests/build.rs
+++ b/crates/catkinlatch-ledger/tests/build.rs
@@ -5,10 +5,10 @@
 use catkinlatch_base::{BuildId, Instant, RequestId, ServiceId};
 use catkinlatch_ledger::{
     Target,
-    build::{Builds, Origins},
+    build::{Builds, Origins, Seen},
     registry::Phase,
 };
-use std::iter;
+use std::{iter, time::Duration};
 
 fn at(seconds: u64) -> Instant {
     Instant::from_millis(seconds * 1_000)
@@ -48,6 +48,42 @@
     assert_eq!(only(&builds, 2_120), Some(BuildId::new("v2")));
 }
 
+/// Guards against a host that has just started, or was out of touch, and takes the builds that it sees
+/// for all that there were.
+#[test]
+fn only_a_host_that_missed_no_target_knows_all_builds() {
+    let age = Duration::from_secs(60);
+    let targets = [target("survey", "v2")];
+    let mut builds = Builds::default();
+    builds.observe(targets.iter(), at(1));
+    (2..=61).for_each(|second| builds.confirm(at(second)));
+    assert!(!builds.is_complete(age, at(60)), "another build may have left before it started");
+    assert!(builds.is_complete(age, at(61)));
+    builds.confirm(at(65));
+    assert!(!builds.is_complete(age, at(65)), "another build may have come and gone in 4 s");
+    let mut first = Builds::default().with_first_start(true);
+    first.observe(targets.iter(), at(1));
+    assert!(first.is_complete(age, at(2)), "no target was there before the first start");
+    let mut late = Builds::default().with_first_start(true);
+    late.observe(targets.iter(), at(11));
+    assert!(!late.is_complete(age, at(12)));
+}
+
+/// Guards against a new leader that takes the builds it sees for those that ran before it started, and
+/// against one that drops what can only have run since.
+#[test]
+fn output_from_before_a_host_saw_the_targets_may_be_of_another_build() {
+    let (mut builds, survey) = (Builds::default(), "survey".parse::<ServiceId>().unwrap());
+    builds.observe([target("survey", "v2")].iter(), at(20));
+    (21..=30).for_each(|second| builds.confirm(at(second)));
+    let seen = |age, settling| {
+        builds.seen(&survey, Duration::from_secs(age), Duration::from_secs(settling), at(30))
+    };
+    assert_eq!(seen(1, 11), Seen::Unsettled);
+    assert_eq!(seen(11, 2), Seen::Several);
+    assert_eq!(seen(10, 2), Seen::Only(BuildId::new("v2")));
+}
+
 /// Guards against records that pile up, and against one that is renewed and dropped with its first
 /// entry.
 #[test]
--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -201,6 +201,11 @@
         self.state().runs.values().map(Vec::len).sum()
     }
 
+    /// Ends the engine for good, at once.
+    pub fn end(&self) {
+        self.lifecycle.end();
+    }
+
     /// Ends the current start at once; the next one is another target at the same address.
     pub fn restart(&self) {
         self.crash(b"");
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -133,14 +133,17 @@
         self.process.refuse_writes(refuses)
     }
 
-    /// Kills the process and removes its data; the next start is not marked as the host's first.
-    pub fn wipe(&mut self) -> io::Result<()> {
+    /// Kills the process; the next start is not marked as the host's first.
+    pub fn kill_started(&mut self) -> io::Result<()> {
         self.process.kill()?;
         let text = fs::read_to_string(&self.settings)?;
-        fs::write(
-            &self.settings,
-            text.replace("\"is_first_start\":true", "\"is_first_start\":false"),
-        )?;
+        let text = text.replace("\"is_first_start\":true", "\"is_first_start\":false");
+        fs::write(&self.settings, text)
+    }
+
+    /// Kills the process and removes its data; the next start is not marked as the host's first.
+    pub fn wipe(&mut self) -> io::Result<()> {
+        self.kill_started()?;
         match &self.data_folder {
             Some(folder) => fs::remove_dir_all(folder),
             None => Ok(()),
--- a/crates/catkinlatch-standin/src/site/lifecycle.rs
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -93,6 +93,11 @@
         });
     }
 
+    /// Ends the target for good.
+    pub fn end(&self) {
+        std::mem::take(&mut self.lock().tasks).iter().for_each(AbortHandle::abort);
+    }
+
     /// Ends the current start at once, under a request with this body; `restart` runs the next one from its target and listener.
     pub fn crash(
         &self,
--- a/tests/site/build.rs
+++ b/tests/site/build.rs
@@ -3,11 +3,14 @@
 
 use super::{Setup, stream::Stream, wait_until};
 use catkinlatch_standin::site::Engine;
+use futures::future::join_all;
 use http::StatusCode;
 use std::{
+    ops::Range,
     sync::atomic::Ordering,
     time::{Duration, Instant},
 };
+use tokio::time;
 
 /// The build that is released beside the first one.
 const NEWER: &str = "v2";
@@ -128,6 +131,136 @@
     }
 }
 
+/// Starts two engines of the newer build, has those of the first one leave, and waits until they have.
+async fn release(setup: &mut Setup) {
+    let controls: Vec<String> =
+        setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect();
+    for id in ["engine-3", "engine-4"] {
+        let engine = Engine::start_build("zone-0", id, "drafts", controls.clone(), NEWER);
+        setup.engines.push(engine.await.unwrap());
+    }
+    for engine in &setup.engines[..2] {
+        engine.target.is_draining.store(true, Ordering::Relaxed);
+    }
+    wait_until("the first build has left", || async {
+        setup.engines[..2].iter().all(|e| e.target.acknowledged.load(Ordering::Relaxed) > 0)
+    })
+    .await;
+    for engine in &setup.engines[..2] {
+        engine.end();
+        let path = format!("/instances/{}", engine.target.id);
+        setup.site.control("DELETE", &path, "").await;
+    }
+}
+
+/// Kills hosts at once and starts them again.
+fn restart(setup: &mut Setup, hosts: Range<usize>) {
+    setup.site.hosts[hosts.clone()].iter_mut().for_each(|host| host.kill_started().unwrap());
+    setup.site.hosts[hosts].iter_mut().for_each(|host| host.start().unwrap());
+}
+
+/// Waits until an entry host runs new streams at the newer build.
+async fn await_newer(setup: &Setup, entry: usize) {
+    let path = "/chat/1";
+    wait_until("the newer build serves", || async {
+        let answer = setup.request(entry, "POST", path, &format!("new-{entry}"), "ask").await;
+        answer.is_some_and(|answer| String::from_utf8_lossy(answer.body()).contains(" by "))
+    })
+    .await;
+}
+
+/// Guards against hosts that have just started, see one build, and take it for the one that began a
+/// stream whose record is lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_is_not_joined_from_two_builds_after_all_hosts_were_killed() {
+    let mut setup = Setup::start().await;
+    for engine in &setup.engines {
+        (engine.state().events, engine.state().event_time) = (200, Duration::from_millis(100));
+    }
+    let streams = begin(&setup, 8).await;
+    release(&mut setup).await;
+    let hosts = setup.site.hosts.len();
+    restart(&mut setup, 0..hosts);
+    for entry in 0..2 {
+        await_newer(&setup, entry).await;
+        for (id, _) in &streams {
+            let next = format!("{id}-again-{entry}");
+            let resumed = Stream::resume(&setup, entry, (&next, id), 2).await;
+            assert_eq!(resumed.err(), Some(StatusCode::SERVICE_UNAVAILABLE), "{id}");
+        }
+    }
+}
+
+/// Guards against streams that are refused although hosts with a disk know which build began them, while
+/// all entry hosts have just started and many callers return at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_go_on_at_their_builds_after_all_entry_hosts_were_killed() {
+    let mut setup = start().await;
+    slow_down(&setup);
+    let streams = begin(&setup, 16).await;
+    let (first, hosts) = (setup.site.stores().len(), setup.site.hosts.len());
+    restart(&mut setup, first..hosts);
+    for entry in 0..2 {
+        wait_until("an entry host serves requests", || async {
+            setup.request(entry, "POST", "/survey/1", "back", "").await.is_some_and(super::ok)
+        })
+        .await;
+    }
+    let setup = &setup;
+    let resume = |(number, (id, begun)): (usize, &(String, Stream))| {
+        let (id, is_newer) = (id.clone(), begun.is_of_other_build());
+        async move {
+            let next = format!("{id}-again");
+            let mut stream = Stream::resume(setup, number % 2, (&next, &id), 2).await.ok()?;
+            stream.read_events(1).await;
+            assert_eq!(stream.is_of_other_build(), is_newer, "{id}");
+            Some(())
+        }
+    };
+    let resumed = join_all(streams.iter().enumerate().map(resume)).await;
+    let served = resumed.iter().flatten().count();
+    assert!(served >= 14, "{served} of 16 went on");
+}
+
+/// Guards against a host that stood still while a newer build joined, and takes the build of its last view
+/// for the only one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_was_out_of_step_goes_on_with_no_stream_of_a_newer_build() {
+    let mut setup = Setup::start().await;
+    for pause_ms in [300, 900, 2_500] {
+        let second = setup.site.stores().len() + 1;
+        setup.site.hosts[second].pause().unwrap();
+        let number = setup.engines.len() + 1;
+        let controls: Vec<String> =
+            setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect();
+        let (id, build) = (format!("engine-{number}"), format!("v{number}"));
+        let engine = Engine::start_build("zone-0", &id, "drafts", controls, &build).await.unwrap();
+        engine.state().event_time = Duration::from_millis(100);
+        setup.engines.push(engine);
+        let mut streams = Vec::new();
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_millis(pause_ms) {
+            let id = format!("begun-{pause_ms}-{}", streams.len());
+            let mut stream = Stream::open(&setup, "/chat/1", &id).await;
+            stream.read_events(1).await;
+            streams.push((id, stream));
+        }
+        // The host reads what callers send now together with what it missed.
+        let setup = &setup;
+        let resumed = join_all(streams.iter().map(|(id, begun)| async move {
+            let next = format!("{id}-again");
+            let Ok(mut stream) = Stream::resume(setup, 1, (&next, id), 1).await else { return };
+            stream.read_events(1).await;
+            assert_eq!(stream.build(), begun.build(), "{id}");
+        }));
+        let wake = async {
+            time::sleep(Duration::from_millis(50)).await;
+            setup.site.hosts[second].resume().unwrap();
+        };
+        tokio::join!(resumed, wake);
+    }
+}
+
 /// Guards against refusals where only one build serves, so that any target may go on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_of_an_unknown_build_goes_on_while_one_build_serves() {
@@ -151,3 +284,29 @@
         assert!(newer == 0 || newer == lines.len(), "{result}");
     }
 }
+
+/// Guards against a leader that has just started, sees one build, and takes it for the one that generated
+/// what its predecessor recorded of an item.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_text_of_an_item_is_of_one_build_after_all_stores_were_killed() {
+    let mut setup = Setup::start().await;
+    for engine in &setup.engines {
+        (engine.state().events, engine.state().event_time) = (100, Duration::from_millis(50));
+    }
+    setup.submit("job-1", 1, 4).await;
+    time::sleep(Duration::from_secs(3)).await;
+    let stores = setup.site.stores().len();
+    setup.site.hosts[..stores].iter_mut().for_each(|host| host.kill_started().unwrap());
+    setup.engines.iter().for_each(Engine::end);
+    let controls: Vec<String> =
+        setup.site.stores().iter().map(|host| host.address(setup.site.ports.control)).collect();
+    let newer = Engine::start_build("zone-0", "engine-3", "drafts", controls, NEWER).await.unwrap();
+    newer.state().events = 100;
+    setup.engines.push(newer);
+    setup.site.hosts[..stores].iter_mut().for_each(|host| host.start().unwrap());
+    for result in setup.results(0, "job-1", 4).await {
+        let lines: Vec<&str> = result["text"].as_str().unwrap().lines().collect();
+        assert_eq!(lines.len(), 100, "{result}");
+        assert!(lines.iter().all(|line| line.contains(" by ")), "{result}");
+    }
+}
--- a/tests/site/stream.rs
+++ b/tests/site/stream.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Returns the build of the target's software that the first event is of; `None` for the first build.
+    pub fn build(&self) -> Option<&str> {
+        let first = self.text.lines().find_map(|line| line.strip_prefix("data: "))?;
+        first.rsplit_once(" by ").map(|(_, build)| build)
+    }
+
     /// Returns whether any event is of a build of the target's software other than the first one.
     pub fn is_of_other_build(&self) -> bool {
         self.text.contains(" by ")
