Refuse registrations with impossible figures

An odd entry of another writer was taken as a target: port 0, 2^32-1 slots, slow phases of 1e300 ms, sequence numbers and starts of 2^64-1, build names of 200 kB. Under the id of a target it displaced that one for good, since no later heartbeat was newer.

Cause: the decoder checked types, not figures; sums of slots and loads are of 32 bits. Unreadable bodies were refused before as well.

Change: `Target::check` finds such figures, in the decoder and again at the leader, for what stores of an earlier release pass on.

--- a/crates/catkinlatch-entry/src/admission/line.rs
+++ b/crates/catkinlatch-entry/src/admission/line.rs
@@ -171,6 +171,6 @@
     }
 
     fn needed(&self) -> u32 {
-        self.queue.load().map_or(0, |load| load.running + load.waiting)
+        self.queue.load().map_or(0, |load| load.running.saturating_add(load.waiting))
     }
 }
--- a/crates/catkinlatch-ledger/src/registry.rs
+++ b/crates/catkinlatch-ledger/src/registry.rs
@@ -10,7 +10,7 @@
 pub use self::{
     evacuation::evacuated_zones,
     leaving::Leaving,
-    target::{Phase, Target},
+    target::{Flaw, Phase, Target},
 };
 
 use catkinlatch_base::{BootId, Instant, TargetId, derive_value};
--- a/crates/catkinlatch-ledger/src/registry/target.rs
+++ b/crates/catkinlatch-ledger/src/registry/target.rs
@@ -3,11 +3,54 @@
 use catkinlatch_base::{
     BootId, BuildId, ModelId, Rate, ServiceId, TargetId, Version, ZoneId, derive_value,
 };
+use derive_more::{Display, Error};
 use std::collections::BTreeMap;
 
 /// Largest part of a target's id in the id of a start, so that both fit in an id.
 const MAX_BOOT_NAME_BYTES: usize = 100;
 
+/// The most requests that a target may say to run at once.
+const MAX_SLOTS: u32 = 100_000;
+
+/// The longest slow phase that a target may state, in milliseconds: a day.
+const MAX_COLD_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// How far in the future the start of a target may lie, in milliseconds: clocks may be wrong, but a later
+/// start of the target must not count as an earlier one.
+const MAX_AHEAD_MS: u64 = 60 * 60 * 1_000;
+
+/// The largest sequence number and version of weights, which JSON represents exactly.
+const MAX_NUMBER: u64 = 1 << 53;
+
+/// The longest name of a build, in bytes.
+const MAX_BUILD_BYTES: usize = 128;
+
+/// The most models that a target may have loaded.
+const MAX_MODELS: usize = 1_000;
+
+/// What is wrong with a registration, which then names no target to use.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Flaw {
+    /// The number of slots is too large.
+    #[display("it has more than {MAX_SLOTS} slots")]
+    Slots,
+    /// The slow phase is too long.
+    #[display("its slow phase is longer than a day")]
+    Cold,
+    /// The start lies in the future.
+    #[display("it starts more than an hour from now")]
+    Start,
+    /// The sequence number is too large.
+    #[display("its sequence number is larger than {MAX_NUMBER}")]
+    Sequence,
+    /// The name of the build is too long.
+    #[display("the name of its build is longer than {MAX_BUILD_BYTES} bytes")]
+    Build,
+    /// There are too many models, or the number of a version is too large.
+    #[display("it has more than {MAX_MODELS} models, or a version larger than {MAX_NUMBER}")]
+    Models,
+}
+
 derive_value! {
     /// Whether a target accepts new requests.
     #[derive(Copy, Eq)]
@@ -66,6 +109,25 @@
         key(self) == key(other)
     }
 
+    /// Checks the figures of the registration; `wall_ms` is the time in milliseconds since the Unix epoch.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first flaw that was found.
+    pub fn check(&self, wall_ms: u64) -> Result<(), Flaw> {
+        let is_large = |version: &Version| version.get() > MAX_NUMBER;
+        let has_large = self.models.len() > MAX_MODELS || self.models.values().any(is_large);
+        let flaws = [
+            (self.slots > MAX_SLOTS, Flaw::Slots),
+            (self.cold_ms > MAX_COLD_MS, Flaw::Cold),
+            (self.born_ms > wall_ms.saturating_add(MAX_AHEAD_MS), Flaw::Start),
+            (self.sequence > MAX_NUMBER, Flaw::Sequence),
+            (self.build.as_str().len() > MAX_BUILD_BYTES, Flaw::Build),
+            (has_large, Flaw::Models),
+        ];
+        flaws.into_iter().find(|(is_found, _)| *is_found).map_or(Ok(()), |(_, flaw)| Err(flaw))
+    }
+
     /// Returns the id of this start of the target; the end of the target's id and the start time.
     pub fn boot(&self) -> BootId {
         let id = self.id.as_str();
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -44,7 +44,7 @@
         ControlCall::Register(_) | ControlCall::Withdraw(_) => TARGET_CALL_TIMEOUT,
         _ => host.settings.times.waits().call,
     };
-    match decode(call, &body) {
+    match decode(call, &body, host.clock.wall_ms()) {
         Decoded::Message(message) => respond(host.ask_leader(message, timeout).await),
         Decoded::Invalid(reason) => {
             warn!(
@@ -76,10 +76,10 @@
     }
 }
 
-fn decode(call: ControlCall, body: &bytes::Bytes) -> Decoded {
+fn decode(call: ControlCall, body: &bytes::Bytes, wall_ms: u64) -> Decoded {
     match call {
         ControlCall::Register(id) => {
-            let target = decode_registration(id, body);
+            let target = decode_registration(id, body, wall_ms);
             target.map(|target| Message::Register(Box::new(target))).into()
         }
         ControlCall::Withdraw(id) => Decoded::Message(Message::Withdraw(id)),
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -219,6 +219,11 @@
 }
 
 async fn register(host: &Arc<Host>, term: Term, target: Target) -> Reply {
+    // A host of an earlier release passes on what it does not check.
+    if let Err(flaw) = target.check(host.clock.wall_ms()) {
+        warn!(target_id:% = target.id, reason:% = flaw; "targets: refused a registration");
+        return Reply::NotFound;
+    }
     let (id, is_ready) = (target.id.clone(), target.is_ready());
     let (sequence, born_ms) = (target.sequence, target.born_ms);
     let stated = (target.cold_ms > 0).then(|| target.clone());
--- a/crates/catkinlatch-store/src/places.rs
+++ b/crates/catkinlatch-store/src/places.rs
@@ -222,7 +222,8 @@
     let places = services.map(|service| {
         let targets = soft.registry.targets();
         let ready = targets.filter(|target| target.service == service.name && target.is_ready());
-        (service.name.clone(), ready.map(|target| target.slots).sum::<u32>())
+        let slots = ready.map(|target| target.slots).fold(0, u32::saturating_add);
+        (service.name.clone(), slots)
     });
     places.filter(|(_, places)| (1..hosts).contains(&(*places as usize))).collect()
 }
--- a/crates/catkinlatch-store/src/weights/order.rs
+++ b/crates/catkinlatch-store/src/weights/order.rs
@@ -72,7 +72,7 @@
     );
     match answer {
         Some(OrderAnswer::Accepted) => {
-            host.soft_state().orders.insert(start, accepted + 1);
+            host.soft_state().orders.insert(start, accepted.saturating_add(1));
             time::sleep(TYPICAL_LOAD_TIME).await;
             await_load(host, target, model, version).await
         }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -36,6 +36,8 @@
 mod limit;
 #[path = "site/observations.rs"]
 mod observations;
+#[path = "site/odd.rs"]
+mod odd;
 #[path = "site/reach.rs"]
 mod reach;
 #[path = "site/retire.rs"]
