--- a/crates/catkinlatch-standin/src/cluster/process.rs
+++ b/crates/catkinlatch-standin/src/cluster/process.rs
@@ -28,6 +28,11 @@
         self
     }
 
+    /// Runs another program from the next start on.
+    pub fn set_program(&mut self, program: PathBuf) {
+        self.program = program;
+    }
+
     /// Starts the process; its output is appended to [`Self::log_file`].
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(self.log_file())?;
--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -107,6 +107,11 @@
         fs::write(cut::file(&self.settings), cut.to_string())
     }
 
+    /// Runs another program from the next start on.
+    pub fn set_program(&mut self, program: PathBuf) {
+        self.process.set_program(program);
+    }
+
     /// Starts the process.
     pub fn start(&mut self) -> io::Result<()> {
         self.process.start()
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -46,6 +46,8 @@
 mod stream;
 #[path = "site/suspect.rs"]
 mod suspect;
+#[path = "site/upgrade.rs"]
+mod upgrade;
 #[path = "site/usage.rs"]
 mod usage;
 #[path = "site/wire.rs"]
