Bound the replicated log by bytes as well as by entries

Change: the state machine tells about how large commands and state are.

Formats stay as they are.

Why it works: memory, disk and what an empty member is sent are bounded by a multiple of the state, and every message fits a frame.

--- a/crates/catkinlatch-ledger/src/command.rs
+++ b/crates/catkinlatch-ledger/src/command.rs
@@ -68,3 +68,35 @@
         },
     }
 }
+
+/// About how many bytes a command takes beside its texts.
+const COMMAND_BYTES: usize = 128;
+
+/// About how many bytes the count of a team takes.
+const COUNT_BYTES: usize = 32;
+
+impl Command {
+    /// Returns about how many bytes the command takes.
+    pub fn bytes(&self) -> usize {
+        let content = match self {
+            Self::Configure(document) => document.bytes(),
+            Self::Submit(job) => job.bytes(),
+            Self::Advance(advances) => {
+                advances.iter().map(|advance| advance.progress.bytes()).sum()
+            }
+            Self::Finish { outcome, .. } => outcome.bytes(),
+            Self::Count(tallies) => {
+                tallies.iter().map(|tally| tally.counts.len() * COUNT_BYTES).sum()
+            }
+            Self::RecordVersion { .. }
+            | Self::End { .. }
+            | Self::Forget { .. }
+            | Self::CloseWindow { .. }
+            | Self::WindowReported { .. }
+            | Self::Retire { .. }
+            | Self::Evacuate { .. }
+            | Self::Restore { .. } => 0,
+        };
+        COMMAND_BYTES + content
+    }
+}
--- a/crates/catkinlatch-ledger/src/config/document.rs
+++ b/crates/catkinlatch-ledger/src/config/document.rs
@@ -17,3 +17,10 @@
         pub source: Bytes,
     }
 }
+
+impl Document {
+    /// Returns about how many bytes the configuration takes: as text, and about as many decoded.
+    pub fn bytes(&self) -> usize {
+        2 * self.source.len()
+    }
+}
--- a/crates/catkinlatch-ledger/src/job.rs
+++ b/crates/catkinlatch-ledger/src/job.rs
@@ -54,6 +54,11 @@
 }
 
 impl Job {
+    /// Returns about how many bytes the job takes.
+    pub fn bytes(&self) -> usize {
+        self.items.iter().map(Item::bytes).sum()
+    }
+
     /// Returns the position of the item with the given id.
     pub fn position(&self, item: &str) -> Option<usize> {
         self.items.iter().position(|other| other.id.as_str() == item)
--- a/crates/catkinlatch-ledger/src/job/item.rs
+++ b/crates/catkinlatch-ledger/src/job/item.rs
@@ -25,3 +25,15 @@
         pub scorer: Option<Scorer>,
     }
 }
+
+/// About how many bytes an item takes beside its texts.
+const ITEM_BYTES: usize = 256;
+
+impl Item {
+    /// Returns about how many bytes the item takes.
+    pub fn bytes(&self) -> usize {
+        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        let scorer = self.scorer.as_ref().map_or(0, |scorer| scorer.body.len());
+        ITEM_BYTES + self.path.len() + self.body.len() + headers.sum::<usize>() + scorer
+    }
+}
--- a/crates/catkinlatch-ledger/src/job/progress.rs
+++ b/crates/catkinlatch-ledger/src/job/progress.rs
@@ -16,7 +16,15 @@
     }
 }
 
+/// About how many bytes an event takes beside its data.
+const EVENT_BYTES: usize = 24;
+
 impl Progress {
+    /// Returns about how many bytes the progress takes.
+    pub fn bytes(&self) -> usize {
+        self.text.iter().map(|data| data.len() + EVENT_BYTES).sum()
+    }
+
     /// Appends an event.
     pub fn push(&mut self, id: u64, data: String, version: Option<Version>) {
         self.last_event = id;
--- a/crates/catkinlatch-ledger/src/job/record.rs
+++ b/crates/catkinlatch-ledger/src/job/record.rs
@@ -66,6 +66,13 @@
         self.finished.get(item).copied().unwrap_or_default()
     }
 
+    /// Returns about how many bytes the record takes.
+    pub fn bytes(&self) -> usize {
+        let results: usize = self.results.iter().map(|outcome| outcome.bytes()).sum();
+        let progress: usize = self.progress.values().map(Progress::bytes).sum();
+        self.job.bytes() + results + progress
+    }
+
     /// Returns whether no items are left to run.
     pub fn is_done(&self) -> bool {
         self.is_ended || self.results.len() == self.job.items.len()
--- a/crates/catkinlatch-ledger/src/state.rs
+++ b/crates/catkinlatch-ledger/src/state.rs
@@ -109,6 +109,15 @@
     type Command = Command;
     type Reply = Reply;
 
+    fn command_bytes(command: &Command) -> usize {
+        command.bytes()
+    }
+
+    fn bytes(&self) -> usize {
+        let document = self.document.as_ref().map_or(0, Document::bytes);
+        document + self.jobs.values().map(Record::bytes).sum::<usize>()
+    }
+
     fn apply(&mut self, _: Index, command: &Command) -> Reply {
         match command {
             Command::Configure(document) => self.configure(document),
--- a/crates/catkinlatch-log/src/core.rs
+++ b/crates/catkinlatch-log/src/core.rs
@@ -93,6 +93,10 @@
     memberships: Vec<(Index, Membership)>,
     machine: M,
     applied: Index,
+    /// About how many bytes of entries were applied since the last snapshot.
+    applied_bytes: usize,
+    /// Value of `applied_bytes` from which the size of the state is looked at again.
+    snapshot_check_bytes: usize,
     commit: Index,
     state: State,
     leader: Option<Peer>,
@@ -155,7 +159,6 @@
         let entries = Entries::new(restored);
         let run = random.u64(..);
         let mut core = Self {
-            settings,
             identity,
             run,
             started: now,
@@ -165,6 +168,9 @@
             entries,
             machine: machine.unwrap_or_default(),
             applied,
+            applied_bytes: 0,
+            snapshot_check_bytes: settings.snapshot_bytes,
+            settings,
             commit: applied,
             state: State::Follower,
             leader: None,
@@ -355,6 +361,7 @@
             let proposal = self.pending.remove(&index);
             let token = self.resolve_proposal(proposal, entry.term);
             if let Payload::Command(command) = &entry.payload {
+                self.applied_bytes = self.applied_bytes.saturating_add(M::command_bytes(command));
                 let reply = self.machine.apply(index, command);
                 self.outbox.push(Action::Applied { token, index, reply });
             }
--- a/crates/catkinlatch-log/src/core/entries.rs
+++ b/crates/catkinlatch-log/src/core/entries.rs
@@ -89,8 +89,13 @@
 
     /// Returns up to `limit` entries, starting at position `from`.
     pub fn range(&self, from: Index, limit: usize) -> Vec<Arc<Entry<C>>> {
+        self.iter(from).take(limit).cloned().collect()
+    }
+
+    /// Returns the entries from position `from` on.
+    pub fn iter(&self, from: Index) -> impl DoubleEndedIterator<Item = &Arc<Entry<C>>> {
         let skip = from.get().saturating_sub(self.base.0.get() + 1) as usize;
-        self.list.iter().skip(skip).take(limit).cloned().collect()
+        self.list.range(skip.min(self.list.len())..)
     }
 
     /// Returns the first position in the run of consecutive entries that share the term at `index`.
@@ -124,10 +129,8 @@
         write.truncate = Some(write.truncate.map_or(from, |earlier| earlier.min(from)));
     }
 
-    /// Records a snapshot of this node's state, and drops all entries up to `keep` positions before
-    /// it.
-    pub fn compact(&mut self, snapshot: Arc<Snapshot>, keep: u64, write: &mut Write<C>) {
-        let until = Index::new(snapshot.index.get().saturating_sub(keep));
+    /// Records a snapshot of this node's state, and drops all entries up to `until`.
+    pub fn compact(&mut self, snapshot: Arc<Snapshot>, until: Index, write: &mut Write<C>) {
         while self.list.front().is_some_and(|entry| entry.index <= until) {
             if let Some(entry) = self.list.pop_front() {
                 self.base = (entry.index, entry.term);
--- a/crates/catkinlatch-log/src/core/replication.rs
+++ b/crates/catkinlatch-log/src/core/replication.rs
@@ -1,12 +1,12 @@
 //! Leader side of replication: proposals, sending entries and snapshots, and commits.
 
-use super::{Core, Leader, Progress, Proposal, State};
+use super::{Core, Leader, Progress, Proposal, State, compaction::entry_bytes};
 use crate::{
-    Action, Append, AppendReply, Chunk, ChunkReply, Echo, Grant, Index, Machine, Message, Payload,
-    Peer, Refusal, Token,
+    Action, Append, AppendReply, Chunk, ChunkReply, Echo, Entry, Grant, Index, Machine, Message,
+    Payload, Peer, Refusal, Token,
 };
 use catkinlatch_base::{Incarnation, Instant, Term};
-use std::mem;
+use std::{mem, sync::Arc};
 
 impl<M: Machine> Core<M> {
     pub(super) fn propose(&mut self, token: Token, command: M::Command) {
@@ -224,8 +224,8 @@
         self.send(&peer, Message::Append(append));
     }
 
-    /// Sends entries until the node is up to date or [`crate::Settings::max_in_flight_entries`]
-    /// entries are in flight, and a heartbeat if one is due.
+    /// Sends entries until the node is up to date or as many are in flight as the settings allow, and
+    /// a heartbeat if one is due.
     fn send_entries(
         &mut self,
         now: Instant,
@@ -235,16 +235,13 @@
     ) {
         let mut must_send = is_due || progress.commit_sent < self.commit;
         loop {
-            let last = self.entries.last_index();
-            let in_flight = progress.next.get().saturating_sub(progress.matched.next().get());
-            let has_more = progress.next <= last && in_flight < self.settings.max_in_flight_entries;
+            let has_more = progress.next <= self.entries.last_index() && self.has_room(progress);
             let may_send_more = has_more && progress.probe.is_none();
             if !must_send && !may_send_more {
                 return;
             }
             must_send = false;
-            let limit = if has_more { self.settings.max_entries } else { 0 };
-            let entries = self.entries.range(progress.next, limit);
+            let entries = if has_more { self.next_entries(progress.next) } else { Vec::new() };
             let previous_index = progress.next.previous();
             let previous_term = self.entries.term(previous_index).unwrap_or_default();
             let grant = self.grant(progress, has_lease);
@@ -259,6 +256,30 @@
         }
     }
 
+    /// Returns whether more entries may be in flight to a node.
+    fn has_room(&self, progress: &Progress) -> bool {
+        let first = progress.matched.next();
+        let in_flight = progress.next.get().saturating_sub(first.get());
+        if in_flight >= self.settings.max_in_flight_entries {
+            return false;
+        }
+        let sent = self.entries.iter(first).take(in_flight as usize);
+        let bytes: usize = sent.map(|entry| entry_bytes::<M>(entry)).sum();
+        bytes < self.settings.max_in_flight_bytes
+    }
+
+    /// Returns the entries of the next message, from position `from` on.
+    fn next_entries(&self, from: Index) -> Vec<Arc<Entry<M::Command>>> {
+        let mut bytes = 0;
+        let entries = self.entries.iter(from).take(self.settings.max_entries);
+        let fitting = entries.take_while(|entry| {
+            let is_full = bytes >= self.settings.max_entry_bytes;
+            bytes += entry_bytes::<M>(entry);
+            !is_full
+        });
+        fitting.cloned().collect()
+    }
+
     /// Grants a configuration lease that starts at the node's clock reading in its newest reply.
     fn grant(&self, progress: &mut Progress, has_lease: bool) -> Option<Grant> {
         let echo = progress.echo.filter(|_| has_lease)?;
--- a/crates/catkinlatch-log/src/machine.rs
+++ b/crates/catkinlatch-log/src/machine.rs
@@ -12,4 +12,15 @@
 
     /// Applies the command that was committed at `index`.
     fn apply(&mut self, index: Index, command: &Self::Command) -> Self::Reply;
+
+    /// Returns about how many bytes a command takes; 0 if commands are so small that their number
+    /// alone matters.
+    fn command_bytes(_: &Self::Command) -> usize {
+        0
+    }
+
+    /// Returns about how many bytes the state takes, in the same measure.
+    fn bytes(&self) -> usize {
+        0
+    }
 }
--- a/crates/catkinlatch-log/src/settings.rs
+++ b/crates/catkinlatch-log/src/settings.rs
@@ -45,8 +45,12 @@
     pub max_learners: usize,
     /// Maximum number of entries in one message.
     pub max_entries: usize,
+    /// Number of bytes of entries from which a message holds no further one.
+    pub max_entry_bytes: usize,
     /// Maximum number of unacknowledged entries in flight to each node.
     pub max_in_flight_entries: u64,
+    /// Number of bytes of unacknowledged entries in flight to a node from which no more are sent.
+    pub max_in_flight_bytes: usize,
     /// Maximum number of uncommitted proposals, and of reads that wait for confirmation by a
     /// quorum.
     pub max_pending: usize,
@@ -54,8 +58,12 @@
     pub chunk_bytes: usize,
     /// Number of entries applied between two snapshots.
     pub snapshot_every: u64,
+    /// Number of bytes of entries applied between two snapshots, if the state is smaller.
+    pub snapshot_bytes: usize,
     /// Number of entries kept before a snapshot for nodes that are slightly behind.
     pub snapshot_keep: u64,
+    /// Number of bytes of entries kept before a snapshot.
+    pub snapshot_keep_bytes: usize,
 }
 
 impl Settings {
@@ -78,11 +86,15 @@
             max_voters: 5,
             max_learners: 1024,
             max_entries: 256,
+            max_entry_bytes: 4 << 20,
             max_in_flight_entries: 4096,
+            max_in_flight_bytes: 16 << 20,
             max_pending: 65_536,
             chunk_bytes: 256 << 10,
             snapshot_every: 10_000,
+            snapshot_bytes: 16 << 20,
             snapshot_keep: 1_000,
+            snapshot_keep_bytes: 4 << 20,
         }
     }
 
--- a/crates/catkinlatch-log/tests/log/net.rs
+++ b/crates/catkinlatch-log/tests/log/net.rs
@@ -3,7 +3,8 @@
 
 use catkinlatch_base::{HostId, Incarnation, Instant, ZoneId};
 use catkinlatch_log::{
-    Action, Core, Frame, Index, Input, Machine, Peer, Refusal, Settings, Token, storage::Memory,
+    Action, Core, Frame, Index, Input, Machine, Message, Payload, Peer, Refusal, Settings, Token,
+    storage::Memory,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,8 +22,15 @@
         self.commands.push(*command);
         self.commands.len() as u64
     }
+
+    fn command_bytes(_: &u64) -> usize {
+        COMMAND_BYTES
+    }
 }
 
+/// Size of a command, as the log counts it.
+pub const COMMAND_BYTES: usize = 8;
+
 pub struct Net {
     now: Instant,
     settings: Settings,
@@ -31,6 +39,8 @@
     next_id: u64,
     pub refused: BTreeMap<Token, Refusal>,
     pub applied: BTreeMap<Token, Index>,
+    /// The most commands in one message so far.
+    pub most_commands: usize,
 }
 
 struct Node {
@@ -71,6 +81,7 @@
             next_id: 1_000,
             refused: BTreeMap::new(),
             applied: BTreeMap::new(),
+            most_commands: 0,
         }
     }
 
@@ -255,6 +266,11 @@
 
     fn send(&mut self, from: usize, to: &HostId, frame: Frame<u64>) {
         let number = (0..self.nodes.len()).find(|number| host(*number) == *to).unwrap();
+        if let Message::Append(append) = &frame.message {
+            let entries = append.entries.iter();
+            let commands = entries.filter(|entry| matches!(entry.payload, Payload::Command(_)));
+            self.most_commands = self.most_commands.max(commands.count());
+        }
         let node = &mut self.nodes[number];
         if !self.blocked_links.contains(&(from, number)) && node.core.is_some() {
             node.inbox.push(Input::Receive(frame));
--- a/crates/catkinlatch-log/tests/log/repair.rs
+++ b/crates/catkinlatch-log/tests/log/repair.rs
@@ -1,7 +1,7 @@
 //! Repair of the voters after hosts fail.
 
-use crate::net::{Net, settings};
-use catkinlatch_log::{Refusal, Role};
+use crate::net::{COMMAND_BYTES, Net, settings};
+use catkinlatch_log::{Index, Refusal, Role};
 
 /// Returns a voter that is neither the leader nor in `excluded`.
 fn follower(net: &Net, excluded: &[usize]) -> usize {
@@ -115,6 +115,57 @@
     assert!(net.journal(3).iter().copied().eq(0..400));
 }
 
+/// Guards against a log of large entries that is kept whole, since it has few.
+#[test]
+fn a_log_of_many_bytes_is_replaced_by_a_snapshot() {
+    let mut small = settings(3, 3);
+    (small.snapshot_every, small.snapshot_keep) = (10_000, 1_000);
+    (small.snapshot_bytes, small.snapshot_keep_bytes) = (50 * COMMAND_BYTES, 5 * COMMAND_BYTES);
+    let mut net = Net::with_leader(small, 3);
+    let leader = net.leader().unwrap();
+    for command in 0..180 {
+        net.propose(leader, command);
+        net.run_for(5);
+    }
+    net.run_for(1_000);
+    for number in 0..3 {
+        let (core, last) = (net.core(number), net.core(number).last_index().get());
+        let kept = (1..=last).filter(|index| core.entry(Index::new(*index)).is_some()).count();
+        assert!(kept <= 60, "host {number} keeps {kept} of {last} entries");
+        assert!(core.entry(Index::new(last)).is_some());
+    }
+    let number = follower(&net, &[]);
+    net.kill(number);
+    net.wipe(number);
+    net.start(number);
+    net.run_for(10_000);
+    net.kill(net.leader().unwrap());
+    net.run_for(4_000);
+    net.commit(180);
+    assert!(net.journal(number).iter().copied().eq(0..=180));
+}
+
+/// Guards against a message of large entries that is longer than a frame may be, so that an empty disk
+/// never gets them.
+#[test]
+fn an_empty_disk_gets_large_entries_in_several_messages() {
+    let mut small = settings(3, 3);
+    (small.max_entry_bytes, small.max_in_flight_bytes) = (4 * COMMAND_BYTES, 8 * COMMAND_BYTES);
+    let mut net = Net::with_leader(small, 3);
+    let (leader, number) = (net.leader().unwrap(), follower(&net, &[]));
+    net.kill(number);
+    net.wipe(number);
+    for command in 0..200 {
+        net.propose(leader, command);
+    }
+    net.run_for(100);
+    net.most_commands = 0;
+    net.start(number);
+    net.run_for(10_000);
+    assert!(net.journal(number).iter().copied().eq(0..200));
+    assert_eq!(net.most_commands, 4);
+}
+
 #[test]
 fn a_leader_whose_disk_is_full_steps_down_and_confirms_nothing() {
     let mut net = Net::with_leader(settings(3, 3), 3);
--- a/crates/catkinlatch-log/tests/log/simulation/host.rs
+++ b/crates/catkinlatch-log/tests/log/simulation/host.rs
@@ -1,6 +1,7 @@
 //! A simulated host: its process, storage and clock.
 
 use super::clock::Clock;
+use crate::net::COMMAND_BYTES;
 use catkinlatch_base::Instant;
 use catkinlatch_log::{Core, Index, Input, Machine, Peer, storage::Memory};
 
@@ -20,6 +21,10 @@
         }
         self.value
     }
+
+    fn command_bytes(_: &u64) -> usize {
+        COMMAND_BYTES
+    }
 }
 
 pub struct Host {
--- a/crates/catkinlatch-log/tests/log/simulation/world.rs
+++ b/crates/catkinlatch-log/tests/log/simulation/world.rs
@@ -6,7 +6,7 @@
     disk::TRIAL_NANOS,
     host::{Digest, Host},
 };
-use crate::net;
+use crate::net::{self, COMMAND_BYTES};
 use catkinlatch_base::{HostId, Incarnation};
 use catkinlatch_log::{
     Action, Core, Frame, Index, Input, Role, Settings, Token,
@@ -90,6 +90,12 @@
         let mut settings = net::settings(hosts, voters);
         settings.snapshot_every = random.u64(5..60);
         settings.snapshot_keep = random.u64(0..20);
+        if settings.snapshot_every % 2 == 0 {
+            settings.snapshot_bytes = settings.snapshot_every as usize * COMMAND_BYTES / 2;
+            settings.snapshot_keep_bytes = settings.snapshot_keep as usize * COMMAND_BYTES / 2;
+            settings.max_entry_bytes = 2 * COMMAND_BYTES;
+            settings.max_in_flight_bytes = 8 * COMMAND_BYTES;
+        }
         settings.replicates_to_all_learners = replicates_to_all_learners;
         settings.chunk_bytes = 3;
         settings.max_entries = 4;
