--- a/crates/catkinlatch-ledger/src/registry.rs
+++ b/crates/catkinlatch-ledger/src/registry.rs
@@ -10,7 +10,7 @@
 pub use self::{
     evacuation::evacuated_zones,
     leaving::Leaving,
-    target::{Flaw, Phase, Target},
+    target::{Flaw, MAX_COLD_MS, MAX_SLOTS, Phase, Target},
 };
 
 use catkinlatch_base::{BootId, Instant, TargetId, derive_value};
--- a/crates/catkinlatch-ledger/src/registry/target.rs
+++ b/crates/catkinlatch-ledger/src/registry/target.rs
@@ -4,16 +4,19 @@
     BootId, BuildId, ModelId, Rate, ServiceId, TargetId, Version, ZoneId, derive_value,
 };
 use derive_more::{Display, Error};
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
 
 /// Largest part of a target's id in the id of a start, so that both fit in an id.
 const MAX_BOOT_NAME_BYTES: usize = 100;
 
-/// The most requests that a target may say to run at once.
-const MAX_SLOTS: u32 = 100_000;
+/// The most requests that a target may say to run at once, also beyond its slots.
+pub const MAX_SLOTS: u32 = 100_000;
 
 /// The longest slow phase that a target may state, in milliseconds: a day.
-const MAX_COLD_MS: u64 = 24 * 60 * 60 * 1_000;
+pub const MAX_COLD_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// How far in the future the start of a target may lie, in milliseconds: clocks may be wrong, but a later
 /// start of the target must not count as an earlier one.
@@ -31,6 +34,9 @@
 /// What is wrong with a registration, which then names no target to use.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Flaw {
+    /// Nothing can listen at the address.
+    #[display("nothing can listen at its address")]
+    Address,
     /// The number of slots is too large.
     #[display("it has more than {MAX_SLOTS} slots")]
     Slots,
@@ -118,6 +124,7 @@
         let is_large = |version: &Version| version.get() > MAX_NUMBER;
         let has_large = self.models.len() > MAX_MODELS || self.models.values().any(is_large);
         let flaws = [
+            (!self.address.parse().is_ok_and(|address| is_reachable(&address)), Flaw::Address),
             (self.slots > MAX_SLOTS, Flaw::Slots),
             (self.cold_ms > MAX_COLD_MS, Flaw::Cold),
             (self.born_ms > wall_ms.saturating_add(MAX_AHEAD_MS), Flaw::Start),
@@ -140,3 +147,10 @@
         self.phase == Phase::Ready
     }
 }
+
+/// Returns whether a target can listen at an address.
+fn is_reachable(address: &SocketAddr) -> bool {
+    let ip = address.ip();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
--- a/crates/catkinlatch-log/tests/log/simulation/world.rs
+++ b/crates/catkinlatch-log/tests/log/simulation/world.rs
@@ -90,7 +90,7 @@
         let mut settings = net::settings(hosts, voters);
         settings.snapshot_every = random.u64(5..60);
         settings.snapshot_keep = random.u64(0..20);
-        if settings.snapshot_every % 2 == 0 {
+        if settings.snapshot_every.is_multiple_of(2) {
             settings.snapshot_bytes = settings.snapshot_every as usize * COMMAND_BYTES / 2;
             settings.snapshot_keep_bytes = settings.snapshot_keep as usize * COMMAND_BYTES / 2;
             settings.max_entry_bytes = 2 * COMMAND_BYTES;
