--- a/crates/catkinlatch-store/src/allowance.rs
+++ b/crates/catkinlatch-store/src/allowance.rs
@@ -34,9 +34,8 @@
 /// Why a request was not sent, or got no response.
 #[derive(Debug, Display)]
 pub enum SendError {
-    /// The target is limited, and the leader has no allowance left for it, or this host may not act as
-    /// the leader; nothing was sent.
-    #[display("the target is limited, or this host holds no valid lease")]
+    /// The target is limited, and the leader has no allowance left for it; nothing was sent.
+    #[display("the target is limited")]
     Withheld,
     /// The request failed.
     Failed(Failure),
@@ -203,9 +202,8 @@
     }
 }
 
-/// Sends a request to a target unless that is limited and this host has no allowance for it, or this
-/// host holds no valid lease: another leader may have ended the work. Another host may relay the
-/// connection.
+/// Sends a request to a target unless that is limited and this host has no allowance for it. Another
+/// host may relay the connection.
 ///
 /// # Errors
 ///
@@ -215,8 +213,7 @@
     target: &Target,
     request: Request<Body>,
 ) -> Result<Exchange, SendError> {
-    let may_send = || host.replica.fencing_token().is_some();
-    send_with(host, &host.work_client, target, request, may_send).await
+    send_with(host, &host.work_client, target, request, || true).await
 }
 
 /// Like [`send`], but only over a connection of this host, and only if `may_send` allows it once the
@@ -244,7 +241,6 @@
     let (mut sent, mut is_withheld) = (None, false);
     let may_send = || {
         if !may_send() {
-            is_withheld = true;
             return false;
         }
         let now = host.clock.now();
