--- a/crates/catkinlatch-ledger/src/build.rs
+++ b/crates/catkinlatch-ledger/src/build.rs
@@ -32,7 +32,7 @@
     Unsettled,
     /// One build.
     Only(BuildId),
-    /// Several builds, or others may have left before the host saw the targets.
+    /// Several builds.
     Several,
 }
 
@@ -104,21 +104,12 @@
         self.complete_since.is_some_and(is_complete)
     }
 
-    /// Returns the builds of a service that may have generated output in the last `age`, once this
-    /// host has seen targets for `settling`.
-    pub fn seen(
-        &self,
-        service: &ServiceId,
-        age: Duration,
-        settling: Duration,
-        now: Instant,
-    ) -> Seen {
-        if self.since.is_none_or(|since| now < since + settling) {
+    /// Returns the builds of a service once this host has seen targets for `duration`.
+    pub fn seen(&self, service: &ServiceId, duration: Duration, now: Instant) -> Seen {
+        if self.since.is_none_or(|since| now < since + duration) {
             return Seen::Unsettled;
         }
-        let only = self.only(iter::once(service), now);
-        let only = only.filter(|_| self.is_complete(age.min(RETENTION), now));
-        only.map_or(Seen::Several, |build| Seen::Only(build.clone()))
+        self.only(iter::once(service), now).map_or(Seen::Several, |build| Seen::Only(build.clone()))
     }
 }
 
--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -24,7 +24,7 @@
     build::Seen,
     job::{self, Progress},
 };
-use catkinlatch_base::{GroupId, JobId, ModelId, RunId, TargetId, Version};
+use catkinlatch_base::{GroupId, JobId, ModelId, RunId, ServiceId, TargetId, Version};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -119,11 +119,11 @@
     }
 
     /// Decides whether items go on after the output that an earlier leader recorded, which names no
-    /// build: only if the engines of their service ran a single one. `seen` returns the builds that may
-    /// have run items of a job; the items wait until those are settled.
-    pub fn resolve_builds(&mut self, seen: impl Fn(&Job) -> Seen) {
+    /// build: only if the engines of their service ran a single one. `seen` returns the builds of a
+    /// service; items wait until they are settled.
+    pub fn resolve_builds(&mut self, seen: impl Fn(&ServiceId) -> Seen) {
         for task in self.tasks.values_mut().filter(|task| task.has_unknown_build()) {
-            match seen(&task.job) {
+            match seen(&task.job.service) {
                 Seen::Unsettled => {}
                 Seen::Only(build) => task.build = Some(build),
                 Seen::Several => task.restart(),
--- a/crates/catkinlatch-store/src/follow.rs
+++ b/crates/catkinlatch-store/src/follow.rs
@@ -57,9 +57,7 @@
                 }
                 view_version = view.view_version;
             }
-            Answer::Reply(Reply::Nothing) => {
-                host.soft_state().builds.confirm(host.clock.now());
-            }
+            Answer::Reply(Reply::Nothing) => {}
             Answer::Reply(_) | Answer::NotDone | Answer::Unknown => {
                 time::sleep(RETRY_INTERVAL).await
             }
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -94,7 +94,6 @@
         let last_turn = Mutex::new((!settings.is_first_start).then_some(earlier));
         let contact = settings.times.waits().contact;
         let soft_state = SoftState::default().with_follower_timeout(contact);
-        let soft_state = soft_state.with_first_start(settings.is_first_start);
         let soft_state = Arc::new(Mutex::new(soft_state));
         let client = Client::new().with_reset_on_close().with_limits(limits);
         let dialer = relay::dialer(&settings, clock, &peers, connect, &soft_state);
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -35,9 +35,6 @@
 /// Interval at which the runner checks for changes that it is not notified of, such as deadlines.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How far the clocks of two hosts may be apart.
-const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
-
 /// Number of runs that start at once. Other tasks, such as heartbeats of the log, have their turn
 /// before the next ones start: each start opens a connection.
 const START_BATCH: usize = 16;
@@ -147,17 +144,12 @@
         let ended = self.host.replica.read(|state| schedule.sync_jobs(&state.jobs));
         let mut soft = self.host.soft_state();
         let SoftState { registry, builds, revision, .. } = &mut *soft;
-        match self.observed.replace(*revision) == Some(*revision) {
-            true => builds.confirm(now),
-            false => builds.observe(registry.targets(), now),
+        if self.observed.replace(*revision) != Some(*revision) {
+            builds.observe(registry.targets(), now);
         }
         // Targets announce themselves to a leader without a predecessor one after the other.
         let settling = Duration::from_millis(self.host.settings.times.heartbeat_ms) * 2;
-        let wall_ms = self.host.clock.wall_ms();
-        schedule.resolve_builds(|job| {
-            let age = Duration::from_millis(wall_ms.saturating_sub(job.submitted_ms));
-            builds.seen(&job.service, age + CLOCK_TOLERANCE, settling, now)
-        });
+        schedule.resolve_builds(|service| builds.seen(service, settling, now));
         drop(soft);
         for job in ended {
             self.stop_job(&job);
--- a/crates/catkinlatch-store/src/soft_state.rs
+++ b/crates/catkinlatch-store/src/soft_state.rs
@@ -58,11 +58,6 @@
         Self { follower_timeout: Some(timeout), ..self }
     }
 
-    /// Sets whether the deployment started with this process.
-    pub fn with_first_start(self, is_first_start: bool) -> Self {
-        Self { builds: self.builds.with_first_start(is_first_start), ..self }
-    }
-
     /// Records that an engine loads weights, with a deadline.
     pub fn begin_load(&mut self, engine: &TargetId, model: &ModelId, until: Instant) {
         self.loading.insert(engine.clone(), (model.clone(), until));
