--- a/crates/catkinlatch-entry/src/build.rs
+++ b/crates/catkinlatch-entry/src/build.rs
@@ -134,15 +134,16 @@
         matches!(reply, Ok(Reply::Done))
     };
     let holders: Vec<HostId> = holders(host, attempt).into_iter().take(ASKED).collect();
-    let (first, others) = holders.split_at(holders.len().min(COPIES));
+    let wanted = holders.len().min(COPIES);
+    let (first, others) = holders.split_at(wanted);
     let kept = join_all(first.iter().map(&keep)).await;
     let mut copies = kept.into_iter().filter(|is_kept| *is_kept).count();
     for holder in others {
-        if copies < COPIES {
+        if copies < wanted {
             copies += usize::from(keep(holder).await);
         }
     }
-    if copies < COPIES {
+    if copies < wanted {
         metrics::counter!("catkinlatch_entry_origins_not_kept").increment(1);
         info!(
             attempt = attempt.as_str(), build:% = build, copies = copies;
