--- a/crates/catkinlatch-standin/src/site/host.rs
+++ b/crates/catkinlatch-standin/src/site/host.rs
@@ -96,6 +96,11 @@
         format!("{}:{port}", self.ip)
     }
 
+    /// Returns the id of the process; `None` if it is not running.
+    pub fn id(&self) -> Option<u32> {
+        self.process.id()
+    }
+
     /// Returns the path of the settings file.
     pub fn settings(&self) -> &Path {
         &self.settings
