Bound the memory of all requests' bodies together

What callers saw: processes that ended for lack of memory. 40 clients with bodies of 4 MiB took an entry host of 100 MB to 283 MB (whole) and 197 MB (all but the last byte); 60 control calls of 4 MiB a store of 160 MB to 279 MB.

Cause: a body was bounded by itself alone and had no time limit. Nothing knew what all of them held.

Change: one owner for the clients of all listeners of a process, http::Inbound. Bodies count as they arrive. Beyond a quarter of the memory (on stores two of the largest control calls) slow requests are ended first, then the newest large one; small ones pass. They get 503, which is true: a request whose body is not whole has not run. A body that outlasts the time of its caller or route gets 408. The rest of a refused body is read for up to a second, so that the answer is not lost in a reset. Idle connections are closed after the configured time, for which the server had a constant of 16 s (15 s on stores).

Why it works: slow clients are those that make no progress, so stopping short of the end keeps no memory that others need; a drip of bytes does not count as progress.

A single request of the largest size is served.

--- a/crates/catkinlatch-entry/src/answer.rs
+++ b/crates/catkinlatch-entry/src/answer.rs
@@ -1,6 +1,6 @@
 //! Responses that this host creates itself.
 
-pub use catkinlatch_runtime::http::{json, status, text};
+pub use catkinlatch_runtime::http::{closing, json, status, text};
 
 use catkinlatch_runtime::http::Body;
 use http::{HeaderValue, Response, StatusCode, header};
--- a/crates/catkinlatch-entry/src/follow.rs
+++ b/crates/catkinlatch-entry/src/follow.rs
@@ -52,6 +52,9 @@
                 leaving::observe_view(&host, &view);
                 let version = host.view().version();
                 if version != before {
+                    if let Some(configuration) = &host.view().configuration {
+                        host.inbound.configure(&configuration.limits);
+                    }
                     info!(version = version.unwrap_or_default(); "entry: configuration in force");
                 }
                 view_version = view.view_version;
--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -7,7 +7,7 @@
     call::{self, EntryCall},
     header,
 };
-use catkinlatch_runtime::http::{Body, BodyError, collect};
+use catkinlatch_runtime::http::{Body, BodyError, receive};
 use catkinlatch_state::suspect::Fingerprint;
 use http::{Method, Response, StatusCode, request::Parts};
 use hyper::{Request, body::Incoming};
@@ -23,6 +23,13 @@
 /// in which a starting host finds the leader.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(450);
 
+/// Delay after which a caller should retry if the bodies of others took all memory: about the time
+/// after which a client that sends nothing more is slow.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Time within which a body must have arrived whole if neither caller nor route sets one.
+const MAX_BODY_TIME: Duration = Duration::from_secs(30);
+
 /// The retry delay is at most the caller's deadline divided by this.
 const DEADLINE_DIVISOR: u32 = 3;
 
@@ -81,7 +88,7 @@
     host.confirm_view().await;
     let view = host.view();
     let Some(configuration) = view.configuration.clone() else {
-        let after = retry_after(&head);
+        let after = retry_after(&head, NOT_READY_RETRY_AFTER);
         info!(
             request = request_id(&head), after_ms = after.as_millis() as u64;
             "entry: refused, no configuration is known yet"
@@ -103,19 +110,29 @@
         }
     };
     let (fingerprint, place) = (OnceLock::new(), OnceLock::new());
-    let collected = tokio::select! {
-        collected = collect(body, configuration.limits.body_bytes) => collected,
+    let body_time = body_time(&head, route.as_ref(), waited);
+    let received = tokio::select! {
+        received = receive(&head, body, configuration.limits.body_bytes, body_time) => received,
         () = host.last_answers() => {
             info!(request = request_id(&head); "entry: refused, this host ends before the body does");
             return answer::refusal(drain::RETRY_AFTER);
         }
     };
-    let body = match collected {
+    let body = match received {
         Ok(body) => body,
         Err(BodyError::TooLong) => {
             info!(request = request_id(&head); "entry: refused, the body is too long");
             return answer::status(StatusCode::PAYLOAD_TOO_LARGE);
         }
+        Err(BodyError::NoMemory) => {
+            metrics::counter!("catkinlatch_entry_memory_refusals").increment(1);
+            info!(request = request_id(&head); "entry: refused, too little memory for the body");
+            return answer::closing(answer::refusal(retry_after(&head, MEMORY_RETRY_AFTER)));
+        }
+        Err(BodyError::TooSlow) => {
+            info!(request = request_id(&head); "entry: refused, the body takes too long");
+            return answer::closing(answer::status(StatusCode::REQUEST_TIMEOUT));
+        }
         Err(error) => {
             info!(
                 request = request_id(&head), reason:% = error;
@@ -159,10 +176,19 @@
     header::text(&head.headers, &header::REQUEST_ID).unwrap_or_default()
 }
 
-/// Returns the delay after which a caller should retry while this host has no configuration.
-fn retry_after(head: &Parts) -> Duration {
+/// Returns the delay after which a caller should retry: `after`, or less if its time is short.
+fn retry_after(head: &Parts, after: Duration) -> Duration {
     let left = header::number(&head.headers, &header::DEADLINE).map(Duration::from_millis);
-    left.map_or(NOT_READY_RETRY_AFTER, |left| NOT_READY_RETRY_AFTER.min(left / DEADLINE_DIVISOR))
+    left.map_or(after, |left| after.min(left / DEADLINE_DIVISOR))
+}
+
+/// Returns the time within which a body must have arrived whole: beyond it, the caller's or the
+/// route's time is over.
+fn body_time(head: &Parts, route: Option<&Route>, waited: Duration) -> Duration {
+    let caller = header::number(&head.headers, &header::DEADLINE).map(Duration::from_millis);
+    let route = route.and_then(|route| route.timeout_ms).map(Duration::from_millis);
+    let limit = [caller, route].into_iter().flatten().min().unwrap_or(MAX_BODY_TIME);
+    limit.saturating_sub(waited)
 }
 
 /// Returns the route and team of a request.
--- a/crates/catkinlatch-entry/src/host.rs
+++ b/crates/catkinlatch-entry/src/host.rs
@@ -12,7 +12,10 @@
     registry::Leaving,
 };
 use catkinlatch_route::{Budget, Ramp, drain::Durations};
-use catkinlatch_runtime::{Clock, LeaderClient, Peers, Settings, http::Client};
+use catkinlatch_runtime::{
+    Clock, LeaderClient, Peers, Settings,
+    http::{Client, Inbound},
+};
 use log::info;
 use std::{
     mem,
@@ -45,6 +48,8 @@
     pub leader_client: LeaderClient,
     /// The HTTP client with its connections to targets.
     pub client: Client,
+    /// What callers hold.
+    pub inbound: Inbound,
     /// What this host may send to limited targets.
     pub allowance: Allowance,
     /// The queues of live requests for the slots of services.
@@ -80,6 +85,7 @@
         peers: Arc<Peers>,
         leader_client: LeaderClient,
         client: Client,
+        inbound: Inbound,
         view: Arc<Mutex<View>>,
     ) -> Self {
         let allowance = Allowance::new(settings.cold);
@@ -91,6 +97,7 @@
             peers,
             leader_client,
             client,
+            inbound,
             allowance,
             admission: Admission::default(),
             view,
--- a/crates/catkinlatch-entry/src/lib.rs
+++ b/crates/catkinlatch-entry/src/lib.rs
@@ -32,10 +32,11 @@
 use catkinlatch_runtime::{
     Clock, LeaderClient, Peers, Settings,
     http::{
-        Client, Limits, Server,
+        Client, Inbound, Limits, Server,
         dialer::{self, Connect},
-        serve,
+        inbound, serve,
     },
+    metric,
 };
 use derive_more::{Display, Error, From};
 use log::info;
@@ -43,14 +44,9 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
 };
 use tokio::{net::TcpListener, sync::watch, time};
 
-/// How long a connection may be idle; callers reuse connections that have been idle for up to four
-/// fifths of the configured time.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(16);
-
 /// Share of the shutdown grace period in which the process still accepts requests: callers cache
 /// its address for a while after the directory has dropped it.
 const SERVING_SHARE: f64 = 0.72;
@@ -95,19 +91,23 @@
     let clock = Clock::new();
     let peers = Arc::new(Peers::new(&settings));
     let leader_client = LeaderClient::new(peers.clone(), settings.seed_hosts());
+    let inbound = Inbound::new(inbound::Limits::new(&settings.resources));
+    if let Some(address) = settings.metrics_address {
+        tokio::spawn(metric::run(address, inbound.clone(), stop.clone()));
+    }
     let limits = Limits::new(settings.resources.memory_mb);
     let view = Arc::new(Mutex::default());
     let dialer = Arc::new(relay::dialer(&settings, clock, &peers, connect, &view));
     let client = Client::new().with_id_header(header::REQUEST_ID);
     let client = client.with_limits(limits).with_dialer(dialer.clone());
-    let host = Arc::new(Host::new(settings, clock, peers, leader_client, client, view));
+    let host = Arc::new(Host::new(settings, clock, peers, leader_client, client, inbound, view));
     let relay_server = Arc::new(relay::server(&host, dialer));
     let address = SocketAddr::new(callers.ip(), host.settings.peer_port);
     let listener = TcpListener::bind(address).await?;
     tokio::spawn(relay::serve(host.clone(), listener, relay_server.clone()));
 
     let (close, closed) = watch::channel(false);
-    let server = Server { idle_timeout: IDLE_TIMEOUT, stop: closed };
+    let server = Server { inbound: host.inbound.clone(), stop: closed };
     let listener = TcpListener::bind(callers).await?;
     let front = tokio::spawn(serve(server.clone(), listener, front::handler(host.clone())));
     let listener = TcpListener::bind(ready).await?;
--- a/crates/catkinlatch-node/src/upstream.rs
+++ b/crates/catkinlatch-node/src/upstream.rs
@@ -116,7 +116,7 @@
         BodyError::TooLong => CallError::TooLong { limit },
         BodyError::Broken(_) => CallError::Broken,
         BodyError::Lost(_) => CallError::Lost,
-        BodyError::Malformed(_) | BodyError::NoMemory => CallError::Malformed,
+        BodyError::Malformed(_) | BodyError::NoMemory | BodyError::TooSlow => CallError::Malformed,
     }
 }
 
--- a/crates/catkinlatch-runtime/src/http.rs
+++ b/crates/catkinlatch-runtime/src/http.rs
@@ -5,6 +5,7 @@
 mod client;
 pub mod dialer;
 mod exchange;
+pub mod inbound;
 mod limits;
 pub mod memory;
 mod meter;
@@ -12,11 +13,12 @@
 mod server;
 
 pub use self::{
-    answer::{json, status, text},
-    body::{Body, BodyError, collect, empty, full, streamed},
+    answer::{closing, json, status, text},
+    body::{Body, BodyError, collect, empty, full, receive, streamed},
     client::{Client, Failure, Repeatable, record_end},
     dialer::Dialer,
     exchange::Exchange,
+    inbound::Inbound,
     limits::Limits,
     meter::{MAX_HEAD_BYTES, Meter, Metered},
     server::{Server, serve},
--- a/crates/catkinlatch-runtime/src/http/answer.rs
+++ b/crates/catkinlatch-runtime/src/http/answer.rs
@@ -14,6 +14,13 @@
     response
 }
 
+/// Closes the connection after a response.
+pub fn closing(mut response: Response<Body>) -> Response<Body> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
 /// Returns a response with status 200 and a JSON body.
 pub fn json(body: impl Into<Bytes>) -> Response<Body> {
     let mut response = Response::new(full(body));
--- a/crates/catkinlatch-runtime/src/http/body.rs
+++ b/crates/catkinlatch-runtime/src/http/body.rs
@@ -1,11 +1,15 @@
 //! Bodies of requests and responses.
 
-use super::segments::Segments;
+use super::{inbound::Reader, segments::Segments};
 use bytes::Bytes;
 use futures::{StreamExt as _, stream};
 use http_body_util::{BodyExt as _, Full, StreamBody, combinators::UnsyncBoxBody};
-use hyper::body::{Body as HttpBody, Frame};
-use std::{error::Error, future::Future};
+use hyper::{
+    body::{Body as HttpBody, Frame, Incoming},
+    http::request::Parts,
+};
+use std::{error::Error, future::Future, time::Duration};
+use tokio::time;
 
 /// Body of a request or response: complete, or streamed in parts.
 pub type Body = UnsyncBoxBody<Bytes, Box<dyn Error + Send + Sync>>;
@@ -61,6 +65,25 @@
     Ok(segments.join().into())
 }
 
+/// Reads the whole body of a client's request, of at most `limit` bytes, within `time` and the limits
+/// of all clients.
+///
+/// # Errors
+///
+/// Returns an error if the body is longer than `limit`, takes too long or ends prematurely, or if the
+/// requests of all clients take too much memory.
+pub async fn receive(
+    head: &Parts,
+    body: Incoming,
+    limit: usize,
+    time: Duration,
+) -> Result<Bytes, BodyError> {
+    match head.extensions.get::<Reader>() {
+        Some(reader) => reader.clone().read(body, limit, time).await,
+        None => time::timeout(time, collect(body, limit)).await.unwrap_or(Err(BodyError::TooSlow)),
+    }
+}
+
 /// Error of reading a body.
 #[derive(Debug, derive_more::Display)]
 pub enum BodyError {
@@ -78,7 +101,10 @@
     /// is the cause.
     #[display("the body is malformed: {_0}")]
     Malformed(String),
-    /// All bodies in flight take too much memory, and this is one of the newest.
-    #[display("ended to limit the memory of responses")]
+    /// All bodies in flight take too much memory, and this is one of the newest or slowest.
+    #[display("ended to limit the memory of all bodies")]
     NoMemory,
+    /// The body did not arrive whole in time.
+    #[display("the body takes too long")]
+    TooSlow,
 }
--- /dev/null
+++ b/crates/catkinlatch-runtime/src/http/inbound/limits.rs
@@ -0,0 +1,82 @@
+//! Limits on what clients hold, derived from the resources of the host.
+
+use crate::settings::Resources;
+use catkinlatch_ledger::config;
+use std::time::Duration;
+
+/// Memory of a host whose settings have none, in bytes.
+const DEFAULT_MEMORY: u64 = 2 << 30;
+
+/// Share of the host's memory for the requests of all clients, as a divisor.
+const REQUESTS_DIVISOR: u64 = 4;
+
+/// Share of the host's memory for bytes that have arrived and are not yet read, as a divisor.
+const UNREAD_DIVISOR: u64 = 32;
+
+/// Smallest buffer for the head of a request, in bytes.
+const MIN_HEAD_BYTES: usize = 64 << 10;
+
+/// Room for the request line beside the configured size of a head, in bytes.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
+
+/// Limits on what all clients of a process hold together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Memory of the requests of all clients, in bytes.
+    pub bytes: usize,
+    /// Open connections of all listeners.
+    pub connections: usize,
+    /// Size of the buffer for a request's head, in bytes.
+    pub head_bytes: usize,
+    /// Time from the first byte of a head to its end.
+    pub head_time: Duration,
+    /// Time for which a connection may be idle.
+    pub idle_time: Duration,
+    /// Bytes of all clients that have arrived and are not yet read.
+    pub unread_bytes: usize,
+}
+
+impl Limits {
+    /// Derives the limits for a host; the configuration's limits on clients are the usual ones.
+    pub fn new(resources: &Resources) -> Self {
+        let memory = resources.memory_mb.map_or(DEFAULT_MEMORY, |mb| mb.saturating_mul(1_000_000));
+        let limits = Self {
+            bytes: (memory / REQUESTS_DIVISOR) as usize,
+            connections: usize::MAX,
+            head_bytes: MIN_HEAD_BYTES,
+            head_time: Duration::ZERO,
+            idle_time: Duration::ZERO,
+            unread_bytes: (memory / UNREAD_DIVISOR) as usize,
+        };
+        limits.with_configured(&config::Limits::default())
+    }
+
+    /// Sets the memory of the requests of all clients, in bytes.
+    pub fn with_bytes(self, bytes: usize) -> Self {
+        Self { bytes, ..self }
+    }
+
+    /// Sets the time for which a connection may be idle.
+    pub fn with_idle_time(self, idle_time: Duration) -> Self {
+        Self { idle_time, ..self }
+    }
+
+    fn with_configured(mut self, configured: &config::Limits) -> Self {
+        self.configure(configured);
+        self
+    }
+
+    /// Adopts the limits that the configuration sets for clients.
+    pub fn configure(&mut self, configured: &config::Limits) {
+        let head_bytes = configured.header_bytes.saturating_add(REQUEST_LINE_BYTES);
+        self.head_bytes = head_bytes.max(MIN_HEAD_BYTES);
+        self.head_time = Duration::from_millis(configured.header_timeout_ms);
+        self.idle_time = Duration::from_millis(configured.idle_timeout_ms);
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self::new(&Resources::default())
+    }
+}
--- a/crates/catkinlatch-runtime/src/http/server.rs
+++ b/crates/catkinlatch-runtime/src/http/server.rs
@@ -1,6 +1,9 @@
 //! HTTP server with graceful shutdown.
 
-use super::Body;
+use super::{
+    Body,
+    inbound::{Connection, Inbound, Tracked},
+};
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, warn};
@@ -25,8 +28,8 @@
 /// Options of a server.
 #[derive(Clone, Debug)]
 pub struct Server {
-    /// Time within which the next request's head must arrive on an open connection.
-    pub idle_timeout: Duration,
+    /// What the clients of all servers of the process hold.
+    pub inbound: Inbound,
     /// Becomes true to start the graceful shutdown.
     pub stop: watch::Receiver<bool>,
 }
@@ -42,6 +45,7 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let handler = Arc::new(handler);
+    server.inbound.prepare();
     let mut connections = JoinSet::new();
     let mut stop = server.stop.clone();
     loop {
@@ -52,7 +56,7 @@
         };
         match accepted {
             Ok((socket, _)) => {
-                connections.spawn(connection(server.clone(), socket, handler.clone()));
+                connections.spawn(serve_connection(server.clone(), socket, handler.clone()));
             }
             Err(error) => {
                 warn!("http: cannot accept a connection: {error}");
@@ -61,43 +65,66 @@
         }
     }
     while let Ok(Ok((socket, _))) = time::timeout(BACKLOG_TIME, listener.accept()).await {
-        connections.spawn(connection(server.clone(), socket, handler.clone()));
+        connections.spawn(serve_connection(server.clone(), socket, handler.clone()));
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
-async fn connection<H, F>(server: Server, socket: TcpStream, handler: Arc<H>)
+async fn serve_connection<H, F>(server: Server, socket: TcpStream, handler: Arc<H>)
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = socket.set_nodelay(true);
+    let client = Arc::new(server.inbound.open());
+    let requests = client.clone();
     let service = service_fn(move |request| {
-        let answer = handler(request);
+        let answer = answer(&requests, request, &*handler);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(server.idle_timeout)
+        .header_read_timeout(None)
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let mut stop = server.stop;
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = stopped(&mut stop) => match time::timeout(LINGER, connection.as_mut()).await {
-            Ok(ended) => ended,
-            Err(_) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        },
+    let served = async {
+        tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = stopped(&mut stop) => match time::timeout(LINGER, connection.as_mut()).await {
+                Ok(ended) => ended,
+                Err(_) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            },
+        }
     };
-    if let Err(error) = ended {
-        debug!("http: a connection ended: {error}");
+    tokio::select! {
+        () = client.ended() => {}
+        ended = served => if let Err(error) = ended {
+            debug!("http: a connection ended: {error}");
+        }
     }
 }
 
+/// Passes a request to `handler`, with what reads its body as an extension.
+fn answer<H, F>(
+    client: &Connection,
+    mut request: Request<Incoming>,
+    handler: &H,
+) -> impl Future<Output = Response<Tracked>> + use<H, F>
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<Body>>,
+{
+    let active = client.begin();
+    request.extensions_mut().insert(active.reader());
+    let response = handler(request);
+    async move { response.await.map(|body| Tracked::new(body, active)) }
+}
+
 /// Waits until the shutdown starts.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
--- a/crates/catkinlatch-runtime/src/metric.rs
+++ b/crates/catkinlatch-runtime/src/metric.rs
@@ -1,6 +1,6 @@
 //! Serves the process's metrics in the Prometheus text format.
 
-use crate::http::{Server, full, serve};
+use crate::http::{Inbound, Server, full, serve};
 use http::{Response, StatusCode};
 use log::warn;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -10,16 +10,13 @@
 /// HTTP path of the metrics.
 const PATH: &str = "/metrics";
 
-/// Time after which a connection without a request is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Interval at which the recorder's upkeep folds recorded samples into histograms.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Installs the process's metrics recorder and serves its metrics until `stop` becomes true.
 ///
 /// If the address cannot be bound, logs a warning and returns; the process runs on without metrics.
-pub async fn run(address: SocketAddr, stop: watch::Receiver<bool>) {
+pub async fn run(address: SocketAddr, inbound: Inbound, stop: watch::Receiver<bool>) {
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
     if metrics::set_global_recorder(recorder).is_err() {
@@ -36,7 +33,7 @@
             upkeep.run_upkeep();
         }
     });
-    let server = Server { idle_timeout: IDLE_TIMEOUT, stop };
+    let server = Server { inbound, stop };
     serve(server, listener, move |request| {
         let is_known = request.uri().path() == PATH;
         let mut response =
--- a/crates/catkinlatch-runtime/tests/server.rs
+++ b/crates/catkinlatch-runtime/tests/server.rs
@@ -1,6 +1,6 @@
 //! A planned stop of the HTTP server cuts off no request that a client has sent.
 
-use catkinlatch_runtime::http::{Server, full, serve};
+use catkinlatch_runtime::http::{Inbound, Server, full, serve};
 use http::Response;
 use hyper::{Request, body::Incoming};
 use std::time::Duration;
@@ -24,7 +24,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (stop, stopped) = watch::channel(false);
-    let server = Server { idle_timeout: Duration::from_secs(5), stop: stopped };
+    let server = Server { inbound: Inbound::default(), stop: stopped };
     // One connection is open and idle; the others wait to be accepted when the stop begins.
     let mut open = TcpStream::connect(address).await.unwrap();
     let handler = |_: Request<Incoming>| async { Response::new(full("done")) };
--- a/crates/catkinlatch-standin/src/site/lifecycle.rs
+++ b/crates/catkinlatch-standin/src/site/lifecycle.rs
@@ -1,7 +1,7 @@
 //! Starts and crashes of stand-in targets.
 
 use super::{Limit, Target};
-use catkinlatch_runtime::http::Server;
+use catkinlatch_runtime::http::{Inbound, Server, inbound};
 use std::{
     future::Future,
     net::SocketAddr,
@@ -55,7 +55,8 @@
 
     /// Returns the options of the target's server.
     pub fn server(&self) -> Server {
-        Server { idle_timeout: IDLE_TIMEOUT, stop: self.stop.clone() }
+        let limits = inbound::Limits::default().with_idle_time(IDLE_TIMEOUT);
+        Server { inbound: Inbound::new(limits), stop: self.stop.clone() }
     }
 
     /// Runs the tasks of a start of the target until the target crashes.
--- a/crates/catkinlatch-standin/src/site/platform.rs
+++ b/crates/catkinlatch-standin/src/site/platform.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the part of the platform that receives usage reports.
 
-use catkinlatch_runtime::http::{Body, Server, collect, empty, serve};
+use catkinlatch_runtime::http::{Body, Inbound, Server, collect, empty, serve};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::Value;
@@ -9,7 +9,6 @@
     future, io,
     net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
 };
 use tokio::{net::TcpListener, sync::watch};
 
@@ -57,7 +56,7 @@
             _stop: stop_sender,
         };
         let serving = platform.clone();
-        let server = Server { idle_timeout: Duration::from_secs(10), stop };
+        let server = Server { inbound: Inbound::default(), stop };
         tokio::spawn(serve(server, listener, move |request| serving.clone().handle(request)));
         Ok(platform)
     }
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -9,7 +9,7 @@
 };
 use catkinlatch_runtime::{
     Answer, Message, Reply,
-    http::{Body, BodyError, collect, json, status, text},
+    http::{Body, BodyError, closing, json, receive, status, text},
 };
 use http::{Response, StatusCode};
 use hyper::{Request, body::Incoming};
@@ -19,6 +19,9 @@
 /// Timeout for calls from targets, which fail over to another host after one second.
 const TARGET_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time within which the body of a call must have arrived whole.
+const MAX_BODY_TIME: Duration = Duration::from_secs(30);
+
 type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
 /// Returns the request handler of the control interface.
@@ -29,12 +32,21 @@
 async fn answer(host: Arc<Host>, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let call = call::control_call(&head.method, &head.uri);
-    let body = match collect(body, host.client.limits().control_body).await {
+    let limit = host.client.limits().control_body;
+    let body = match receive(&head, body, limit, MAX_BODY_TIME).await {
         Ok(body) => body,
         Err(error @ BodyError::TooLong) => {
             warn!(path = head.uri.path(), error:% = error; "control: refused a request body");
             return status(StatusCode::PAYLOAD_TOO_LARGE);
         }
+        Err(BodyError::NoMemory) => {
+            warn!(path = head.uri.path(); "control: refused a request, too little memory for its body");
+            return closing(status(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        Err(BodyError::TooSlow) => {
+            warn!(path = head.uri.path(); "control: refused a request, its body takes too long");
+            return closing(status(StatusCode::REQUEST_TIMEOUT));
+        }
         Err(error) => {
             warn!(path = head.uri.path(), error:% = error; "control: cannot read a request body");
             return status(StatusCode::BAD_REQUEST);
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -33,11 +33,11 @@
 use catkinlatch_runtime::{
     Clock, LeaderClient, Peers, Replica, Settings,
     http::{
-        Limits, Server,
+        Inbound, Limits, Server,
         dialer::{self, Connect},
-        serve,
+        inbound, serve,
     },
-    replica,
+    metric, replica,
 };
 use derive_more::{Display, Error, From};
 use log::info;
@@ -47,8 +47,9 @@
 /// How long a stopping process continues to answer requests that it has already read.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(700);
 
-/// How long a control connection may stay idle between two calls.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Number of the largest bodies of control calls that are in memory at once: each takes many times
+/// its size while it is decoded, logged and passed on.
+const CONTROL_BODIES: usize = 2;
 
 /// The reason why the process cannot run.
 #[derive(Debug, Display, Error, From)]
@@ -92,12 +93,17 @@
     let peers = Arc::new(Peers::new(&settings));
     let replica = Replica::start(&settings, clock, peers.clone(), opened);
     let limits = Limits::new(settings.resources.memory_mb);
+    let clients = inbound::Limits::new(&settings.resources);
+    let inbound = Inbound::new(clients.with_bytes(CONTROL_BODIES * limits.control_body));
+    if let Some(address) = settings.metrics_address {
+        tokio::spawn(metric::run(address, inbound.clone(), stop.clone()));
+    }
     let leader_client = LeaderClient::new(peers.clone(), settings.seed_hosts());
     let host = Arc::new(Host::new(settings, clock, peers, replica, leader_client, limits, connect));
 
     let peer_address = SocketAddr::new(control.ip(), host.settings.peer_port);
     tokio::spawn(handler::serve(host.clone(), TcpListener::bind(peer_address).await?));
-    let server = Server { idle_timeout: IDLE_TIMEOUT, stop: stop.clone() };
+    let server = Server { inbound, stop: stop.clone() };
     let listener = TcpListener::bind(control).await?;
     tokio::spawn(serve(server, listener, control::handler(host.clone())));
     tokio::spawn(follow::run(host.clone()));
--- a/crates/catkinlatch-store/src/score.rs
+++ b/crates/catkinlatch-store/src/score.rs
@@ -262,9 +262,11 @@
     host.record_response(target, &exchange.response);
     let read = exchange.read_body(MAX_ANSWER_BYTES).await;
     read.map_err(|error| match error {
-        BodyError::TooLong | BodyError::Malformed(_) | BodyError::NoMemory | BodyError::Lost(_) => {
-            Attempt::Unanswered
-        }
+        BodyError::TooLong
+        | BodyError::Malformed(_)
+        | BodyError::NoMemory
+        | BodyError::TooSlow
+        | BodyError::Lost(_) => Attempt::Unanswered,
         BodyError::Broken(_) => Attempt::Broken,
     })
 }
--- a/crates/catkinlatch/src/command/host.rs
+++ b/crates/catkinlatch/src/command/host.rs
@@ -2,7 +2,7 @@
 
 use super::exit::{Failure, Outcome};
 use argh::FromArgs;
-use catkinlatch_runtime::{Settings, logger, metric};
+use catkinlatch_runtime::{Settings, logger};
 use log::{error, info, warn};
 use std::{
     path::{Path, PathBuf},
@@ -68,9 +68,6 @@
     });
     tokio::spawn(watch_settings(path.to_owned()));
     tokio::spawn(logger::report_dropped_lines());
-    if let Some(address) = settings.metrics_address {
-        tokio::spawn(metric::run(address, stopped.clone()));
-    }
     if settings.control_address.is_some() {
         return catkinlatch_store::run(settings, stopped).await.map_err(|error| error.to_string());
     }
