Bound the memory and the time of requests' heads

What callers saw: processes that ended for lack of memory. 600 heads of 300 KiB that stop short took hosts of 100 MB to 216 to 226 MB, at each listener; heads without end 1,459 MB, empty lines without end 1,071 MB.

Cause: hyper buffers about 400 KiB of a head before it refuses it, and reads empty lines before a request into the same buffer; nothing counted these buffers. The configured time of a head was decoded and not used.

Change: the buffer of a head is 64 KiB, or larger if the configuration's limit is. What arrives of heads counts with bodies in the memory of all requests, at twice its size, and the newest are closed beyond it. A head has the configured time from its first byte on. Outside of bodies 8 KiB are read at once, so that nothing uncounted is read ahead. A body that is read passes in parts of 64 KiB, which bounds the buffers of bodies in small pieces.

--- a/crates/catkinlatch-runtime/src/http/inbound.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound.rs
@@ -5,14 +5,18 @@
 
 mod connection;
 mod limits;
+mod stream;
 mod table;
 
-pub(super) use self::connection::{Connection, Tracked};
 pub use self::{
     connection::Reader,
     limits::Limits,
     table::{Ended, How, Key, Table},
 };
+pub(super) use self::{
+    connection::{Connection, Tracked},
+    stream::Counted,
+};
 
 use self::connection::Signals;
 use catkinlatch_ledger::config;
@@ -65,6 +69,11 @@
         self.lock().table.limits_mut().configure(limits);
     }
 
+    /// Returns the size of the buffer for a request's head, in bytes.
+    pub(super) fn head_bytes(&self) -> usize {
+        self.lock().table.limits_mut().head_bytes
+    }
+
     /// Adds a connection; closes another one if there are too many.
     pub(super) fn open(&self) -> Connection {
         let mut state = self.lock();
--- a/crates/catkinlatch-runtime/src/http/inbound/connection.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/connection.rs
@@ -29,6 +29,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Signals {
     close: Notify,
+    is_closed: AtomicBool,
     refuse: Notify,
     /// Whether a body is read, whose bytes its reader counts.
     reads_body: AtomicBool,
@@ -37,6 +38,7 @@
 
 impl Signals {
     pub(super) fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
         self.close.notify_one();
     }
 
@@ -64,6 +66,11 @@
         self.signals.close.notified().await;
     }
 
+    /// Returns the side that the stream of the connection reports to.
+    pub(super) fn reporter(&self) -> Reporter {
+        Reporter(self.reader())
+    }
+
     /// Records that the head of a request has arrived whole.
     pub fn begin(&self) -> Active {
         self.inbound.lock().table.begin(self.key);
@@ -84,6 +91,32 @@
     }
 }
 
+/// Reports what a connection's stream receives and sends.
+#[derive(Debug)]
+pub(super) struct Reporter(Reader);
+
+impl Reporter {
+    /// Returns whether a body is read, whose bytes its reader counts.
+    pub(super) fn reads_body(&self) -> bool {
+        self.0.signals.reads_body.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the connection has to be closed.
+    pub(super) fn is_closed(&self) -> bool {
+        self.0.signals.is_closed.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn received(&self, bytes: usize) {
+        let mut state = self.0.inbound.lock();
+        let ended = state.table.receive_head(self.0.key, bytes);
+        state.end(ended.into_iter());
+    }
+
+    pub(super) fn written(&self) {
+        self.0.signals.has_written.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A request that runs, until its response has been handed over.
 #[derive(Debug)]
 pub struct Active(Reader);
--- a/crates/catkinlatch-runtime/src/http/server.rs
+++ b/crates/catkinlatch-runtime/src/http/server.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Body,
-    inbound::{Connection, Inbound, Tracked},
+    inbound::{Connection, Counted, Inbound, Tracked},
 };
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -78,6 +78,7 @@
 {
     let _ = socket.set_nodelay(true);
     let client = Arc::new(server.inbound.open());
+    let stream = Counted::new(socket, &client);
     let requests = client.clone();
     let service = service_fn(move |request| {
         let answer = answer(&requests, request, &*handler);
@@ -86,7 +87,8 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .serve_connection(TokioIo::new(socket), service);
+        .max_buf_size(server.inbound.head_bytes())
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut stop = server.stop;
     let served = async {
