Bound the connections of clients, and what they send before it is read

What callers saw: connections that were not accepted, or no connection to targets, since 600 silent connections took 621 descriptors of 400; each stayed for 16 s. With bodies in pieces of 4 KiB a process of 100 MB still reached 102 MB, most of it bytes that had arrived and were not read.

Cause: connections of clients had no bound, and the receive buffer of each grew by itself (up to 32 MB here).

Change: three quarters of the descriptors beside those for files are for clients of all listeners, and at most 1/16 of the memory at 12 KiB a connection. Beyond that the oldest silent connection is closed, then slow requests, idle connections, heads; busy ones never. Receive buffers are 128 KiB, and shared out where there are many connections.

Why it works: silent connections end each other, and an ordinary caller sends at once. A connection that is not closed is always read.

--- a/crates/catkinlatch-runtime/src/http/inbound.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound.rs
@@ -18,10 +18,11 @@
     stream::Counted,
 };
 
-use self::connection::Signals;
+use self::{connection::Signals, table::MAX_RECEIVE_BUFFER};
 use catkinlatch_ledger::config;
 use log::debug;
 use slotmap::SecondaryMap;
+use socket2::SockRef;
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, Weak,
@@ -29,7 +30,10 @@
     },
     time::Duration,
 };
-use tokio::time;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
 
 /// Interval at which idle and slow clients are looked for.
 pub const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -75,17 +79,26 @@
     }
 
     /// Adds a connection; closes another one if there are too many.
-    pub(super) fn open(&self) -> Connection {
+    pub(super) fn open(&self, socket: &TcpStream) -> Connection {
         let mut state = self.lock();
         let (key, ended) = state.table.open();
         let signals = Arc::new(Signals::default());
         state.signals.insert(key, signals.clone());
         state.end(ended.into_iter());
+        let receive_buffer = state.table.receive_buffer();
+        drop(state);
+        if let Some(bytes) = receive_buffer {
+            // Without it, the system's own bounds hold.
+            let _ = SockRef::from(socket).set_recv_buffer_size(bytes);
+        }
         Connection { inbound: self.clone(), key, signals }
     }
 
-    /// Starts to look for idle and slow clients, unless a listener has done so before.
-    pub(super) fn prepare(&self) {
+    /// Bounds what is received on a listener's connections before it is read, and starts to look for
+    /// idle and slow clients.
+    pub(super) fn prepare(&self, listener: &TcpListener) {
+        // Without it, the system's own bounds hold.
+        let _ = SockRef::from(listener).set_recv_buffer_size(MAX_RECEIVE_BUFFER);
         if self.0.is_swept.swap(true, Ordering::Relaxed) {
             return;
         }
--- a/crates/catkinlatch-runtime/src/http/inbound/limits.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/limits.rs
@@ -7,9 +7,21 @@
 /// Memory of a host whose settings have none, in bytes.
 const DEFAULT_MEMORY: u64 = 2 << 30;
 
+/// Descriptors of a host whose settings have none.
+const DEFAULT_DESCRIPTORS: u64 = 16 << 10;
+
+/// Descriptors that the platform sets aside for files.
+const FILE_DESCRIPTORS: u64 = 200;
+
 /// Share of the host's memory for the requests of all clients, as a divisor.
 const REQUESTS_DIVISOR: u64 = 4;
 
+/// Share of the host's memory for connections, as a divisor.
+const CONNECTIONS_DIVISOR: u64 = 16;
+
+/// Memory of a connection without a request, in bytes.
+const CONNECTION_BYTES: u64 = 12 << 10;
+
 /// Share of the host's memory for bytes that have arrived and are not yet read, as a divisor.
 const UNREAD_DIVISOR: u64 = 32;
 
@@ -38,11 +50,16 @@
 
 impl Limits {
     /// Derives the limits for a host; the configuration's limits on clients are the usual ones.
+    ///
+    /// A quarter of the descriptors remains for targets, other hosts and files.
     pub fn new(resources: &Resources) -> Self {
         let memory = resources.memory_mb.map_or(DEFAULT_MEMORY, |mb| mb.saturating_mul(1_000_000));
+        let descriptors = resources.descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
+        let descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS).saturating_mul(3) / 4;
+        let connections = descriptors.min(memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES);
         let limits = Self {
             bytes: (memory / REQUESTS_DIVISOR) as usize,
-            connections: usize::MAX,
+            connections: connections.max(1) as usize,
             head_bytes: MIN_HEAD_BYTES,
             head_time: Duration::ZERO,
             idle_time: Duration::ZERO,
--- a/crates/catkinlatch-runtime/src/http/inbound/table.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/table.rs
@@ -24,7 +24,7 @@
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 
 /// Largest receive buffer of a connection, in bytes.
-const MAX_RECEIVE_BUFFER: usize = 128 << 10;
+pub(super) const MAX_RECEIVE_BUFFER: usize = 128 << 10;
 
 /// Smallest receive buffer of a connection, in bytes.
 const MIN_RECEIVE_BUFFER: usize = 8 << 10;
--- a/crates/catkinlatch-runtime/src/http/server.rs
+++ b/crates/catkinlatch-runtime/src/http/server.rs
@@ -45,7 +45,7 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    server.inbound.prepare();
+    server.inbound.prepare(&listener);
     let mut connections = JoinSet::new();
     let mut stop = server.stop.clone();
     loop {
@@ -77,7 +77,7 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = socket.set_nodelay(true);
-    let client = Arc::new(server.inbound.open());
+    let client = Arc::new(server.inbound.open(&socket));
     let stream = Counted::new(socket, &client);
     let requests = client.clone();
     let service = service_fn(move |request| {
--- a/crates/catkinlatch-runtime/tests/inbound.rs
+++ b/crates/catkinlatch-runtime/tests/inbound.rs
@@ -88,6 +88,38 @@
     assert_eq!(table.receive_body(second, MIB), [refused(second)]);
 }
 
+/// Guards against silent connections that keep out callers.
+#[test]
+fn silent_connections_make_room_first_then_slow_requests_then_idle_connections() {
+    let mut table = Table::new(limits());
+    let most = limits().connections;
+    assert_eq!(most, 9, "three quarters of the descriptors that are not for files");
+    let idle = table.open().0;
+    table.receive_head(idle, 100);
+    table.begin(idle);
+    table.finish(idle);
+    let slow = send(&mut table, 10);
+    table.sweep();
+    table.sweep();
+    let silent = table.open().0;
+    let busy: Vec<Key> = (3..most).map(|_| table.open().0).collect();
+    for key in busy {
+        table.receive_head(key, 100);
+        table.begin(key);
+    }
+    let mut next = || {
+        let (key, ended) = table.open();
+        table.receive_head(key, 100);
+        table.begin(key);
+        (key, ended)
+    };
+    assert_eq!(next().1, Some(closed(silent, "connections")));
+    assert_eq!(next().1, Some(closed(slow, "connections")));
+    assert_eq!(next().1, Some(closed(idle, "connections")));
+    let (key, ended) = next();
+    assert_eq!(ended, Some(closed(key, "connections")), "all others are busy");
+}
+
 #[test_case(false, Duration::from_secs(15), "idle"; "between two requests")]
 #[test_case(true, Duration::from_secs(3), "head"; "within a head")]
 fn a_client_is_closed_after_its_time(has_begun: bool, time: Duration, limit: &'static str) {
