Bound sessions that are not authenticated

What callers saw: nothing yet. Found by reading on: whoever reaches the port between hosts holds descriptors for ever, and memory. 600 silent connections took 621 descriptors of 400, and none was ever closed; a session that never authenticates was granted 819,600 bytes on 100 streams within a second, and may have 16 MiB.

Cause: a session had no time to authenticate, and its windows, streams and number had the limits of trusted processes from the start.

Change: 5 s to authenticate, 4 streams and windows of 16 KiB until then; the usual windows are granted with the first stream after it. At most an eighth of the descriptors are for such sessions; beyond that the oldest is closed.

Messages are as before: windows are each side's own, so hosts of earlier releases wait for them as for any other.

--- a/crates/catkinlatch-entry/src/relay.rs
+++ b/crates/catkinlatch-entry/src/relay.rs
@@ -6,7 +6,7 @@
     http::{Dialer, dialer::Connect},
     relay::{self, Answer},
 };
-use catkinlatch_wire::{Frame, Hello, Offer, codec};
+use catkinlatch_wire::{Frame, Hello, Listener, Offer, codec};
 use std::{
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -66,6 +66,7 @@
         let server = server.clone();
         async move { server.serve(remote, frame, offer).await }
     };
+    let listener = Listener::from(listener).with_unauthenticated(host.inbound.sessions());
     catkinlatch_wire::serve_with_tunnels(listener, local, secret, refuse, tunnels).await;
 }
 
--- a/crates/catkinlatch-runtime/src/http/inbound.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound.rs
@@ -73,6 +73,11 @@
         self.lock().table.limits_mut().configure(limits);
     }
 
+    /// Returns the most sessions of other processes that have not proved who they are.
+    pub fn sessions(&self) -> usize {
+        self.lock().table.limits_mut().sessions
+    }
+
     /// Returns the size of the buffer for a request's head, in bytes.
     pub(super) fn head_bytes(&self) -> usize {
         self.lock().table.limits_mut().head_bytes
--- a/crates/catkinlatch-runtime/src/http/inbound/limits.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/limits.rs
@@ -31,6 +31,10 @@
 /// Room for the request line beside the configured size of a head, in bytes.
 const REQUEST_LINE_BYTES: usize = 8 << 10;
 
+/// Share of the descriptors beside those for files for sessions of other processes that have not
+/// proved who they are, as a divisor.
+const SESSIONS_DIVISOR: u64 = 8;
+
 /// Limits on what all clients of a process hold together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -38,6 +42,8 @@
     pub bytes: usize,
     /// Open connections of all listeners.
     pub connections: usize,
+    /// Sessions of other processes that have not proved who they are.
+    pub sessions: usize,
     /// Size of the buffer for a request's head, in bytes.
     pub head_bytes: usize,
     /// Time from the first byte of a head to its end.
@@ -51,15 +57,17 @@
 impl Limits {
     /// Derives the limits for a host; the configuration's limits on clients are the usual ones.
     ///
-    /// A quarter of the descriptors remains for targets, other hosts and files.
+    /// An eighth of the descriptors remains for targets, authenticated sessions and the disk.
     pub fn new(resources: &Resources) -> Self {
         let memory = resources.memory_mb.map_or(DEFAULT_MEMORY, |mb| mb.saturating_mul(1_000_000));
         let descriptors = resources.descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
-        let descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS).saturating_mul(3) / 4;
-        let connections = descriptors.min(memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES);
+        let descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let connections = (descriptors.saturating_mul(3) / 4)
+            .min(memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES);
         let limits = Self {
             bytes: (memory / REQUESTS_DIVISOR) as usize,
             connections: connections.max(1) as usize,
+            sessions: (descriptors / SESSIONS_DIVISOR).max(1) as usize,
             head_bytes: MIN_HEAD_BYTES,
             head_time: Duration::ZERO,
             idle_time: Duration::ZERO,
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -13,13 +13,10 @@
     Message, ProposeError, Reply,
     message::{Follow, Results, ViewVersion},
 };
-use catkinlatch_wire::{Frame, Hello, Offer, codec};
+use catkinlatch_wire::{Frame, Hello, Listener, Offer, codec};
 use log::{info, warn};
 use std::{sync::Arc, time::Duration};
-use tokio::{
-    net::TcpListener,
-    time::{self, Instant},
-};
+use tokio::time::{self, Instant};
 
 /// How long after its election a leader may still lack contact with some stores.
 const DISCOVERY_TIME: Duration = Duration::from_millis(2_500);
@@ -28,7 +25,7 @@
 const MAX_RESULTS_BYTES: usize = 900_000;
 
 /// Accepts sessions from other processes and handles their messages.
-pub async fn serve(host: Arc<Host>, listener: TcpListener) {
+pub async fn serve(host: Arc<Host>, listener: Listener) {
     let (local, secret) = (host.peers.local().clone(), host.peers.secret().clone());
     let relay_server = Arc::new(relay::server(&host));
     let tunnels = move |remote: Hello, frame: Frame, offer: Offer| {
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -39,6 +39,7 @@
     },
     metric, replica,
 };
+use catkinlatch_wire::Listener;
 use derive_more::{Display, Error, From};
 use log::info;
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
@@ -102,7 +103,9 @@
     let host = Arc::new(Host::new(settings, clock, peers, replica, leader_client, limits, connect));
 
     let peer_address = SocketAddr::new(control.ip(), host.settings.peer_port);
-    tokio::spawn(handler::serve(host.clone(), TcpListener::bind(peer_address).await?));
+    let listener = Listener::from(TcpListener::bind(peer_address).await?);
+    let listener = listener.with_unauthenticated(inbound.sessions());
+    tokio::spawn(handler::serve(host.clone(), listener));
     let server = Server { inbound, stop: stop.clone() };
     let listener = TcpListener::bind(control).await?;
     tokio::spawn(serve(server, listener, control::handler(host.clone())));
--- a/crates/catkinlatch-wire/src/lib.rs
+++ b/crates/catkinlatch-wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod hello;
 mod lane;
 mod link;
+mod listener;
 mod secret;
 mod server;
 mod session;
@@ -22,6 +23,7 @@
     hello::{Hello, PROTOCOL},
     lane::Lane,
     link::{Destination, Link, link},
+    listener::Listener,
     secret::Secret,
     server::{serve, serve_with_tunnels},
     session::{Session, connect, connect_for_tunnels},
--- a/crates/catkinlatch-wire/src/server.rs
+++ b/crates/catkinlatch-wire/src/server.rs
@@ -1,7 +1,8 @@
 //! The accepting side of sessions.
 
 use crate::{
-    Error, Frame, Hello, Secret, codec,
+    Error, Frame, Hello, Listener, Secret, codec,
+    listener::{AUTHENTICATION_TIMEOUT, Unauthenticated},
     secret::NONCE_BYTES,
     session::{
         Authentication, Challenge, SESSION_WINDOW_BYTES, STREAM_WINDOW_BYTES, decode, path, role,
@@ -19,10 +20,7 @@
     sync::{Arc, OnceLock},
     time::Duration,
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    task::JoinSet,
-};
+use tokio::{net::TcpStream, sync::Notify, task::JoinSet, time};
 
 /// Memory that a session may use to buffer frames that are much smaller than their overhead.
 ///
@@ -30,6 +28,15 @@
 /// session after about a hundred of them; here every session is authenticated.
 const SMALL_FRAMES_BUDGET_BYTES: usize = 64 << 20;
 
+/// Flow-control windows of a session and its streams until it is authenticated, in bytes.
+const UNAUTHENTICATED_WINDOW_BYTES: u32 = 16 << 10;
+
+/// Number of streams that a session may open until it is authenticated, which takes two.
+const UNAUTHENTICATED_STREAMS: usize = 4;
+
+/// Largest head of a stream, in bytes.
+const MAX_HEAD_BYTES: u32 = 16 << 10;
+
 /// Delay after a failed `accept` before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -39,20 +46,24 @@
     secret: Secret,
     handler: H,
     tunnels: T,
+    unauthenticated: Unauthenticated,
 }
 
 /// Progress of the authentication of a session.
 #[derive(Default)]
 struct SessionState {
+    /// Later sessions have higher numbers.
+    number: u64,
     nonce: OnceLock<[u8; NONCE_BYTES]>,
     remote: OnceLock<Hello>,
+    authenticated: Notify,
 }
 
 /// Accepts sessions and passes each frame to `handler`, which must return an answer to a call.
 ///
 /// The frames of a lane are handled in order, one at a time; answers to them are ignored. The
 /// future never completes.
-pub async fn serve<H, F>(listener: TcpListener, local: Hello, secret: Secret, handler: H)
+pub async fn serve<H, F>(listener: impl Into<Listener>, local: Hello, secret: Secret, handler: H)
 where
     H: Fn(Hello, Frame) -> F + Send + Sync + 'static,
     F: Future<Output = Option<Frame>> + Send + 'static,
@@ -65,7 +76,7 @@
 /// frame that asks for it. The tunnel's session ends with its connection, and `tunnels` is then
 /// dropped.
 pub async fn serve_with_tunnels<H, F, T, G>(
-    listener: TcpListener,
+    listener: impl Into<Listener>,
     local: Hello,
     secret: Secret,
     handler: H,
@@ -76,17 +87,20 @@
     T: Fn(Hello, Frame, Offer) -> G + Send + Sync + 'static,
     G: Future<Output = ()> + Send + 'static,
 {
-    let acceptor = Arc::new(Acceptor { local, secret, handler, tunnels });
+    let listener = listener.into();
+    let unauthenticated = listener.unauthenticated();
+    let acceptor = Arc::new(Acceptor { local, secret, handler, tunnels, unauthenticated });
     let mut sessions = JoinSet::new();
-    loop {
+    for number in 0.. {
         while sessions.try_join_next().is_some() {}
-        match listener.accept().await {
+        match listener.socket.accept().await {
             Ok((socket, _)) => {
-                sessions.spawn(acceptor.clone().run(socket));
+                let session = sessions.spawn(acceptor.clone().run(socket, number));
+                acceptor.unauthenticated.insert(number, session);
             }
             Err(error) => {
                 warn!("peer: cannot accept a session: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
@@ -99,9 +113,20 @@
     T: Fn(Hello, Frame, Offer) -> G + Send + Sync + 'static,
     G: Future<Output = ()> + Send + 'static,
 {
-    async fn run(self: Arc<Self>, socket: TcpStream) {
-        let state = Arc::new(SessionState::default());
-        if let Err(error) = self.serve_session(socket, &state).await {
+    async fn run(self: Arc<Self>, socket: TcpStream, number: u64) {
+        let state = Arc::new(SessionState { number, ..SessionState::default() });
+        let authentication = async {
+            let authenticated = state.authenticated.notified();
+            if time::timeout(AUTHENTICATION_TIMEOUT, authenticated).await.is_ok() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let served = tokio::select! {
+            served = self.serve_session(socket, &state) => served,
+            () = authentication => Err(Error::Timeout),
+        };
+        self.unauthenticated.remove(number);
+        if let Err(error) = served {
             match state.remote.get() {
                 Some(remote) => debug!("peer: the session from {} ended: {error}", remote.host),
                 None => {
@@ -119,16 +144,25 @@
     ) -> Result<(), Error> {
         socket.set_nodelay(true)?;
         let mut connection = server::Builder::new()
-            .initial_window_size(STREAM_WINDOW_BYTES)
-            .initial_connection_window_size(SESSION_WINDOW_BYTES)
+            .initial_window_size(UNAUTHENTICATED_WINDOW_BYTES)
+            .max_header_list_size(MAX_HEAD_BYTES)
             .data_frame_budget(SMALL_FRAMES_BUDGET_BYTES)
             .handshake(socket)
             .await?;
-        let (mut streams, mut has_tunnels) = (JoinSet::new(), false);
+        let (mut streams, mut opened, mut has_windows) = (JoinSet::new(), 0, false);
         while let Some(accepted) = connection.accept().await {
             let (request, respond) = accepted?;
-            if request.uri().path() == path::TUNNEL && !mem::replace(&mut has_tunnels, true) {
-                connection.set_initial_window_size(WINDOW_BYTES)?;
+            if state.remote.get().is_none() {
+                opened += 1;
+                if opened > UNAUTHENTICATED_STREAMS {
+                    return Err(Error::protocol("too many streams before the authentication"));
+                }
+            } else if !mem::replace(&mut has_windows, true) {
+                // A session carries tunnels or messages, whose streams have larger windows.
+                let is_tunnel = request.uri().path() == path::TUNNEL;
+                let window = if is_tunnel { WINDOW_BYTES } else { STREAM_WINDOW_BYTES };
+                connection.set_initial_window_size(window)?;
+                connection.set_target_window_size(SESSION_WINDOW_BYTES);
             }
             while streams.try_join_next().is_some() {}
             streams.spawn(self.clone().handle_stream(state.clone(), request, respond));
@@ -223,6 +257,8 @@
             return Err(Error::protocol(reason));
         }
         let _ = state.remote.set(authentication.hello);
+        self.unauthenticated.remove(state.number);
+        state.authenticated.notify_one();
         Ok(Frame::new(Bytes::new()))
     }
 
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -48,6 +48,8 @@
     Ready,
     Control,
     Metrics,
+    /// For sessions of other hosts, at an entry host.
+    Peers,
 }
 
 /// What the processes of a deployment may use.
@@ -97,9 +99,11 @@
     fn host(&self, listener: Listener) -> &Host {
         match listener {
             Listener::Control => &self.site.stores()[0],
-            Listener::Callers | Listener::Directory | Listener::Ready | Listener::Metrics => {
-                &self.site.entries()[0]
-            }
+            Listener::Callers
+            | Listener::Directory
+            | Listener::Ready
+            | Listener::Metrics
+            | Listener::Peers => &self.site.entries()[0],
         }
     }
 
@@ -111,6 +115,7 @@
             Listener::Ready => ports.ready,
             Listener::Control => ports.control,
             Listener::Metrics => self.metrics_port,
+            Listener::Peers => ports.peers,
         })
     }
 
@@ -128,7 +133,9 @@
     /// Returns whether an ordinary request is answered at a listener.
     async fn answers(&self, listener: Listener) -> bool {
         let path = match listener {
-            Listener::Callers => return self.post(b"body".to_vec()).await == Some(StatusCode::OK),
+            Listener::Callers | Listener::Peers => {
+                return self.post(b"body".to_vec()).await == Some(StatusCode::OK);
+            }
             Listener::Directory => "/resolve?name=site.example&region=region&zone=zone-0",
             Listener::Ready => "/readiness",
             Listener::Control => "/config",
@@ -237,6 +244,7 @@
 #[test_case(Listener::Callers)]
 #[test_case(Listener::Directory)]
 #[test_case(Listener::Control)]
+#[test_case(Listener::Peers)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_host_withstands_silent_connections(listener: Listener) {
     let _turn = TURN.lock().await;
