Bound the read buffers of many clients

Cause: each connection whose body is read or discarded had a buffer of 64 KiB, up to 16 KiB of each body were not counted, and the receive buffers of many connections together held more than their share: the system doubles them.

Change: 16 KiB of a body are read at once, bodies are counted ahead in steps of 16 KiB, and receive buffers are 64 KiB, shared out from 1/64 of the memory.

--- a/crates/catkinlatch-runtime/src/http/inbound/connection.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/connection.rs
@@ -18,7 +18,7 @@
 };
 use tokio::{sync::Notify, time};
 
-/// Number of bytes after which a growing body is counted anew.
+/// Step in which a growing body is counted ahead, in bytes.
 const HOLD_STEP: usize = 16 << 10;
 
 /// Longest time for which the rest of a refused request is read, so that the client gets its answer:
@@ -217,8 +217,8 @@
             if length > limit {
                 return Err(BodyError::TooLong);
             }
-            if length - held >= HOLD_STEP || held == 0 {
-                held = length;
+            if length > held {
+                held = if held == 0 { length } else { length.next_multiple_of(HOLD_STEP) };
                 self.hold(held)?;
             }
             segments.push(&part);
--- a/crates/catkinlatch-runtime/src/http/inbound/limits.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/limits.rs
@@ -23,7 +23,7 @@
 const CONNECTION_BYTES: u64 = 12 << 10;
 
 /// Share of the host's memory for bytes that have arrived and are not yet read, as a divisor.
-const UNREAD_DIVISOR: u64 = 32;
+const UNREAD_DIVISOR: u64 = 64;
 
 /// Smallest buffer for the head of a request, in bytes.
 const MIN_HEAD_BYTES: usize = 64 << 10;
--- a/crates/catkinlatch-runtime/src/http/inbound/stream.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/stream.rs
@@ -12,6 +12,9 @@
 /// request that runs.
 const HEAD_PART_BYTES: usize = 8 << 10;
 
+/// Largest part of a body that is read at once, in bytes; each connection has a buffer of this size.
+const BODY_PART_BYTES: usize = 16 << 10;
+
 /// The stream of a client's connection, whose received bytes are counted.
 #[derive(Debug)]
 pub struct Counted<T> {
@@ -36,15 +39,14 @@
         if self.reporter.is_closed() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        if self.reporter.reads_body() {
-            return Pin::new(&mut self.stream).poll_read(context, buffer);
-        }
-        let size = buffer.remaining().min(HEAD_PART_BYTES);
+        let reads_body = self.reporter.reads_body();
+        let most = if reads_body { BODY_PART_BYTES } else { HEAD_PART_BYTES };
+        let size = buffer.remaining().min(most);
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(size));
         ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
         let bytes = part.filled().len();
         buffer.advance(bytes);
-        if bytes > 0 {
+        if bytes > 0 && !reads_body {
             self.reporter.received(bytes);
         }
         Poll::Ready(Ok(()))
--- a/crates/catkinlatch-runtime/src/http/inbound/table.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/table.rs
@@ -24,10 +24,10 @@
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 
 /// Largest receive buffer of a connection, in bytes.
-pub(super) const MAX_RECEIVE_BUFFER: usize = 128 << 10;
+pub(super) const MAX_RECEIVE_BUFFER: usize = 64 << 10;
 
 /// Smallest receive buffer of a connection, in bytes.
-const MIN_RECEIVE_BUFFER: usize = 8 << 10;
+const MIN_RECEIVE_BUFFER: usize = 4 << 10;
 
 new_key_type! {
     /// Identifies a connection, or the whole body of a request.
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -26,6 +26,9 @@
 /// What the hosts may use where the crowd is one of connections that send much.
 const LITTLE_MEMORY: Resources = Resources { entry_mb: 100, store_mb: 160, descriptors: 2_000 };
 
+/// What the hosts of the users' deployments may use.
+const USUAL_MEMORY: Resources = Resources { entry_mb: 260, store_mb: 270, descriptors: 4_100 };
+
 /// What the hosts may use where the crowd sends little that takes much.
 const LEAST_MEMORY: Resources = Resources { entry_mb: 48, ..LITTLE_MEMORY };
 
@@ -204,6 +207,7 @@
 #[test_case(LITTLE_MEMORY, &Client::body(4 * MIB), 40; "whole")]
 #[test_case(LITTLE_MEMORY, &Client::body(4 * MIB).stops_short(), 40; "that stop short")]
 #[test_case(LITTLE_MEMORY, &Client::body(MIB).in_pieces(4 << 10).stops_short(), 150; "piece by piece")]
+#[test_case(USUAL_MEMORY, &Client::body(MIB).in_pieces(4 << 10).stops_short(), 900; "of many clients")]
 #[test_case(LITTLE_MEMORY, &Client::chunked(MIB, 4), 40; "of large chunks")]
 #[test_case(LEAST_MEMORY, &Client::chunked(1, MIB / 16), 48; "of chunks of a single byte")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
