Count the memory of jobs that are decoded and submitted

What callers saw: nothing yet; found by a new test. 60 jobs with bodies of 4 MiB at once took an entry host of 100 MB to 116 MB, though their bodies were bounded.

Cause: a job is decoded and encoded for the leader, which takes several times its body, and nobody counted that.

Change: three times the body is claimed from the memory of all requests before a job is decoded; without it the caller gets 503. A single job always passes, and so do small ones.

--- a/crates/catkinlatch-entry/src/batch.rs
+++ b/crates/catkinlatch-entry/src/batch.rs
@@ -5,7 +5,7 @@
 use catkinlatch_platform::{JobContext, decode_job, encode_results, header};
 use catkinlatch_runtime::{
     Answer, Message, Reply,
-    http::{Body, full},
+    http::{Body, full, inbound::Reader},
 };
 use http::{Response, StatusCode};
 use log::{info, warn};
@@ -24,6 +24,14 @@
 /// Delay after which a caller should retry if no leader answered.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Delay after which a caller should retry if other jobs take the memory: about the time that the
+/// leader takes to accept one.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// Copies of a job's body while it is submitted: its items, and the message to the leader with its
+/// parts on their way.
+const JOB_COPIES: usize = 3;
+
 /// Submits a batch job.
 pub async fn submit(host: &Host, inbound: &InboundRequest) -> Response<Body> {
     let id = header::text(&inbound.head.headers, &header::REQUEST_ID).map(str::parse::<JobId>);
@@ -41,6 +49,13 @@
         priority: inbound.priority,
         now_ms: host.clock.wall_ms(),
     };
+    let reader = inbound.head.extensions.get::<Reader>();
+    let claim = reader.map(|reader| reader.claim(inbound.body.len() * JOB_COPIES)).transpose();
+    let Ok(_claim) = claim else {
+        metrics::counter!("catkinlatch_entry_memory_refusals").increment(1);
+        info!(job:% = id; "entry: refused a job, too little memory to decode it");
+        return answer::refusal(MEMORY_RETRY_AFTER);
+    };
     let job = match decode_job(&inbound.body, context) {
         Ok(job) => job,
         Err(error) => {
--- a/crates/catkinlatch-entry/src/front.rs
+++ b/crates/catkinlatch-entry/src/front.rs
@@ -131,7 +131,7 @@
         }
         Err(BodyError::TooSlow) => {
             info!(request = request_id(&head); "entry: refused, the body takes too long");
-            return answer::closing(answer::status(StatusCode::REQUEST_TIMEOUT));
+            return answer::closing(answer::refusal(retry_after(&head, MEMORY_RETRY_AFTER)));
         }
         Err(error) => {
             info!(
--- a/crates/catkinlatch-runtime/src/http/inbound.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound.rs
@@ -9,7 +9,7 @@
 mod table;
 
 pub use self::{
-    connection::Reader,
+    connection::{Claim, Reader},
     limits::Limits,
     table::{Ended, How, Key, Table},
 };
--- a/crates/catkinlatch-runtime/src/http/inbound/connection.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/connection.rs
@@ -142,22 +142,28 @@
     signals: Arc<Signals>,
 }
 
-/// A whole body, which counts as memory of requests until it is dropped.
-struct Held {
-    bytes: Vec<u8>,
+/// Memory that counts as that of requests until it is dropped.
+#[derive(Debug)]
+pub struct Claim {
     inbound: Inbound,
     key: Key,
 }
 
-impl AsRef<[u8]> for Held {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.inbound.lock().table.remove(self.key);
     }
 }
 
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.inbound.lock().table.remove(self.key);
+/// A whole body.
+struct Held {
+    bytes: Vec<u8>,
+    _claim: Claim,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
@@ -195,7 +201,7 @@
                 let inbound = self.inbound.clone();
                 let key = inbound.lock().table.complete(self.key);
                 let bytes = segments.join();
-                Ok(Bytes::from_owner(Held { bytes, inbound, key }))
+                Ok(Bytes::from_owner(Held { bytes, _claim: Claim { inbound, key } }))
             }
             Err(error) => {
                 self.inbound.lock().table.discard(self.key);
@@ -205,6 +211,19 @@
         }
     }
 
+    /// Claims memory for the decoded form of a whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the requests of all clients take too much memory.
+    pub fn claim(&self, bytes: usize) -> Result<Claim, BodyError> {
+        let mut state = self.inbound.lock();
+        let (key, ended) = state.table.claim(bytes);
+        state.end(ended.into_iter());
+        let inbound = self.inbound.clone();
+        key.map(|key| Claim { inbound, key }).ok_or(BodyError::NoMemory)
+    }
+
     async fn gather(&self, body: &mut Incoming, limit: usize) -> Result<Segments, BodyError> {
         if body.size_hint().lower() > limit as u64 {
             return Err(BodyError::TooLong);
--- a/crates/catkinlatch-runtime/src/http/inbound/table.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/table.rs
@@ -226,6 +226,25 @@
         self.add(Phase::Whole, bytes)
     }
 
+    /// Adds memory that whole requests need while they are decoded; returns its holder, or `None` if
+    /// there is none left, and the clients that are ended to make room.
+    ///
+    /// A single large request always gets it, and so do small ones.
+    pub fn claim(&mut self, bytes: usize) -> (Option<Key>, Vec<Ended>) {
+        let key = self.add(Phase::Whole, bytes);
+        self.total_bytes += bytes;
+        let ended = self.make_room();
+        let is_whole =
+            |holder: &&Holder| holder.phase == Phase::Whole && holder.size() > FREE_BYTES;
+        // The claim, and the body that it is for.
+        let is_single = self.holders.values().filter(is_whole).count() <= 2;
+        if self.total_bytes <= self.limits.bytes || is_single || bytes <= SMALL_BYTES {
+            return (Some(key), ended);
+        }
+        self.remove(key);
+        (None, ended)
+    }
+
     /// Records that a request was refused before its body was whole, the rest of which is discarded.
     pub fn discard(&mut self, key: Key) {
         self.release(key);
--- a/crates/catkinlatch-runtime/tests/inbound.rs
+++ b/crates/catkinlatch-runtime/tests/inbound.rs
@@ -157,3 +157,20 @@
     assert_eq!(ended.len(), 4);
     assert!(ended.iter().all(|ended| (ended.how, ended.limit) == (How::Close, "memory")));
 }
+
+/// Guards against decoded jobs, which take several times their bodies.
+#[test]
+fn memory_for_decoding_is_claimed_beside_bodies() {
+    let mut table = Table::new(limits());
+    let [first, second] = [0, 1].map(|_| {
+        let key = send(&mut table, 3 * MIB);
+        table.complete(key)
+    });
+    let (claim, _) = table.claim(9 * MIB);
+    assert_eq!(claim, None, "beside another whole body");
+    assert_eq!(table.total_bytes(), 6 * MIB + 2 * 200);
+    let (small, _) = table.claim(10 << 10);
+    [small.expect("a small one passes"), second].into_iter().for_each(|key| table.remove(key));
+    assert!(table.claim(9 * MIB).0.is_some(), "of the only large request");
+    table.remove(first);
+}
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -45,7 +45,7 @@
         }
         Err(BodyError::TooSlow) => {
             warn!(path = head.uri.path(); "control: refused a request, its body takes too long");
-            return closing(status(StatusCode::REQUEST_TIMEOUT));
+            return closing(status(StatusCode::SERVICE_UNAVAILABLE));
         }
         Err(error) => {
             warn!(path = head.uri.path(), error:% = error; "control: cannot read a request body");
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -153,13 +153,12 @@
     /// stayed within its memory and descriptors, and answers an ordinary request.
     async fn withstands(&self, listener: Listener, client: &Client, count: usize) {
         let host = self.host(listener);
-        let id = host.id().unwrap();
         let memory_mb = match listener {
             Listener::Control => self.resources.store_mb,
             _ => self.resources.entry_mb,
         };
         let bound = self.resources.descriptors;
-        let usage = Usage::watch(id, host.address(0).trim_end_matches(":0"));
+        let usage = Usage::of(host);
         let crowd = Crowd::open(&self.address(listener), client, count).await;
         crowd.settle().await;
         wait_until("an ordinary request is answered", || self.answers(listener)).await;
@@ -196,7 +195,11 @@
     let route = json!({"name": "survey", "host": "site.example", "path_prefix": "/survey/",
                        "kind": "idempotent", "timeout_ms": 20_000, "target_latency_ms": 400,
                        "priority": 2, "service": "survey", "max_attempts": 2, "public": false});
-    let text = site::configuration(1, &[route]);
+    let drafts = json!({"name": "drafts", "host": "site.example", "path_prefix": "/drafts/",
+                        "kind": "rollout", "target_latency_ms": 400, "priority": 1,
+                        "service": "drafts", "max_attempts": 3, "public": false,
+                        "due_ms": 7500, "max_wait_s": 40});
+    let text = site::configuration(1, &[route, drafts]);
     let mut configuration: Value = serde_json::from_str(&text).unwrap();
     configuration["limits"]["max_body_bytes"] = json!(BODY_BYTES);
     configuration["limits"]["max_header_bytes"] = json!(HEAD_BYTES);
@@ -229,6 +232,36 @@
     setup.withstands(Listener::Control, client, 60).await;
 }
 
+/// Guards against jobs that together exceed the memory of an entry host or of the stores.
+#[test_case(60; "at once")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn all_hosts_withstand_large_jobs(batch: usize) {
+    let _turn = TURN.lock().await;
+    let setup = Setup::start(LITTLE_MEMORY).await;
+    let watched: Vec<Usage> = setup.site.hosts.iter().map(Usage::of).collect();
+    let (mut crowds, mut accepted) = (Vec::new(), 0);
+    for first in (0..60).step_by(batch) {
+        let client = Client::job(4 * MIB, first);
+        let crowd = Crowd::open(&setup.address(Listener::Callers), &client, batch).await;
+        crowd.settle().await;
+        accepted += crowd.accepted();
+        crowds.push(crowd);
+    }
+    wait_until("an ordinary request is answered", || setup.answers(Listener::Callers)).await;
+    wait_until("an ordinary call is answered", || setup.answers(Listener::Control)).await;
+    let used: Vec<_> = watched.into_iter().map(Usage::stop).collect();
+    let memory: Vec<u64> = used.iter().map(|used| used.memory / 1_000_000).collect();
+    eprintln!("60 jobs of 4 MiB, {batch} at a time: {memory:?} MB, {accepted} accepted");
+    for (host, used) in setup.site.hosts.iter().zip(&used) {
+        let memory_mb = match host.name.starts_with("store") {
+            true => LITTLE_MEMORY.store_mb,
+            false => LITTLE_MEMORY.entry_mb,
+        };
+        assert!(used.is_running, "the process has ended: {}", host.log());
+        assert!(used.memory < memory_mb * 1_000_000, "{}: {} bytes", host.name, used.memory);
+    }
+}
+
 /// Guards against heads that together exceed the memory of a host, at each of its listeners.
 #[test_case(Listener::Callers, &Client::head(300 << 10); "over the limit that stop short")]
 #[test_case(Listener::Callers, &Client::head(usize::MAX); "without end")]
--- a/tests/crowd/client.rs
+++ b/tests/crowd/client.rs
@@ -38,12 +38,14 @@
     times: usize,
     end: String,
     write_bytes: usize,
+    /// Number of the first client, which is part of its request.
+    first: usize,
 }
 
 impl Client {
     fn new(start: String, filler: &str, times: usize, end: &str) -> Self {
         let (filler, end) = (filler.to_owned(), end.to_owned());
-        Self { start, filler, times, end, write_bytes: WRITE_BYTES }
+        Self { start, filler, times, end, write_bytes: WRITE_BYTES, first: 0 }
     }
 
     /// Connects and sends nothing.
@@ -56,6 +58,20 @@
         Self::new(post(&format!("content-length: {bytes}")), "x", bytes, "")
     }
 
+    /// Submits a job with an item whose body has about `bytes`; `first` is the number of the first
+    /// client's job.
+    pub fn job(bytes: usize, first: usize) -> Self {
+        let start = "{\"step\":1,\"model\":\"model\",\"min_version\":1,\"group_count\":1,\"items\":\
+                     [{\"id\":\"crowd-NUMBER-1\",\"path\":\"/drafts/1\",\"headers\":{\"Model\":\"model\",\
+                     \"Token-Count\":\"10,50\"},\"tokens\":60,\"group\":\"g\",\"body\":\"";
+        let end = "\"}]}";
+        let times = bytes / 4;
+        let length = start.len() + 4 * times + end.len();
+        let head =
+            post(&format!("content-length: {length}")).replace("/survey/1", "/drafts/NUMBER");
+        Self { first, ..Self::new(head + start, "AAAA", times, end) }
+    }
+
     /// Sends a control call with a whole body of `bytes`.
     pub fn put(bytes: usize) -> Self {
         Self::new(put(&format!("content-length: {bytes}")), " ", bytes, "")
@@ -98,7 +114,7 @@
 
     /// Sends the request and reads the answer, until the host closes the connection.
     async fn run(&self, mut socket: TcpStream, number: usize, counts: &Counts) {
-        let start = self.start.replace("NUMBER", &number.to_string());
+        let start = self.start.replace("NUMBER", &format!("{:06}", self.first + number));
         let sent = self.send(&mut socket, &start, counts).await;
         counts.done.fetch_add(1, Ordering::Relaxed);
         let (mut received, mut part) = (Vec::new(), [0; 1_024]);
@@ -106,10 +122,13 @@
             && let Ok(read @ 1..) = socket.read(&mut part).await
         {
             received.extend_from_slice(&part[..read]);
-            if received.starts_with(b"HTTP/1.1 200") {
-                counts.served.fetch_add(1, Ordering::Relaxed);
-                received.clear();
-            }
+            let count = match received.get(..12) {
+                Some(b"HTTP/1.1 200") => &counts.served,
+                Some(b"HTTP/1.1 202") => &counts.accepted,
+                _ => continue,
+            };
+            count.fetch_add(1, Ordering::Relaxed);
+            received.clear();
         }
         counts.closed.fetch_add(1, Ordering::Relaxed);
     }
@@ -143,6 +162,7 @@
     sent: AtomicU64,
     done: AtomicUsize,
     served: AtomicUsize,
+    accepted: AtomicUsize,
     closed: AtomicUsize,
 }
 
@@ -196,6 +216,11 @@
         self.counts.served.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of clients that were answered with status 202.
+    pub fn accepted(&self) -> usize {
+        self.counts.accepted.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of clients whose connection the host has closed.
     pub fn closed(&self) -> usize {
         self.counts.closed.load(Ordering::Relaxed)
--- a/tests/crowd/usage.rs
+++ b/tests/crowd/usage.rs
@@ -1,5 +1,6 @@
 //! What a process uses of its machine, including received bytes that it has not read yet.
 
+use catkinlatch_standin::site::Host;
 use std::{
     fs,
     net::Ipv4Addr,
@@ -35,9 +36,10 @@
 }
 
 impl Usage {
-    /// Watches the process `id`, whose listeners are bound to `ip`.
-    pub fn watch(id: u32, ip: &str) -> Self {
-        let ip: Ipv4Addr = ip.parse().unwrap();
+    /// Watches the process of a host.
+    pub fn of(host: &Host) -> Self {
+        let id = host.id().unwrap();
+        let ip: Ipv4Addr = host.address(0).trim_end_matches(":0").parse().unwrap();
         let is_over = Arc::new(AtomicBool::new(false));
         let over = is_over.clone();
         let watcher = thread::spawn(move || {
