Bound the jobs that a leader keeps by its memory

Cause: the leader accepted each job, and keeps its items until its results are no longer asked for.

Change: a job is refused if the items of all jobs that are kept, and of those that are being accepted, would exceed a quarter of the memory. The caller gets 503, which is true: the job was not proposed. A job that is kept is confirmed again; a single one is accepted whatever its size.

--- a/crates/catkinlatch-runtime/src/leader_client.rs
+++ b/crates/catkinlatch-runtime/src/leader_client.rs
@@ -89,6 +89,11 @@
                     }
                 }
                 Ok(Reply::Unknown) => return Answer::Unknown,
+                // The leader has no memory for the job; an earlier one may have accepted it.
+                Ok(Reply::Nothing) if matches!(message, Message::Submit(_)) => {
+                    self.record_leader(host);
+                    return if may_be_done { Answer::Unknown } else { Answer::NotDone };
+                }
                 Ok(reply) => {
                     self.record_leader(host);
                     return Answer::Reply(reply);
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -8,7 +8,7 @@
 use crate::{allowance, exchange, host::Host, observation, relay, view};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
-use catkinlatch_ledger::{Command, Record, Reply as Outcome, Target, registry};
+use catkinlatch_ledger::{Command, Job, Record, Reply as Outcome, Target, registry};
 use catkinlatch_runtime::{
     Message, ProposeError, Reply,
     message::{Follow, Results, ViewVersion},
@@ -87,12 +87,7 @@
             host.record_leaving(&target, born_ms);
             Reply::Done
         }
-        Message::Submit(job) => {
-            let (id, items) = (job.id.clone(), job.items.len());
-            let reply = propose(host, Command::Submit(job)).await;
-            info!(job:% = id, items = items, reply:? = reply; "jobs: handed in");
-            reply
-        }
+        Message::Submit(job) => submit(host, job).await,
         Message::Read { job, team, after, wait_ms } => {
             let is_owner = move |record: &Record| record.job.team == team;
             read_results(host, &job, is_owner, after, Duration::from_millis(wait_ms)).await
@@ -171,6 +166,24 @@
     }
 }
 
+/// Accepts a job, unless all jobs together would take too much memory; nothing is kept of it then.
+async fn submit(host: &Host, job: Arc<Job>) -> Reply {
+    let (id, items) = (job.id.clone(), job.items.len());
+    let kept = host.replica.read(|state| {
+        let is_new = !state.jobs.contains_key(&id);
+        is_new.then(|| state.jobs.values().map(|record| record.job.bytes()).sum::<usize>())
+    });
+    let submission = kept.map(|kept| host.backlog.admit(kept, job.bytes()));
+    if let Some(None) = submission {
+        let kept = kept.unwrap_or_default();
+        warn!(job:% = id, items = items, kept = kept; "jobs: refused, too little memory");
+        return Reply::Nothing;
+    }
+    let reply = propose(host, Command::Submit(job)).await;
+    info!(job:% = id, items = items, reply:? = reply; "jobs: handed in");
+    reply
+}
+
 /// Commits a change to the replicated state.
 async fn propose(host: &Host, command: Command) -> Reply {
     match host.replica.propose(command).await {
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     allowance::Allowance,
+    backlog::Backlog,
     duty::{Rule, Turn},
     handler, observation,
     places::Places,
@@ -62,6 +63,8 @@
     pub suspects: suspect::Shared,
     /// What this host may send to limited targets.
     pub allowance: Allowance,
+    /// The bound on the memory of jobs while this host leads.
+    pub backlog: Backlog,
     /// The division of services' places among hosts while this one leads.
     pub places: Places,
     /// What senders observe of targets.
@@ -103,6 +106,7 @@
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
         let allowance = Allowance::new(settings.cold);
+        let backlog = Backlog::new(settings.resources.memory_mb);
         let (gathered, encoded_view) = (Notify::new(), Mutex::default());
         let observations = observation::Shared::new(settings.host.clone());
         Self {
@@ -116,6 +120,7 @@
             dialer,
             suspects: suspect::Shared::default(),
             allowance,
+            backlog,
             places: Places::default(),
             observations,
             last_turn,
--- a/crates/catkinlatch-store/src/lib.rs
+++ b/crates/catkinlatch-store/src/lib.rs
@@ -2,6 +2,7 @@
 //! jobs, loads weights onto engines and reports usage.
 
 mod allowance;
+pub mod backlog;
 mod cleanup;
 pub mod concurrency;
 mod control;
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -234,6 +234,7 @@
 
 /// Guards against jobs that together exceed the memory of an entry host or of the stores.
 #[test_case(60; "at once")]
+#[test_case(2; "one after the other")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn all_hosts_withstand_large_jobs(batch: usize) {
     let _turn = TURN.lock().await;
