--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -42,6 +42,9 @@
 /// The number of hosts that callers connect to.
 const ENTRIES: usize = 2;
 
+/// Longest time in which the hosts accept a control call.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// The ports that every host of a site listens on, at its own loopback address.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
@@ -167,8 +170,21 @@
     ///
     /// # Panics
     ///
-    /// Panics if a host answers with 400 Bad Request.
+    /// Panics if a host answers with 400 Bad Request, or if none answers with success in two
+    /// minutes; the logs of the hosts are printed then.
     pub async fn control(&self, method: &str, path: &str, body: &str) -> bytes::Bytes {
+        match time::timeout(CONTROL_TIMEOUT, self.try_control(method, path, body)).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                for host in &self.hosts {
+                    eprintln!("log of {}:\n{}", host.name, host.log());
+                }
+                panic!("no host accepts {method} {path}");
+            }
+        }
+    }
+
+    async fn try_control(&self, method: &str, path: &str, body: &str) -> bytes::Bytes {
         for attempt in 0.. {
             let host = &self.stores()[attempt % self.store_count];
             let request = Request::builder().method(method).uri(path).header("host", "control");
