Draw the identities of hosts from the operating system

Callers saw: a new deployment that never serves.

Cause: fastrand seeds its generators by the clock and the number of the thread. Two stores that start at the same moment draw the same identity in the log, and each drops the other's messages as its own.

Evidence: tests/crowd.rs alone on hung at 23:37:58 UTC. Its three stores had open sessions with each other and stayed learners of term 0 for 460 s. The files store-0/log/identity and store-2/log/identity held the same 128 bits (fe 58 33 18 a9 1e d9 2a 63 be d0 10 56 ce 7d f6 9a), store-1's held others. How often it comes is not known: see docs/incidents/hosts-with-one-identity.md.

Change: identities, incarnations, the run of the log and the secret of `catkinlatch settings` are drawn from the operating system, and its numbers seed the generators of the hosts' threads.

Why it works: the numbers of two processes no longer depend on when they start. No message or stored form changes; a host keeps the identity that is on its disk.

--- a/crates/catkinlatch-base/src/lib.rs
+++ b/crates/catkinlatch-base/src/lib.rs
@@ -7,6 +7,7 @@
 mod instant;
 pub mod invariant;
 mod nearest;
+pub mod random;
 pub mod timeline;
 pub mod trailing;
 pub mod unit;
--- a/crates/catkinlatch-node/src/control/driver.rs
+++ b/crates/catkinlatch-node/src/control/driver.rs
@@ -9,7 +9,7 @@
     Clock, Settings,
     peer::{Message, Peers},
 };
-use catkinlatch_base::{Instant, Revision};
+use catkinlatch_base::{Instant, Revision, random};
 use catkinlatch_fleet::Lease;
 use catkinlatch_log::{
     self as log_core, Action, Core, Index, Input, Peer, Refusal, Report, Role, Token,
@@ -70,7 +70,7 @@
         };
         let (completion_sender, completions) = mpsc::unbounded_channel();
         let now = clock.now();
-        let random = fastrand::Rng::new();
+        let random = random::generator();
         let core: Core<Replica> =
             Core::new(log_settings(settings), identity, storage.restored, random, now);
         shared.publish(core.machine().state());
--- a/crates/catkinlatch-node/src/control/storage.rs
+++ b/crates/catkinlatch-node/src/control/storage.rs
@@ -1,7 +1,7 @@
 //! Storage of the control log: in files that a separate thread writes, or in memory.
 
 use crate::Settings;
-use catkinlatch_base::Incarnation;
+use catkinlatch_base::{Incarnation, random};
 use catkinlatch_log::{
     Group, Input, Restored, Write,
     storage::{Completion, Disk, OpenError, Writer},
@@ -29,7 +29,7 @@
 ///
 /// Returns why the data folder cannot be used.
 pub fn open_storage(settings: &Settings) -> Result<OpenedStorage, OpenError> {
-    let mut random = fastrand::Rng::new();
+    let mut random = random::generator();
     let Some(folder) = &settings.data_folder else {
         let identity = Incarnation::generate(&mut random);
         return Ok(OpenedStorage { identity, disk: None, restored: None });
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -9,7 +9,7 @@
     upstream::Upstream,
     usage::{self, Usage},
 };
-use catkinlatch_base::{Incarnation, Timeline, event::Kind};
+use catkinlatch_base::{Incarnation, Timeline, event::Kind, random};
 use catkinlatch_fleet::{Meter, order::Dispatcher};
 use catkinlatch_route::Table;
 use catkinlatch_runtime::http::{
@@ -143,7 +143,7 @@
         let peer_listener = TcpListener::bind(settings.peer_listen).await;
         let peer_listener = peer_listener.map_err(StartError::ListenPeers)?;
         let timeline = Arc::new(Timeline::new(settings.host.clone(), settings.timeline_events));
-        let incarnation = Incarnation::generate(&mut fastrand::Rng::new());
+        let incarnation = Incarnation::generate(&mut random::generator());
         let clock = Clock::new();
         let mut tasks = JoinSet::new();
         let peers = Peers::new(&settings, incarnation, timeline.clone(), clock, &mut tasks);
--- a/crates/catkinlatch-node/src/usage.rs
+++ b/crates/catkinlatch-node/src/usage.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::Node;
-use catkinlatch_base::{HostId, Incarnation, WindowId};
+use catkinlatch_base::{HostId, Incarnation, WindowId, random};
 use catkinlatch_fleet::{Meter, usage::Replicas};
 use catkinlatch_state::{Command, window};
 use log::warn;
@@ -42,7 +42,7 @@
     /// Creates empty counters with a new incarnation for the node on `host`.
     pub fn new(host: HostId) -> Self {
         Self {
-            incarnation: Incarnation::generate(&mut fastrand::Rng::new()),
+            incarnation: Incarnation::generate(&mut random::generator()),
             meter: Mutex::default(),
             replicas: Mutex::new(Replicas::new(host)),
         }
--- a/crates/catkinlatch-runtime/src/peers.rs
+++ b/crates/catkinlatch-runtime/src/peers.rs
@@ -1,7 +1,7 @@
 //! Sessions with other processes, opened on first use.
 
 use crate::{Settings, settings::CLUSTER};
-use catkinlatch_base::{HostId, Incarnation};
+use catkinlatch_base::{HostId, Incarnation, random};
 use catkinlatch_wire::{Destination, Error, Frame, Hello, Link, PROTOCOL, Secret, codec, link};
 use derive_more::{Display, Error as DeriveError};
 use log::info;
@@ -71,7 +71,7 @@
             protocol: PROTOCOL,
             cluster: CLUSTER.parse().expect("the name is valid"),
             host: settings.host.clone(),
-            incarnation: Incarnation::generate(&mut fastrand::Rng::new()),
+            incarnation: Incarnation::generate(&mut random::generator()),
             zone: settings.zone.clone(),
             settings_digest: [0; 32],
         };
--- a/crates/catkinlatch-runtime/src/replica/member.rs
+++ b/crates/catkinlatch-runtime/src/replica/member.rs
@@ -1,7 +1,7 @@
 //! This host as a member of the log, under one identity after another.
 
 use crate::Settings;
-use catkinlatch_base::{HostId, Incarnation, Instant, ZoneId};
+use catkinlatch_base::{HostId, Incarnation, Instant, ZoneId, random};
 use catkinlatch_ledger::{Command, State};
 use catkinlatch_log::{Core, Peer, Restored, Settings as LogSettings};
 use std::path::PathBuf;
@@ -50,6 +50,6 @@
             zone: self.zone.clone(),
             has_disk: true,
         };
-        Core::new(self.settings.clone(), peer, Some(restored), fastrand::Rng::new(), now)
+        Core::new(self.settings.clone(), peer, Some(restored), random::generator(), now)
     }
 }
--- a/crates/catkinlatch-runtime/src/replica/storage.rs
+++ b/crates/catkinlatch-runtime/src/replica/storage.rs
@@ -1,7 +1,7 @@
 //! Storage of the log on disk.
 
 use crate::settings::CLUSTER;
-use catkinlatch_base::Incarnation;
+use catkinlatch_base::{Incarnation, random};
 use catkinlatch_ledger::Command;
 use catkinlatch_log::{
     Group, Restored,
@@ -90,7 +90,7 @@
 
 fn open_folder(folder: &Path) -> Result<Opened, OpenError> {
     let cluster = CLUSTER.parse().expect("the name is valid");
-    let mut random = fastrand::Rng::new();
+    let mut random = random::generator();
     let opened = Disk::open(folder, cluster, Group::default(), &mut random)?;
     Ok(Opened { identity: opened.incarnation, disk: opened.disk, restored: opened.restored })
 }
--- a/crates/catkinlatch/src/command/exit.rs
+++ b/crates/catkinlatch/src/command/exit.rs
@@ -1,6 +1,6 @@
 //! Failures of commands with their exit codes, and helpers for printing and running.
 
-use catkinlatch_base::Findings;
+use catkinlatch_base::{Findings, random};
 use derive_more::{Display, From};
 use std::process::ExitCode;
 
@@ -64,5 +64,8 @@
 
 /// Runs a future to completion on a new multi-threaded runtime.
 pub fn block_on<T>(future: impl Future<Output = T>) -> T {
-    tokio::runtime::Runtime::new().expect("the runtime starts").block_on(future)
+    random::seed_thread();
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder.enable_all().on_thread_start(random::seed_thread).build();
+    runtime.expect("the runtime starts").block_on(future)
 }
--- a/crates/catkinlatch/src/command/host.rs
+++ b/crates/catkinlatch/src/command/host.rs
@@ -2,6 +2,7 @@
 
 use super::exit::{Failure, Outcome};
 use argh::FromArgs;
+use catkinlatch_base::random;
 use catkinlatch_runtime::{Settings, logger};
 use log::{error, info, warn};
 use std::{
@@ -40,6 +41,7 @@
             error!("host: {fault}");
             Failure::Failed(fault.to_string())
         })?;
+        random::seed_thread();
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|error| Failure::Failed(error.to_string()))?;
         let ended = runtime.block_on(run(&self.settings, settings)).map_err(|reason| {
--- a/crates/catkinlatch/src/command/settings.rs
+++ b/crates/catkinlatch/src/command/settings.rs
@@ -2,6 +2,7 @@
 
 use super::exit::{Failure, Outcome, print};
 use argh::FromArgs;
+use catkinlatch_base::random;
 use catkinlatch_node::settings;
 use std::{
     fs,
@@ -63,7 +64,7 @@
     fn run(self) -> Outcome {
         let example = settings::Example::new(self.hosts, self.zones, self.disks, self.base_port);
         let example = example.map_err(|error| Failure::Failed(format!("settings: {error}")))?;
-        let secret = format!("{:032x}", fastrand::u128(..));
+        let secret = format!("{:032x}", random::draw());
         let cannot = |path: &Path, error: io::Error| {
             Failure::Failed(format!("settings: cannot write {}: {error}", path.display()))
         };
