Bound what clients of a node hold

Clients of `catkinlatch serve` could take all memory and descriptors of its process, as those of `catkinlatch host` could before.

Cause: the HTTP library accepts connections without limit, reads heads of any number at once and gathers each body by itself, and keeps its listener to itself.

Change: each interface listens on a port of 127.0.0.1. A guard listens at the address of the settings, reads whole requests under one `http::Inbound` of the process, and passes them on. The settings have `memory_mb` and `descriptors`; without them the limits are those of 2 GiB and 16,384 descriptors. Sessions of other nodes that are not authenticated are bounded by the descriptors as well.

Why it works: nothing of a request reaches the library before it is whole and counted, and a connection that runs no request has no second one.

Tests: tests/crowd.rs a_node_withstands, 12 kinds of clients. On the code before, without the two settings, 11 failed: bodies 150 to 214 MB of 100 MB, heads 218 MB, without end 683 MB, empty lines 731 MB, 615 and 616 descriptors of 400. Chunks of one byte took 44 of 48 MB and passed. Now 12 of 12: 28 to 71 MB, 31 of 48 MB with chunks of one byte, 44 to 110 descriptors of 400.

--- a/crates/catkinlatch-node/src/entry.rs
+++ b/crates/catkinlatch-node/src/entry.rs
@@ -27,5 +27,5 @@
     api::register,
     credential::presented_key,
     dispatch::{Usage, engine_call, run_sample},
-    request::AuthorizedRequest,
+    request::{AuthorizedRequest, request_id},
 };
--- a/crates/catkinlatch-node/src/entry/api.rs
+++ b/crates/catkinlatch-node/src/entry/api.rs
@@ -66,7 +66,7 @@
 async fn get_entry(context: Context) -> Result<HttpResponseOk<Entry>, HttpError> {
     let node = context.context();
     let time_to_live_ms = node.settings.address_time_to_live_ms;
-    let addresses = address::list(node, context.server.local_addr);
+    let addresses = address::list(node, node.address);
     Ok(HttpResponseOk(Entry { addresses, time_to_live_ms }))
 }
 
--- a/crates/catkinlatch-node/src/lib.rs
+++ b/crates/catkinlatch-node/src/lib.rs
@@ -5,6 +5,7 @@
 mod drain;
 pub mod entry;
 pub mod evacuation;
+mod guard;
 mod http_log;
 mod metric;
 mod node;
--- a/crates/catkinlatch-node/src/node.rs
+++ b/crates/catkinlatch-node/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Clock, Control, Drain, Settings, control, entry, evacuation,
+    guard::{self, Guard},
     http_log::HttpLog,
     metric, operator, order,
     peer::{self, Peers},
@@ -12,10 +13,15 @@
 use catkinlatch_base::{Incarnation, Timeline, event::Kind, random};
 use catkinlatch_fleet::{Meter, order::Dispatcher};
 use catkinlatch_route::Table;
-use catkinlatch_runtime::http::{
-    Dialer,
-    dialer::{self, Connect},
+use catkinlatch_runtime::{
+    http::{
+        Dialer, Inbound,
+        dialer::{self, Connect},
+        inbound,
+    },
+    settings::Resources,
 };
+use catkinlatch_wire::Listener;
 use derive_more::{Display, Error};
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, BuildError, ConfigDropshot, HandlerTaskMode,
@@ -24,7 +30,7 @@
 use slog::Drain as _;
 use std::{
     io,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -40,6 +46,8 @@
     pub settings: Settings,
     /// Identifies this start of the process.
     pub incarnation: Incarnation,
+    /// The address that callers connect to.
+    pub address: SocketAddr,
     /// The node's clocks.
     pub clock: Clock,
     /// The handle on the control log and the replicated state.
@@ -109,16 +117,25 @@
     /// The listener for other nodes cannot be opened.
     #[display("cannot listen for other nodes: {_0}")]
     ListenPeers(io::Error),
+    /// The listener for clients cannot be opened.
+    #[display("cannot listen: {_0}")]
+    ListenClients(io::Error),
     /// An HTTP server did not start.
     #[display("cannot listen: {_0}")]
     Listen(BuildError),
 }
 
+/// An HTTP interface, and the listener before it that clients reach.
+struct Interface {
+    guard: Guard,
+    server: HttpServer<Arc<Node>>,
+}
+
 /// A running node.
 pub struct Server {
     node: Arc<Node>,
-    public: HttpServer<Arc<Node>>,
-    operator: HttpServer<Arc<Node>>,
+    public: Interface,
+    operator: Interface,
     tasks: JoinSet<()>,
 }
 
@@ -142,6 +159,11 @@
         let storage = control::open_storage(&settings).map_err(StartError::Storage)?;
         let peer_listener = TcpListener::bind(settings.peer_listen).await;
         let peer_listener = peer_listener.map_err(StartError::ListenPeers)?;
+        let inbound = Inbound::new(limits(&settings));
+        let peer_listener = Listener::from(peer_listener).with_unauthenticated(inbound.sessions());
+        let public = listen(settings.listen).await?;
+        let operator = listen(settings.operator_listen).await?;
+        let address = public.local_addr().map_err(StartError::ListenClients)?;
         let timeline = Arc::new(Timeline::new(settings.host.clone(), settings.timeline_events));
         let incarnation = Incarnation::generate(&mut random::generator());
         let clock = Clock::new();
@@ -157,6 +179,7 @@
         let node = Arc::new(Node {
             settings,
             incarnation,
+            address,
             clock,
             control,
             timeline,
@@ -172,8 +195,8 @@
             dispatcher: Mutex::new(Dispatcher::new(timing)),
             orders_wake: Notify::new(),
         });
-        let public = listen(&node, node.settings.listen, public_api()?)?;
-        let operator = listen(&node, node.settings.operator_listen, operator_api()?)?;
+        let public = Interface::start(&node, public, public_api()?, &inbound)?;
+        let operator = Interface::start(&node, operator, operator_api()?, &inbound)?;
         tasks.spawn(peer::serve(node.clone(), peer_listener));
         tasks.spawn(order::run_orders(node.clone()));
         usage::spawn(&node, &mut tasks);
@@ -195,12 +218,12 @@
 
     /// Returns the local address for callers, trainers and targets.
     pub fn address(&self) -> SocketAddr {
-        self.public.local_addr()
+        self.public.guard.address()
     }
 
     /// Returns the local address for operators.
     pub fn operator_address(&self) -> SocketAddr {
-        self.operator.local_addr()
+        self.operator.guard.address()
     }
 
     /// Drains the node: it leaves the list of entry addresses, keeps serving while callers may
@@ -248,18 +271,42 @@
     Ok(api)
 }
 
-/// Starts an HTTP server for an interface.
-fn listen(
-    node: &Arc<Node>,
-    address: SocketAddr,
-    api: ApiDescription<Arc<Node>>,
-) -> Result<HttpServer<Arc<Node>>, StartError> {
-    let config = ConfigDropshot {
-        bind_address: address,
-        default_request_body_max_bytes: MAX_REQUEST_BODY_BYTES,
-        default_handler_task_mode: HandlerTaskMode::Detached,
-        ..ConfigDropshot::default()
-    };
-    let log = slog::Logger::root(HttpLog.fuse(), slog::o!());
-    ServerBuilder::new(api, node.clone(), log).config(config).start().map_err(StartError::Listen)
+/// Returns the limits on what all clients of a node hold.
+fn limits(settings: &Settings) -> inbound::Limits {
+    let Settings { memory_mb, descriptors, .. } = *settings;
+    let limits =
+        inbound::Limits::new(&Resources { memory_mb, descriptors, ..Resources::default() });
+    limits.with_connections_divided_by(guard::DESCRIPTORS_PER_REQUEST)
+}
+
+/// Opens a listener for clients.
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(StartError::ListenClients)
+}
+
+impl Interface {
+    fn start(
+        node: &Arc<Node>,
+        listener: TcpListener,
+        api: ApiDescription<Arc<Node>>,
+        inbound: &Inbound,
+    ) -> Result<Self, StartError> {
+        let config = ConfigDropshot {
+            bind_address: (Ipv4Addr::LOCALHOST, 0).into(),
+            default_request_body_max_bytes: MAX_REQUEST_BODY_BYTES,
+            default_handler_task_mode: HandlerTaskMode::Detached,
+            ..ConfigDropshot::default()
+        };
+        let log = slog::Logger::root(HttpLog.fuse(), slog::o!());
+        let server = ServerBuilder::new(api, node.clone(), log).config(config).start();
+        let server = server.map_err(StartError::Listen)?;
+        let address = server.local_addr();
+        let guard = Guard::start(listener, address, MAX_REQUEST_BODY_BYTES, inbound.clone());
+        Ok(Self { guard: guard.map_err(StartError::ListenClients)?, server })
+    }
+
+    async fn close(self) -> Result<(), String> {
+        self.guard.close().await;
+        self.server.close().await
+    }
 }
--- a/crates/catkinlatch-node/src/peer/handler.rs
+++ b/crates/catkinlatch-node/src/peer/handler.rs
@@ -2,13 +2,12 @@
 
 use super::{Message, Reply};
 use crate::{Node, operator::status, relay, targets, trainer, usage};
-use catkinlatch_wire::{Frame, Hello, Offer, codec};
+use catkinlatch_wire::{Frame, Hello, Listener, Offer, codec};
 use log::warn;
 use std::sync::Arc;
-use tokio::net::TcpListener;
 
 /// Accepts sessions on `listener` and handles their messages while the node runs.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve(node: Arc<Node>, listener: Listener) {
     let (local, secret) = (node.peers.local().clone(), node.peers.secret().clone());
     let relay_server = Arc::new(relay::server(&node));
     let tunnels = move |remote: Hello, frame: Frame, offer: Offer| {
--- a/crates/catkinlatch-node/src/settings.rs
+++ b/crates/catkinlatch-node/src/settings.rs
@@ -106,6 +106,14 @@
         /// How long a running stream may continue after its API key was withdrawn, in milliseconds.
         #[serde(default = "default::stream_grace_ms")]
         pub stream_grace_ms: u64,
+        /// The memory that the node may use, in megabytes, from which the limits on clients derive;
+        /// those of 2 GiB if absent.
+        #[serde(default)]
+        pub memory_mb: Option<u64>,
+        /// The number of files and connections that the node may open, from which the limits on
+        /// clients derive; those of 16,384 if absent.
+        #[serde(default)]
+        pub descriptors: Option<u64>,
     }
 }
 
@@ -179,6 +187,8 @@
             timeline_events: default::timeline_events(),
             address_time_to_live_ms: default::address_time_to_live_ms(),
             stream_grace_ms: default::stream_grace_ms(),
+            memory_mb: None,
+            descriptors: None,
         }
     }
 
--- a/crates/catkinlatch-node/src/settings/schema.rs
+++ b/crates/catkinlatch-node/src/settings/schema.rs
@@ -50,6 +50,14 @@
 /// The upper bound of durations: one day.
 const MAX_DURATION_MS: u64 = 86_400_000;
 
+/// The bounds of `memory_mb`.
+const MIN_MEMORY_MB: u64 = 16;
+const MAX_MEMORY_MB: u64 = 1 << 24;
+
+/// The bounds of `descriptors`; the first 200 are for files.
+const MIN_DESCRIPTORS: u64 = 256;
+const MAX_DESCRIPTORS: u64 = 1 << 24;
+
 /// The upper bound of `timeline_events`.
 const MAX_TIMELINE_EVENTS: u64 = 1 << 20;
 
@@ -87,6 +95,8 @@
     optional("timeline_events", Shape::Number { min: 1, max: MAX_TIMELINE_EVENTS }),
     optional("address_time_to_live_ms", millis(0)),
     optional("stream_grace_ms", millis(0)),
+    optional("memory_mb", Shape::Number { min: MIN_MEMORY_MB, max: MAX_MEMORY_MB }),
+    optional("descriptors", Shape::Number { min: MIN_DESCRIPTORS, max: MAX_DESCRIPTORS }),
 ];
 
 /// The fields of an entry of `peers`.
--- a/crates/catkinlatch-runtime/src/http/inbound/limits.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/limits.rs
@@ -81,6 +81,11 @@
         Self { bytes, ..self }
     }
 
+    /// Divides the number of open connections, where each takes further descriptors.
+    pub fn with_connections_divided_by(self, divisor: usize) -> Self {
+        Self { connections: (self.connections / divisor).max(1), ..self }
+    }
+
     /// Sets the time for which a connection may be idle.
     pub fn with_idle_time(self, idle_time: Duration) -> Self {
         Self { idle_time, ..self }
--- a/crates/catkinlatch-standin/src/cluster.rs
+++ b/crates/catkinlatch-standin/src/cluster.rs
@@ -2,7 +2,7 @@
 
 mod hosts;
 mod link;
-pub(crate) mod ports;
+pub mod ports;
 mod process;
 pub mod soak;
 mod work;
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -7,12 +7,15 @@
 
 #[path = "crowd/client.rs"]
 mod client;
+#[path = "crowd/node.rs"]
+mod node;
 #[path = "crowd/usage.rs"]
 mod usage;
 
 use catkinlatch_standin::site::{self, Host, Service, Shape, Site};
 use client::{Client, Crowd};
 use http::StatusCode;
+use node::{Interface, Node};
 use serde_json::{Value, json};
 use std::{future::Future, path::Path, sync::atomic::AtomicU32, time::Duration};
 use tempfile::TempDir;
@@ -309,3 +312,44 @@
     let answer = setup.site.call(&address, request).await;
     assert_eq!(answer.map(|answer| answer.status()), Some(StatusCode::OK));
 }
+
+/// Guards against clients that hold more than a node of the product's own interface may use.
+#[test_case(LITTLE_MEMORY, Interface::Callers, &Client::service_body(4 * MIB), 40; "whole bodies")]
+#[test_case(LITTLE_MEMORY, Interface::Callers, &Client::service_body(4 * MIB).stops_short(), 40; "bodies that stop short")]
+#[test_case(LITTLE_MEMORY, Interface::Callers, &Client::service_chunked(MIB, 4), 40; "large chunks")]
+#[test_case(LEAST_MEMORY, Interface::Callers, &Client::service_chunked(1, MIB / 16), 48; "chunks of a single byte")]
+#[test_case(LITTLE_MEMORY, Interface::Operators, &Client::change(4 * MIB).stops_short(), 40; "bodies for operators")]
+#[test_case(LITTLE_MEMORY, Interface::Callers, &Client::head(300 << 10), 600; "heads over the limit")]
+#[test_case(LITTLE_MEMORY, Interface::Callers, &Client::head(usize::MAX), 600; "heads without end")]
+#[test_case(LITTLE_MEMORY, Interface::Callers, &Client::empty_lines(), 600; "empty lines without end")]
+#[test_case(LITTLE_MEMORY, Interface::Operators, &Client::head(300 << 10), 600; "heads for operators")]
+#[test_case(FEW_DESCRIPTORS, Interface::Callers, &Client::silent(), 600; "silent connections")]
+#[test_case(FEW_DESCRIPTORS, Interface::Operators, &Client::silent(), 600; "silent connections of operators")]
+#[test_case(FEW_DESCRIPTORS, Interface::Peers, &Client::silent(), 600; "silent sessions")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_withstands(
+    resources: Resources,
+    interface: Interface,
+    client: &Client,
+    count: usize,
+) {
+    let _turn = TURN.lock().await;
+    let node = Node::start(resources).await;
+    let usage = Usage::with_address(node.id(), node::IP);
+    let crowd = Crowd::open(&node.address(interface), client, count).await;
+    crowd.settle().await;
+    wait_until("an ordinary request is answered", || node.answers(interface)).await;
+    let used = usage.stop();
+    eprintln!(
+        "{interface:?}, {count} clients: {} MB of {}, {} descriptors of {}; sent {} MB, {} closed",
+        used.memory / 1_000_000,
+        resources.entry_mb,
+        used.descriptors,
+        resources.descriptors,
+        crowd.sent() / 1_000_000,
+        crowd.closed(),
+    );
+    assert!(used.is_running, "the process has ended: {}", node.log());
+    assert!(used.memory < resources.entry_mb * 1_000_000, "{} bytes of memory", used.memory);
+    assert!(used.descriptors < resources.descriptors, "{} descriptors", used.descriptors);
+}
--- a/tests/crowd/client.rs
+++ b/tests/crowd/client.rs
@@ -58,6 +58,26 @@
         Self::new(post(&format!("content-length: {bytes}")), "x", bytes, "")
     }
 
+    /// Sends a request for a plain service of a node with a whole body of `bytes`.
+    pub fn service_body(bytes: usize) -> Self {
+        Self::new(service(&format!("content-length: {bytes}")), "x", bytes, "")
+    }
+
+    /// Sends a change of the configuration to a node with a whole body of `bytes`.
+    pub fn change(bytes: usize) -> Self {
+        let start = format!(
+            "POST /v1/config/changes HTTP/1.1\r\nhost: node\r\ncontent-type: application/json\r\n\
+             content-length: {bytes}\r\n\r\n"
+        );
+        Self::new(start, " ", bytes, "")
+    }
+
+    /// Sends a request for a plain service of a node with chunks of `bytes` each, without the end
+    /// of the body.
+    pub fn service_chunked(bytes: usize, times: usize) -> Self {
+        Self::new(service("transfer-encoding: chunked"), &chunk(bytes), times, "")
+    }
+
     /// Submits a job with an item whose body has about `bytes`; `first` is the number of the first
     /// client's job.
     pub fn job(bytes: usize, first: usize) -> Self {
@@ -241,6 +261,10 @@
     )
 }
 
+fn service(length: &str) -> String {
+    format!("PUT /v1/services/survey/1 HTTP/1.1\r\nhost: node\r\n{length}\r\n\r\n")
+}
+
 fn put(length: &str) -> String {
     format!("PUT /config HTTP/1.1\r\nhost: control\r\n{length}\r\n\r\n")
 }
--- a/tests/crowd/usage.rs
+++ b/tests/crowd/usage.rs
@@ -38,8 +38,12 @@
 impl Usage {
     /// Watches the process of a host.
     pub fn of(host: &Host) -> Self {
-        let id = host.id().unwrap();
         let ip: Ipv4Addr = host.address(0).trim_end_matches(":0").parse().unwrap();
+        Self::with_address(host.id().unwrap(), ip)
+    }
+
+    /// Watches a process, and what has arrived at its address.
+    pub fn with_address(id: u32, ip: Ipv4Addr) -> Self {
         let is_over = Arc::new(AtomicBool::new(false));
         let over = is_over.clone();
         let watcher = thread::spawn(move || {
