--- a/crates/catkinlatch-runtime/src/http/inbound.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound.rs
@@ -75,12 +75,12 @@
 
     /// Returns the most sessions of other processes that have not proved who they are.
     pub fn sessions(&self) -> usize {
-        self.lock().table.limits_mut().sessions
+        self.lock().table.limits().sessions
     }
 
     /// Returns the size of the buffer for a request's head, in bytes.
     pub(super) fn head_bytes(&self) -> usize {
-        self.lock().table.limits_mut().head_bytes
+        self.lock().table.limits().head_bytes
     }
 
     /// Adds a connection; closes another one if there are too many.
@@ -118,9 +118,10 @@
 
     fn sweep(&self) {
         let mut state = self.lock();
-        for (key, signals) in &state.signals.clone() {
+        let State { table, signals } = &mut *state;
+        for (key, signals) in signals.iter() {
             if signals.take_written() {
-                state.table.record_written(key);
+                table.record_written(key);
             }
         }
         let ended = state.table.sweep();
--- a/crates/catkinlatch-runtime/src/http/inbound/connection.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/connection.rs
@@ -23,7 +23,7 @@
 
 /// Longest time for which the rest of a refused request is read, so that the client gets its answer:
 /// closing a connection with unread bytes resets it.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
 
 /// What the tasks of a connection tell each other.
 #[derive(Debug, Default)]
@@ -259,7 +259,7 @@
     /// Reads the rest of a body whose request was refused.
     async fn discard(self, mut body: Incoming) {
         let rest = async { while let Some(Ok(_)) = body.frame().await {} };
-        if time::timeout(DISCARD_TIME, rest).await.is_ok() {
+        if time::timeout(MAX_DISCARD_TIME, rest).await.is_ok() {
             self.signals.reads_body.store(false, Ordering::Relaxed);
             self.inbound.lock().table.record_discarded(self.key);
         }
--- a/crates/catkinlatch-runtime/src/http/inbound/table.rs
+++ b/crates/catkinlatch-runtime/src/http/inbound/table.rs
@@ -20,8 +20,9 @@
 /// Number of sweeps without progress after which a client is slow.
 const SLOW_SWEEPS: u32 = 2;
 
-/// Time for which the rest of a refused request is read, so that the client gets its answer.
-const DISCARD_TIME: Duration = Duration::from_secs(2);
+/// Time after which a connection is closed whose refused request still arrives; its reader gives up
+/// before that.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Largest receive buffer of a connection, in bytes.
 pub(super) const MAX_RECEIVE_BUFFER: usize = 64 << 10;
@@ -131,6 +132,11 @@
         Self { limits, total_bytes: 0, connections: 0, next: 0, holders: SlotMap::with_key() }
     }
 
+    /// Returns the limits.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     /// Returns the limits, which may be changed at any time.
     pub fn limits_mut(&mut self) -> &mut Limits {
         &mut self.limits
@@ -300,7 +306,7 @@
             let (limit, name) = match holder.phase {
                 Phase::Silent | Phase::Idle => (self.limits.idle_time, "idle"),
                 Phase::Head => (self.limits.head_time, "head"),
-                Phase::Discard => (DISCARD_TIME, "discard"),
+                Phase::Discard => (DISCARD_TIMEOUT, "discard"),
                 Phase::Body | Phase::Busy | Phase::Whole => continue,
             };
             if SWEEP_INTERVAL * holder.age > limit + SWEEP_INTERVAL {
