--- a/tests/site/leaving.rs
+++ b/tests/site/leaving.rs
@@ -4,10 +4,16 @@
 use super::{Setup, ok, stream::Stream, wait_until};
 use catkinlatch_standin::site::Service;
 use http::StatusCode;
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 use test_case::test_case;
 use tokio::time;
 
+/// Longest time until a target gets one of many requests.
+const SEEN_TIME: Duration = Duration::from_secs(120);
+
 /// Starts a second service beside that of the setup, and waits until both entry hosts use it.
 async fn start_second(setup: &Setup) -> Service {
     let controls =
@@ -26,6 +32,7 @@
 
 /// Sends requests to an entry host until one of them has run on `service`.
 async fn see_leaving(setup: &Setup, entry: usize, service: &Service) {
+    let start = Instant::now();
     for number in 0.. {
         let id = format!("see-{entry}-{number}");
         let answer = setup.request(entry, "POST", "/survey/1", &id, "").await.unwrap();
@@ -34,6 +41,8 @@
             assert_eq!(answer.headers()["server-leaving"], "1");
             return;
         }
+        let log = || setup.site.entries()[entry].log();
+        assert!(start.elapsed() < SEEN_TIME, "the target got none of {number} requests: {}", log());
     }
 }
 
