Guard: pass a client's wish to close its connection no further

Cause: the guard of an interface kept `Connection: close` of requests, so that each such request took a new connection within the host.

Change: the fields of a connection are removed both ways; a response's wish to close it is passed on to the client, as draining needs.

--- a/crates/catkinlatch-node/src/guard.rs
+++ b/crates/catkinlatch-node/src/guard.rs
@@ -12,9 +12,7 @@
     serve,
 };
 use derive_more::Debug;
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Request, Response, Uri, header, request::Parts, uri,
-};
+use http::{HeaderMap, HeaderName, Request, Response, Uri, header, request::Parts, uri};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use hyper_util::{
@@ -109,7 +107,7 @@
         let (head, body) = request.into_parts();
         let refusal = |code, message| Refusal::not_run(request_id(&head.headers), code, message);
         let Some(reader) = head.extensions.get::<Reader>().cloned() else {
-            return respond(refusal(Code::Unavailable, "the connection is closing"));
+            return respond(refusal(Code::Unavailable, "this listener has no limits"));
         };
         let received = reader.read(body, self.max_body, MAX_BODY_TIME).await;
         let received = received.and_then(|body| Ok((claim(&reader, &body)?, body)));
@@ -132,13 +130,15 @@
         match self.client.request(request).await {
             Ok(response) => {
                 let (mut head, body) = response.into_parts();
+                let closes = head.headers.get(header::CONNECTION).is_some_and(|c| c == "close");
                 remove_connection_fields(&mut head.headers);
                 // The request runs, and holds its copies, until its response has ended.
                 let body = body.map_frame(move |frame| {
                     let _ = &claim;
                     frame
                 });
-                Response::from_parts(head, body.map_err(Into::into).boxed_unsync())
+                let response = Response::from_parts(head, body.map_err(Into::into).boxed_unsync());
+                if closes { closing(response) } else { response }
             }
             Err(error) if error.is_connect() => {
                 respond(Refusal::not_run(id, Code::Unavailable, "this node has stopped"))
@@ -169,16 +169,11 @@
     reader.claim(BODY_COPIES * body.len())
 }
 
-/// Removes the fields that concern a single connection, but for a response's wish to close it.
+/// Removes the fields that concern a single connection.
 fn remove_connection_fields(headers: &mut HeaderMap) {
-    let close = HeaderValue::from_static("close");
-    let is_closing = headers.get(header::CONNECTION) == Some(&close);
     for field in CONNECTION_FIELDS {
         headers.remove(field);
     }
-    if is_closing {
-        headers.insert(header::CONNECTION, close);
-    }
 }
 
 fn respond(refusal: Refusal) -> Response<Body> {
