Guard: split reading a request from passing it on

Cause: one function read the body, chose the refusal, passed the request on and cleaned the response.

Change: `receive`, `forward` and `refuse`, each with one job; the texts of refusals are those of the errors.

--- a/crates/catkinlatch-node/src/guard.rs
+++ b/crates/catkinlatch-node/src/guard.rs
@@ -105,40 +105,36 @@
 impl Interface {
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
-        let refusal = |code, message| Refusal::not_run(request_id(&head.headers), code, message);
-        let Some(reader) = head.extensions.get::<Reader>().cloned() else {
-            return respond(refusal(Code::Unavailable, "this listener has no limits"));
-        };
-        let received = reader.read(body, self.max_body, MAX_BODY_TIME).await;
-        let received = received.and_then(|body| Ok((claim(&reader, &body)?, body)));
-        let (claim, body) = match received {
-            Ok(received) => received,
-            Err(BodyError::TooLong) => {
-                return respond(refusal(Code::TooLong, "the body is longer than any route allows"));
-            }
-            Err(error @ (BodyError::NoMemory | BodyError::TooSlow)) => {
-                metrics::counter!("catkinlatch_http_memory_refusals").increment(1);
-                let refusal = refusal(Code::Overloaded, &error.to_string());
-                return closing(respond(refusal.with_retry_after_ms(MEMORY_RETRY_AFTER_MS)));
-            }
-            Err(error) => return respond(refusal(Code::BadRequest, &error.to_string())),
-        };
+        match self.receive(&head, body).await {
+            Ok((body, claim)) => self.forward(head, body, claim).await,
+            Err(error) => refuse(&head, &error),
+        }
+    }
+
+    /// Reads a whole body, and claims memory for its copies while its request is handled.
+    async fn receive(&self, head: &Parts, body: Incoming) -> Result<(Bytes, Claim), BodyError> {
+        let reader = head.extensions.get::<Reader>().expect("the server adds the reader");
+        let body = reader.read(body, self.max_body, MAX_BODY_TIME).await?;
+        let claim = reader.claim(BODY_COPIES * body.len())?;
+        Ok((body, claim))
+    }
+
+    /// Passes a request on; the claim lasts until its response has ended.
+    async fn forward(&self, head: Parts, body: Bytes, claim: Claim) -> Response<Body> {
         let id = request_id(&head.headers);
         let Some(request) = self.request(head, body) else {
             return respond(Refusal::not_run(id, Code::BadRequest, "the path is not valid"));
         };
         match self.client.request(request).await {
             Ok(response) => {
-                let (mut head, body) = response.into_parts();
-                let closes = head.headers.get(header::CONNECTION).is_some_and(|c| c == "close");
-                remove_connection_fields(&mut head.headers);
-                // The request runs, and holds its copies, until its response has ended.
-                let body = body.map_frame(move |frame| {
-                    let _ = &claim;
-                    frame
+                let response = response.map(|body| {
+                    let body = body.map_frame(move |frame| {
+                        let _ = &claim;
+                        frame
+                    });
+                    body.map_err(Into::into).boxed_unsync()
                 });
-                let response = Response::from_parts(head, body.map_err(Into::into).boxed_unsync());
-                if closes { closing(response) } else { response }
+                without_connection_fields(response)
             }
             Err(error) if error.is_connect() => {
                 respond(Refusal::not_run(id, Code::Unavailable, "this node has stopped"))
@@ -164,9 +160,27 @@
     }
 }
 
-/// Claims memory for the copies of a body while its request is handled.
-fn claim(reader: &Reader, body: &Bytes) -> Result<Claim, BodyError> {
-    reader.claim(BODY_COPIES * body.len())
+/// Answers a request whose body was not read whole, so that it has not run.
+fn refuse(head: &Parts, error: &BodyError) -> Response<Body> {
+    let refusal = |code| Refusal::not_run(request_id(&head.headers), code, error.to_string());
+    match error {
+        BodyError::NoMemory | BodyError::TooSlow => {
+            metrics::counter!("catkinlatch_http_memory_refusals").increment(1);
+            let refusal = refusal(Code::Overloaded);
+            closing(respond(refusal.with_retry_after_ms(MEMORY_RETRY_AFTER_MS)))
+        }
+        BodyError::TooLong => respond(refusal(Code::TooLong)),
+        BodyError::Broken(_) | BodyError::Lost(_) | BodyError::Malformed(_) => {
+            respond(refusal(Code::BadRequest))
+        }
+    }
+}
+
+/// Removes the fields of a response that concern a single connection, but for the wish to close it.
+fn without_connection_fields(mut response: Response<Body>) -> Response<Body> {
+    let closes = response.headers().get(header::CONNECTION).is_some_and(|c| c == "close");
+    remove_connection_fields(response.headers_mut());
+    if closes { closing(response) } else { response }
 }
 
 /// Removes the fields that concern a single connection.
