Test: compare a host that is cut off in each soak with cuts

Cause: the check needs one such comparison, which is one of 25 faults that are drawn until 25 s are over. Beside load each fault takes longer, and 11 were injected before the time was over, none of them this one.

Change: the soak with cuts ends with a comparison if it has drawn none. The test's check is as it was, and each soak by hand with cuts now makes the comparison too.

That the failed run drew too few faults is read from the faults that it printed.

--- a/crates/catkinlatch-standin/src/site/soak/fault.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault.rs
@@ -88,6 +88,8 @@
     random: fastrand::Rng,
     /// Whether hosts are cut off from targets.
     has_cuts: bool,
+    /// Whether a host that is cut off has been compared with another one.
+    has_watched_cut: bool,
     /// When a store last had a fault.
     last_store_fault: Instant,
 }
@@ -95,7 +97,13 @@
 impl Faults {
     /// Creates the fault injection for a site that has just started.
     pub fn new(site: Site, random: fastrand::Rng) -> Self {
-        Self { site, random, has_cuts: false, last_store_fault: Instant::now() }
+        Self {
+            site,
+            random,
+            has_cuts: false,
+            has_watched_cut: false,
+            last_store_fault: Instant::now(),
+        }
     }
 
     /// Also cuts off hosts, which must run the program `cut_host`.
@@ -129,6 +137,9 @@
             log::info!("soak: {fault}");
             injected.push(fault);
         }
+        if self.has_cuts && !self.has_watched_cut {
+            injected.push(self.watch_cut_off(context).await?);
+        }
         Ok(injected)
     }
 
--- a/crates/catkinlatch-standin/src/site/soak/fault/cut.rs
+++ b/crates/catkinlatch-standin/src/site/soak/fault/cut.rs
@@ -70,6 +70,7 @@
         context.record().check(is_served, || {
             format!("{host}, cut off ({cut}), served {served} of {TRIES}, another one {expected}")
         });
+        self.has_watched_cut = true;
         Ok(format!("cut off {host}: {cut}; {served} of {TRIES} served, {expected} by another one"))
     }
 }
