Loads bring engines to the version that waiting items need

A job that came before its version was named was lost whole. Cause: the loader took the newest version less one, a constant, for what jobs accept, so that engines one version behind counted as useful, and stopped loads ahead while any item waited. Changed: weights::Goal takes from the waiting items which version runs all of them (engines before it load now) and which runs any of them (half of those engines go on serving). Items that no load helps are left out. Logs say which version is required and what items wait for, for each 5 s and for each item that is lost so.

--- a/crates/catkinlatch-ledger/src/schedule.rs
+++ b/crates/catkinlatch-ledger/src/schedule.rs
@@ -10,12 +10,14 @@
 mod placement;
 mod run;
 mod task;
+mod waiting;
 
 pub use self::{
     crash::Crashes,
     engine::Engine,
     run::{End, Loss, Next},
     task::Task,
+    waiting::{Obstacle, Requirement},
 };
 
 use self::{crash::Permit, placement::Placement};
@@ -24,7 +26,7 @@
     build::Seen,
     job::{self, Progress},
 };
-use catkinlatch_base::{GroupId, JobId, ModelId, RunId, ServiceId, TargetId, Version};
+use catkinlatch_base::{GroupId, JobId, RunId, ServiceId, TargetId, Version};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -284,18 +286,6 @@
         (self.tasks.len() - running, running)
     }
 
-    /// Returns the number of items that wait for an engine, by model. Items without a model are not
-    /// counted.
-    pub fn waiting(&self, wall_ms: u64) -> BTreeMap<ModelId, usize> {
-        let mut waiting = BTreeMap::new();
-        for task in self.tasks.values().filter(|task| task.is_waiting(wall_ms)) {
-            if let Some(model) = &task.job.model {
-                *waiting.entry(model.clone()).or_default() += 1;
-            }
-        }
-        waiting
-    }
-
     /// Returns the number of running items by engine.
     pub fn load(&self) -> BTreeMap<TargetId, u32> {
         let mut load = BTreeMap::new();
--- a/crates/catkinlatch-rollout/src/weights.rs
+++ b/crates/catkinlatch-rollout/src/weights.rs
@@ -2,6 +2,7 @@
 
 mod allotment;
 mod engine;
+mod goal;
 mod limit;
 mod load;
 mod pace;
@@ -10,6 +11,7 @@
 pub use self::{
     allotment::Allotment,
     engine::Engine,
+    goal::{Demand, Goal, Need, useful_intervals},
     limit::Limits,
     load::{Load, Outcome, Source},
     pace::{Want, loads_at_once},
--- a/crates/catkinlatch-rollout/src/weights/pace.rs
+++ b/crates/catkinlatch-rollout/src/weights/pace.rs
@@ -16,12 +16,12 @@
 pub struct Want {
     /// The model.
     pub model: ModelId,
-    /// Number of the model's items that wait for an engine.
+    /// Number of the model's items that wait for an engine and that its newest version can run.
     pub waiting: usize,
     /// Number of engines that may load the model's weights.
     pub candidates: usize,
-    /// Number of those engines that have weights which the model's next job accepts, or are loading
-    /// the model.
+    /// Number of those engines that have weights which all those items, or else the model's next
+    /// job, accept, or that are loading the model.
     pub useful: usize,
 }
 
--- a/crates/catkinlatch-store/src/runner.rs
+++ b/crates/catkinlatch-store/src/runner.rs
@@ -46,6 +46,9 @@
 /// Pause between two batches of starts.
 const BATCH_PAUSE: Duration = Duration::from_millis(1);
 
+/// How long items may wait before it is logged why, and the interval between two such lines.
+const LONG_WAIT: Duration = Duration::from_secs(5);
+
 /// Capacity of the queue of completions.
 const COMPLETION_QUEUE: usize = 4_096;
 
@@ -83,6 +86,8 @@
     sender: mpsc::Sender<Completion>,
     completions: mpsc::Receiver<Completion>,
     last_recorded: Instant,
+    /// When it was last logged why items wait.
+    last_logged: Instant,
     /// The revision of the soft state whose builds of engines were observed last.
     observed: Option<u64>,
 }
@@ -91,7 +96,7 @@
     /// Creates the runner of a new leader.
     pub fn new(host: Arc<Host>) -> Self {
         let (sender, completions) = mpsc::channel(COMPLETION_QUEUE);
-        let last_recorded = host.clock.now();
+        let now = host.clock.now();
         let shared = Shared::default();
         host.observations.restart(shared.clone());
         Self {
@@ -102,7 +107,8 @@
             handles: BTreeMap::new(),
             sender,
             completions,
-            last_recorded,
+            last_recorded: now,
+            last_logged: now,
             observed: None,
         }
     }
@@ -176,24 +182,57 @@
 
     /// Gives up overdue items that are neither running nor being scored.
     fn give_up_overdue(&mut self) {
-        for (job, item) in self.schedule.overdue(self.host.clock.wall_ms()) {
-            if self.handles.contains_key(&(job.clone(), item)) {
-                continue;
+        let wall_ms = self.host.clock.wall_ms();
+        let mut overdue = self.schedule.overdue(wall_ms);
+        overdue.retain(|key| !self.handles.contains_key(key));
+        if overdue.is_empty() {
+            return;
+        }
+        let engines = self.engines();
+        for (job, item) in overdue {
+            if let Some(obstacle) = self.schedule.obstacle(&job, item, &engines, wall_ms) {
+                warn!(
+                    job:% = job, item = item, waits_for:% = obstacle;
+                    "jobs: an item waits at the end of its time"
+                );
             }
             self.give_up(&job, item, Loss::Overdue);
         }
     }
 
+    /// Logs why the item that has waited longest runs on no engine.
+    fn log_waiting(&mut self, engines: &[Engine]) {
+        let (now, wall_ms) = (self.host.clock.now(), self.host.clock.wall_ms());
+        if now < self.last_logged + LONG_WAIT {
+            return;
+        }
+        let Some(task) = self.schedule.longest_waiting() else { return };
+        let waited_ms = wall_ms.saturating_sub(task.job.submitted_ms);
+        let obstacle = self.schedule.obstacle(&task.job.id, task.item, engines, wall_ms);
+        let Some(obstacle) = obstacle.filter(|_| waited_ms >= LONG_WAIT.as_millis() as u64) else {
+            return;
+        };
+        let (waiting, running) = self.schedule.counts();
+        info!(
+            job:% = task.job.id, request:% = task.item().id, waited_ms = waited_ms,
+            waits_for:% = obstacle, waiting = waiting, running = running;
+            "jobs: items wait"
+        );
+        self.last_logged = now;
+    }
+
     /// Assigns waiting items to engines as long as engines have free slots and this host may have
     /// more runs.
     fn assign(&mut self) -> Vec<Assignment> {
         let engines = self.engines();
         if engines.is_empty() {
+            self.log_waiting(&engines);
             return Vec::new();
         }
         self.move_stragglers(&engines);
         let room = self.room().min(MAX_ASSIGNMENTS);
         let assignments = self.schedule.assign(self.host.clock.wall_ms(), &engines, room);
+        self.log_waiting(&engines);
         let waiting = self.schedule.waiting(self.host.clock.wall_ms());
         self.host.soft_state().workload = Workload { waiting, running: self.schedule.load() };
         assignments
--- a/crates/catkinlatch-store/src/weights.rs
+++ b/crates/catkinlatch-store/src/weights.rs
@@ -7,17 +7,15 @@
 use catkinlatch_base::{ModelId, Ratio, TargetId, Term, Version, ZoneId};
 use catkinlatch_ledger::Target;
 use catkinlatch_rollout::weights::{
-    Allotment, Engine, Limits, Outcome, Rollout, Want, loads_at_once,
+    Allotment, Engine, Goal, Limits, Need, Outcome, Rollout, Want, loads_at_once, useful_intervals,
 };
+use log::info;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::{sync::mpsc, task::JoinSet, time};
 
 /// Interval at which the leader checks for engines that lack a version.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The most versions that a sample may be behind the newest one for a trainer to accept it.
-const MAX_VERSION_LAG: u64 = 1;
-
 /// The expected interval at which a trainer names versions, for which loads are planned.
 const VERSION_INTERVAL: Duration = Duration::from_secs(4);
 
@@ -47,22 +45,13 @@
     }
 }
 
-/// Why an engine should load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Need {
-    /// The engine's weights are too old for the next job.
-    Now,
-    /// The engine's weights will be too old once another version is named, and no item of the model
-    /// waits that the engine could run instead of loading.
-    Ahead,
-}
-
 /// Decides which engine loads which version, and tracks the loads.
 struct Loader {
     host: Arc<Host>,
     term: Term,
     allotment: Allotment,
     rollouts: BTreeMap<ModelId, Rollout>,
+    goals: BTreeMap<ModelId, Goal>,
     loading: BTreeMap<TargetId, ModelId>,
     loads: JoinSet<()>,
     sender: mpsc::UnboundedSender<Completion>,
@@ -77,6 +66,7 @@
             term,
             allotment: Allotment::default(),
             rollouts: BTreeMap::new(),
+            goals: BTreeMap::new(),
             loading: BTreeMap::new(),
             loads: JoinSet::new(),
             sender,
@@ -95,72 +85,90 @@
             }
         }
         let named = self.host.replica.read(|state| state.versions.clone());
+        self.update_goals(&named);
         let zones = zones(&self.host);
         self.allotment.update(&zones, &demand(&self.host, &named), max_placements(zones.len()));
         for need in [Need::Now, Need::Ahead] {
             while self.loading.len() < loads_at_once(zones.len())
-                && self.load_neediest(&named, zones.len(), need)
+                && self.load_neediest(zones.len(), need)
             {}
         }
     }
 
+    /// Determines what the engines of each model are needed for.
+    fn update_goals(&mut self, named: &BTreeMap<ModelId, Version>) {
+        let goal = |(model, newest): (&ModelId, &Version)| {
+            let soft = self.host.soft_state();
+            let demand = soft.workload.demand(model, |service| {
+                let mut targets = soft.registry.targets();
+                targets.any(|target| {
+                    let has_model = target.models.contains_key(model);
+                    target.service == *service && target.is_ready() && has_model
+                })
+            });
+            (model.clone(), Goal::new(*newest, &demand))
+        };
+        let goals: BTreeMap<ModelId, Goal> = named.iter().map(goal).collect();
+        for (model, goal) in &goals {
+            let Want { waiting, candidates, useful, .. } = self.want(model, goal);
+            let label = [("model", model.to_string())];
+            metrics::gauge!("catkinlatch_weights_waiting_items", &label).set(waiting as f64);
+            metrics::gauge!("catkinlatch_weights_useful_engines", &label).set(useful as f64);
+            let versions = |goal: &Goal| (goal.newest, goal.required);
+            if self.goals.get(model).map(versions) != Some(versions(goal)) {
+                info!(
+                    model:% = model, newest = goal.newest.get(), required = goal.required.get(),
+                    waiting = waiting, candidates = candidates, useful = useful;
+                    "weights: engines before the required version load first"
+                );
+            }
+        }
+        self.goals = goals;
+    }
+
     /// Orders one load, for the model with the greatest need that permits one; returns whether a
     /// load was ordered.
-    fn load_neediest(
-        &mut self,
-        named: &BTreeMap<ModelId, Version>,
-        engines: usize,
-        need: Need,
-    ) -> bool {
-        let mut wants: Vec<Want> =
-            named.iter().map(|(model, version)| self.want(model, *version)).collect();
-        wants.retain(|want| need == Need::Now || want.waiting == 0);
-        wants.sort_by(Want::compare_need);
-        let load = |want: &Want| {
-            let version = named.get(&want.model);
-            version.is_some_and(|version| self.load(&want.model, *version, engines, need))
-        };
-        wants.iter().any(load)
+    fn load_neediest(&mut self, engines: usize, need: Need) -> bool {
+        let mut wants: Vec<(Want, Goal)> =
+            self.goals.iter().map(|(model, goal)| (self.want(model, goal), *goal)).collect();
+        wants.sort_by(|(a, _), (b, _)| a.compare_need(b));
+        wants.iter().any(|(want, goal)| self.load(&want.model, goal, engines, need))
     }
 
     /// Returns the need of a model for loads.
-    fn want(&self, model: &ModelId, version: Version) -> Want {
+    fn want(&self, model: &ModelId, goal: &Goal) -> Want {
         let soft = self.host.soft_state();
         let is_useful = |target: &&Target| {
             let held = target.models.get(model);
             self.loading.get(&target.id) == Some(model)
-                || held.is_some_and(|held| *held >= oldest_accepted(version))
+                || held.is_some_and(|held| goal.is_useful(*held))
         };
         let candidates =
-            soft.registry.targets().filter(|target| self.may_load(&soft, model, target));
+            soft.registry.targets().filter(|target| self.may_load(&soft, model, goal, target));
         let (mut count, mut useful) = (0, 0);
         for target in candidates {
             count += 1;
             useful += usize::from(is_useful(&target));
         }
-        let waiting = soft.workload.waiting(model);
-        Want { model: model.clone(), waiting, candidates: count, useful }
+        Want { model: model.clone(), waiting: goal.waiting, candidates: count, useful }
     }
 
     /// Orders one load of a model if one may start now; returns whether it was ordered.
-    fn load(&mut self, model: &ModelId, version: Version, engines: usize, need: Need) -> bool {
+    fn load(&mut self, model: &ModelId, goal: &Goal, engines: usize, need: Need) -> bool {
+        let Some(before) = goal.load_before(need) else { return false };
         let limits = limits(engines);
-        let targets = self.candidates(model);
+        let targets = self.candidates(model, goal);
         let rollout = self.rollouts.entry(model.clone()).or_insert_with(|| Rollout::new(limits));
-        let oldest_accepted = oldest_accepted(version);
-        let min_version = match need {
-            Need::Now => oldest_accepted,
-            Need::Ahead => version,
-        };
         let may_load = |target: &&Target| {
-            target.models.get(model).is_none_or(|held| *held < min_version)
+            target.models.get(model).is_none_or(|held| *held < before)
                 && !self.loading.contains_key(&target.id)
         };
         let relevant =
             targets.iter().filter(|target| may_load(target) || rollout.is_loading(&target.id));
         let engines: Vec<Engine> = relevant.map(|target| engine(target, model)).collect();
         let now = self.host.clock.now();
-        let load = rollout.next_up_to(now, version, oldest_accepted, &engines, 1).pop();
+        let version = goal.newest;
+        let load = rollout.next_up_to(now, version, goal.serving, &engines, 1).pop();
         let target =
             load.and_then(|load| targets.into_iter().find(|target| target.id == load.engine));
         let Some(target) = target else { return false };
@@ -179,20 +187,19 @@
     /// Returns the engines that may load a model's newest version, those with the fewest running
     /// items first: the ones assigned to the model and, while its items wait, all with enough free
     /// slots.
-    fn candidates(&self, model: &ModelId) -> Vec<Target> {
+    fn candidates(&self, model: &ModelId, goal: &Goal) -> Vec<Target> {
         let soft = self.host.soft_state();
         let candidates =
-            soft.registry.targets().filter(|target| self.may_load(&soft, model, target));
+            soft.registry.targets().filter(|target| self.may_load(&soft, model, goal, target));
         let mut targets: Vec<Target> = candidates.cloned().collect();
         targets.sort_by_key(|target| soft.workload.running(&target.id));
         targets
     }
 
     /// Returns whether an engine may load a model's newest version.
-    fn may_load(&self, soft: &SoftState, model: &ModelId, target: &Target) -> bool {
+    fn may_load(&self, soft: &SoftState, model: &ModelId, goal: &Goal, target: &Target) -> bool {
         let has_room = || {
-            soft.workload.waiting(model) > 0
-                && soft.workload.running(&target.id) + MIN_FREE_SLOTS <= target.slots
+            goal.waiting > 0 && soft.workload.running(&target.id) + MIN_FREE_SLOTS <= target.slots
         };
         target.models.contains_key(model)
             && target.is_ready()
@@ -233,17 +240,12 @@
     Engine { id: target.id.clone(), zone: target.zone.clone(), reported }
 }
 
-/// Returns the oldest version that the next job of a model accepts.
-fn oldest_accepted(named: Version) -> Version {
-    Version::new(named.get().saturating_sub(MAX_VERSION_LAG))
-}
-
 /// Returns the maximum number of assignments of engines to models: as many as there can be loads
 /// within the version intervals during which a load remains useful.
 fn max_placements(engines: usize) -> usize {
     let loads = VERSION_INTERVAL.as_secs_f64() / TYPICAL_LOAD_TIME.as_secs_f64()
         * loads_at_once(engines) as f64;
-    (loads * (MAX_VERSION_LAG + 1) as f64) as usize
+    (loads * useful_intervals() as f64) as usize
 }
 
 fn limits(engines: usize) -> Limits {
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -58,6 +58,8 @@
 mod upgrade;
 #[path = "site/usage.rs"]
 mod usage;
+#[path = "site/weights.rs"]
+mod weights;
 #[path = "site/wire.rs"]
 mod wire;
 
