Answers that end with their connection are no longer framed as whole

Cause: a body without length and chunks ends with its connection, and nothing asked whether its head says so. The body was sent on with a length or a last chunk. Changed: http::Framing. A response of HTTP/1.1 that neither is framed nor announces that the connection closes is malformed. One that announces it is confirmed by a further run where it may be resumed, and else is passed on in the same form, as a response of HTTP/1.0 without a length.

--- a/crates/catkinlatch-entry/src/answer.rs
+++ b/crates/catkinlatch-entry/src/answer.rs
@@ -2,8 +2,8 @@
 
 pub use catkinlatch_runtime::http::{closing, json, status, text};
 
-use catkinlatch_runtime::http::Body;
-use http::{HeaderValue, Response, StatusCode, header};
+use catkinlatch_runtime::http::{Body, Framing};
+use http::{HeaderValue, Response, StatusCode, Version, header};
 use std::time::Duration;
 
 /// Returns a 503 response for a request that has not run and never will.
@@ -17,3 +17,19 @@
     }
     response
 }
+
+/// Returns a response of a target, whose body must not be of a known length unless `framing` is
+/// explicit.
+///
+/// One that ends with its connection may have been cut, which a length or chunks would hide. It is
+/// passed on as a response of HTTP/1.0, which ends with the connection as well.
+pub fn with_framing(response: Response<Body>, framing: Framing) -> Response<Body> {
+    match framing {
+        Framing::Explicit => response,
+        Framing::Connection | Framing::Missing => {
+            let mut response = closing(response);
+            *response.version_mut() = Version::HTTP_10;
+            response
+        }
+    }
+}
--- a/crates/catkinlatch-entry/src/proxy.rs
+++ b/crates/catkinlatch-entry/src/proxy.rs
@@ -16,10 +16,10 @@
 use catkinlatch_ledger::{Target, config::Kind};
 use catkinlatch_platform::header;
 use catkinlatch_route::drain::Step;
-use catkinlatch_runtime::http::{Body, full};
+use catkinlatch_runtime::http::{Body, Framing, full, streamed};
 use http::{Response, StatusCode};
 use log::info;
-use std::{collections::BTreeSet, mem, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, convert::Infallible, mem, sync::Arc, time::Duration};
 use tokio::time;
 
 /// Timeout for requests whose caller and route set none.
@@ -457,8 +457,15 @@
 /// Converts a target's response into the response for the caller.
 fn caller_response(answer: Response<bytes::Bytes>) -> Response<Body> {
     let (head, body) = answer.into_parts();
-    let mut response = Response::new(full(body));
+    let framing = head.extensions.get().copied().unwrap_or(Framing::Explicit);
+    let body = match framing {
+        Framing::Explicit => full(body),
+        Framing::Connection | Framing::Missing => {
+            streamed(Some(body), async |body| Some((Ok::<_, Infallible>(body?), None)))
+        }
+    };
+    let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = header::forwardable(&head.headers);
-    response
+    answer::with_framing(response, framing)
 }
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -1,7 +1,7 @@
 //! Forwarding of event streams as they arrive.
 
 use crate::{
-    allowance,
+    allowance, answer,
     attempt::{self, Call, Outcome},
     build::{self, Required},
     drain::OpenStream,
@@ -14,7 +14,7 @@
 use catkinlatch_base::{Instant, TargetId};
 use catkinlatch_ledger::Target;
 use catkinlatch_platform::{EventParser, Parsed, header};
-use catkinlatch_runtime::http::{Body, BodyError, is_event_stream, record_end, streamed};
+use catkinlatch_runtime::http::{Body, BodyError, Framing, is_event_stream, record_end, streamed};
 use http::{HeaderValue, Request, Response, StatusCode};
 use log::info;
 use std::{
@@ -74,6 +74,11 @@
     last_event: Option<u64>,
     /// Whether an event has been received for this request.
     has_begun: bool,
+    /// How the response to the caller tells where it ends.
+    framing: Framing,
+    /// Whether the current target has sent no event yet, so that its end confirms the last event of
+    /// another one.
+    is_confirmed: bool,
     /// The builds at which the stream may go on.
     required: Required,
     /// Lists the stream among those that this host cuts if it ends.
@@ -150,6 +155,7 @@
             "entry: a caller resumes a stream"
         );
     }
+    let framing = call.exchange.framing;
     let head = &call.exchange.response;
     let (status, headers) = (head.status(), header::forwardable(head.headers()));
     let open = OpenStream::new(host, inbound, attempts.arrived);
@@ -167,6 +173,8 @@
         is_patient: false,
         last_event: header::number(&inbound.head.headers, &header::LAST_EVENT),
         has_begun: false,
+        framing,
+        is_confirmed: false,
         required: required.clone(),
         _open: open,
     };
@@ -177,7 +185,7 @@
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    Ok(response)
+    Ok(answer::with_framing(response, framing))
 }
 
 /// Returns whether a response is a stream of events.
@@ -202,6 +210,19 @@
             }
             match self.read().await {
                 Read::Blocks => {}
+                Read::End if self.may_be_cut() => {
+                    let reason = "the stream ended with its connection";
+                    self.log(reason);
+                    if let Some(call) = &mut self.call {
+                        call.guard.record_loss();
+                    }
+                    if !self.resume(false).await {
+                        self.call = None;
+                        if self.framing == Framing::Explicit {
+                            self.failure = Some(reason.to_owned());
+                        }
+                    }
+                }
                 Read::End => {
                     if let Some(call) = self.call.take() {
                         call.exchange.release();
@@ -273,7 +294,7 @@
                     build::record(&self.host, &self.inbound, &self.target.build);
                     self.required = Required::Only(self.target.build.clone());
                 }
-                (self.last_event, self.has_begun) = (Some(id), true);
+                (self.last_event, self.has_begun, self.is_confirmed) = (Some(id), true, false);
                 self.waited = Duration::ZERO;
             }
             self.ready.push_back(block);
@@ -301,6 +322,16 @@
         caller.unwrap_or(proxy::DEFAULT_TIMEOUT.saturating_sub(self.waited))
     }
 
+    /// Returns whether the stream may have been cut although it ended without an error.
+    ///
+    /// Where it may be resumed, another target then confirms that nothing follows. Else the caller gets
+    /// it as it came.
+    fn may_be_cut(&self) -> bool {
+        let framing = self.call.as_ref().map(|call| call.exchange.framing);
+        let is_cut = framing.is_some_and(|framing| framing != Framing::Explicit);
+        is_cut && !self.is_confirmed && self.inbound.route.may_repeat()
+    }
+
     /// Returns whether a late event shows no more than a slow target. One that falls silent under a
     /// request that may crash targets has failed.
     fn may_be_late(&self) -> bool {
@@ -409,7 +440,7 @@
             let limit = left.min(EVENT_TIMEOUT);
             match self.open_next(request, &target, limit).await {
                 Ok(call) if is_stream(&call) => {
-                    (self.call, self.is_patient) = (Some(call), false);
+                    (self.call, self.is_patient, self.is_confirmed) = (Some(call), false, true);
                     return true;
                 }
                 Ok(mut call) => {
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -223,9 +223,12 @@
                 if is_exhausted { Next::Lose(Loss::Failures) } else { Next::Again }
             }
             End::Impossible => Next::Lose(Loss::Impossible),
-            End::Broken | End::Refused | End::Unreachable | End::Outdated(_) | End::OtherTarget => {
-                Next::Again
-            }
+            End::Broken
+            | End::Unconfirmed
+            | End::Refused
+            | End::Unreachable
+            | End::Outdated(_)
+            | End::OtherTarget => Next::Again,
         }
     }
 
--- a/crates/catkinlatch-runtime/src/http.rs
+++ b/crates/catkinlatch-runtime/src/http.rs
@@ -23,5 +23,5 @@
     limits::Limits,
     meter::{MAX_HEAD_BYTES, Meter, Metered},
     server::{Server, serve},
-    validity::{is_event_stream, is_final},
+    validity::{Framing, is_event_stream, is_final},
 };
--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -5,7 +5,7 @@
     dialer::{self, Connect, Dialer, Io},
     memory::Budget,
     meter::{MAX_HEAD_BYTES, Meter, Metered, Permission},
-    validity::is_final,
+    validity::{Framing, is_final},
 };
 use bytes::Bytes;
 use catkinlatch_route::reach::{Helper, Path};
@@ -292,7 +292,13 @@
                 if !is_final(status) {
                     return Err(Failure::Malformed(format!("{status} is no final status")));
                 }
-                Ok(Exchange::new(response, connection, address, self, is_repeatable))
+                let exchange = Exchange::new(response, connection, address, self, is_repeatable);
+                if exchange.framing == Framing::Missing {
+                    record_end(address, "framing");
+                    let reason = "the response has neither a length nor chunks, nor ends with the connection";
+                    return Err(Failure::Malformed(reason.to_owned()));
+                }
+                Ok(exchange)
             }
             Err(error) if connection.is_lost(&error) => {
                 Err(Failure::Lost("the host that relayed the request was lost".to_owned()))
--- a/crates/catkinlatch-runtime/src/http/exchange.rs
+++ b/crates/catkinlatch-runtime/src/http/exchange.rs
@@ -5,6 +5,7 @@
     client::{CUT_OFF, Client, Connection, record_end},
     memory::Share,
     segments::Segments,
+    validity::{Framing, is_closing},
 };
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -32,6 +33,8 @@
 pub struct Exchange {
     /// Head of the response, and the rest of its body.
     pub response: Response<Incoming>,
+    /// How the response tells where its body ends.
+    pub framing: Framing,
     connection: Connection,
     address: String,
     client: Client,
@@ -62,10 +65,15 @@
     ) -> Self {
         let (client, share) = (client.clone(), client.budget().begin());
         let address = address.to_owned();
-        Self { response, connection, address, client, share, is_repeatable }
+        let length = response.body().size_hint().exact();
+        let (head, body) = response.into_parts();
+        let framing = Framing::new(&head, length);
+        let response = Response::from_parts(head, body);
+        Self { response, framing, connection, address, client, share, is_repeatable }
     }
 
     /// Reads the complete body of at most `limit` bytes; keeps the connection if it can be reused.
+    /// The response has its [`Framing`] as an extension.
     ///
     /// # Errors
     ///
@@ -90,11 +98,12 @@
             segments.push(&part);
         }
         let bytes = segments.join();
-        let Self { response, connection, address, client, share, .. } = self;
-        let (head, _) = response.into_parts();
+        let Self { response, framing, connection, address, client, share, .. } = self;
+        let (mut head, _) = response.into_parts();
         if let Some(idle) = idle_time(&head) {
             client.keep(address, connection, idle);
         }
+        head.extensions.insert(framing);
         share.complete();
         let body = Bytes::from_owner(Held { bytes, _share: share });
         Ok(Response::from_parts(head, body))
@@ -194,13 +203,9 @@
 /// Returns `None` if the response closes the connection, has neither a content length nor a
 /// transfer encoding, or is not HTTP/1.1.
 fn idle_time(head: &hyper::http::response::Parts) -> Option<Duration> {
-    let values = head.headers.get_all(header::CONNECTION).iter();
-    let closes = values
-        .filter_map(|value| value.to_str().ok())
-        .any(|value| value.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")));
     let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
-    if closes || !has_length || head.version != hyper::Version::HTTP_11 {
+    if is_closing(&head.headers) || !has_length || head.version != hyper::Version::HTTP_11 {
         return None;
     }
     let keep_alive = head.headers.get("keep-alive").and_then(|value| value.to_str().ok());
--- a/crates/catkinlatch-standin/src/site.rs
+++ b/crates/catkinlatch-standin/src/site.rs
@@ -20,7 +20,7 @@
     cold::{COLD_PER_SECOND, Cold, MAX_COLD_REQUESTS},
     configuration::{HOST, configuration, request},
     engine::Engine,
-    flood::{Flood, Pace, Place},
+    flood::{Flood, Pace, Place, event_text},
     host::Host,
     lifecycle::{CRASHING_BODY, Lifecycle, SILENCING_BODY},
     limit::Limit,
--- a/crates/catkinlatch-standin/src/site/flood.rs
+++ b/crates/catkinlatch-standin/src/site/flood.rs
@@ -197,7 +197,8 @@
     format!("{}{versions}content-length: {}\r\n\r\n{body}", head(id), body.len())
 }
 
-pub(super) fn event_text(id: &str, event: u64) -> String {
+/// Returns an event of a stream.
+pub fn event_text(id: &str, event: u64) -> String {
     format!("id: {event}\ndata: {id} event {event}\n\n")
 }
 
--- a/crates/catkinlatch-standin/src/site/raw.rs
+++ b/crates/catkinlatch-standin/src/site/raw.rs
@@ -37,10 +37,12 @@
     LateCopy,
     /// The same, and refuses each request when it arrives for the first time.
     LateCopyOfRefusal,
-    /// Sends answers without a length, which end with the connection.
+    /// Sends answers without a length, which end with the connection as their heads say.
     NoLength,
     /// Resets the connection in the middle of an answer without a length.
     ResetWithoutLength,
+    /// Ends the head of answers early, with or without an empty line, and closes the connection.
+    CutHead,
     /// Closes the connection after each answer without having said so.
     DropsIdle,
     /// Refuses long bodies before it has read them, and reads on.
@@ -164,13 +166,21 @@
             }
             Manner::NoLength => {
                 let head = self.head(id);
-                self.send(&format!("{head}\r\n{text}")).await?;
+                self.send(&format!("{head}connection: close\r\n\r\n{text}")).await?;
+                self.socket.shutdown().await?;
+                return Ok(ControlFlow::Break(()));
+            }
+            Manner::CutHead => {
+                let end =
+                    if self.seen.answers.load(Ordering::Relaxed) % 2 == 0 { "\r\n" } else { "" };
+                let head = self.head(id);
+                self.send(&format!("{head}{end}")).await?;
                 self.socket.shutdown().await?;
                 return Ok(ControlFlow::Break(()));
             }
             Manner::ResetWithoutLength => {
                 let (head, half) = (self.head(id), &text[..text.len() / 2]);
-                self.send(&format!("{head}\r\n{half}")).await?;
+                self.send(&format!("{head}connection: close\r\n\r\n{half}")).await?;
                 time::sleep(PAUSE).await;
                 self.socket.set_zero_linger()?;
                 return Ok(ControlFlow::Break(()));
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -10,7 +10,7 @@
 use catkinlatch_ledger::{Job, Target, job::Progress, schedule::End};
 use catkinlatch_platform::{Event, EventParser, Parsed, header};
 use catkinlatch_runtime::http::{
-    BodyError, Exchange, Failure, Repeatable, full, is_event_stream, record_end,
+    BodyError, Exchange, Failure, Framing, Repeatable, full, is_event_stream, record_end,
 };
 use http::{HeaderName, HeaderValue, Request, StatusCode};
 use std::{
@@ -223,6 +223,11 @@
                     summary.reason = "the stream ended within an event".to_owned();
                     return;
                 }
+                Ok(Ok(None)) if exchange.framing != Framing::Explicit && last.is_some() => {
+                    summary.end = End::Unconfirmed;
+                    summary.reason = "the stream ended with its connection".to_owned();
+                    return;
+                }
                 Ok(Ok(None)) => {
                     summary.end = End::Whole;
                     exchange.release();
--- a/crates/catkinlatch-store/src/runner/end.rs
+++ b/crates/catkinlatch-store/src/runner/end.rs
@@ -62,7 +62,7 @@
             End::Whole => Verdict::Answered(took / summary.progress.text.len().max(1) as u32),
             End::Refused => Verdict::Full,
             End::Broken | End::Unreachable | End::OtherTarget => Verdict::Failed,
-            End::Failed | End::Impossible | End::Outdated(_) => Verdict::Unknown,
+            End::Unconfirmed | End::Failed | End::Impossible | End::Outdated(_) => Verdict::Unknown,
         };
         self.shared.balancer().end(&engine.id, verdict, self.host.clock.now());
         self.record_version(&job, engine, &summary);
@@ -101,9 +101,12 @@
         }
         let has_run = match summary.end {
             End::Whole | End::Failed | End::Impossible => true,
-            End::Broken | End::Refused | End::Unreachable | End::Outdated(_) | End::OtherTarget => {
-                false
-            }
+            End::Broken
+            | End::Unconfirmed
+            | End::Refused
+            | End::Unreachable
+            | End::Outdated(_)
+            | End::OtherTarget => false,
         };
         if has_run && self.schedule.crashes.clear(&fingerprint) {
             self.host.change_suspects(&Change::Clear { fingerprint });
--- a/tests/site/resumed.rs
+++ b/tests/site/resumed.rs
@@ -1,7 +1,7 @@
 //! Streams and items that break off, and whose next target answers with an error.
 
 use super::{Setup, check, status, stream::Stream, wait_until};
-use catkinlatch_standin::site::{Reply, Rest, Script};
+use catkinlatch_standin::site::{Reply, Rest, Script, event_text};
 use http::StatusCode;
 use serde_json::json;
 use std::{sync::atomic::Ordering, time::Duration};
@@ -177,3 +177,59 @@
         check(&setup.results(0, &id, 4).await, &[1]);
     }
 }
+
+/// Returns a stream of events that ends with its connection, as its head says.
+fn unframed(events: std::ops::RangeInclusive<u64>) -> Reply {
+    let events: String = events.map(|event| event_text("{id}", event)).collect();
+    let head = reply("200 OK", EVENTS, "", Framing::UntilClose);
+    let text = head.text.replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n") + &events;
+    Reply::new(text).with_rest(Rest::Close)
+}
+
+/// Guards against a stream without its end that looks complete, since its connection was closed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_resumed_stream_that_ends_with_its_connection_is_complete_only_if_it_is_whole() {
+    let setup = Setup::start().await;
+    let scripts = start(&setup).await;
+    let (stream, is_complete) = resumed(&setup, &scripts, 0, &unframed(3..=3)).await;
+    assert!(!is_complete, "{}", stream.text());
+    assert_eq!(stream.events(), [1, 2, 3]);
+}
+
+/// Guards against chunks around a stream that may not be resumed and may have been cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_ends_with_its_connection_is_passed_on_as_one() {
+    let setup = Setup::start().await;
+    let scripts = start(&setup).await;
+    status::set_reply(&scripts, Some(unframed(1..=3)));
+    for number in 0..4 {
+        let mut stream = Stream::open(&setup, "/once/1", &format!("unframed-{number}")).await;
+        assert!(!stream.is_framed());
+        assert!(stream.read_to_end().await);
+        assert_eq!(stream.events(), [1, 2, 3]);
+    }
+}
+
+/// Guards against an item that is completed with a part of its text.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_item_whose_stream_ends_with_its_connection_is_completed_whole() {
+    let setup = Setup::start().await;
+    let scripts = start(&setup).await;
+    status::set_reply(&scripts, Some(unframed(1..=2)));
+    setup.submit("cut", 1, 4).await;
+    wait_until("the items ran", || async {
+        scripts.iter().map(Script::total_replies).sum::<u32>() >= 4
+    })
+    .await;
+    status::set_reply(&scripts, None);
+    check(&setup.results(0, "cut", 4).await, &[1]);
+    // Streams that are whole and end so are complete as well.
+    status::set_reply(&scripts, Some(unframed(1..=5)));
+    setup.submit("whole", 1, 4).await;
+    wait_until("the items ran", || async {
+        scripts.iter().map(Script::total_replies).sum::<u32>() >= 8
+    })
+    .await;
+    status::set_reply(&scripts, None);
+    check(&setup.results(0, "whole", 4).await, &[1]);
+}
--- a/tests/site/stream.rs
+++ b/tests/site/stream.rs
@@ -1,7 +1,7 @@
 //! A caller's side of a stream.
 
 use super::{Setup, wait_until};
-use catkinlatch_runtime::http::{BodyError, Client, Exchange, full};
+use catkinlatch_runtime::http::{BodyError, Client, Exchange, Framing, full};
 use catkinlatch_standin::site::{self, Engine};
 use http::StatusCode;
 use std::{
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Returns whether the response tells where it ends other than by the end of its connection.
+    pub fn is_framed(&self) -> bool {
+        self.exchange.framing == Framing::Explicit
+    }
+
     /// Returns the build of the target's software that the first event is of; `None` for the first build.
     pub fn build(&self) -> Option<&str> {
         let first = self.text.lines().find_map(|line| line.strip_prefix("data: "))?;
