--- a/crates/catkinlatch-standin/src/site/raw.rs
+++ b/crates/catkinlatch-standin/src/site/raw.rs
@@ -171,8 +171,11 @@
                 return Ok(ControlFlow::Break(()));
             }
             Manner::CutHead => {
-                let end =
-                    if self.seen.answers.load(Ordering::Relaxed) % 2 == 0 { "\r\n" } else { "" };
+                let end = if self.seen.answers.load(Ordering::Relaxed).is_multiple_of(2) {
+                    "\r\n"
+                } else {
+                    ""
+                };
                 let head = self.head(id);
                 self.send(&format!("{head}{end}")).await?;
                 self.socket.shutdown().await?;
