--- a/crates/catkinlatch-log/src/core/compaction.rs
+++ b/crates/catkinlatch-log/src/core/compaction.rs
@@ -23,6 +23,8 @@
         }
         (self.applied_bytes, self.snapshot_check_bytes) = (0, self.settings.snapshot_bytes);
         let term = self.entries.term(self.applied).expect("applied entries are in memory");
+        // The earlier snapshot is of no use any more, and takes as much memory as the new one.
+        self.entries.drop_snapshot();
         let data = bincode::serde::encode_to_vec(&self.machine, bincode::config::standard())
             .expect("a state machine serializes");
         let membership = self.membership_at(self.applied);
--- a/crates/catkinlatch-log/src/core/entries.rs
+++ b/crates/catkinlatch-log/src/core/entries.rs
@@ -136,6 +136,11 @@
         self.snapshot = Some(snapshot);
     }
 
+    /// Drops the newest snapshot, which the caller replaces at once.
+    pub fn drop_snapshot(&mut self) {
+        self.snapshot = None;
+    }
+
     /// Replaces all entries by a snapshot received from the leader.
     pub fn install(&mut self, snapshot: Arc<Snapshot>, write: &mut Write<C>) {
         self.list.clear();
--- a/crates/catkinlatch-log/src/storage/disk.rs
+++ b/crates/catkinlatch-log/src/storage/disk.rs
@@ -11,7 +11,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
     fs::{File, TryLockError},
-    io,
+    io::{self, BufWriter, Write as _},
     path::{Path, PathBuf},
     sync::Arc,
 };
@@ -21,6 +21,9 @@
 const SNAPSHOT_FILE: &str = "snapshot";
 const LOG_FILE: &str = "log";
 
+/// Number of bytes of a snapshot that are written at once.
+const WRITE_BYTES: usize = 1 << 18;
+
 /// On-disk storage of one group, in a folder of its own.
 ///
 /// All calls block, so a driver must make them on a thread that may block. After any error the
@@ -203,8 +206,12 @@
     ) -> io::Result<()> {
         self.hard_state = write.hard_state.unwrap_or(self.hard_state);
         self.synced = 0;
-        let content = self.encode::<()>([Body::Snapshot(snapshot.clone())])?;
-        self.files.replace(&self.folder.join(SNAPSHOT_FILE), &content)?;
+        let record = self.record::<()>(Body::Snapshot(snapshot.clone()));
+        self.files.replace_with(&self.folder.join(SNAPSHOT_FILE), |handle| {
+            let mut writer = BufWriter::with_capacity(WRITE_BYTES, Appender(handle));
+            record.write(&mut writer)?;
+            writer.flush()
+        })?;
         self.replace_log(write)
     }
 
@@ -223,13 +230,29 @@
     ) -> io::Result<Vec<u8>> {
         let mut buffer = Vec::new();
         for body in bodies {
-            let (cluster, group) = (self.cluster.clone(), self.group);
-            let record =
-                Record { cluster, group, term: self.hard_state.term, synced: self.synced, body };
-            record.encode(&mut buffer).map_err(io::Error::other)?;
+            self.record(body).encode(&mut buffer).map_err(io::Error::other)?;
         }
         Ok(buffer)
     }
+
+    fn record<C>(&self, body: Body<C>) -> Record<C> {
+        let (cluster, group) = (self.cluster.clone(), self.group);
+        Record { cluster, group, term: self.hard_state.term, synced: self.synced, body }
+    }
+}
+
+/// Appends what is written to a file.
+struct Appender<'a>(&'a mut Handle);
+
+impl io::Write for Appender<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.write(bytes)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// Returns the record bodies of a write, in order.
--- a/crates/catkinlatch-log/src/storage/file.rs
+++ b/crates/catkinlatch-log/src/storage/file.rs
@@ -133,9 +133,18 @@
 
     /// Replaces a file atomically: after a power loss it holds either the old or the new content.
     pub(super) fn replace(&self, path: &Path, content: &[u8]) -> io::Result<Handle> {
+        self.replace_with(path, |handle| handle.write(content))
+    }
+
+    /// Like [`Self::replace`], but `write` writes the content.
+    pub(super) fn replace_with(
+        &self,
+        path: &Path,
+        write: impl FnOnce(&mut Handle) -> io::Result<()>,
+    ) -> io::Result<Handle> {
         let temporary = path.with_extension("new");
         let mut handle = self.append(&temporary, 0)?;
-        handle.write(content)?;
+        write(&mut handle)?;
         handle.sync_all()?;
         self.rename(&temporary, path)?;
         Ok(Handle { path: path.into(), ..handle })
--- a/crates/catkinlatch-log/src/storage/record.rs
+++ b/crates/catkinlatch-log/src/storage/record.rs
@@ -3,7 +3,7 @@
 use crate::{Entry, Group, HardState, Index, Snapshot};
 use catkinlatch_base::{ClusterId, Incarnation, Term};
 use serde::{Serialize, de::DeserializeOwned};
-use std::sync::Arc;
+use std::{io, sync::Arc};
 
 /// Marks the beginning of a record.
 pub const MAGIC: [u8; 4] = *b"cklr";
@@ -61,6 +61,47 @@
     }
 }
 
+impl<C: Serialize> Record<C> {
+    /// Writes the encoded record without holding it in memory as a whole, which takes a second pass
+    /// for its length and checksum.
+    pub fn write(&self, writer: &mut impl io::Write) -> io::Result<()> {
+        let mut digest = Digest::default();
+        self.encode_into(&mut digest)?;
+        let length = (digest.length as u32).to_le_bytes();
+        let checksum =
+            crc32c::crc32c_combine(crc32c::crc32c(&length), digest.checksum, digest.length);
+        writer.write_all(&MAGIC)?;
+        writer.write_all(&length)?;
+        writer.write_all(&checksum.to_le_bytes())?;
+        self.encode_into(writer)
+    }
+
+    fn encode_into(&self, writer: &mut impl io::Write) -> io::Result<()> {
+        let config = bincode::config::standard();
+        bincode::serde::encode_into_std_write(self, writer, config).map_err(io::Error::other)?;
+        Ok(())
+    }
+}
+
+/// Length and checksum of what was written to it.
+#[derive(Debug, Default)]
+struct Digest {
+    length: usize,
+    checksum: u32,
+}
+
+impl io::Write for Digest {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.length += bytes.len();
+        self.checksum = crc32c::crc32c_append(self.checksum, bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Returns the body of the record at the beginning of `bytes`, or `None` if it is incomplete or
 /// damaged.
 pub fn parse_body(bytes: &[u8]) -> Option<&[u8]> {
