The leader bounds all memory of jobs, with results and copies

Cause: one question, what does a store hold for jobs, had an answer for the submitted items alone. Results, progress, a second proposal of a held job, copies on their way and replies counted nowhere. Changed: backlog::Budget bounds what is kept and expected with its copies, refuses jobs beyond it at once, and bounds replies with data of jobs. A job that is part of the state is answered from it.

--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -5,7 +5,13 @@
 mod suspect;
 
 use self::propagation::{await_propagation, await_propagation_to_most, leads};
-use crate::{allowance, exchange, host::Host, observation, relay, view};
+use crate::{
+    allowance,
+    backlog::{Kept, Use},
+    exchange,
+    host::Host,
+    observation, relay, view,
+};
 use bytes::Bytes;
 use catkinlatch_base::{HostId, JobId, Term};
 use catkinlatch_ledger::{Command, Job, Record, Reply as Outcome, Target, registry};
@@ -24,6 +30,12 @@
 /// The most bytes of results in one reply, unless a single result is larger.
 const MAX_RESULTS_BYTES: usize = 900_000;
 
+/// How long a reply waits for others to be sent; its caller waits for longer.
+const REPLY_WAIT: Duration = Duration::from_millis(600);
+
+/// Interval at which a reply checks whether it may be sent.
+const REPLY_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Accepts sessions from other processes and handles their messages.
 pub async fn serve(host: Arc<Host>, listener: Listener) {
     let (local, secret) = (host.peers.local().clone(), host.peers.secret().clone());
@@ -42,7 +54,10 @@
         Ok(Message::FollowSuspects { known, wait_ms }) => {
             Some(Frame::new(suspect::answer_follow(&host, known, wait_ms).await))
         }
-        Ok(message) => Some(Frame::new(codec::encode(&handle(&host, message).await))),
+        Ok(message) => {
+            let reply = handle(&host, message).await;
+            Some(Frame::new(encode_bounded(&host, &reply).await))
+        }
         Err(error) => {
             warn!(host:% = remote.host, error:% = error; "peer: cannot decode a message");
             None
@@ -50,6 +65,42 @@
     }
 }
 
+/// Encodes a reply. One with data of a job counts as memory until it is sent. If all such replies
+/// take too much, it waits for a moment, and is then replaced by [`Reply::Unknown`].
+async fn encode_bounded(host: &Host, reply: &Reply) -> Bytes {
+    let bytes = match reply {
+        Reply::Body(body) => body.len(),
+        Reply::Results(results) => results.list.iter().map(|(_, result)| result.bytes()).sum(),
+        _ => return codec::encode(reply),
+    };
+    let until = Instant::now() + REPLY_WAIT;
+    let mut admitted = host.replies.admit(0, bytes);
+    while admitted.is_none() && Instant::now() < until {
+        time::sleep(REPLY_POLL_INTERVAL).await;
+        admitted = host.replies.admit(0, bytes);
+    }
+    match admitted {
+        Some(held) => Bytes::from_owner(Held { bytes: codec::encode(reply), _held: held }),
+        None => {
+            metrics::counter!("catkinlatch_jobs_reads_refused").increment(1);
+            info!(bytes = bytes; "jobs: refused a read, too many replies are being sent");
+            codec::encode(&Reply::Unknown)
+        }
+    }
+}
+
+/// An encoded reply, which counts as memory until it is dropped.
+struct Held {
+    bytes: Bytes,
+    _held: Use,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Handles a message.
 ///
 /// Messages for the leader are answered with [`Reply::NotLeader`] unless this host holds a valid
@@ -169,16 +220,24 @@
 /// Accepts a job, unless all jobs together would take too much memory; nothing is kept of it then.
 async fn submit(host: &Host, job: Arc<Job>) -> Reply {
     let (id, items) = (job.id.clone(), job.items.len());
+    // A job that is part of the state was committed; its items are not sent to all hosts again.
     let kept = host.replica.read(|state| {
         let is_new = !state.jobs.contains_key(&id);
-        is_new.then(|| state.jobs.values().map(|record| record.job.bytes()).sum::<usize>())
+        is_new.then(|| Kept::new(state.jobs.values()))
     });
-    let submission = kept.map(|kept| host.backlog.admit(kept, job.bytes()));
-    if let Some(None) = submission {
-        let kept = kept.unwrap_or_default();
-        warn!(job:% = id, items = items, kept = kept; "jobs: refused, too little memory");
+    let Some(kept) = kept else {
+        info!(job:% = id, items = items; "jobs: handed in again");
+        return Reply::Done;
+    };
+    let bytes = kept.expected_bytes(&job);
+    let Some(_submission) = host.backlog.admit(kept.bytes, bytes) else {
+        metrics::counter!("catkinlatch_jobs_refused").increment(1);
+        warn!(
+            job:% = id, items = items, bytes = bytes, kept = kept.bytes;
+            "jobs: refused, too little memory"
+        );
         return Reply::Nothing;
-    }
+    };
     let reply = propose(host, Command::Submit(job)).await;
     info!(job:% = id, items = items, reply:? = reply; "jobs: handed in");
     reply
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     allowance::Allowance,
-    backlog::Backlog,
+    backlog::Budget,
     builds,
     duty::{Rule, Turn},
     handler, observation,
@@ -65,7 +65,9 @@
     /// What this host may send to limited targets.
     pub allowance: Allowance,
     /// The bound on the memory of jobs while this host leads.
-    pub backlog: Backlog,
+    pub backlog: Budget,
+    /// The bound on the memory of replies that are being sent.
+    pub replies: Budget,
     /// The division of services' places among hosts while this one leads.
     pub places: Places,
     /// What senders observe of targets.
@@ -112,7 +114,8 @@
         let revision = watch::channel(0).0;
         let configuration_version = watch::channel(None).0;
         let allowance = Allowance::new(settings.cold);
-        let backlog = Backlog::new(settings.resources.memory_mb);
+        let memory_mb = settings.resources.memory_mb;
+        let (backlog, replies) = (Budget::for_jobs(memory_mb), Budget::for_replies(memory_mb));
         let (gathered, encoded_view) = (Notify::new(), Mutex::default());
         let observations = observation::Shared::new(settings.host.clone());
         Self {
@@ -127,6 +130,7 @@
             suspects: suspect::Shared::default(),
             allowance,
             backlog,
+            replies,
             places: Places::default(),
             observations,
             last_turn,
--- a/tests/site/item.rs
+++ b/tests/site/item.rs
@@ -176,3 +176,19 @@
     }
     assert_eq!(late, [0; 8]);
 }
+
+/// Guards against a job that goes to all stores once more each time it is sent again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_is_sent_again_is_not_committed_again() {
+    let setup = Setup::start().await;
+    setup.submit("job-1", 1, 4).await;
+    check(&setup.results(0, "job-1", 4).await, &[1]);
+    for entry in [0, 1] {
+        let body = super::job("job-1", 1, 4);
+        let answer = setup.request(entry, "POST", "/drafts/job-1", "job-1", &body).await;
+        assert_eq!(answer.map(|answer| answer.status()), Some(StatusCode::ACCEPTED));
+    }
+    let logs: String = setup.site.stores().iter().map(|store| store.log()).collect();
+    assert_eq!(logs.matches("\"event\":\"handed in\"").count(), 1, "{logs}");
+    assert_eq!(setup.results(1, "job-1", 4).await.len(), 4);
+}
