Items bring no header to an engine that their caller may not set

Cause: the request for an item took all its headers; live requests go through header::forwardable, items did not. Changed: items take the same headers as live requests, without Last-Event-Id. Tests: an_item_sets_no_header_that_its_caller_may_not_set fails without the filter (an engine gets the key), and passes.

--- a/crates/catkinlatch-standin/src/site/engine.rs
+++ b/crates/catkinlatch-standin/src/site/engine.rs
@@ -3,7 +3,7 @@
 use super::{CRASHING_BODY, Cold, Lifecycle, Target, service::FLOODED, target::FIRST_BUILD};
 use bytes::Bytes;
 use catkinlatch_runtime::http::{Body, collect, full, serve};
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Channel};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
@@ -44,6 +44,8 @@
     /// The last event id with which each run of an item started (0 for a run from the beginning),
     /// by item.
     pub runs: BTreeMap<String, Vec<u64>>,
+    /// The headers of the last run of each item.
+    pub headers: BTreeMap<String, HeaderMap>,
     /// Number of coming runs whose connection breaks after two events, or at the end if no more
     /// remain.
     pub runs_to_break: u32,
@@ -68,6 +70,7 @@
             holders: BTreeMap::new(),
             is_busy: false,
             runs: BTreeMap::new(),
+            headers: BTreeMap::new(),
             runs_to_break: 0,
             sent_events: 0,
             abandoned_runs: 0,
@@ -252,6 +255,7 @@
             _ if self.target.is_silent.load(Ordering::Relaxed) => std::future::pending().await,
             _ => {
                 let last = text("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
+                self.state().headers.insert(id.clone(), head.headers.clone());
                 self.generate(id, last)
             }
         }
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -12,7 +12,7 @@
 use catkinlatch_runtime::http::{
     BodyError, Exchange, Failure, Framing, Repeatable, full, is_event_stream, record_end,
 };
-use http::{HeaderName, HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use std::{
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -151,17 +151,13 @@
     if let Ok(uri) = item.path.parse() {
         *request.uri_mut() = uri;
     }
+    *request.headers_mut() = item_headers(&item.headers);
     let headers = request.headers_mut();
     let mut set = |name: HeaderName, value: &str| {
         if let Ok(value) = HeaderValue::from_str(value) {
             headers.insert(name, value);
         }
     };
-    for (name, value) in &item.headers {
-        if let Ok(name) = HeaderName::from_bytes(name.as_bytes()) {
-            set(name, value);
-        }
-    }
     set(http::header::HOST, &job.host);
     set(header::REQUEST_ID, item.id.as_str());
     set(header::EXPECTED_TARGET, engine.id.as_str());
@@ -174,6 +170,17 @@
     request
 }
 
+/// Returns the headers that an item's request takes from the item: those that a live request could
+/// take from its caller. Where a run begins is not the caller's to say.
+fn item_headers(headers: &[(String, String)]) -> HeaderMap {
+    let parse = |(name, value): &(String, String)| {
+        Some((HeaderName::from_bytes(name.as_bytes()).ok()?, HeaderValue::from_str(value).ok()?))
+    };
+    let mut headers = header::forwardable(&headers.iter().filter_map(parse).collect());
+    headers.remove(&header::LAST_EVENT);
+    headers
+}
+
 /// Returns how the run ended according to the response head, or `None` if events follow.
 fn end_from_head(exchange: &Exchange, id: &str) -> Option<End> {
     let headers = exchange.response.headers();
--- a/tests/site/item.rs
+++ b/tests/site/item.rs
@@ -192,3 +192,47 @@
     assert_eq!(logs.matches("\"event\":\"handed in\"").count(), 1, "{logs}");
     assert_eq!(setup.results(1, "job-1", 4).await.len(), 4);
 }
+
+/// Guards against items that bring the client's key, another team's name or their own framing to an
+/// engine.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_item_sets_no_header_that_its_caller_may_not_set() {
+    let setup = Setup::start().await;
+    let kept = json!({"Model": "model", "Token-Count": "10,50", "X-Own": "own"});
+    let forged = [
+        ("X-Api-Key", "key-of-the-team"),
+        ("tenant", "other"),
+        ("Content-Length", "2"),
+        ("Transfer-Encoding", "chunked"),
+        ("Connection", "x-own, close"),
+        ("Expect-Instance", "nobody"),
+        ("Last-Event-Id", "3"),
+        ("Attempt-Id", "forged"),
+    ];
+    for (number, (name, value)) in forged.into_iter().enumerate() {
+        let id = format!("job-{number}");
+        let mut headers = kept.clone();
+        headers[name] = json!(value);
+        let own = json!({"Model": "model", "Token-Count": "10,50"}).to_string();
+        let job = super::job(&id, 1, 4).replace(&own, &headers.to_string());
+        assert!(job.contains(name), "{job}");
+        let answer = setup.request(0, "POST", "/drafts/x", &id, &job).await;
+        assert_eq!(answer.map(|answer| answer.status()), Some(StatusCode::ACCEPTED));
+        check(&setup.results(0, &id, 4).await, &[1]);
+        for item in 0..4 {
+            let item = format!("{id}-{item}");
+            let headers = setup
+                .engines
+                .iter()
+                .find_map(|engine| engine.state().headers.get(&item).cloned())
+                .unwrap();
+            let text =
+                |name: &str| headers.get(name).map(|value| value.to_str().unwrap().to_owned());
+            assert_eq!(text("x-api-key"), None, "{headers:?}");
+            assert_eq!(text("tenant").as_deref(), Some("team"), "{headers:?}");
+            assert_eq!(text("model").as_deref(), Some("model"), "{headers:?}");
+            assert_eq!(text("last-event-id"), None, "{headers:?}");
+            assert_eq!(text("x-own").is_some(), name != "Connection", "{headers:?}");
+        }
+    }
+}
