Texts of which nothing was expected say nothing about others

Cause: by reading. With tokens of 0 for all known texts, their bytes counted as those of one expected token, so that a job with tokens was refused. Changed: such texts are left out of the ratio; they still count as kept. Test: texts_of_which_nothing_was_expected_say_nothing_of_others.

--- a/crates/catkinlatch-store/src/backlog.rs
+++ b/crates/catkinlatch-store/src/backlog.rs
@@ -41,9 +41,13 @@
         for record in records {
             kept.bytes += record.bytes();
             for outcome in &record.results {
-                if let job::End::Completed { text, .. } = &outcome.end {
+                let tokens = record.job.items[outcome.item as usize].expected_tokens;
+                // A text of which nothing was expected says nothing about others.
+                if let job::End::Completed { text, .. } = &outcome.end
+                    && tokens > 0
+                {
                     kept.texts.0 += text.len();
-                    kept.texts.1 += record.job.items[outcome.item as usize].expected_tokens;
+                    kept.texts.1 += tokens;
                 }
             }
             let open = record.open_items().map(|item| record.job.items[item].expected_tokens);
--- a/crates/catkinlatch-store/tests/backlog.rs
+++ b/crates/catkinlatch-store/tests/backlog.rs
@@ -85,6 +85,18 @@
     (is_right(kept.bytes, least), is_right(next, least / 2))
 }
 
+/// Guards against jobs that are refused since texts of which nothing was expected count for others.
+#[test]
+fn texts_of_which_nothing_was_expected_say_nothing_of_others() {
+    let mut job = (*job("first", 1)).clone();
+    job.items[0].expected_tokens = 0;
+    let mut record = Record::new(Arc::new(job));
+    let end = End::Completed { text: "x".repeat(1_000), versions: Vec::new(), score: None };
+    record.finish(&Arc::new(Outcome { item: 0, end }));
+    let next = crate::job("next", 10);
+    assert_eq!(Kept::new([record].iter()).expected_bytes(&next), next.bytes());
+}
+
 /// Guards against readers whose replies together exceed the memory of a leader.
 #[test]
 fn replies_are_refused_beyond_their_share_of_the_memory() {
