The trial of a suspect ends with a stream that may have been cut

Cause: by reading. A stream that ended with its connection was resumed without the end of the trial that its request may have been, so that other runs of the request would have waited for it. Changed: the trial ends, and the resumed run asks for one of its own, as after other ends.

--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -213,6 +213,9 @@
                 Read::End if self.may_be_cut() => {
                     let reason = "the stream ended with its connection";
                     self.log(reason);
+                    if mem::take(&mut self.attempts.is_trial) {
+                        suspect::end_trial(&self.host, &self.inbound);
+                    }
                     if let Some(call) = &mut self.call {
                         call.guard.record_loss();
                     }
