The endless body of a test ends with its connection as its head says

Cause: takes a response of HTTP/1.1 without length, chunks and Connection: close for one whose head is cut, before its body is read. Changed: the case announces the close, and has the bound on its body as before; without the announcement it has to be malformed. Both are cases now, so the test asks for more than it did.

--- a/crates/catkinlatch-runtime/tests/limits.rs
+++ b/crates/catkinlatch-runtime/tests/limits.rs
@@ -20,6 +20,7 @@
 };
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const CLOSING: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
 
 /// Limits of a test: 1 MiB in flight, of which one response may take half.
 const LIMITS: Limits =
@@ -81,7 +82,8 @@
 #[test_case(&format!("{CHUNKED}5;"), "x", "malformed body"; "chunk extension")]
 #[test_case(&format!("{CHUNKED}0\r\n"), "t: v\r\n", "malformed body"; "trailers")]
 #[test_case(CHUNKED, "20\r\na chunk of the body of 32 bytes.\r\n", "the body is longer than allowed"; "body")]
-#[test_case("HTTP/1.1 200 OK\r\n\r\n", "x", "the body is longer than allowed"; "body without length")]
+#[test_case(CLOSING, "x", "the body is longer than allowed"; "body that ends with the connection")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n", "x", "malformed head"; "body without length")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n", "", "the body is longer than allowed"; "announced body")]
 #[tokio::test]
 async fn a_part_without_end_ends_the_exchange(start_of: &str, filler: &str, expected: &str) {
