--- a/review/lib-3/batch.py
+++ b/review/lib-3/batch.py
@@ -86,3 +86,63 @@
     headers = {"instance-id": worker.id, "attempt-id": request.id,
                "server-seal": s.seal(request, worker)}
     return await s.reply(writer, 200, headers, b"0.5")
+
+
+class Step:
+    """Runs the items of a step at workers and judges the rule on steps that run out of time.
+
+    `spans` holds, for each item, when it was at a worker; `done` those that a worker finished."""
+
+    def __init__(self, record, events=10, gap_s=0.1):
+        self.record, self.events, self.gap_s = record, events, gap_s
+        self.spans, self.done, self.running, self.samples = {}, set(), 0, []
+
+    async def handle(self, worker, request, writer):
+        """Runs an item. The answer comes in chunks."""
+        after = int(request.headers.get("last-event-id", "0"))
+        span = [time.monotonic(), None]
+        self.spans.setdefault(request.id, []).append(span)
+        self.running += 1
+        self.samples.append((span[0], self.running))
+        self.record.line(f"worker {worker.id} (born {worker.born}) gets item {request.id}")
+        try:
+            writer.write((
+                "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+                "transfer-encoding: chunked\r\n"
+                f"attempt-id: {request.id}\r\nserver-seal: {s.seal(request, worker)}\r\n"
+                "weight-versions: 1\r\n\r\n").encode())
+            for number in range(after + 1, self.events + 1):
+                await asyncio.sleep(self.gap_s)
+                if writer.transport.is_closing():
+                    return False
+                part = event(request.id, number)
+                writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            self.done.add(request.id)
+            return True
+        finally:
+            span[1] = time.monotonic()
+            self.running -= 1
+            self.samples.append((span[1], self.running))
+
+    def judge(self, job, steady_from, end, slots):
+        """Returns the items that the rule calls lost: the step's time was up at `end`, and since
+        `steady_from` nothing was disrupted."""
+        busiest = max([n for at, n in self.samples if steady_from <= at <= end], default=0)
+        begun = sum(1 for item in job["items"] if item["id"] in self.spans)
+        self.record.line(f"{begun} of {len(job['items'])} items began, {len(self.done)} were "
+                         f"finished by a worker; {busiest} of {slots} places taken at most since "
+                         f"the steady state began {end - steady_from:.1f} s before the end")
+        if not begun or busiest * 2 >= slots:
+            return []
+        lost = []
+        for item in job["items"]:
+            if item["id"] in self.done:
+                continue
+            ends = [span[1] or end for span in self.spans.get(item["id"], [])]
+            idle = end - max([steady_from, *ends])
+            if idle >= 5:
+                lost.append(f"{item['id']} was at no worker for the last {idle:.1f} s of steady state")
+        return lost
