A late withdrawal of an earlier start does not remove the next one

Cause: Registry::withdraw took an id. It removed whichever start was registered and shut that start out. With none registered it took the leader's wall clock for the start, so that a withdrawal that came twice, or after the target had run out, shut out a start that was born before and registered after it. Entry hosts kept such a start out for good.

Change: a withdrawal names its start where the target does. No clock of a target is compared with one of ours. A leader of an earlier release gets the older message that a start leaves.

withdrawal_of_unknown_target_covers_all_earlier_starts stated the wall clock's behaviour. In its place: a named start keeps its late heartbeats out, and those of an unnamed, unknown one stay out while the next start registers between them.

--- a/crates/catkinlatch-entry/src/leaving.rs
+++ b/crates/catkinlatch-entry/src/leaving.rs
@@ -22,13 +22,17 @@
     for target in draining {
         leaving.insert(&target.id, target.born_ms, now);
     }
+    let term = view.view_version.term;
     for tombstone in &view.tombstones {
-        leaving.insert(&tombstone.id, tombstone.born_ms, now);
+        leaving.insert_listed(&tombstone.id, tombstone.born_ms, term, now);
     }
     leaving.retain(view.targets.iter(), now);
-    let mistaken = view.targets.iter().filter(|target| target.is_ready());
-    for target in mistaken.filter(|target| leaving.contains(target)) {
-        report(host, target.id.clone(), target.born_ms);
+    for target in view.targets.iter().filter(|target| target.is_ready()) {
+        if leaving.remove_listed(target, term) {
+            info!(target_id:% = target.id, born_ms = target.born_ms; "entry: a target is back in use");
+        } else if leaving.contains(target) {
+            report(host, target.id.clone(), target.born_ms);
+        }
     }
 }
 
--- a/crates/catkinlatch-ledger/src/registry.rs
+++ b/crates/catkinlatch-ledger/src/registry.rs
@@ -6,20 +6,22 @@
 mod evacuation;
 mod leaving;
 mod target;
+mod withdrawal;
 
 pub use self::{
     evacuation::evacuated_zones,
     leaving::Leaving,
-    target::{Flaw, MAX_COLD_MS, MAX_SLOTS, Phase, Target},
+    target::{Flaw, MAX_COLD_MS, MAX_SLOTS, Phase, Target, check_start},
 };
 
+use self::withdrawal::Withdrawals;
 use catkinlatch_base::{BootId, Instant, TargetId, derive_value};
 use catkinlatch_route::Ramp;
+use derive_more::Display;
 use std::{collections::BTreeMap, time::Duration};
 
-/// How long the tombstone of a withdrawn target is kept, so that no delayed registration restores
-/// the target.
-const TOMBSTONE_TTL: Duration = Duration::from_secs(120);
+/// How long the last start of a target that has fallen silent is remembered.
+const SILENT_RETENTION: Duration = Duration::from_secs(120);
 
 /// The effect of a registration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +31,32 @@
     /// The registration only renews the target.
     Renewed,
     /// The registration is stale and was ignored.
-    Outdated,
+    Outdated(Reason),
+}
+
+/// Why a registration is stale.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Reason {
+    /// The start has withdrawn.
+    #[display("withdrawn")]
+    Withdrawn,
+    /// A later registration of the target was received before.
+    #[display("older")]
+    Older,
+    /// A later start of another target has taken the address.
+    #[display("replaced")]
+    Replaced,
+}
+
+/// The effect of a withdrawal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Withdrawn {
+    /// The target was registered and has been removed.
+    Removed(Box<Target>),
+    /// A later start than the one that withdrew is registered; it stays. Contains its start.
+    Late(u64),
+    /// The target was not registered.
+    Absent,
 }
 
 derive_value! {
@@ -55,7 +82,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     registrations: BTreeMap<TargetId, Registration>,
-    tombstones: BTreeMap<TargetId, (u64, Instant)>,
+    withdrawals: Withdrawals,
+    /// The starts of targets that were dropped since they fell silent, and when they were.
+    silent: BTreeMap<TargetId, (u64, Instant)>,
     leaving: Leaving,
     ramp: Ramp,
 }
@@ -70,8 +99,7 @@
             (target.id.clone(), Registration { target, received_at: now })
         };
         self.registrations = targets.into_iter().map(registration).collect();
-        let tombstone = |tombstone: Tombstone| (tombstone.id, (tombstone.born_ms, now));
-        self.tombstones = tombstones.into_iter().map(tombstone).collect();
+        self.withdrawals.adopt(tombstones, now);
     }
 
     /// Records that a start of a target said that it leaves, so that it counts as draining whatever
@@ -117,9 +145,10 @@
     /// An address belongs to the latest start that registered it: targets of earlier starts with
     /// the same address are dropped.
     pub fn register(&mut self, target: Target, now: Instant) -> Change {
-        if self.is_outdated(&target) {
-            return Change::Outdated;
+        if let Some(reason) = self.staleness(&target, now) {
+            return Change::Outdated(reason);
         }
+        self.silent.remove(&target.id);
         let target = self.with_own_phase(target);
         self.registrations.retain(|id, other| {
             other.target.address != target.address
@@ -136,9 +165,8 @@
         }
     }
 
-    fn is_outdated(&self, target: &Target) -> bool {
-        let is_gone =
-            self.tombstones.get(&target.id).is_some_and(|(born, _)| target.born_ms <= *born);
+    /// Returns why a registration is stale, if it is.
+    fn staleness(&mut self, target: &Target, now: Instant) -> Option<Reason> {
         let current = self.registrations.get(&target.id).map(|current| &current.target);
         let is_older = current.is_some_and(|current| {
             (target.born_ms, target.sequence) <= (current.born_ms, current.sequence)
@@ -146,31 +174,55 @@
         let is_replaced = self.registrations.values().any(|other| {
             other.target.address == target.address && other.target.born_ms > target.born_ms
         });
-        is_gone || is_older || is_replaced
+        if is_older {
+            Some(Reason::Older)
+        } else if is_replaced {
+            Some(Reason::Replaced)
+        } else {
+            self.withdrawals.covers(target, now).then_some(Reason::Withdrawn)
+        }
     }
 
-    /// Removes a target, and records a tombstone for it. Returns the target if it was registered.
+    /// Removes a target that withdraws the start `born_ms`, in milliseconds since the Unix epoch, or
+    /// whichever start is known if it names none. Later registrations of the start are ignored.
     ///
-    /// If the target is not registered, all its starts up to `wall_ms`, in milliseconds since the
-    /// Unix epoch, count as withdrawn.
-    pub fn withdraw(&mut self, id: &TargetId, wall_ms: u64, now: Instant) -> Option<Target> {
-        let target = self.registrations.remove(id).map(|registration| registration.target);
-        let born = target.as_ref().map_or(wall_ms, |target| target.born_ms);
-        let tombstone = self.tombstones.entry(id.clone()).or_insert((born, now));
-        *tombstone = (tombstone.0.max(born), now);
-        target
+    /// The withdrawal of an earlier start than the registered one is late, and removes nothing.
+    pub fn withdraw(&mut self, id: &TargetId, born_ms: Option<u64>, now: Instant) -> Withdrawn {
+        let registered = self.registrations.get(id).map(|current| current.target.born_ms);
+        match born_ms {
+            Some(born_ms) => self.withdrawals.insert_named(id, born_ms, now),
+            None => {
+                let silent = self.silent.get(id).map(|(born_ms, _)| *born_ms);
+                self.withdrawals.insert_unnamed(id, registered.or(silent), now);
+            }
+        }
+        match registered {
+            Some(registered) if born_ms.is_some_and(|born_ms| born_ms < registered) => {
+                Withdrawn::Late(registered)
+            }
+            _ => {
+                let removed = self.registrations.remove(id);
+                removed.map_or(Withdrawn::Absent, |removed| {
+                    Withdrawn::Removed(Box::new(removed.target))
+                })
+            }
+        }
     }
 
     /// Drops the targets that have not sent a registration within `timeout`, and returns them. Also
     /// drops expired tombstones.
     pub fn expire(&mut self, timeout: Duration, now: Instant) -> Vec<Target> {
-        self.tombstones.retain(|_, (_, withdrawn_at)| now < *withdrawn_at + TOMBSTONE_TTL);
+        self.withdrawals.expire(now);
+        self.silent.retain(|_, (_, dropped_at)| now < *dropped_at + SILENT_RETENTION);
         let registered = self.registrations.values().map(|registration| &registration.target);
         self.leaving.retain(registered, now);
         let expired = self
             .registrations
             .extract_if(.., |_, registration| now >= registration.received_at + timeout);
-        expired.map(|(_, registration)| registration.target).collect()
+        let expired: Vec<Target> = expired.map(|(_, registration)| registration.target).collect();
+        let silent = expired.iter().map(|target| (target.id.clone(), (target.born_ms, now)));
+        self.silent.extend(silent);
+        expired
     }
 
     /// Returns the registered targets in order of their ids.
@@ -191,9 +243,7 @@
 
     /// Returns the tombstones of recently withdrawn targets.
     pub fn tombstones(&self) -> impl Iterator<Item = Tombstone> + '_ {
-        self.tombstones
-            .iter()
-            .map(|(id, (born_ms, _))| Tombstone { id: id.clone(), born_ms: *born_ms })
+        self.withdrawals.tombstones()
     }
 
     /// Records that a target was observed to hold a version of a model's weights.
--- a/crates/catkinlatch-ledger/src/registry/target.rs
+++ b/crates/catkinlatch-ledger/src/registry/target.rs
@@ -127,7 +127,7 @@
             (!self.address.parse().is_ok_and(|address| is_reachable(&address)), Flaw::Address),
             (self.slots > MAX_SLOTS, Flaw::Slots),
             (self.cold_ms > MAX_COLD_MS, Flaw::Cold),
-            (self.born_ms > wall_ms.saturating_add(MAX_AHEAD_MS), Flaw::Start),
+            (check_start(self.born_ms, wall_ms).is_err(), Flaw::Start),
             (self.sequence > MAX_NUMBER, Flaw::Sequence),
             (self.build.as_str().len() > MAX_BUILD_BYTES, Flaw::Build),
             (has_large, Flaw::Models),
@@ -148,6 +148,16 @@
     }
 }
 
+/// Checks the start of a target; both times are in milliseconds since the Unix epoch.
+///
+/// # Errors
+///
+/// Returns [`Flaw::Start`] if the start lies too far in the future.
+pub fn check_start(born_ms: u64, wall_ms: u64) -> Result<(), Flaw> {
+    let is_ahead = born_ms > wall_ms.saturating_add(MAX_AHEAD_MS);
+    if is_ahead { Err(Flaw::Start) } else { Ok(()) }
+}
+
 /// Returns whether a target can listen at an address.
 fn is_reachable(address: &SocketAddr) -> bool {
     let ip = address.ip();
--- a/crates/catkinlatch-ledger/tests/evacuation.rs
+++ b/crates/catkinlatch-ledger/tests/evacuation.rs
@@ -92,7 +92,7 @@
                 let targets: Vec<TargetId> = self.starts.keys().cloned().collect();
                 if let Some(id) = self.random.choice(targets) {
                     let registry = &mut self.hosts[self.leading].registry;
-                    registry.withdraw(&id, 0, self.now);
+                    registry.withdraw(&id, None, self.now);
                 }
             }
         }
--- a/crates/catkinlatch-ledger/tests/registry.rs
+++ b/crates/catkinlatch-ledger/tests/registry.rs
@@ -3,15 +3,19 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed test may panic")]
 
-use catkinlatch_base::{Instant, TargetId};
+use catkinlatch_base::{Instant, TargetId, Term};
 use catkinlatch_ledger::{
     Registry, Target,
-    registry::{Change, Phase},
+    registry::{Change, Leaving, Phase, Reason, Withdrawn},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
+use test_case::test_case;
+
+const OLDER: Change = Change::Outdated(Reason::Older);
+const WITHDRAWN: Change = Change::Outdated(Reason::Withdrawn);
 
 fn id(name: &str) -> TargetId {
     name.parse().unwrap()
@@ -40,27 +44,124 @@
     let mut registry = Registry::default();
     let draining = Target { phase: Phase::Draining, ..target("t", 100, 5) };
     assert_eq!(registry.register(draining, Instant::ZERO), Change::Changed);
-    assert_eq!(registry.register(target("t", 100, 4), Instant::ZERO), Change::Outdated);
+    assert_eq!(registry.register(target("t", 100, 4), Instant::ZERO), OLDER);
     assert!(!registry.target(&id("t")).unwrap().is_ready());
 }
 
-#[test]
-fn withdrawn_start_is_ignored_and_new_start_is_accepted() {
+#[test_case(Some(100); "by name")]
+#[test_case(None; "without a name")]
+fn withdrawn_start_is_ignored_and_new_start_is_accepted(start: Option<u64>) {
     let mut registry = Registry::default();
     registry.register(target("t", 100, 1), Instant::ZERO);
-    registry.withdraw(&id("t"), 500, Instant::ZERO);
-    assert_eq!(registry.register(target("t", 100, 9), Instant::ZERO), Change::Outdated);
+    assert!(matches!(registry.withdraw(&id("t"), start, Instant::ZERO), Withdrawn::Removed(_)));
+    assert_eq!(registry.register(target("t", 100, 9), Instant::ZERO), WITHDRAWN);
     assert_eq!(registry.register(target("t", 101, 1), Instant::ZERO), Change::Changed);
 }
 
+/// Guards against late heartbeats of a start that withdrew at a leader that did not know it.
 #[test]
-fn withdrawal_of_unknown_target_covers_all_earlier_starts() {
+fn withdrawal_of_an_unknown_target_covers_its_start_and_earlier_ones() {
     let mut registry = Registry::default();
-    registry.withdraw(&id("t"), 500, Instant::ZERO);
-    assert_eq!(registry.register(target("t", 499, 1), Instant::ZERO), Change::Outdated);
+    assert_eq!(registry.withdraw(&id("t"), Some(500), Instant::ZERO), Withdrawn::Absent);
+    assert_eq!(registry.register(target("t", 500, 9), Instant::ZERO), WITHDRAWN);
+    assert_eq!(registry.register(target("t", 499, 1), Instant::ZERO), WITHDRAWN);
     assert_eq!(registry.register(target("t", 501, 1), Instant::ZERO), Change::Changed);
 }
 
+/// Guards against late heartbeats of a start that withdrew without naming it at a leader that did
+/// not know it, and against a later start that is shut out for as long.
+#[test]
+fn unnamed_withdrawal_of_an_unknown_target_covers_all_starts_until_one_keeps_registering() {
+    let mut registry = Registry::default();
+    registry.withdraw(&id("t"), None, Instant::ZERO);
+    // The late heartbeats of the start that ended come between those of the next one.
+    for second in 0..20 {
+        let now = Instant::from_millis(second * 1_000);
+        assert_eq!(registry.register(target("t", 600, 1 + second), now), WITHDRAWN);
+        assert_eq!(registry.register(target("t", 500, 30 + second), now), WITHDRAWN);
+    }
+    let now = Instant::from_millis(20_000);
+    assert_eq!(registry.register(target("t", 600, 21), now), Change::Changed);
+}
+
+/// Guards against a ready target that is lost since an earlier start of it withdrew.
+#[test]
+fn late_withdrawal_of_an_earlier_start_removes_nothing() {
+    let mut registry = Registry::default();
+    registry.register(target("t", 100, 9), Instant::ZERO);
+    registry.register(target("t", 200, 1), Instant::ZERO);
+    assert_eq!(registry.withdraw(&id("t"), Some(100), Instant::ZERO), Withdrawn::Late(200));
+    assert_eq!(registry.register(target("t", 200, 2), Instant::ZERO), Change::Renewed);
+    assert_eq!(registry.register(target("t", 100, 10), Instant::ZERO), OLDER);
+    assert_eq!(registry.targets().count(), 1);
+}
+
+/// Guards against a target that is lost since a start that fell silent withdrew late, or twice,
+/// before the next one registered.
+#[test_case(Some(100); "by name")]
+#[test_case(None; "without a name")]
+fn withdrawal_of_a_silent_start_does_not_cover_the_next_one(start: Option<u64>) {
+    let mut registry = Registry::default();
+    registry.register(target("t", 100, 1), Instant::ZERO);
+    let timeout = Duration::from_secs(10);
+    assert_eq!(registry.expire(timeout, Instant::ZERO + timeout).len(), 1);
+    let now = Instant::from_millis(11_000);
+    for _ in 0..2 {
+        assert_eq!(registry.withdraw(&id("t"), start, now), Withdrawn::Absent);
+    }
+    assert_eq!(registry.register(target("t", 100, 2), now), WITHDRAWN);
+    assert_eq!(registry.register(target("t", 200, 1), now), Change::Changed);
+}
+
+/// Registers a start each second for a time; returns the last result.
+fn keep_registering(registry: &mut Registry, latest: &Target, seconds: u64) -> Change {
+    let step = |second| {
+        let now = Instant::from_millis(1_000 * (1 + second));
+        let renewed = Target { sequence: latest.sequence + second, ..latest.clone() };
+        registry.register(renewed, now)
+    };
+    (0..=seconds).map(step).last().unwrap()
+}
+
+/// Guards against a ready target that is lost for minutes since an earlier start withdrew without
+/// naming itself.
+#[test]
+fn a_start_that_keeps_registering_after_an_unnamed_withdrawal_is_used_again() {
+    let mut registry = Registry::default();
+    registry.register(target("t", 100, 1), Instant::ZERO);
+    registry.withdraw(&id("t"), None, Instant::ZERO);
+    assert_eq!(keep_registering(&mut registry, &target("t", 100, 2), 19), WITHDRAWN);
+    assert_eq!(registry.tombstones().count(), 1);
+    let now = Instant::from_millis(21_000);
+    assert_eq!(registry.register(target("t", 100, 30), now), Change::Changed);
+    assert_eq!(registry.tombstones().count(), 0, "followers must use it too");
+}
+
+/// Guards against requests to a start that leaves: it named itself, or its late heartbeats come at
+/// once, in disorder or with long pauses, or say that it drains.
+#[test]
+fn a_start_that_withdrew_is_not_used_again() {
+    let mut registry = Registry::default();
+    registry.withdraw(&id("named"), Some(100), Instant::ZERO);
+    assert_eq!(keep_registering(&mut registry, &target("named", 100, 1), 100), WITHDRAWN);
+
+    let start = || {
+        let mut registry = Registry::default();
+        registry.register(target("t", 100, 1), Instant::ZERO);
+        registry.withdraw(&id("t"), None, Instant::ZERO);
+        registry
+    };
+    let draining = Target { phase: Phase::Draining, ..target("t", 100, 2) };
+    assert_eq!(keep_registering(&mut start(), &draining, 100), WITHDRAWN);
+    let mut registry = start();
+    for (millis, sequence) in
+        [(0, 9), (900, 8), (1_800, 7), (21_000, 6), (22_000, 10), (28_000, 11)]
+    {
+        let late = registry.register(target("t", 100, sequence), Instant::from_millis(millis));
+        assert_eq!(late, WITHDRAWN, "{millis} ms");
+    }
+}
+
 #[test]
 fn address_belongs_to_its_latest_start() {
     let mut registry = Registry::default();
@@ -71,7 +172,7 @@
     registry.register(new, Instant::ZERO);
     assert!(registry.target(&id("old")).is_none());
     let late = Target { sequence: 7, ..old };
-    assert_eq!(registry.register(late, Instant::ZERO), Change::Outdated);
+    assert_eq!(registry.register(late, Instant::ZERO), Change::Outdated(Reason::Replaced));
 }
 
 #[test]
@@ -100,12 +201,12 @@
     let mut registry = Registry::default();
     registry.register(target("t", 100, 1), Instant::ZERO);
     registry.register(target("other", 100, 1), Instant::ZERO);
-    registry.withdraw(&id("t"), 500, Instant::ZERO);
+    registry.withdraw(&id("t"), Some(100), Instant::ZERO);
     let targets = registry.targets().cloned().collect();
     let tombstones = registry.tombstones().collect();
     let mut copy = Registry::default();
     copy.adopt(targets, tombstones, Instant::ZERO);
-    assert_eq!(copy.register(target("t", 100, 2), Instant::ZERO), Change::Outdated);
+    assert_eq!(copy.register(target("t", 100, 2), Instant::ZERO), WITHDRAWN);
     assert!(copy.target(&id("other")).is_some());
 }
 
@@ -131,6 +232,25 @@
     names.iter().map(|name| name.parse().unwrap()).collect()
 }
 
+/// Guards against a target that hosts shut out for good after its leader has taken a withdrawal
+/// back, and against its use by a host that knows better than a new leader.
+#[test]
+fn a_start_listed_as_withdrawn_is_used_again_if_the_same_leader_uses_it() {
+    let (now, term) = (Instant::ZERO, Term::new);
+    let mut leaving = Leaving::default();
+    leaving.insert_listed(&id("t"), 100, term(1), now);
+    assert!(!leaving.remove_listed(&target("t", 100, 1), term(2)), "a leader that may not know it");
+    assert!(leaving.contains(&target("t", 100, 1)));
+    leaving.insert_listed(&id("t"), 100, term(2), now);
+    assert!(leaving.remove_listed(&target("t", 100, 1), term(2)));
+    assert!(!leaving.contains(&target("t", 100, 1)));
+
+    leaving.insert_listed(&id("t"), 200, term(2), now);
+    leaving.insert(&id("t"), 200, now);
+    leaving.insert_listed(&id("t"), 200, term(2), now);
+    assert!(!leaving.remove_listed(&target("t", 200, 1), term(2)), "it said itself that it leaves");
+}
+
 /// Guards against targets that stay evacuated on a leader that adopted them so from the last one.
 #[test]
 fn an_adopted_evacuated_target_is_ready_again_once_its_zone_is_restored() {
--- a/crates/catkinlatch-runtime/src/message.rs
+++ b/crates/catkinlatch-runtime/src/message.rs
@@ -67,7 +67,7 @@
         Configuration,
         /// Registers a target or renews its registration.
         Register(Box<Target>),
-        /// Withdraws a target that is shutting down.
+        /// Withdraws a target that is shutting down, without naming its start.
         Withdraw(TargetId),
         /// Records a version of a model's weights.
         RecordVersion {
@@ -126,6 +126,25 @@
         },
         /// Asks a host with a disk, leader or not, which build began a stream.
         FindOrigin(RequestId),
+        /// Withdraws a start of a target that is shutting down.
+        WithdrawStart {
+            /// The target.
+            target: TargetId,
+            /// The start of the target, in milliseconds since the Unix epoch.
+            born_ms: u64,
+        },
+    }
+}
+
+impl Message {
+    /// Returns what to send instead to a leader of an earlier release, which refuses this message.
+    pub fn for_earlier_release(&self) -> Option<Self> {
+        match self {
+            Self::WithdrawStart { target, born_ms } => {
+                Some(Self::Leaving { target: target.clone(), born_ms: *born_ms })
+            }
+            _ => None,
+        }
     }
 }
 
--- a/crates/catkinlatch-store/src/control.rs
+++ b/crates/catkinlatch-store/src/control.rs
@@ -1,11 +1,13 @@
 //! The control interface: HTTP calls of targets, trainers and operators.
 
 use crate::host::Host;
-use catkinlatch_ledger::config::Document;
+use catkinlatch_base::TargetId;
+use catkinlatch_ledger::{config::Document, registry};
 use catkinlatch_platform::{
     DecodeError,
     call::{self, ControlCall},
-    decode_configuration, decode_registration, decode_version, encode_retirement,
+    decode_configuration, decode_registration, decode_version, decode_withdrawal,
+    encode_retirement,
 };
 use catkinlatch_runtime::{
     Answer, Message, Reply,
@@ -128,7 +130,7 @@
             let target = decode_registration(id, body, wall_ms);
             target.map(|target| Message::Register(Box::new(target))).into()
         }
-        ControlCall::Withdraw(id) => Decoded::Message(Message::Withdraw(id)),
+        ControlCall::Withdraw(id) => withdrawal(id, body, wall_ms),
         ControlCall::PutConfiguration => configuration(body),
         ControlCall::GetConfiguration => Decoded::Message(Message::Configuration),
         ControlCall::NameVersion => {
@@ -143,6 +145,18 @@
     }
 }
 
+/// Decodes a withdrawal; a start that lies too far in the future would cover all later ones.
+fn withdrawal(target: TargetId, body: &bytes::Bytes, wall_ms: u64) -> Decoded {
+    match decode_withdrawal(body) {
+        Ok(None) => Decoded::Message(Message::Withdraw(target)),
+        Ok(Some(born_ms)) => match registry::check_start(born_ms, wall_ms) {
+            Ok(()) => Decoded::Message(Message::WithdrawStart { target, born_ms }),
+            Err(flaw) => Decoded::Invalid(flaw.to_string()),
+        },
+        Err(error) => Decoded::Invalid(error.to_string()),
+    }
+}
+
 /// Decodes and validates a configuration; reports all of its faults in one text.
 fn configuration(body: &bytes::Bytes) -> Decoded {
     let configuration = match decode_configuration(body) {
--- a/crates/catkinlatch-store/src/handler.rs
+++ b/crates/catkinlatch-store/src/handler.rs
@@ -3,18 +3,18 @@
 mod evacuation;
 mod propagation;
 mod suspect;
+mod target;
 
-use self::propagation::{await_propagation, await_propagation_to_most, leads};
+use self::propagation::{await_propagation, leads};
 use crate::{
-    allowance,
     backlog::{Kept, Use},
     exchange,
     host::Host,
     observation, relay, view,
 };
 use bytes::Bytes;
-use catkinlatch_base::{HostId, JobId, Term};
-use catkinlatch_ledger::{Command, Job, Record, Reply as Outcome, Target, registry};
+use catkinlatch_base::{HostId, JobId};
+use catkinlatch_ledger::{Command, Job, Record, Reply as Outcome};
 use catkinlatch_runtime::{
     Message, ProposeError, Reply,
     message::{Follow, Results, ViewVersion},
@@ -180,22 +180,10 @@
         Message::Configuration => host.replica.read(|state| {
             Reply::Configuration(state.document.as_ref().map(|document| document.source.clone()))
         }),
-        Message::Register(target) => register(host, term, *target).await,
-        Message::Withdraw(id) => {
-            let now = host.clock.now();
-            {
-                let mut soft = host.soft_state();
-                soft.registry.withdraw(&id, host.clock.wall_ms(), now);
-                soft.revision += 1;
-            }
-            host.publish_revision();
-            let is_propagated = await_propagation_to_most(host, term).await;
-            if !is_propagated && !leads(host, term) {
-                // The next leader may not know of the withdrawal.
-                return Reply::NotLeader(host.other_leader());
-            }
-            info!(target_id:% = id, held_by_all = is_propagated; "targets: withdrawn");
-            Reply::Done
+        Message::Register(target) => target::register(host, term, *target).await,
+        Message::Withdraw(id) => target::withdraw(host, term, &id, None).await,
+        Message::WithdrawStart { target, born_ms } => {
+            target::withdraw(host, term, &target, Some(born_ms)).await
         }
         Message::RecordVersion { model, version } => {
             info!(model:% = model, version = version.get(); "weights: new version named");
@@ -287,56 +275,6 @@
     }
 }
 
-async fn register(host: &Arc<Host>, term: Term, target: Target) -> Reply {
-    // A host of an earlier release passes on what it does not check.
-    if let Err(flaw) = target.check(host.clock.wall_ms()) {
-        warn!(target_id:% = target.id, reason:% = flaw; "targets: refused a registration");
-        return Reply::NotFound;
-    }
-    let (id, is_ready) = (target.id.clone(), target.is_ready());
-    let (sequence, born_ms) = (target.sequence, target.born_ms);
-    let stated = (target.cold_ms > 0).then(|| target.clone());
-    let change = {
-        let mut soft = host.soft_state();
-        let change = soft.registry.register(target, host.clock.now());
-        soft.revision += u64::from(change == registry::Change::Changed);
-        change
-    };
-    if let Some(target) = stated.filter(|_| change != registry::Change::Outdated) {
-        allowance::observe(host, &target, Duration::from_millis(target.cold_ms));
-    }
-    match change {
-        registry::Change::Changed => {
-            if is_ready {
-                host.publish_soon();
-            } else {
-                host.publish_revision();
-            }
-            info!(
-                target_id:% = id, ready = is_ready, born_ms = born_ms, sequence = sequence;
-                "targets: registered"
-            );
-        }
-        registry::Change::Outdated => {
-            info!(
-                target_id:% = id, sequence = sequence;
-                "targets: ignored an outdated registration"
-            );
-        }
-        registry::Change::Renewed => {}
-    }
-    if !is_ready {
-        let is_propagated = await_propagation_to_most(host, term).await;
-        if !is_propagated && !leads(host, term) {
-            return Reply::NotLeader(host.other_leader());
-        }
-        if change == registry::Change::Changed {
-            info!(target_id:% = id, held_by_all = is_propagated; "targets: no longer ready");
-        }
-    }
-    Reply::Done
-}
-
 /// Returns the results of a job from a position on, once there is at least one or the wait has
 /// elapsed.
 async fn read_results(
--- a/crates/catkinlatch-store/src/host.rs
+++ b/crates/catkinlatch-store/src/host.rs
@@ -21,6 +21,7 @@
     http::{Client, Dialer, Limits, dialer::Connect},
 };
 use catkinlatch_state::suspect::Reply as SuspectReply;
+use catkinlatch_wire as wire;
 use http::{Response, StatusCode};
 use log::info;
 use std::{
@@ -285,7 +286,7 @@
     /// timeout has elapsed.
     ///
     /// The message must be idempotent.
-    pub async fn ask_leader(self: &Arc<Self>, message: Message, timeout: Duration) -> Answer {
+    pub async fn ask_leader(self: &Arc<Self>, mut message: Message, timeout: Duration) -> Answer {
         let until = Instant::now() + timeout;
         let mut may_be_done = false;
         loop {
@@ -302,6 +303,7 @@
             let Some(leader) = self.other_leader() else {
                 // A host whose disk failed hears no leader, but the others may have one.
                 if self.replica.has_failed() {
+                    message = message.for_earlier_release().unwrap_or(message);
                     return self.leader_client.call(&message, Duration::ZERO, left).await;
                 }
                 time::sleep(RETRY_INTERVAL.min(left)).await;
@@ -320,7 +322,12 @@
                 Ok(Reply::Unknown) => return Answer::Unknown,
                 Ok(reply) => return Answer::Reply(reply),
                 Err(CallError::NotSent { .. }) => {}
-                Err(CallError::Unknown { .. }) => may_be_done = true,
+                Err(CallError::Unknown { reason, .. }) => {
+                    may_be_done = true;
+                    if let wire::Error::Protocol { .. } = reason {
+                        message = message.for_earlier_release().unwrap_or(message);
+                    }
+                }
             }
         }
     }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -62,6 +62,8 @@
 mod weights;
 #[path = "site/wire.rs"]
 mod wire;
+#[path = "site/withdrawal.rs"]
+mod withdrawal;
 
 use bytes::Bytes;
 use catkinlatch_standin::site::{self, Engine, Service, Site, Soak};
--- a/tests/site/upgrade.rs
+++ b/tests/site/upgrade.rs
@@ -1,6 +1,12 @@
 //! Two releases of the program side by side, while hosts are replaced one after the other.
 
-use super::{Setup, check_events, configuration, ok, stream::Stream, wait_until};
+use super::{
+    Setup, check_events, configuration, ok,
+    stream::Stream,
+    wait_until,
+    withdrawal::{FIRST, SECOND, Target},
+};
+use catkinlatch_standin::site::Host;
 use serde_json::Value;
 use std::{
     path::{Path, PathBuf},
@@ -11,8 +17,8 @@
 use test_case::test_case;
 use tokio::{task::spawn_blocking, time};
 
-/// The commit of the release that runs in production.
-const PRODUCTION: &str = "da8afb3";
+/// The commits of the releases that may run in production.
+const RELEASES: [&str; 2] = ["e0378fe", "50821a1"];
 
 /// Number of events of each item and stream.
 const EVENTS: u64 = 20;
@@ -23,19 +29,19 @@
     assert!(output.status.success(), "{command:?}: {}", String::from_utf8_lossy(&output.stderr));
 }
 
-/// Builds the release in production from the repository's history, unless that was done; returns its
-/// program.
-fn build_production() -> PathBuf {
-    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+/// Builds a release from the repository's history, unless that was done; returns its program.
+fn build_release(release: usize) -> PathBuf {
+    static BUILT: [OnceLock<PathBuf>; RELEASES.len()] = [const { OnceLock::new() }; RELEASES.len()];
     let build = || {
+        let commit = RELEASES[release];
         let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-        let folder = root.join("target").join(format!("release-{PRODUCTION}"));
+        let folder = root.join("target").join(format!("release-{commit}"));
         let (sources, target) = (folder.join("sources"), folder.join("target"));
         let program = target.join("debug/catkinlatch");
         if !program.exists() {
             std::fs::create_dir_all(&sources).unwrap();
             let archive = folder.join("sources.tar");
-            let git = ["archive", "--output", archive.to_str().unwrap(), PRODUCTION];
+            let git = ["archive", "--output", archive.to_str().unwrap(), commit];
             run(Command::new("git").current_dir(&root).args(git));
             run(Command::new("tar").current_dir(&sources).arg("-xf").arg(&archive));
             let cargo = ["build", "--package", "catkinlatch", "--target-dir"];
@@ -43,7 +49,7 @@
         }
         program
     };
-    BUILT.get_or_init(build).clone()
+    BUILT[release].get_or_init(build).clone()
 }
 
 /// Which of the two releases runs first.
@@ -54,8 +60,8 @@
 }
 
 /// Returns the program that runs first, and the one that replaces it.
-async fn programs(first: First) -> (PathBuf, PathBuf) {
-    let production = spawn_blocking(build_production).await.unwrap();
+async fn programs(release: usize, first: First) -> (PathBuf, PathBuf) {
+    let production = spawn_blocking(move || build_release(release)).await.unwrap();
     let current = PathBuf::from(env!("CARGO_BIN_EXE_catkinlatch"));
     match first {
         First::Production => (production, current),
@@ -113,11 +119,13 @@
 
 /// Guards against messages and stored data that the release in production cannot read, or that cannot read
 /// its own.
-#[test_case(First::Production; "replaced by the current one")]
-#[test_case(First::Current; "that replaces the current one")]
+#[test_case(0, First::Production; "replaced by the current one")]
+#[test_case(0, First::Current; "that replaces the current one")]
+#[test_case(1, First::Production; "of an earlier build replaced by the current one")]
+#[test_case(1, First::Current; "of an earlier build that replaces the current one")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn everything_works_beside_the_release_in_production(first: First) {
-    let (before, after) = programs(first).await;
+async fn everything_works_beside_the_release_in_production(release: usize, first: First) {
+    let (before, after) = programs(release, first).await;
     let mut setup = Setup::start_program(before, tempfile::tempdir().unwrap()).await;
     for engine in &setup.engines {
         (engine.state().events, engine.state().event_time) = (EVENTS, Duration::from_millis(80));
@@ -158,3 +166,23 @@
         assert!(!host.log().contains("panicked"), "{}: {}", host.name, host.log());
     }
 }
+
+/// Guards against withdrawals at a host of the current release that its leader of an earlier one does
+/// not understand, or takes for those of a later start.
+#[test_case(0; "in production")]
+#[test_case(1; "of an earlier build")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn withdrawn_starts_are_told_apart_beside_a_release(release: usize) {
+    let (before, after) = programs(release, First::Production).await;
+    let mut setup = Setup::start_program(before, tempfile::tempdir().unwrap()).await;
+    let is_leader = |host: &Host| host.log().contains("\"role\":\"leader\"");
+    let follower = setup.site.stores().iter().position(|host| !is_leader(host)).unwrap();
+    replace(&mut setup, follower, &after).await;
+    let target = Target::start().await;
+    assert!(target.is_used(&setup, FIRST, "first").await);
+    target.announce(&setup, SECOND).await;
+    target.withdraw_at(&setup, follower, FIRST).await;
+    assert!(target.is_used(&setup, SECOND, "second").await, "the next start is not used");
+    target.withdraw_at(&setup, follower, SECOND).await;
+    assert!(!target.is_used(&setup, SECOND, "withdrawn").await);
+}
