Versions and orders of an earlier start of an engine do not apply to the next one

Callers could see items refused by an engine that started again under its id: the leader took the version that a run or a report of the earlier start showed late for the next one's, until its next heartbeat, and sent orders for the earlier start to it.

--- a/crates/catkinlatch-ledger/src/registry.rs
+++ b/crates/catkinlatch-ledger/src/registry.rs
@@ -15,7 +15,7 @@
 };
 
 use self::withdrawal::Withdrawals;
-use catkinlatch_base::{BootId, Instant, TargetId, derive_value};
+use catkinlatch_base::{BootId, Instant, ModelId, TargetId, Version, derive_value};
 use catkinlatch_route::Ramp;
 use derive_more::Display;
 use std::{collections::BTreeMap, time::Duration};
@@ -246,15 +246,18 @@
         self.withdrawals.tombstones()
     }
 
-    /// Records that a target was observed to hold a version of a model's weights.
-    pub fn record_version(
-        &mut self,
-        id: &TargetId,
-        model: &catkinlatch_base::ModelId,
-        version: catkinlatch_base::Version,
-    ) {
-        if let Some(registration) = self.registrations.get_mut(id) {
-            registration.target.models.insert(model.clone(), version);
+    /// Returns the registration of this start of a target, if it is the registered one.
+    pub fn registered(&self, start: &Target) -> Option<&Target> {
+        self.target(&start.id).filter(|target| target.born_ms == start.born_ms)
+    }
+
+    /// Records that a start of a target was observed to hold a version of a model's weights, if it
+    /// is the registered one.
+    pub fn record_version(&mut self, start: &Target, model: &ModelId, version: Version) {
+        let registration = self.registrations.get_mut(&start.id);
+        let target = registration.map(|registration| &mut registration.target);
+        if let Some(target) = target.filter(|target| target.born_ms == start.born_ms) {
+            target.models.insert(model.clone(), version);
         }
     }
 }
--- a/crates/catkinlatch-ledger/tests/registry.rs
+++ b/crates/catkinlatch-ledger/tests/registry.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed test may panic")]
 
-use catkinlatch_base::{Instant, TargetId, Term};
+use catkinlatch_base::{Instant, TargetId, Term, Version};
 use catkinlatch_ledger::{
     Registry, Target,
     registry::{Change, Leaving, Phase, Reason, Withdrawn},
@@ -228,6 +228,22 @@
     assert!(registry.target(&id("a")).unwrap().is_ready());
 }
 
+/// Guards against items for an engine that holds other weights, since an earlier start of it
+/// reported a version late.
+#[test]
+fn a_version_that_an_earlier_start_reports_is_not_taken_for_the_next_one() {
+    let (mut registry, now) = (Registry::default(), Instant::ZERO);
+    let (model, version) = (&"model".parse().unwrap(), Version::new);
+    let (first, second) = (target("t", 100, 1), target("t", 200, 1));
+    registry.register(first.clone(), now);
+    registry.record_version(&first, model, version(2));
+    assert_eq!(registry.target(&id("t")).unwrap().models[model], version(2));
+    registry.register(second.clone(), now);
+    registry.record_version(&first, model, version(3));
+    assert!(registry.target(&id("t")).unwrap().models.is_empty());
+    assert!(registry.registered(&first).is_none() && registry.registered(&second).is_some());
+}
+
 fn zones(names: &[&str]) -> BTreeSet<catkinlatch_base::ZoneId> {
     names.iter().map(|name| name.parse().unwrap()).collect()
 }
--- a/crates/catkinlatch-store/src/runner/end.rs
+++ b/crates/catkinlatch-store/src/runner/end.rs
@@ -120,7 +120,7 @@
             .replica
             .read(|state| state.jobs.get(job).and_then(|record| record.job.model.clone()));
         if let (Some(model), Some(version)) = (model, summary.version) {
-            self.host.soft_state().registry.record_version(&engine.id, &model, version);
+            self.host.soft_state().registry.record_version(engine, &model, version);
         }
     }
 
--- a/crates/catkinlatch-store/src/weights/order.rs
+++ b/crates/catkinlatch-store/src/weights/order.rs
@@ -77,7 +77,7 @@
             await_load(host, target, model, version).await
         }
         Some(OrderAnswer::Holds) => {
-            host.soft_state().registry.record_version(&target.id, model, version);
+            host.soft_state().registry.record_version(target, model, version);
             Outcome::Loaded
         }
         Some(_) | None => {
@@ -95,9 +95,8 @@
     while host.clock.now() < until {
         let seen = {
             let soft = host.soft_state();
-            let known = soft.registry.target(&target.id);
-            let is_same = |known: &&Target| known.born_ms == target.born_ms && known.is_ready();
-            known.filter(is_same).map(|known| known.models.clone())
+            let known = soft.registry.registered(target).filter(|known| known.is_ready());
+            known.map(|known| known.models.clone())
         };
         let Some(seen) = seen else { return Outcome::Failed };
         if seen.get(model).is_some_and(|held| *held >= version) {
@@ -128,7 +127,7 @@
     let mut soft = host.soft_state();
     soft.orders.insert((target.id.clone(), target.born_ms), report.accepted_orders);
     for (model, version) in &report.models {
-        soft.registry.record_version(&target.id, model, *version);
+        soft.registry.record_version(target, model, *version);
     }
 }
 
@@ -153,8 +152,8 @@
     request.headers_mut().insert(http::header::CONTENT_TYPE, json);
     let may_send = || {
         host.record_action(term);
-        // The zone may have been evacuated since the engine was chosen.
-        let is_ready = host.soft_state().registry.target(&target.id).is_some_and(Target::is_ready);
+        // Since the engine was chosen, it may have started again or its zone been evacuated.
+        let is_ready = host.soft_state().registry.registered(target).is_some_and(Target::is_ready);
         is_ready && host.replica.fencing_token() == Some(term)
     };
     let answer = async {
