The end of a connection confirms a text only if its engine still runs

Cause: a run without further events confirmed the end of the one before, although its own end was that of a connection as well, which a killed process closes like one that has finished.

Change: after such an end the host connects once more; a target that accepts nothing has crashed. Two ends after the same event, of targets that run on, confirm each other.

--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -76,9 +76,8 @@
     has_begun: bool,
     /// How the response to the caller tells where it ends.
     framing: Framing,
-    /// Whether the current target has sent no event yet, so that its end confirms the last event of
-    /// another one.
-    is_confirmed: bool,
+    /// The last event of a target that ended the stream with its connection.
+    ended_after: Option<u64>,
     /// The builds at which the stream may go on.
     required: Required,
     /// Lists the stream among those that this host cuts if it ends.
@@ -174,7 +173,7 @@
         last_event: header::number(&inbound.head.headers, &header::LAST_EVENT),
         has_begun: false,
         framing,
-        is_confirmed: false,
+        ended_after: None,
         required: required.clone(),
         _open: open,
     };
@@ -276,6 +275,11 @@
             Ok(Ok(None)) if self.parser.is_partial() => {
                 return Read::broken("the stream ended within an event");
             }
+            Ok(Ok(None)) if self.ends_with_connection() => {
+                let is_running = self.host.client.is_accepted_by(&self.target.address).await;
+                let reason = "the target ended the connection and accepts no other";
+                return if is_running { Read::End } else { Read::broken(reason) };
+            }
             Ok(Ok(None)) => return Read::End,
             Ok(Err(error @ BodyError::Broken(_))) => return Read::broken(error),
             Ok(Err(error @ BodyError::Lost(_))) => {
@@ -297,7 +301,7 @@
                     build::record(&self.host, &self.inbound, &self.target.build);
                     self.required = Required::Only(self.target.build.clone());
                 }
-                (self.last_event, self.has_begun, self.is_confirmed) = (Some(id), true, false);
+                (self.last_event, self.has_begun) = (Some(id), true);
                 self.waited = Duration::ZERO;
             }
             self.ready.push_back(block);
@@ -325,14 +329,21 @@
         caller.unwrap_or(proxy::DEFAULT_TIMEOUT.saturating_sub(self.waited))
     }
 
-    /// Returns whether the stream may have been cut although it ended without an error.
+    /// Returns whether a stream that ended without an error may have been cut.
     ///
-    /// Where it may be resumed, another target then confirms that nothing follows. Else the caller gets
-    /// it as it came.
-    fn may_be_cut(&self) -> bool {
+    /// Where it may be resumed, a second target that ends it after the same event confirms that nothing
+    /// follows. Else the caller gets it as it came.
+    fn may_be_cut(&mut self) -> bool {
+        let last_event = self.last_event.unwrap_or_default();
+        self.ends_with_connection() && self.ended_after.replace(last_event) != Some(last_event)
+    }
+
+    /// Returns whether the end of the connection is the only sign of the stream's end, and the stream
+    /// may be resumed.
+    fn ends_with_connection(&self) -> bool {
         let framing = self.call.as_ref().map(|call| call.exchange.framing);
-        let is_cut = framing.is_some_and(|framing| framing != Framing::Explicit);
-        is_cut && !self.is_confirmed && self.inbound.route.may_repeat()
+        let is_explicit = framing.is_none_or(|framing| framing == Framing::Explicit);
+        !is_explicit && self.inbound.route.may_repeat()
     }
 
     /// Returns whether a late event shows no more than a slow target. One that falls silent under a
@@ -443,7 +454,7 @@
             let limit = left.min(EVENT_TIMEOUT);
             match self.open_next(request, &target, limit).await {
                 Ok(call) if is_stream(&call) => {
-                    (self.call, self.is_patient, self.is_confirmed) = (Some(call), false, true);
+                    (self.call, self.is_patient) = (Some(call), false);
                     return true;
                 }
                 Ok(mut call) => {
--- a/crates/catkinlatch-ledger/src/schedule/run.rs
+++ b/crates/catkinlatch-ledger/src/schedule/run.rs
@@ -10,8 +10,8 @@
     Whole,
     /// The stream was interrupted, and may be resumed on another engine.
     Broken,
-    /// The stream ended with its connection after events, so it may have been cut. The run that resumes
-    /// after the last event confirms that nothing follows.
+    /// The stream ended with its connection, so it may have been cut. A second run that ends so after
+    /// the same event confirms that nothing follows.
     Unconfirmed,
     /// The engine reported that the run failed.
     Failed,
--- a/crates/catkinlatch-ledger/src/schedule/task.rs
+++ b/crates/catkinlatch-ledger/src/schedule/task.rs
@@ -67,6 +67,8 @@
     pub began_ms: u64,
     /// When the item may be run again after a failure, in milliseconds since the Unix epoch.
     pub retry_at_ms: u64,
+    /// The last event of a stream that ended with its connection.
+    ended_after: Option<u64>,
     /// The item's fingerprint, once it was asked for.
     fingerprint: OnceLock<Fingerprint>,
 }
@@ -92,6 +94,7 @@
             moves: 0,
             began_ms: 0,
             retry_at_ms: 0,
+            ended_after: None,
             fingerprint: OnceLock::new(),
         }
     }
@@ -170,7 +173,17 @@
     /// Drops the progress, so that the next run starts from the beginning.
     pub(super) fn restart(&mut self) {
         self.progress = Progress::default();
-        self.recorded_event = 0;
+        (self.recorded_event, self.ended_after) = (0, None);
+    }
+
+    /// Returns how a run ended, given how the one before did: an unconfirmed end after `last_event` is
+    /// confirmed by a second one.
+    pub fn confirm(&mut self, end: End, last_event: u64) -> End {
+        if end != End::Unconfirmed {
+            return end;
+        }
+        let is_second = self.ended_after.replace(last_event) == Some(last_event);
+        if is_second { End::Whole } else { End::Unconfirmed }
     }
 
     /// Returns the new part of the current run's progress and marks it as recorded, or returns
--- a/crates/catkinlatch-ledger/tests/schedule.rs
+++ b/crates/catkinlatch-ledger/tests/schedule.rs
@@ -9,7 +9,7 @@
     Job, Record, Schedule,
     build::Seen,
     job::{Advance, Progress},
-    schedule::{Assignment, End, Engine, Loss, Next},
+    schedule::{Assignment, End, Engine, Loss, Next, Task},
 };
 use common::{job, job_id};
 use std::{collections::BTreeMap, iter, slice, sync::Arc};
@@ -51,6 +51,17 @@
     assert_eq!(schedule.counts(), (5, 5));
 }
 
+/// Guards against a text that is taken for whole at the first end that only its connection shows.
+#[test]
+fn an_end_with_the_connection_is_confirmed_by_a_second_one_after_the_same_event() {
+    let mut task = Task::new(job("job", 1), 0, false);
+    assert_eq!(task.confirm(End::Unconfirmed, 5), End::Unconfirmed);
+    assert_eq!(task.confirm(End::Broken, 5), End::Broken);
+    assert_eq!(task.confirm(End::Unconfirmed, 9), End::Unconfirmed, "more has come since");
+    assert_eq!(task.confirm(End::Unconfirmed, 9), End::Whole);
+    assert_eq!(task.confirm(End::Whole, 9), End::Whole);
+}
+
 #[test]
 fn engines_with_outdated_weights_get_no_items() {
     let strict = Job { min_version: Some(Version::new(3)), ..(*job("job", 1)).clone() };
--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -36,6 +36,9 @@
 /// Maximum number of idle connections to an address.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// How long a server may take to accept a connection that only shows whether it does.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Why a repeatable request is given up early.
 pub(super) const CUT_OFF: &str = "this host is cut off from targets";
 
@@ -335,6 +338,19 @@
         time::timeout(limit, answer).await.ok().flatten()
     }
 
+    /// Returns whether a server accepts connections. One that has crashed does not, while one that
+    /// only closed a connection still does.
+    pub async fn is_accepted_by(&self, address: &str) -> bool {
+        let opening = async {
+            let path = match &self.dialer {
+                Some(dialer) => dialer.path().await,
+                None => Path::Direct,
+            };
+            self.open(address, path).await.is_ok()
+        };
+        time::timeout(ACCEPT_TIMEOUT, opening).await.unwrap_or(false)
+    }
+
     /// Sends a request over a new connection, after closing all idle connections to the address.
     ///
     /// # Errors
--- a/crates/catkinlatch-standin/src/site/script.rs
+++ b/crates/catkinlatch-standin/src/site/script.rs
@@ -18,6 +18,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time,
 };
 
@@ -33,6 +34,8 @@
     Close,
     /// It is reset.
     Reset,
+    /// It is closed, as all others are, and the target accepts none any more.
+    Crash,
 }
 
 /// The bytes that a request is answered with.
@@ -44,18 +47,31 @@
     pub text: String,
     /// What happens to the connection after them.
     pub rest: Rest,
+    /// How many more requests get it; copies share the number.
+    left: Arc<AtomicU64>,
 }
 
 impl Reply {
     /// Creates a reply after which the connection stays open.
     pub fn new(text: impl Into<String>) -> Self {
-        Self { text: text.into(), rest: Rest::Keep }
+        Self { text: text.into(), rest: Rest::Keep, left: Arc::new(AtomicU64::new(u64::MAX)) }
     }
 
     /// Sets what happens to the connection.
     pub fn with_rest(self, rest: Rest) -> Self {
         Self { rest, ..self }
     }
+
+    /// Answers only this many requests of all targets that have the reply; the others get valid ones.
+    pub fn with_uses(self, uses: u64) -> Self {
+        Self { left: Arc::new(AtomicU64::new(uses)), ..self }
+    }
+
+    /// Takes one use; returns whether there was one.
+    fn take(&self) -> bool {
+        let take = |left: u64| left.checked_sub(1);
+        self.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
+    }
 }
 
 /// A running target that answers with its reply, if one is set, and is valid otherwise.
@@ -69,6 +85,8 @@
     state: Arc<Mutex<State>>,
     /// Number of connections on which the client waits for nothing more, and that are open.
     kept: Arc<AtomicU64>,
+    /// Set once the target has crashed.
+    crashed: watch::Sender<bool>,
 }
 
 #[derive(Debug, Default)]
@@ -96,11 +114,18 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let target = Target::new(id, service, listener.local_addr()?, 6);
         let (state, kept) = Default::default();
-        let script = Self { target, state, kept };
+        let script = Self { target, state, kept, crashed: watch::channel(false).0 };
         let served = script.clone();
         tokio::spawn(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(served.clone().converse(socket));
+            let mut crashed = served.crashed.subscribe();
+            loop {
+                tokio::select! {
+                    _ = crashed.wait_for(|crashed| *crashed) => return,
+                    accepted = listener.accept() => {
+                        let Ok((socket, _)) = accepted else { return };
+                        tokio::spawn(served.clone().converse(socket));
+                    }
+                }
             }
         });
         tokio::spawn(script.target.clone().announce(controls, move || models.clone()));
@@ -161,6 +186,10 @@
             if breaks && request.last_event == 0 {
                 return break_off(&mut socket, &request).await;
             }
+            if !reply.take() {
+                socket.write_all(whole(&request).as_bytes()).await?;
+                continue;
+            }
             *self.state().replies.entry(request.id.clone()).or_default() += 1;
             self.state().resumed += u32::from(request.last_event > 0);
             socket.write_all(reply.text.replace("{id}", &request.id).as_bytes()).await?;
@@ -170,6 +199,11 @@
                     time::sleep(FLUSH_TIME).await;
                     return socket.set_zero_linger();
                 }
+                Rest::Crash => {
+                    self.crashed.send_replace(true);
+                    time::sleep(FLUSH_TIME).await;
+                    return socket.shutdown().await;
+                }
                 Rest::Keep => {}
             }
             self.kept.fetch_add(1, Ordering::Relaxed);
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -230,10 +230,8 @@
                     summary.reason = "the stream ended within an event".to_owned();
                     return;
                 }
-                Ok(Ok(None)) if exchange.framing != Framing::Explicit && last.is_some() => {
-                    summary.end = End::Unconfirmed;
-                    summary.reason = "the stream ended with its connection".to_owned();
-                    return;
+                Ok(Ok(None)) if exchange.framing != Framing::Explicit => {
+                    return self.end_with_connection(summary).await;
                 }
                 Ok(Ok(None)) => {
                     summary.end = End::Whole;
@@ -274,6 +272,20 @@
         }
     }
 
+    /// Records the end of a stream that ended with its connection. If the engine accepts no other
+    /// one, it has crashed, or is about to end.
+    async fn end_with_connection(&self, summary: &mut Summary) {
+        let is_running = self.host.work_client.is_accepted_by(&self.engine.address).await;
+        let reason = if is_running {
+            summary.end = End::Unconfirmed;
+            "the stream ended with its connection"
+        } else {
+            summary.is_disconnect = true;
+            "the engine ended the connection and accepts no other"
+        };
+        summary.reason = reason.to_owned();
+    }
+
     /// Records how long the engine took for the latest events.
     fn record_pace(&self, last: &mut Option<Instant>, events: u32, summary: &mut Summary) {
         let now = self.host.clock.now();
--- a/crates/catkinlatch-store/src/runner/end.rs
+++ b/crates/catkinlatch-store/src/runner/end.rs
@@ -43,12 +43,12 @@
         item: usize,
         run: RunId,
         engine: &Target,
-        summary: Summary,
+        mut summary: Summary,
         took: Duration,
     ) {
-        let Some(task) = self.schedule.task(&job, item).filter(|task| task.run == Some(run)) else {
-            return;
-        };
+        let task = self.schedule.task_mut(&job, item).filter(|task| task.run == Some(run));
+        let Some(task) = task else { return };
+        summary.end = task.confirm(summary.end, summary.progress.last_event);
         info!(
             job:% = job, request:% = task.item().id, target_id:% = engine.id, end:? = summary.end,
             events = summary.progress.last_event, ms = took.as_millis() as u64,
--- a/tests/site/resumed.rs
+++ b/tests/site/resumed.rs
@@ -117,8 +117,12 @@
 
 /// Starts two targets that follow a script in place of the engines.
 async fn start(setup: &Setup) -> Vec<Script> {
+    start_many(setup, 2).await
+}
+
+async fn start_many(setup: &Setup, count: usize) -> Vec<Script> {
     let models = json!([{"name": "model", "version": 1, "adapters": []}]);
-    let scripts = status::start(setup, "drafts", 2, models).await;
+    let scripts = status::start(setup, "drafts", count, models).await;
     setup.engines.iter().for_each(|it| it.target.is_draining.store(true, Ordering::Relaxed));
     wait_until("the engines have left", || async {
         setup.engines.iter().all(|it| it.target.acknowledged.load(Ordering::Relaxed) > 0)
@@ -179,7 +183,7 @@
 }
 
 /// Returns a stream of events that ends with its connection, as its head says.
-fn unframed(events: std::ops::RangeInclusive<u64>) -> Reply {
+fn unframed(events: impl Iterator<Item = u64>) -> Reply {
     let events: String = events.map(|event| event_text("{id}", event)).collect();
     let head = reply("200 OK", EVENTS, "", Framing::UntilClose);
     let text = head.text.replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n") + &events;
@@ -233,3 +237,31 @@
     status::set_reply(&scripts, None);
     check(&setup.results(0, "whole", 4).await, &[1]);
 }
+
+/// A stream without events that ends with its connection, since its target crashes.
+fn crash() -> Reply {
+    unframed(std::iter::empty()).with_rest(Rest::Crash).with_uses(1)
+}
+
+/// Guards against a stream that looks complete since the target that resumed it crashed before its
+/// first event.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_whose_second_target_crashes_is_not_complete_without_the_rest() {
+    let setup = Setup::start().await;
+    let scripts = start_many(&setup, 3).await;
+    let (stream, is_complete) = resumed(&setup, &scripts, 0, &crash()).await;
+    assert!(!is_complete || stream.events() == [1, 2, 3, 4, 5], "{}", stream.text());
+}
+
+/// Guards against an item that is completed with a part of its text since the engine that resumed it
+/// crashed before its first event.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_item_whose_second_engine_crashes_is_completed_whole() {
+    let setup = Setup::start().await;
+    let scripts = start_many(&setup, 3).await;
+    scripts.iter().for_each(|script| script.set_break_items(true));
+    status::set_reply(&scripts, Some(crash()));
+    setup.submit("crash", 1, 1).await;
+    check(&setup.results(0, "crash", 1).await, &[1]);
+    assert_eq!(scripts.iter().map(Script::resumed).sum::<u32>(), 1);
+}
