Callers can tell a stream that was cut from one that ends with its connection

Cause: such streams were passed on as responses of HTTP/1.0, which end well however their connection ends.

Change: streams are sent in chunks, so that a failure, a kill and a stop of the entry host are all seen. After an end that only the connection shows, the host connects once more; a target that refuses has crashed, and the stream or answer is broken. A connection that takes long shows nothing, also for items.

--- a/crates/catkinlatch-entry/src/answer.rs
+++ b/crates/catkinlatch-entry/src/answer.rs
@@ -18,11 +18,12 @@
     response
 }
 
-/// Returns a response of a target, whose body must not be of a known length unless `framing` is
-/// explicit.
+/// Returns a response of a target that was received whole, whose body must not be of a known length
+/// unless `framing` is explicit.
 ///
-/// One that ends with its connection may have been cut, which a length or chunks would hide. It is
-/// passed on as a response of HTTP/1.0, which ends with the connection as well.
+/// One that ends with its connection may have been cut, which a length would hide. It is passed on as
+/// a response of HTTP/1.0, which ends with the connection as well. A stream is not: its callers could
+/// not tell a reset at the target, or the end of this process, from its end.
 pub fn with_framing(response: Response<Body>, framing: Framing) -> Response<Body> {
     match framing {
         Framing::Explicit => response,
--- a/crates/catkinlatch-entry/src/attempt.rs
+++ b/crates/catkinlatch-entry/src/attempt.rs
@@ -5,7 +5,7 @@
 use catkinlatch_base::Instant;
 use catkinlatch_ledger::{Target, balancer::Verdict, observation::Event};
 use catkinlatch_platform::header;
-use catkinlatch_runtime::http::{Body, BodyError, Exchange, Failure, Repeatable, full};
+use catkinlatch_runtime::http::{Body, BodyError, Exchange, Failure, Framing, Repeatable, full};
 use derive_more::Display;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use log::info;
@@ -15,6 +15,9 @@
 /// Why an attempt did not reach its target.
 pub const NO_CONNECTION: &str = "no connection";
 
+/// Why a response that ends with its connection is not whole.
+pub const ENDED: &str = "the target ended the connection and refuses others";
+
 /// Outcome of an attempt.
 #[derive(Display)]
 pub enum Outcome {
@@ -204,7 +207,16 @@
 pub async fn read_answer(host: &Host, call: Call, limit: Duration) -> Outcome {
     let Call { exchange, mut guard } = call;
     let max_bytes = host.client.limits().body;
-    let outcome = match time::timeout(limit, exchange.read_body(max_bytes)).await {
+    let framing = exchange.framing;
+    let reading = async {
+        let answer = exchange.read_body(max_bytes).await?;
+        let may_be_cut = framing != Framing::Explicit;
+        if may_be_cut && host.client.is_refused_by(&guard.target.address).await {
+            return Err(BodyError::Broken(ENDED.to_owned()));
+        }
+        Ok(answer)
+    };
+    let outcome = match time::timeout(limit, reading).await {
         Ok(Ok(answer)) => {
             let elapsed = host.clock.now() - guard.started;
             guard.record_answer(elapsed);
--- a/crates/catkinlatch-entry/src/stream.rs
+++ b/crates/catkinlatch-entry/src/stream.rs
@@ -1,7 +1,7 @@
 //! Forwarding of event streams as they arrive.
 
 use crate::{
-    allowance, answer,
+    allowance,
     attempt::{self, Call, Outcome},
     build::{self, Required},
     drain::OpenStream,
@@ -74,7 +74,7 @@
     last_event: Option<u64>,
     /// Whether an event has been received for this request.
     has_begun: bool,
-    /// How the response to the caller tells where it ends.
+    /// How the response of the first target tells where it ends.
     framing: Framing,
     /// The last event of a target that ended the stream with its connection.
     ended_after: Option<u64>,
@@ -184,7 +184,7 @@
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    Ok(answer::with_framing(response, framing))
+    Ok(response)
 }
 
 /// Returns whether a response is a stream of events.
@@ -275,12 +275,11 @@
             Ok(Ok(None)) if self.parser.is_partial() => {
                 return Read::broken("the stream ended within an event");
             }
-            Ok(Ok(None)) if self.ends_with_connection() => {
-                let is_running = self.host.client.is_accepted_by(&self.target.address).await;
-                let reason = "the target ended the connection and accepts no other";
-                return if is_running { Read::End } else { Read::broken(reason) };
+            Ok(Ok(None)) if call.exchange.framing == Framing::Explicit => return Read::End,
+            Ok(Ok(None)) => {
+                let has_crashed = self.host.client.is_refused_by(&self.target.address).await;
+                return if has_crashed { Read::broken(attempt::ENDED) } else { Read::End };
             }
-            Ok(Ok(None)) => return Read::End,
             Ok(Err(error @ BodyError::Broken(_))) => return Read::broken(error),
             Ok(Err(error @ BodyError::Lost(_))) => {
                 return Read::Failed { reason: error.to_string(), cause: Cause::Loss };
@@ -332,18 +331,15 @@
     /// Returns whether a stream that ended without an error may have been cut.
     ///
     /// Where it may be resumed, a second target that ends it after the same event confirms that nothing
-    /// follows. Else the caller gets it as it came.
+    /// follows.
     fn may_be_cut(&mut self) -> bool {
-        let last_event = self.last_event.unwrap_or_default();
-        self.ends_with_connection() && self.ended_after.replace(last_event) != Some(last_event)
-    }
-
-    /// Returns whether the end of the connection is the only sign of the stream's end, and the stream
-    /// may be resumed.
-    fn ends_with_connection(&self) -> bool {
         let framing = self.call.as_ref().map(|call| call.exchange.framing);
         let is_explicit = framing.is_none_or(|framing| framing == Framing::Explicit);
-        !is_explicit && self.inbound.route.may_repeat()
+        if is_explicit || !self.inbound.route.may_repeat() {
+            return false;
+        }
+        let last_event = self.last_event.unwrap_or_default();
+        self.ended_after.replace(last_event) != Some(last_event)
     }
 
     /// Returns whether a late event shows no more than a slow target. One that falls silent under a
--- a/crates/catkinlatch-runtime/src/http/client.rs
+++ b/crates/catkinlatch-runtime/src/http/client.rs
@@ -36,8 +36,8 @@
 /// Maximum number of idle connections to an address.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
-/// How long a server may take to accept a connection that only shows whether it does.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a connection may take that only shows whether it is refused.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a repeatable request is given up early.
 pub(super) const CUT_OFF: &str = "this host is cut off from targets";
@@ -338,17 +338,16 @@
         time::timeout(limit, answer).await.ok().flatten()
     }
 
-    /// Returns whether a server accepts connections. One that has crashed does not, while one that
-    /// only closed a connection still does.
-    pub async fn is_accepted_by(&self, address: &str) -> bool {
-        let opening = async {
-            let path = match &self.dialer {
-                Some(dialer) => dialer.path().await,
-                None => Path::Direct,
-            };
-            self.open(address, path).await.is_ok()
+    /// Returns whether nothing listens at an address any more, which tells a server that has crashed
+    /// from one that only closed a connection. False if that can't be told.
+    pub async fn is_refused_by(&self, address: &str) -> bool {
+        let connect = match &self.dialer {
+            Some(dialer) if dialer.is_direct() => dialer.connect(),
+            Some(_) => return false,
+            None => &self.connect,
         };
-        time::timeout(ACCEPT_TIMEOUT, opening).await.unwrap_or(false)
+        let opened = time::timeout(REFUSAL_TIMEOUT, connect(address.to_owned())).await;
+        matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
     /// Sends a request over a new connection, after closing all idle connections to the address.
--- a/crates/catkinlatch-runtime/src/http/dialer.rs
+++ b/crates/catkinlatch-runtime/src/http/dialer.rs
@@ -128,6 +128,11 @@
         self.reach().is_direct()
     }
 
+    /// Returns the function that opens direct connections.
+    pub fn connect(&self) -> &Connect {
+        &self.connect
+    }
+
     /// Returns how often this host has been cut off. Connections from before may be dead.
     pub fn cuts(&self) -> u64 {
         self.reach().cuts()
--- a/crates/catkinlatch-store/src/run.rs
+++ b/crates/catkinlatch-store/src/run.rs
@@ -272,16 +272,16 @@
         }
     }
 
-    /// Records the end of a stream that ended with its connection. If the engine accepts no other
-    /// one, it has crashed, or is about to end.
+    /// Records the end of a stream that ended with its connection. If the engine refuses another one,
+    /// it has crashed.
     async fn end_with_connection(&self, summary: &mut Summary) {
-        let is_running = self.host.work_client.is_accepted_by(&self.engine.address).await;
-        let reason = if is_running {
+        let has_crashed = self.host.work_client.is_refused_by(&self.engine.address).await;
+        let reason = if has_crashed {
+            summary.is_disconnect = true;
+            "the engine ended the connection and refuses others"
+        } else {
             summary.end = End::Unconfirmed;
             "the stream ended with its connection"
-        } else {
-            summary.is_disconnect = true;
-            "the engine ended the connection and accepts no other"
         };
         summary.reason = reason.to_owned();
     }
