Bodies and results that callers have not read yet count as memory of entry hosts

Cause: the leader counts a reply until it is sent; the entry host counted it nowhere until its caller had read it. Pages of results were held alike.

Change: both count among the responses in flight.

--- a/crates/catkinlatch-entry/src/batch.rs
+++ b/crates/catkinlatch-entry/src/batch.rs
@@ -1,6 +1,7 @@
 //! Submission and queries of batch jobs, forwarded to the leader.
 
 use crate::{answer, front::InboundRequest, host::Host};
+use bytes::Bytes;
 use catkinlatch_base::{JobId, TeamId};
 use catkinlatch_platform::{JobContext, decode_job, encode_results, header};
 use catkinlatch_runtime::{
@@ -93,7 +94,8 @@
     let message = Message::Read { job: job.clone(), team, after, wait_ms };
     match host.leader_client.call(&message, Duration::from_millis(wait_ms), QUERY_TIMEOUT).await {
         Answer::Reply(Reply::Results(results)) => {
-            answer::json(encode_results(results.total, results.next, &results.list))
+            let page = encode_results(results.total, results.next, &results.list);
+            send_kept(host, &job, page, answer::json)
         }
         other => error_response(&job, &other),
     }
@@ -108,11 +110,33 @@
 ) -> Response<Body> {
     let message = Message::Body { job: job.clone(), team, item };
     match host.leader_client.call(&message, Duration::ZERO, QUERY_TIMEOUT).await {
-        Answer::Reply(Reply::Body(body)) => Response::new(full(body)),
+        Answer::Reply(Reply::Body(body)) => {
+            send_kept(host, &job, body, |body| Response::new(full(body)))
+        }
         other => error_response(&job, &other),
     }
 }
 
+/// Returns a response whose body counts as memory until its caller has read it, or a refusal if the
+/// bodies that callers have not read yet take too much.
+fn send_kept(
+    host: &Host,
+    job: &JobId,
+    body: impl Into<Bytes>,
+    response: impl FnOnce(Bytes) -> Response<Body>,
+) -> Response<Body> {
+    let body = body.into();
+    let length = body.len();
+    host.client.budget().keep(body).map_or_else(
+        || {
+            metrics::counter!("catkinlatch_entry_memory_refusals").increment(1);
+            info!(job:% = job, bytes = length; "entry: refused a read, too little memory");
+            answer::refusal(MEMORY_RETRY_AFTER)
+        },
+        response,
+    )
+}
+
 /// Ends a job at its caller's request.
 pub async fn end(host: &Host, job: JobId, team: Option<TeamId>) -> Response<Body> {
     let message = Message::End { job: job.clone(), team };
--- a/crates/catkinlatch-runtime/src/http/memory/share.rs
+++ b/crates/catkinlatch-runtime/src/http/memory/share.rs
@@ -1,6 +1,7 @@
 //! Shares of the process-wide memory, released on drop.
 
 use super::{Number, Table};
+use bytes::Bytes;
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -42,11 +43,35 @@
         Share { budget: self.clone(), number, ended }
     }
 
+    /// Counts a complete response until its last reader has dropped it; returns `None` if all
+    /// responses together take too much memory.
+    pub fn keep(&self, bytes: impl Into<Bytes>) -> Option<Bytes> {
+        let bytes = bytes.into();
+        let share = self.begin();
+        if !share.hold(bytes.len()) {
+            return None;
+        }
+        share.complete();
+        Some(Bytes::from_owner(Kept { bytes, _share: share }))
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// A complete response, which holds its share until it is dropped.
+struct Kept {
+    bytes: Bytes,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Kept {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Share {
     /// Sets how many bytes the response holds; returns whether it may go on.
     pub fn hold(&self, bytes: usize) -> bool {
--- a/tests/site/item.rs
+++ b/tests/site/item.rs
@@ -1,12 +1,12 @@
 //! Items whose runs break off, or are slow.
 
-use super::{Setup, check, check_events, evacuation::leader, ok, wait_until};
+use super::{Setup, check, check_events, configuration, evacuation::leader, ok, wait_until};
 use catkinlatch_standin::site::{Engine, Target};
 use http::StatusCode;
 use serde_json::{Value, json};
-use std::{ops::RangeInclusive, time::Duration};
+use std::{ops::RangeInclusive, sync::atomic::Ordering, time::Duration};
 use test_case::test_case;
-use tokio::time;
+use tokio::{io::AsyncWriteExt as _, net::TcpSocket, time};
 
 /// Guards against items that are never completed, since each run of them is given up as late.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -236,3 +236,47 @@
         }
     }
 }
+
+/// Guards against an entry host that holds the bodies of all readers, however slowly they read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn readers_that_do_not_read_the_body_of_an_item_take_a_bounded_memory() {
+    const BODY_BYTES: usize = 6_000_000;
+    const READERS: usize = 80;
+    const MEMORY: u64 = 120_000_000;
+    let setup = Setup::start().await;
+    let limits = configuration(2).replace("1048576", "16777216");
+    setup.site.control("PUT", "/config", &limits).await;
+    setup.engines.iter().for_each(|it| it.target.is_draining.store(true, Ordering::Relaxed));
+    wait_until("no engine takes the item", || async {
+        setup.engines.iter().all(|it| it.target.acknowledged.load(Ordering::Relaxed) > 0)
+    })
+    .await;
+    // Each four characters of base64 stand for three bytes.
+    let body = "YWFh".repeat(BODY_BYTES / 3);
+    let job = super::job("large", 1, 1).replace("Ym9keQ==", &body);
+    wait_until("the job is accepted", || async {
+        let answer = setup.request(0, "POST", "/drafts/large", "large", &job).await;
+        answer.is_some_and(|answer| answer.status() == StatusCode::ACCEPTED)
+    })
+    .await;
+    let address = setup.site.entries()[0].address(setup.site.ports.callers).parse().unwrap();
+    let mut readers = Vec::new();
+    for _ in 0..READERS {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4 << 10).unwrap();
+        let mut reader = socket.connect(address).await.unwrap();
+        let head = "GET /items/large?id=large-0 HTTP/1.1\r\nhost: site.example\r\n\
+                    x-api-key: key-of-the-team\r\n\r\n";
+        reader.write_all(head.as_bytes()).await.unwrap();
+        reader.readable().await.unwrap();
+        readers.push(reader);
+    }
+    let peak = setup.site.entries()[0].peak_memory();
+    assert!(peak < MEMORY, "{peak} bytes");
+    drop(readers);
+    wait_until("the body is read again", || async {
+        let answer = setup.request(0, "GET", "/items/large?id=large-0", "", "").await;
+        answer.is_some_and(|answer| answer.body().len() == BODY_BYTES)
+    })
+    .await;
+}
