--- a/crates/catkinlatch-ledger/src/registry/withdrawal.rs
+++ b/crates/catkinlatch-ledger/src/registry/withdrawal.rs
@@ -31,13 +31,13 @@
     /// The latest start that withdrew by name, which never comes back.
     named_ms: Option<u64>,
     /// The registrations since then of a start that may still run.
-    signs: Option<Signs>,
+    renewals: Option<Renewals>,
     received_at: Instant,
 }
 
 /// A series of registrations of one start.
 #[derive(Clone, Copy, Debug)]
-struct Signs {
+struct Renewals {
     born_ms: u64,
     sequence: u64,
     first_at: Instant,
@@ -50,7 +50,7 @@
     pub fn adopt(&mut self, tombstones: Vec<Tombstone>, now: Instant) {
         let withdrawal = |Tombstone { id, born_ms }| {
             let named_ms = Some(born_ms);
-            (id, Withdrawal { through_ms: born_ms, named_ms, signs: None, received_at: now })
+            (id, Withdrawal { through_ms: born_ms, named_ms, renewals: None, received_at: now })
         };
         self.withdrawals = tombstones.into_iter().map(withdrawal).collect();
     }
@@ -69,10 +69,10 @@
     }
 
     fn entry(&mut self, id: &TargetId, through_ms: u64, now: Instant) -> &mut Withdrawal {
-        let empty = Withdrawal { through_ms, named_ms: None, signs: None, received_at: now };
+        let empty = Withdrawal { through_ms, named_ms: None, renewals: None, received_at: now };
         let withdrawal = self.withdrawals.entry(id.clone()).or_insert(empty);
         withdrawal.through_ms = withdrawal.through_ms.max(through_ms);
-        (withdrawal.signs, withdrawal.received_at) = (None, now);
+        (withdrawal.renewals, withdrawal.received_at) = (None, now);
         withdrawal
     }
 
@@ -86,7 +86,7 @@
             return false;
         }
         let may_run = withdrawal.named_ms != Some(target.born_ms) && target.is_ready();
-        if !may_run || !withdrawal.record_sign(target, now) {
+        if !may_run || !withdrawal.record_renewal(target, now) {
             return true;
         }
         self.withdrawals.remove(&target.id);
@@ -107,16 +107,16 @@
 
 impl Withdrawal {
     /// Records a registration of a start; returns whether it has kept registering for long.
-    fn record_sign(&mut self, target: &Target, now: Instant) -> bool {
+    fn record_renewal(&mut self, target: &Target, now: Instant) -> bool {
         let (born_ms, sequence) = (target.born_ms, target.sequence);
-        let first = Signs { born_ms, sequence, first_at: now, last_at: now };
-        let signs = self.signs.get_or_insert(first);
-        if (born_ms, sequence) <= (signs.born_ms, signs.sequence) {
+        let first = Renewals { born_ms, sequence, first_at: now, last_at: now };
+        let renewals = self.renewals.get_or_insert(first);
+        if (born_ms, sequence) <= (renewals.born_ms, renewals.sequence) {
             return false;
         }
-        let is_continued = signs.born_ms == born_ms && now <= signs.last_at + MAX_PAUSE;
-        let first_at = if is_continued { signs.first_at } else { now };
-        *signs = Signs { first_at, ..first };
+        let is_continued = renewals.born_ms == born_ms && now <= renewals.last_at + MAX_PAUSE;
+        let first_at = if is_continued { renewals.first_at } else { now };
+        *renewals = Renewals { first_at, ..first };
         now >= first_at + REVIVAL_TIME
     }
 }
