--- a/tests/site/resumed.rs
+++ b/tests/site/resumed.rs
@@ -253,6 +253,7 @@
     let text = text.replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
     status::set_reply(&scripts, Some(Reply::new(text).with_rest(rest).with_uses(1)));
     let answer = setup.request(0, "POST", "/file/1", "unframed", "").await.unwrap();
+    assert_eq!(answer.body() == "part", answer.status() == StatusCode::OK, "{:?}", answer.body());
     answer.status()
 }
 
